Lay out the project: packages, contracts, build, checks

Purpose: a frame in which the parts can be written side by side. Weighed: one library per package against a pure core library plus shell libraries; the latter keeps sockets, threads and clocks out of what decides and lets the fakes link without gRPC.

--- /dev/null
+++ b/include/wisteriaflow/http/client.h
@@ -0,0 +1,74 @@
+// An HTTP/1.1 client for one io_context, over Boost.Beast, with a pool of idle connections for
+// each address.
+
+#ifndef WISTERIAFLOW_HTTP_CLIENT_H_
+#define WISTERIAFLOW_HTTP_CLIENT_H_
+
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/message.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace wisteriaflow::http {
+
+// Limits of a client.
+struct client_options {
+  std::size_t idle_connections_per_address = 8;
+  std::size_t body_limit = 8 * 1024 * 1024; // bytes of a whole response
+};
+
+// Told about a streamed response as it arrives.
+struct stream_observer {
+  std::function<void(const response& head)> on_head;
+  std::function<void(std::string_view bytes)> on_bytes; // body bytes, chunk framing removed
+};
+
+// A request in flight that can be cancelled from the client's io_context.
+class exchange {
+ public:
+  // Closes the connection; the call throws broken_exchange_error.
+  void cancel();
+
+ private:
+  friend class client;
+  std::function<void()> cancel_;
+};
+
+// Sends requests. Not thread-safe: use it on its io_context's thread.
+//
+// A request on a reused connection that breaks before any byte of a response is sent again only
+// for GET; anything else gets broken_exchange_error, because it may have been run.
+class client {
+ public:
+  explicit client(boost::asio::io_context& context, client_options options = {});
+  ~client();
+  client(const client&) = delete;
+  client& operator=(const client&) = delete;
+
+  // Sends `message` and returns the whole response. Throws connect_error when no byte was sent,
+  // exchange_timeout_error after `deadline`, broken_exchange_error otherwise.
+  boost::asio::awaitable<response> call(socket_address to, request message, mono_time deadline);
+
+  // The same for a streamed response; returns when the body has ended whole and throws
+  // broken_exchange_error if it is cut short. `handle` (may be null) is filled in at once, to
+  // cancel the exchange.
+  boost::asio::awaitable<void> stream(socket_address to, request message, mono_time deadline,
+                                      stream_observer observer, exchange* handle = nullptr);
+
+  // Closes the idle connections to `to`, as when an endpoint leaves.
+  void forget(const socket_address& to);
+
+ private:
+  class implementation;
+  std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace wisteriaflow::http
+
+#endif // WISTERIAFLOW_HTTP_CLIENT_H_
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Sets up, builds and runs every test. Tests in KNOWN-RED.txt are run, printed and passed over.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD_DIR:-$root/build}
+"$root/scripts/setup.sh"
+"$root/scripts/build.sh"
+cd "$build"
+known=$(sed -n 's/^\([^ ,:]*\).*/\1/p' "$root/KNOWN-RED.txt" 2>/dev/null | paste -sd'|' || true)
+if [ -n "$known" ]; then
+  echo "known red, passed over: $known"
+  ctest --output-on-failure -R "^($known)$" || true
+  exec ctest --output-on-failure -j "${JOBS:-6}" -E "^($known)$"
+fi
+exec ctest --output-on-failure -j "${JOBS:-6}"
--- /dev/null
+++ b/src/platform/object_api.cc
@@ -0,0 +1,1 @@
+#include "wisteriaflow/platform/object_api.h"
