--- /dev/null
+++ b/src/objects/rfc3339.cc
@@ -0,0 +1,99 @@
+// Times as RFC 3339 text with milliseconds, in UTC.
+
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/errors.h"
+
+#include <chrono>
+#include <cstdio>
+
+namespace wisteriaflow::objects {
+namespace {
+
+constexpr int seconds_of_leap_minute = 60;
+
+// The fields of "2026-12-02T15:04:05.678Z".
+struct time_fields {
+  int year = 0;
+  unsigned month = 0;
+  unsigned day = 0;
+  int hour = 0;
+  int minute = 0;
+  int second = 0;
+  int millisecond = 0;
+};
+
+constexpr std::string_view form = "dddd-dd-ddTdd:dd:dd.dddZ";
+
+bool has_form(std::string_view text)
+{
+  if (text.size() != form.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < form.size(); ++i) {
+    const bool digit = text[i] >= '0' && text[i] <= '9';
+    if (form[i] == 'd' ? !digit : text[i] != form[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+int number_at(std::string_view text, std::size_t begin, std::size_t count)
+{
+  int number = 0;
+  for (const char c : text.substr(begin, count)) {
+    number = number * 10 + (c - '0');
+  }
+  return number;
+}
+
+time_fields split(std::string_view text)
+{
+  return {.year = number_at(text, 0, 4),
+          .month = static_cast<unsigned>(number_at(text, 5, 2)),
+          .day = static_cast<unsigned>(number_at(text, 8, 2)),
+          .hour = number_at(text, 11, 2),
+          .minute = number_at(text, 14, 2),
+          .second = number_at(text, 17, 2),
+          .millisecond = number_at(text, 20, 3)};
+}
+
+} // namespace
+
+std::string to_rfc3339(wall_time t)
+{
+  const auto day = std::chrono::floor<std::chrono::days>(t);
+  const std::chrono::year_month_day date(day);
+  const std::chrono::hh_mm_ss time(t - day);
+  constexpr std::size_t enough = 48;
+  std::string text(enough, '\0');
+  const int size = std::snprintf(
+      text.data(), text.size(), "%04d-%02u-%02uT%02d:%02d:%02d.%03dZ",
+      static_cast<int>(date.year()), static_cast<unsigned>(date.month()),
+      static_cast<unsigned>(date.day()), static_cast<int>(time.hours().count()),
+      static_cast<int>(time.minutes().count()), static_cast<int>(time.seconds().count()),
+      static_cast<int>(time.subseconds().count()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+wall_time parse_rfc3339(std::string_view text)
+{
+  const auto malformed = [&] { return objects_error("not a time: " + std::string(text)); };
+  if (!has_form(text)) {
+    throw malformed();
+  }
+  const auto fields = split(text);
+  const std::chrono::year_month_day date(std::chrono::year(fields.year),
+                                         std::chrono::month(fields.month),
+                                         std::chrono::day(fields.day));
+  if (!date.ok() || fields.hour > 23 || fields.minute > 59 ||
+      fields.second > seconds_of_leap_minute) {
+    throw malformed();
+  }
+  return std::chrono::sys_days(date) + std::chrono::hours(fields.hour) +
+         std::chrono::minutes(fields.minute) + std::chrono::seconds(fields.second) +
+         std::chrono::milliseconds(fields.millisecond);
+}
+
+} // namespace wisteriaflow::objects
