Choose endpoints by predicted time to first token

Purpose: routing needs a choice that holds up under lagging load reports and gappy cache events, with an explanation for operators from the same code. Weighed: keying the prefix belief by (endpoint, block) costs a lookup for each pair; keyed by block with a list of holders it costs one for each block of the prompt. An LRU list of blocks against two generations: the latter needs no links and is bounded alike.

--- /dev/null
+++ b/include/wisteriaflow/routing/ewma.h
@@ -0,0 +1,31 @@
+// An exponentially weighted moving average whose first sample is taken whole.
+
+#ifndef WISTERIAFLOW_ROUTING_EWMA_H_
+#define WISTERIAFLOW_ROUTING_EWMA_H_
+
+namespace wisteriaflow::routing {
+
+// Starts at a default that the first sample replaces; each later sample moves the value by `gain`.
+class ewma {
+ public:
+  // `initial` is the value before any sample; `gain` is in (0, 1].
+  ewma(double initial, double gain) : value_(initial), gain_(gain) {}
+
+  void add(double sample)
+  {
+    value_ = sampled_ ? value_ + gain_ * (sample - value_) : sample;
+    sampled_ = true;
+  }
+
+  [[nodiscard]] double value() const { return value_; }
+  [[nodiscard]] bool sampled() const { return sampled_; }
+
+ private:
+  double value_;
+  double gain_;
+  bool sampled_ = false;
+};
+
+} // namespace wisteriaflow::routing
+
+#endif // WISTERIAFLOW_ROUTING_EWMA_H_
--- /dev/null
+++ b/src/routing/choose_endpoint.cc
@@ -0,0 +1,284 @@
+#include "wisteriaflow/routing/choose_endpoint.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <limits>
+
+namespace wisteriaflow::routing {
+namespace {
+
+constexpr double seconds_per_hour = 3600;
+constexpr double shortest_target = 0.001; // s; avoids a division by zero for a target in the past
+
+double seconds(mono_time::duration d)
+{
+  return std::chrono::duration<double>(d).count();
+}
+
+mono_time after(mono_time now, double s)
+{
+  return now + std::chrono::duration_cast<mono_time::duration>(std::chrono::duration<double>(s));
+}
+
+// Where a candidate stands before the candidates are compared.
+enum class standing { open, leaving, unreachable, excluded };
+
+struct scored {
+  endpoint_slot slot = 0;
+  standing at = standing::open;
+  prediction parts;
+  double cost = 0;
+  double score = 0;
+};
+
+standing standing_of(const endpoint_state& endpoint, const request_view& request,
+                     endpoint_slot slot, mono_time now)
+{
+  if (endpoint.leaving) {
+    return standing::leaving;
+  }
+  if (std::find(request.excluded.begin(), request.excluded.end(), slot) != request.excluded.end()) {
+    return standing::excluded;
+  }
+  return now < endpoint.unreachable_until ? standing::unreachable : standing::open;
+}
+
+double decode_seconds(const endpoint_state& endpoint, int output_tokens)
+{
+  const double rate = endpoint.decode_rate.value();
+  return rate > 0 ? output_tokens / rate : endpoint.decode_seconds.value();
+}
+
+prediction predict(const routing_view& view, const request_view& request,
+                   const endpoint_state& endpoint, endpoint_slot slot, std::uint32_t blocks)
+{
+  const auto& options = view.options;
+  const auto& rules = options.rules;
+  prediction p;
+  p.queue = endpoint.queue_seconds(rules.own_work);
+  const double believed = blocks * options.tokens_per_block * view.prefixes.trust(slot);
+  p.cached_tokens = std::min(request.prompt_tokens, static_cast<int>(believed));
+  p.prefill = (request.prompt_tokens - p.cached_tokens) / endpoint.prefill_rate.value();
+  if (rules.network) {
+    const bool same = endpoint.description.availability_zone == options.availability_zone;
+    p.network = seconds(same ? options.network_within_zone : options.network_between_zones);
+  }
+  if (rules.reclaim_risk && endpoint.description.reclaimable) {
+    const double held =
+        p.queue + p.prefill + decode_seconds(endpoint, request.expected_output_tokens);
+    p.reclaim_risk =
+        held * options.reclaims_per_hour / seconds_per_hour * options.cost_of_a_reclaim;
+  }
+  return p;
+}
+
+// Price of the engine time that the request takes: prefill has the engine alone, decoding shares
+// it.
+double cost_of(const endpoint_state& endpoint, const request_view& request, const prediction& p)
+{
+  const double shared = decode_seconds(endpoint, request.expected_output_tokens) /
+                        std::max(1, endpoint.report.max_running);
+  return endpoint.description.price_per_hour / seconds_per_hour * (p.prefill + shared);
+}
+
+// The candidates' standing, prediction and cost.
+std::vector<scored> assess(const routing_view& view, const request_view& request,
+                           std::span<const endpoint_slot> candidates, mono_time now)
+{
+  std::vector<std::uint32_t> matched;
+  if (view.options.rules.prefixes && !request.blocks.empty() && !candidates.empty()) {
+    matched.resize(*std::max_element(candidates.begin(), candidates.end()) + std::size_t{1});
+    view.prefixes.match(request.blocks, now, matched);
+  }
+  std::vector<scored> all;
+  all.reserve(candidates.size());
+  for (const auto slot : candidates) {
+    const auto& endpoint = view.endpoints.at(slot);
+    scored it{.slot = slot, .at = standing_of(endpoint, request, slot, now)};
+    it.parts = predict(view, request, endpoint, slot, matched.empty() ? 0 : matched[slot]);
+    it.cost = cost_of(endpoint, request, it.parts);
+    all.push_back(it);
+  }
+  return all;
+}
+
+// The outcome of comparing the assessed candidates.
+struct comparison {
+  double limit = 0;                // seconds: candidates above it are not considered
+  const scored* fastest = nullptr; // among the open ones
+  const scored* chosen = nullptr;  // null if none can meet the deadline
+  double best_score = 0;
+};
+
+bool considered(const scored& it, double limit)
+{
+  return it.at == standing::open && it.parts.first_token() <= limit;
+}
+
+void score_all(std::vector<scored>& all, const routing_options& options, double target,
+               double limit)
+{
+  double highest_cost = 0;
+  for (const auto& it : all) {
+    if (considered(it, limit)) {
+      highest_cost = std::max(highest_cost, it.cost);
+    }
+  }
+  const double weight = options.rules.price && highest_cost > 0 ? options.price_preference : 0;
+  for (auto& it : all) {
+    const double latency = it.parts.first_token() / target;
+    const double price = weight > 0 ? it.cost / highest_cost : 0;
+    it.score = (1 - weight) * latency + weight * price;
+  }
+}
+
+const scored* draw(const std::vector<scored>& all, const comparison& c, double tolerance,
+                   std::mt19937_64& rng)
+{
+  // Reservoir sampling: one pass, no list of near-equals.
+  const scored* drawn = nullptr;
+  std::uint64_t seen = 0;
+  for (const auto& it : all) {
+    if (!considered(it, c.limit) || it.score > c.best_score + tolerance) {
+      continue;
+    }
+    ++seen;
+    if (rng() % seen == 0) {
+      drawn = &it;
+    }
+  }
+  return drawn;
+}
+
+comparison compare(std::vector<scored>& all, const routing_options& options,
+                   const request_view& request, mono_time now, std::mt19937_64& rng)
+{
+  comparison c;
+  for (const auto& it : all) {
+    if (it.at == standing::open &&
+        (c.fastest == nullptr || it.parts.first_token() < c.fastest->parts.first_token())) {
+      c.fastest = &it;
+    }
+  }
+  const double deadline = seconds(request.deadline - now);
+  if (c.fastest == nullptr || c.fastest->parts.first_token() > deadline) {
+    return c;
+  }
+  const double target = std::max(shortest_target, seconds(request.target - now));
+  const double within = std::min(deadline, target * options.target_margin);
+  const bool target_met = c.fastest->parts.first_token() <= within;
+  c.limit = target_met ? within : deadline;
+  score_all(all, options, target, c.limit);
+  // Past the target, only the time counts.
+  if (!target_met) {
+    for (auto& it : all) {
+      it.score = it.parts.first_token() / target;
+    }
+  }
+  c.best_score = std::numeric_limits<double>::infinity();
+  for (const auto& it : all) {
+    if (considered(it, c.limit)) {
+      c.best_score = std::min(c.best_score, it.score);
+    }
+  }
+  c.chosen = draw(all, c, options.rules.spread ? options.near_equal : 0, rng);
+  return c;
+}
+
+verdict verdict_of(const scored& it, const comparison& c, const routing_options& options,
+                   double deadline)
+{
+  switch (it.at) {
+  case standing::leaving:
+    return verdict::leaving;
+  case standing::unreachable:
+    return verdict::unreachable;
+  case standing::excluded:
+    return verdict::excluded;
+  case standing::open:
+    break;
+  }
+  if (&it == c.chosen) {
+    return verdict::chosen;
+  }
+  if (it.parts.first_token() > deadline) {
+    return verdict::misses_deadline;
+  }
+  if (!considered(it, c.limit)) {
+    return verdict::misses_target;
+  }
+  const double tolerance = options.rules.spread ? options.near_equal : 0;
+  return it.score <= c.best_score + tolerance ? verdict::near_equal : verdict::worse;
+}
+
+no_endpoint refusal(const comparison& c, const request_view& request, mono_time now)
+{
+  if (c.fastest == nullptr) {
+    return {.reason = no_endpoint_reason::no_candidate};
+  }
+  // The queue drains as time passes: what is missing now will be gone after as long.
+  const double missing = c.fastest->parts.first_token() - seconds(request.deadline - now);
+  return {.reason = no_endpoint_reason::deadline_unreachable, .retry_at = after(now, missing)};
+}
+
+} // namespace
+
+decision choose_endpoint(const routing_view& view, const request_view& request,
+                         std::span<const endpoint_slot> candidates, mono_time now,
+                         std::mt19937_64& rng)
+{
+  auto all = assess(view, request, candidates, now);
+  const auto c = compare(all, view.options, request, now, rng);
+  if (c.chosen == nullptr) {
+    return refusal(c, request, now);
+  }
+  return chosen_endpoint{.slot = c.chosen->slot,
+                         .first_token_at = after(now, c.chosen->parts.first_token()),
+                         .cost = c.chosen->cost,
+                         .parts = c.chosen->parts};
+}
+
+std::vector<candidate_explanation> explain_choice(const routing_view& view,
+                                                  const request_view& request,
+                                                  std::span<const endpoint_slot> candidates,
+                                                  mono_time now, std::mt19937_64& rng)
+{
+  auto all = assess(view, request, candidates, now);
+  const auto c = compare(all, view.options, request, now, rng);
+  const double deadline = seconds(request.deadline - now);
+  std::vector<candidate_explanation> lines;
+  lines.reserve(all.size());
+  for (const auto& it : all) {
+    lines.push_back({.slot = it.slot,
+                     .result = verdict_of(it, c, view.options, deadline),
+                     .parts = it.parts,
+                     .cost = it.cost,
+                     .score = it.score});
+  }
+  return lines;
+}
+
+std::string_view to_string(verdict v)
+{
+  switch (v) {
+  case verdict::chosen:
+    return "chosen";
+  case verdict::near_equal:
+    return "near equal";
+  case verdict::worse:
+    return "worse";
+  case verdict::misses_target:
+    return "misses the latency target";
+  case verdict::misses_deadline:
+    return "misses the deadline";
+  case verdict::leaving:
+    return "leaving";
+  case verdict::unreachable:
+    return "unreachable";
+  case verdict::excluded:
+    return "excluded by an earlier attempt";
+  }
+  return "unknown";
+}
+
+} // namespace wisteriaflow::routing
--- /dev/null
+++ b/src/routing/endpoint_table.cc
@@ -0,0 +1,234 @@
+#include "wisteriaflow/routing/endpoint_table.h"
+
+#include "wisteriaflow/routing/errors.h"
+
+#include <algorithm>
+
+namespace wisteriaflow::routing {
+namespace {
+
+constexpr int largest_backoff_doubling = 16;
+constexpr int fewest_tokens_for_a_rate = 64;
+
+double seconds_between(mono_time from, mono_time to)
+{
+  return std::chrono::duration<double>(to - from).count();
+}
+
+void drop_until(std::vector<mono_time>& events, mono_time measured_at)
+{
+  std::erase_if(events, [measured_at](mono_time at) { return at <= measured_at; });
+}
+
+int count(const std::vector<mono_time>& events)
+{
+  return static_cast<int>(events.size());
+}
+
+} // namespace
+
+int endpoint_state::waiting_now() const
+{
+  return std::max(own_waiting, report.waiting + count(sent) - count(started));
+}
+
+int endpoint_state::running_now() const
+{
+  return std::max(0, report.running + count(started) - count(finished));
+}
+
+double endpoint_state::queue_seconds(bool correct_by_own_work) const
+{
+  const int waiting = correct_by_own_work ? waiting_now() : report.waiting;
+  const int running = correct_by_own_work ? running_now() : report.running;
+  // Own attempts are known to the token; those of other daemons are taken as average ones.
+  const int own = correct_by_own_work ? own_waiting : 0;
+  const auto own_tokens = correct_by_own_work ? static_cast<double>(own_waiting_tokens) : 0.0;
+  const double tokens = own_tokens + std::max(0, waiting - own) * prefill_tokens.value();
+  const int max_running = std::max(1, report.max_running);
+  const int over = std::max(0, running + waiting + 1 - max_running);
+  return tokens / prefill_rate.value() + over * decode_seconds.value() / max_running;
+}
+
+endpoint_table::endpoint_table(endpoint_table_options options) : options_(options) {}
+
+endpoint_slot endpoint_table::upsert(const endpoint_description& description)
+{
+  if (const auto slot = find(description.id)) {
+    state(*slot).description = description;
+    return *slot;
+  }
+  auto free = std::find(states_.begin(), states_.end(), std::nullopt);
+  if (free == states_.end()) {
+    states_.emplace_back();
+    free = std::prev(states_.end());
+  }
+  *free = endpoint_state{.description = description,
+                         .report = {.max_running = options_.initial_max_running},
+                         .prefill_rate = {options_.initial_prefill_rate, options_.ewma_gain},
+                         .decode_rate = {0, options_.ewma_gain},
+                         .decode_seconds = {options_.initial_decode_seconds, options_.ewma_gain},
+                         .prefill_tokens = {options_.initial_prefill_tokens, options_.ewma_gain}};
+  const auto slot = static_cast<endpoint_slot>(free - states_.begin());
+  by_id_[description.id] = slot;
+  used_.insert(std::lower_bound(used_.begin(), used_.end(), slot), slot);
+  return slot;
+}
+
+void endpoint_table::remove(const endpoint_id& id)
+{
+  const auto it = by_id_.find(id);
+  if (it == by_id_.end()) {
+    return;
+  }
+  std::erase(used_, it->second);
+  states_[it->second].reset();
+  by_id_.erase(it);
+}
+
+std::optional<endpoint_slot> endpoint_table::find(const endpoint_id& id) const
+{
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? std::nullopt : std::optional(it->second);
+}
+
+const endpoint_state& endpoint_table::at(endpoint_slot slot) const
+{
+  if (slot >= states_.size() || !states_[slot]) {
+    throw unknown_endpoint("no endpoint in slot " + std::to_string(slot));
+  }
+  return *states_[slot];
+}
+
+endpoint_state& endpoint_table::state(endpoint_slot slot)
+{
+  static_cast<void>(at(slot));
+  return *states_[slot];
+}
+
+endpoint_state* endpoint_table::state_of(const sent_work& work)
+{
+  return work.slot < states_.size() && states_[work.slot] ? &*states_[work.slot] : nullptr;
+}
+
+void endpoint_table::keep_event(std::vector<mono_time>& events, mono_time at) const
+{
+  if (events.size() >= options_.max_unreported_events) {
+    events.erase(events.begin());
+  }
+  events.push_back(at);
+}
+
+void endpoint_table::on_report(endpoint_slot slot, const load_report& report)
+{
+  auto& it = state(slot);
+  if (report.measured_at < it.report.measured_at) {
+    return;
+  }
+  it.report = report;
+  drop_until(it.sent, report.measured_at);
+  drop_until(it.started, report.measured_at);
+  drop_until(it.finished, report.measured_at);
+}
+
+void endpoint_table::on_leaving(endpoint_slot slot)
+{
+  state(slot).leaving = true;
+}
+
+sent_work endpoint_table::on_sent(endpoint_slot slot, int prefill_tokens, mono_time now)
+{
+  auto& it = state(slot);
+  const bool idle = it.waiting_now() == 0;
+  keep_event(it.sent, now);
+  ++it.own_waiting;
+  it.own_waiting_tokens += prefill_tokens;
+  it.prefill_tokens.add(prefill_tokens);
+  return {.slot = slot, .prefill_tokens = prefill_tokens, .sent_at = now, .found_idle = idle};
+}
+
+void endpoint_table::on_first_token(sent_work& work, mono_time now)
+{
+  auto* it = state_of(work);
+  if (it == nullptr || work.first_token_at) {
+    return;
+  }
+  work.first_token_at = now;
+  keep_event(it->started, now);
+  it->own_waiting = std::max(0, it->own_waiting - 1);
+  it->own_waiting_tokens = std::max<std::int64_t>(0, it->own_waiting_tokens - work.prefill_tokens);
+  const double elapsed = seconds_between(work.sent_at, now);
+  // With a queue before it the time says nothing of the rate.
+  if (work.found_idle && work.prefill_tokens >= fewest_tokens_for_a_rate && elapsed > 0) {
+    it->prefill_rate.add(work.prefill_tokens / elapsed);
+  }
+}
+
+void endpoint_table::on_finished(const sent_work& work, int output_tokens, mono_time now)
+{
+  auto* it = state_of(work);
+  if (it == nullptr) {
+    return;
+  }
+  if (!work.first_token_at) {
+    // It left the queue without running: the report's count of waiting ones is corrected too.
+    keep_event(it->started, now);
+    it->own_waiting = std::max(0, it->own_waiting - 1);
+    it->own_waiting_tokens =
+        std::max<std::int64_t>(0, it->own_waiting_tokens - work.prefill_tokens);
+    keep_event(it->finished, now);
+    return;
+  }
+  keep_event(it->finished, now);
+  const double elapsed = seconds_between(*work.first_token_at, now);
+  if (output_tokens > 0 && elapsed > 0) {
+    it->decode_seconds.add(elapsed);
+    it->decode_rate.add(output_tokens / elapsed);
+  }
+}
+
+void endpoint_table::on_connect_failure(endpoint_slot slot, mono_time now)
+{
+  auto& it = state(slot);
+  const int doublings = std::min(it.connect_failures, largest_backoff_doubling);
+  ++it.connect_failures;
+  const auto backoff = options_.connect_backoff * (1 << doublings);
+  it.unreachable_until = now + std::min(backoff, options_.connect_backoff_limit);
+}
+
+void endpoint_table::on_connected(endpoint_slot slot)
+{
+  auto& it = state(slot);
+  it.connect_failures = 0;
+  it.unreachable_until = mono_time{};
+}
+
+double endpoint_table::utilisation() const
+{
+  int used = 0;
+  int places = 0;
+  for (const auto slot : used_) {
+    const auto& it = at(slot);
+    if (it.leaving) {
+      continue;
+    }
+    const int max_running = std::max(1, it.report.max_running);
+    used += std::min(max_running, it.running_now() + it.waiting_now());
+    places += max_running;
+  }
+  return places == 0 ? 1.0 : static_cast<double>(used) / places;
+}
+
+std::size_t endpoint_table::memory_bytes() const
+{
+  std::size_t bytes = states_.capacity() * sizeof(states_[0]);
+  for (const auto slot : used_) {
+    const auto& it = at(slot);
+    bytes +=
+        (it.sent.capacity() + it.started.capacity() + it.finished.capacity()) * sizeof(mono_time);
+    bytes += it.description.id.value().capacity() + it.description.address.capacity();
+  }
+  return bytes;
+}
+
+} // namespace wisteriaflow::routing
--- /dev/null
+++ b/test/routing/endpoint_table_test.cc
@@ -0,0 +1,81 @@
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/errors.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr mono_time start{seconds(1000)};
+
+class EndpointTableTest : public testing::Test {
+ protected:
+  endpoint_table table_{{}};
+  endpoint_slot slot_ = table_.upsert({.id = endpoint_id("e"), .address = "10.0.0.1:1"});
+};
+
+TEST_F(EndpointTableTest, AddsOwnWorkSentAfterTheReport)
+{
+  table_.on_report(slot_, {.waiting = 2, .max_running = 8, .measured_at = start});
+  static_cast<void>(table_.on_sent(slot_, 100, start + milliseconds(1)));
+  EXPECT_EQ(table_.at(slot_).waiting_now(), 3);
+}
+
+TEST_F(EndpointTableTest, DoesNotCountTwiceWhatTheReportHasSeen)
+{
+  static_cast<void>(table_.on_sent(slot_, 100, start));
+  table_.on_report(slot_, {.waiting = 1, .max_running = 8, .measured_at = start + milliseconds(1)});
+  EXPECT_EQ(table_.at(slot_).waiting_now(), 1);
+}
+
+TEST_F(EndpointTableTest, SubtractsOwnWorkFinishedAfterTheReport)
+{
+  auto work = table_.on_sent(slot_, 100, start);
+  table_.on_first_token(work, start + milliseconds(1));
+  table_.on_report(slot_, {.running = 3, .max_running = 8, .measured_at = start + milliseconds(2)});
+  table_.on_finished(work, 10, start + milliseconds(3));
+  EXPECT_EQ(table_.at(slot_).running_now(), 2);
+}
+
+TEST_F(EndpointTableTest, IgnoresAReportOlderThanTheOneHeld)
+{
+  table_.on_report(slot_, {.waiting = 5, .max_running = 8, .measured_at = start});
+  table_.on_report(slot_, {.waiting = 1, .max_running = 8, .measured_at = start - seconds(1)});
+  EXPECT_EQ(table_.at(slot_).waiting_now(), 5);
+}
+
+TEST_F(EndpointTableTest, MeasuresThePrefillRateOfARequestThatFoundNoQueue)
+{
+  auto work = table_.on_sent(slot_, 1000, start);
+  table_.on_first_token(work, start + milliseconds(500));
+  EXPECT_DOUBLE_EQ(table_.at(slot_).prefill_rate.value(), 2000);
+}
+
+TEST_F(EndpointTableTest, LeavingOutlivesANewDescription)
+{
+  table_.on_leaving(slot_);
+  table_.upsert({.id = endpoint_id("e"), .address = "10.0.0.1:2"});
+  EXPECT_TRUE(table_.at(slot_).leaving);
+}
+
+TEST_F(EndpointTableTest, DoublesTheTimeLeftOutWithEachConnectFailure)
+{
+  table_.on_connect_failure(slot_, start);
+  const auto first = table_.at(slot_).unreachable_until - start;
+  table_.on_connect_failure(slot_, start);
+  EXPECT_EQ(table_.at(slot_).unreachable_until - start, 2 * first);
+}
+
+TEST_F(EndpointTableTest, IgnoresTheEndOfWorkOnARemovedEndpoint)
+{
+  auto work = table_.on_sent(slot_, 100, start);
+  table_.remove(endpoint_id("e"));
+  EXPECT_NO_THROW(table_.on_finished(work, 0, start));
+  EXPECT_THROW(static_cast<void>(table_.at(slot_)), unknown_endpoint);
+}
+
+} // namespace
+} // namespace wisteriaflow::routing
--- /dev/null
+++ b/test/routing/prefix_belief_test.cc
@@ -0,0 +1,106 @@
+#include "wisteriaflow/routing/prefix_belief.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::routing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr mono_time start{seconds(1000)};
+constexpr std::array<std::uint64_t, 3> blocks = {11, 22, 33};
+
+std::uint32_t matched(const prefix_belief& belief, endpoint_slot slot, mono_time now)
+{
+  std::array<std::uint32_t, 4> depth{};
+  belief.match(blocks, now, depth);
+  return depth[slot];
+}
+
+TEST(PrefixBeliefTest, HoldsWhatWasSent)
+{
+  prefix_belief belief({});
+  belief.on_sent(1, blocks, start);
+  EXPECT_EQ(matched(belief, 1, start), 3U);
+  EXPECT_EQ(matched(belief, 0, start), 0U);
+}
+
+TEST(PrefixBeliefTest, CountsOnlyTheUnbrokenPrefix)
+{
+  prefix_belief belief({});
+  belief.on_event(1, {.sequence = 1, .prefix_hash = 11}, start);
+  belief.on_event(1, {.sequence = 3, .prefix_hash = 33}, start);
+  EXPECT_EQ(matched(belief, 1, start), 1U);
+}
+
+TEST(PrefixBeliefTest, DropsABlockReportedAsEvicted)
+{
+  prefix_belief belief({});
+  belief.on_sent(1, blocks, start);
+  belief.on_event(1, {.prefix_hash = 33, .kind = cache_event::kind::evicted}, start + seconds(60));
+  EXPECT_EQ(matched(belief, 1, start + seconds(60)), 2U);
+}
+
+TEST(PrefixBeliefTest, IgnoresAnEvictionOlderThanOurOwnSend)
+{
+  prefix_belief belief({});
+  belief.on_sent(1, blocks, start);
+  belief.on_event(1, {.prefix_hash = 33, .kind = cache_event::kind::evicted}, start + seconds(1));
+  EXPECT_EQ(matched(belief, 1, start + seconds(1)), 3U);
+}
+
+TEST(PrefixBeliefTest, ForgetsWhatWasNotTouchedForLong)
+{
+  prefix_belief belief({.forget_after = seconds(10)});
+  belief.on_sent(1, blocks, start);
+  EXPECT_EQ(matched(belief, 1, start + seconds(11)), 0U);
+}
+
+TEST(PrefixBeliefTest, TrustsAnEndpointLessWhoseAnswersShowMisses)
+{
+  prefix_belief belief({.trust_gain = 0.5});
+  belief.on_answer(1, 100, 0);
+  EXPECT_DOUBLE_EQ(belief.trust(1), 0.5);
+  EXPECT_DOUBLE_EQ(belief.trust(2), 1.0);
+}
+
+TEST(PrefixBeliefTest, StaysWithinItsLimit)
+{
+  prefix_belief belief({.max_blocks = 100});
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    belief.on_sent(1, std::array{i}, start);
+    ASSERT_LE(belief.size(), 100U);
+  }
+}
+
+TEST(PrefixBeliefTest, ForgetsAnEndpointThatIsGone)
+{
+  prefix_belief belief({});
+  belief.on_sent(1, blocks, start);
+  belief.on_sent(2, blocks, start);
+  belief.forget(1);
+  EXPECT_EQ(matched(belief, 1, start), 0U);
+  EXPECT_EQ(matched(belief, 2, start), 3U);
+}
+
+TEST(PrefixBlocksTest, SharesTheHashesOfASharedPrefixOnly)
+{
+  const std::string shared(2 * prefix_block_bytes, 's');
+  const auto a = prefix_block_hashes(model_id("m"), shared + std::string(prefix_block_bytes, 'a'));
+  const auto b = prefix_block_hashes(model_id("m"), shared + std::string(prefix_block_bytes, 'b'));
+  ASSERT_EQ(a.size(), 3U);
+  EXPECT_EQ(a[1], b[1]);
+  EXPECT_NE(a[2], b[2]);
+}
+
+TEST(PrefixBlocksTest, DifferByModel)
+{
+  const std::string prompt(prefix_block_bytes, 's');
+  EXPECT_NE(prefix_block_hashes(model_id("m"), prompt), prefix_block_hashes(model_id("n"), prompt));
+}
+
+} // namespace
+} // namespace wisteriaflow::routing
