Hold workspace shares fleet-wide and refuse at once

Purpose: a workspace's share must hold over all daemons without a store write for each request, and a refusal must tell truthfully when to return. Weighed: a token bucket per daemon refilled by a central counter (a write or a message for each request) against local allowances derived from gossiped demand; the latter costs one small message a second and errs by what the gossip has not told yet. The limit is one point in time (generic cell rate algorithm) rather than a level and a timestamp.

--- /dev/null
+++ b/src/admission/workspace_limiter.cc
@@ -0,0 +1,230 @@
+#include "wisteriaflow/admission/workspace_limiter.h"
+
+#include "wisteriaflow/admission/max_min_fair.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace wisteriaflow::admission {
+namespace {
+
+constexpr std::array all_units = {share_unit::requests_per_second, share_unit::tokens_per_second,
+                                  share_unit::tokens_in_flight};
+constexpr double longest_retry_seconds = 60;
+constexpr double shortest_refresh = 0.01; // s; sooner than that a rate can't be measured
+
+mono_time after(mono_time now, double s)
+{
+  return now + std::chrono::duration_cast<mono_time::duration>(std::chrono::duration<double>(s));
+}
+
+double total(const std::vector<double>& values)
+{
+  return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+// This daemon's part (the first) of `capacity` by demand, and an even part of what is left over.
+double local_part(double capacity, const std::vector<double>& demands)
+{
+  const auto parts = max_min_fair(capacity, demands);
+  const double left = std::max(0.0, capacity - total(parts));
+  return parts.front() + left / static_cast<double>(demands.size());
+}
+
+} // namespace
+
+workspace_limiter::workspace_limiter(workspace_limiter_options options)
+    : options_(std::move(options))
+{
+}
+
+workspace_limiter::account workspace_limiter::make_account(const share_amounts& share) const
+{
+  // Until measured, the demand here is taken as an even part, as for daemons not heard of.
+  share_amounts even = share;
+  for (auto& value : even.values) {
+    value /= std::max(1, daemons_);
+  }
+  return {.share = share,
+          .demand = even,
+          .requests = rate_limit(share[share_unit::requests_per_second], options_.burst),
+          .tokens = rate_limit(share[share_unit::tokens_per_second], options_.burst)};
+}
+
+void workspace_limiter::set_shares(const workspace_amounts& shares, mono_time now)
+{
+  std::erase_if(accounts_, [&](const auto& it) { return !shares.contains(it.first); });
+  for (const auto& [workspace, share] : shares) {
+    const auto [it, inserted] = accounts_.try_emplace(workspace, make_account(share));
+    it->second.share = share;
+  }
+  refresh(now);
+}
+
+void workspace_limiter::on_demand(const demand_report& report)
+{
+  if (report.daemon != options_.self) {
+    peers_.insert_or_assign(report.daemon, report);
+  }
+}
+
+demand_report workspace_limiter::local_demand(mono_time now) const
+{
+  demand_report report{.daemon = options_.self, .good_until = now + options_.report_good_for};
+  for (const auto& [workspace, it] : accounts_) {
+    report.demand.emplace(workspace, it.demand);
+  }
+  return report;
+}
+
+void workspace_limiter::measure(account& it, double elapsed) const
+{
+  const double smoothing = std::chrono::duration<double>(options_.smoothing).count();
+  const double weight = 1 - std::exp(-elapsed / smoothing);
+  for (const auto unit : {share_unit::requests_per_second, share_unit::tokens_per_second}) {
+    const double rate = it.offered[unit] / elapsed;
+    // A rise counts at once, so that a returning owner gets its share back soon.
+    const double step = rate > it.demand[unit] ? std::max(weight, 0.5) : weight;
+    it.demand[unit] += step * (rate - it.demand[unit]);
+  }
+  it.demand[share_unit::tokens_in_flight] =
+      it.tokens_in_flight + it.offered[share_unit::tokens_in_flight];
+  it.offered = {};
+  it.drain_rate += weight * (it.finished_tokens / elapsed - it.drain_rate);
+  it.finished_tokens = 0;
+}
+
+std::vector<double> workspace_limiter::demands(const workspace_id& workspace, const account& it,
+                                               share_unit unit) const
+{
+  std::vector<double> found = {it.demand[unit]};
+  for (const auto& [daemon, report] : peers_) {
+    const auto entry = report.demand.find(workspace);
+    found.push_back(entry == report.demand.end() ? 0 : entry->second[unit]);
+  }
+  const double even = it.share[unit] / std::max(1, daemons_);
+  while (static_cast<int>(found.size()) < daemons_) {
+    found.push_back(even);
+  }
+  return found;
+}
+
+void workspace_limiter::derive(share_unit unit)
+{
+  std::vector<double> wanted; // beyond the own share, for each workspace
+  std::vector<double> wanted_here;
+  double unused = 0;
+  for (auto& [workspace, it] : accounts_) {
+    const auto asked = demands(workspace, it, unit);
+    const double fleet = total(asked);
+    it.allowance[unit] = local_part(it.share[unit], asked);
+    unused += std::max(0.0, it.share[unit] - fleet);
+    wanted.push_back(std::max(0.0, fleet - it.share[unit]));
+    wanted_here.push_back(fleet > 0 ? asked.front() / fleet : 0);
+  }
+  if (!options_.lend) {
+    return;
+  }
+  const auto lent = max_min_fair(unused * options_.lent_part, wanted);
+  std::size_t i = 0;
+  for (auto& [workspace, it] : accounts_) {
+    it.allowance[unit] += lent[i] * wanted_here[i];
+    ++i;
+  }
+}
+
+void workspace_limiter::refresh(mono_time now)
+{
+  const double elapsed =
+      refreshed_at_ ? std::chrono::duration<double>(now - *refreshed_at_).count() : 0;
+  if (elapsed >= shortest_refresh) {
+    for (auto& [workspace, it] : accounts_) {
+      measure(it, elapsed);
+    }
+  }
+  if (!refreshed_at_ || elapsed >= shortest_refresh) {
+    refreshed_at_ = now;
+  }
+  std::erase_if(peers_, [now](const auto& it) { return it.second.good_until <= now; });
+  for (const auto unit : all_units) {
+    derive(unit);
+  }
+  for (auto& [workspace, it] : accounts_) {
+    it.requests.set_rate(it.allowance[share_unit::requests_per_second], now);
+    it.tokens.set_rate(it.allowance[share_unit::tokens_per_second], now);
+  }
+}
+
+mono_time workspace_limiter::in_flight_retry_at(const account& it, double tokens,
+                                                mono_time now) const
+{
+  const double over = it.tokens_in_flight + tokens - it.allowance[share_unit::tokens_in_flight];
+  const double rate = std::max(it.drain_rate, it.allowance[share_unit::tokens_per_second]);
+  const double wait = rate > 0 ? over / rate : longest_retry_seconds;
+  return after(now, std::clamp(wait, 0.0, longest_retry_seconds));
+}
+
+std::optional<over_share> workspace_limiter::admit(const workspace_id& workspace, double tokens,
+                                                   mono_time now)
+{
+  const auto found = accounts_.find(workspace);
+  if (found == accounts_.end()) {
+    return over_share{.retry_at = after(now, longest_retry_seconds)};
+  }
+  auto& it = found->second;
+  it.offered[share_unit::requests_per_second] += 1;
+  it.offered[share_unit::tokens_per_second] += tokens;
+  if (const auto at = it.requests.open_at(now); at > now) {
+    return over_share{.unit = share_unit::requests_per_second, .retry_at = at};
+  }
+  if (const auto at = it.tokens.open_at(now); at > now) {
+    return over_share{.unit = share_unit::tokens_per_second, .retry_at = at};
+  }
+  // A request larger than the allowance runs alone rather than never.
+  const bool fits = it.tokens_in_flight + tokens <= it.allowance[share_unit::tokens_in_flight];
+  if (!fits && it.tokens_in_flight > 0) {
+    it.offered[share_unit::tokens_in_flight] += tokens;
+    return over_share{.unit = share_unit::tokens_in_flight,
+                      .retry_at = in_flight_retry_at(it, tokens, now)};
+  }
+  it.requests.take(1, now);
+  it.tokens.take(tokens, now);
+  it.tokens_in_flight += tokens;
+  return std::nullopt;
+}
+
+void workspace_limiter::finish(const workspace_id& workspace, double tokens, double used,
+                               mono_time now)
+{
+  const auto found = accounts_.find(workspace);
+  if (found == accounts_.end()) {
+    return;
+  }
+  auto& it = found->second;
+  it.tokens_in_flight = std::max(0.0, it.tokens_in_flight - tokens);
+  it.finished_tokens += tokens;
+  it.tokens.take(used - tokens, now);
+}
+
+share_amounts workspace_limiter::allowance(const workspace_id& workspace) const
+{
+  const auto it = accounts_.find(workspace);
+  return it == accounts_.end() ? share_amounts{} : it->second.allowance;
+}
+
+std::string_view to_string(share_unit unit)
+{
+  switch (unit) {
+  case share_unit::requests_per_second:
+    return "requests per second";
+  case share_unit::tokens_per_second:
+    return "tokens per second";
+  case share_unit::tokens_in_flight:
+    return "tokens in flight";
+  }
+  return "unknown";
+}
+
+} // namespace wisteriaflow::admission
--- /dev/null
+++ b/test/admission/admission_control_test.cc
@@ -0,0 +1,95 @@
+#include "wisteriaflow/admission/admission_control.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wisteriaflow::admission {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr mono_time start{seconds(1000)};
+const workspace_id workspace("w");
+
+class AdmissionControlTest : public testing::Test {
+ protected:
+  AdmissionControlTest()
+  {
+    control_.shares().set_shares({{workspace, {.values = {1000, 1e6, 1e6}}}}, start);
+  }
+
+  admission admit() { return control_.admit(request_, start, rng_); }
+  refusal_reason refused_for() { return std::get<refused>(admit()).reason; }
+
+  admission_control control_{{.max_in_flight = 4}, {.self = daemon_id("d")}};
+  std::mt19937_64 rng_{7};
+  admission_request request_{.workspace = workspace,
+                             .tokens = 100,
+                             .deadline = start + seconds(2),
+                             .first_token_at = start + seconds(1)};
+};
+
+TEST_F(AdmissionControlTest, BoundsRequestsInFlight)
+{
+  for (int i = 0; i < 4; ++i) {
+    ASSERT_TRUE(std::holds_alternative<admitted>(admit()));
+  }
+  EXPECT_EQ(refused_for(), refusal_reason::daemon_full);
+  control_.finish({.workspace = workspace, .tokens = 100}, 100, start + seconds(1));
+  EXPECT_TRUE(std::holds_alternative<admitted>(admit()));
+}
+
+TEST_F(AdmissionControlTest, BatchWorkGivesWayOnBusyEndpoints)
+{
+  request_.utilisation = 0.8;
+  EXPECT_TRUE(std::holds_alternative<admitted>(admit()));
+  request_.priority = request_priority::batch;
+  EXPECT_EQ(refused_for(), refusal_reason::batch_gives_way);
+}
+
+TEST_F(AdmissionControlTest, BatchWorkLeavesPlacesForInteractiveWork)
+{
+  request_.priority = request_priority::batch;
+  static_cast<void>(admit());
+  static_cast<void>(admit());
+  EXPECT_EQ(refused_for(), refusal_reason::batch_gives_way);
+}
+
+TEST_F(AdmissionControlTest, RefusesAtOnceWhatWouldMissItsDeadline)
+{
+  request_.first_token_at = start + seconds(5);
+  const auto no = std::get<refused>(admit());
+  EXPECT_EQ(no.reason, refusal_reason::deadline_unreachable);
+  EXPECT_GE(no.retry_at, start + seconds(3)) << "the 3 s by which the deadline is missed";
+}
+
+TEST_F(AdmissionControlTest, TellsCallersTurnedAwayToComeBackOneAfterAnother)
+{
+  for (int i = 0; i < 4; ++i) {
+    static_cast<void>(admit());
+  }
+  const auto first = std::get<refused>(admit()).retry_at;
+  mono_time last = first;
+  for (int i = 0; i < 20; ++i) {
+    last = std::get<refused>(admit()).retry_at;
+  }
+  EXPECT_GT(last, first + seconds(10)) << "at the assumed drain rate of one a second";
+}
+
+RC_GTEST_FIXTURE_PROP(AdmissionControlTest, ARefusalTellsALaterTime, ())
+{
+  request_.tokens = *rc::gen::inRange(1, 1'000'000);
+  request_.utilisation = *rc::gen::inRange(0, 100) / 100.0;
+  request_.priority = *rc::gen::element(request_priority::interactive, request_priority::batch);
+  request_.first_token_at = start + milliseconds(*rc::gen::inRange(0, 4000));
+  for (int i = 0; i < 8; ++i) {
+    const auto made = admit();
+    if (const auto* no = std::get_if<refused>(&made)) {
+      RC_ASSERT(no->retry_at > start);
+    }
+  }
+}
+
+} // namespace
+} // namespace wisteriaflow::admission
