--- /dev/null
+++ b/src/requests/life_context.cc
@@ -0,0 +1,333 @@
+#include "life_context.h"
+
+#include "wisteriaflow/requests/completion_render.h"
+
+#include <utility>
+
+namespace wisteriaflow::requests::internal {
+namespace {
+
+constexpr int status_ok = 200;
+
+} // namespace
+
+life_context::life_context(request_life_options options, handed_over_state state)
+    : options_(std::move(options)), from_peer_(state.attempt > 0), attempt_(state.attempt),
+      ran_(state.dispatched), claim_nonce_(state.claim_nonce), transfer_(std::move(state.transfer)),
+      transfer_usable_(transfer_.has_value()), assembler_(std::move(state.tokens)),
+      caller_connected_(options_.caller_connected)
+{
+  // Nobody may be left without the outcome of a request that must not be sent again.
+  options_.keyed = options_.keyed || !options_.idempotent;
+}
+
+void life_context::begin(const clock_reading& now)
+{
+  now_ = now;
+  actions_.clear();
+}
+
+std::vector<request_action> life_context::take_actions()
+{
+  return std::exchange(actions_, {});
+}
+
+std::uint64_t life_context::recomputed_tokens() const
+{
+  return recomputed_ + recomputed_estimate_;
+}
+
+bool life_context::is_current(attempt_number attempt) const
+{
+  return attempt_open_ && attempt == attempt_;
+}
+
+bool life_context::needs_claim() const
+{
+  return !options_.idempotent && claim_nonce_ == 0;
+}
+
+bool life_context::may_start() const
+{
+  return options_.idempotent || transfer_usable_ || !ran_;
+}
+
+bool life_context::may_have_run() const
+{
+  return ran_ || attempt_open_ || handed_over_;
+}
+
+void life_context::claim()
+{
+  emit(claim_key{});
+}
+
+void life_context::start()
+{
+  cancel_open_attempt();
+  ++attempt_;
+  attempt_open_ = true;
+  announced_ = false;
+  endpoint_ = {};
+  body_.clear();
+  error_.reset();
+  assembler_.drop_held();
+  const auto next = assembler_.next_offset();
+  if (transfer_) {
+    recomputed_estimate_ = next > transfer_->tokens ? next - transfer_->tokens : 0;
+  } else {
+    recomputed_estimate_ = next > 0 ? options_.prompt_tokens + next : 0;
+  }
+  emit(start_attempt{.attempt = attempt_,
+                     .exclude = excluded_,
+                     .resume_tokens = next,
+                     .resume_text = assembler_.text(),
+                     .transfer = transfer_});
+}
+
+void life_context::ask_for_retry()
+{
+  ++retries_;
+  emit(ask_retry{attempt_});
+}
+
+void life_context::export_cache()
+{
+  emit(export_kv{.attempt = attempt_, .from = endpoint_});
+}
+
+void life_context::cancel_with_confirmation()
+{
+  emit(cancel_attempt{.attempt = attempt_, .confirm = true});
+}
+
+void life_context::hand_over_to_peer()
+{
+  handed_over_ = true;
+  hand_over_after_cancel_ = false;
+  emit(hand_over{handed_over_state{.attempt = attempt_,
+                                   .tokens = assembler_.tokens(),
+                                   .dispatched = ran_ || attempt_open_,
+                                   .claim_nonce = claim_nonce_,
+                                   .transfer = transfer_}});
+}
+
+void life_context::resume_after_hand_over()
+{
+  handed_over_ = false;
+  if (!attempt_open_) {
+    start();
+  }
+}
+
+void life_context::note_endpoint(const endpoint_id& endpoint)
+{
+  endpoint_ = endpoint;
+}
+
+void life_context::note_announced_reclaim()
+{
+  announced_ = true;
+  excluded_.insert(endpoint_);
+}
+
+void life_context::note_export(const kv_exported& event)
+{
+  transfer_ = kv_transfer{.handle = event.handle, .from = endpoint_, .tokens = event.tokens};
+  transfer_usable_ = false;
+}
+
+void life_context::note_cancel_confirmed()
+{
+  transfer_usable_ = true;
+  close_attempt();
+}
+
+void life_context::note_move_failed()
+{
+  transfer_.reset();
+  transfer_usable_ = false;
+  hand_over_after_cancel_ = false;
+}
+
+void life_context::note_import_used()
+{
+  transfer_.reset();
+  transfer_usable_ = false;
+}
+
+void life_context::note_failure(const attempt_failed& event)
+{
+  const bool nothing_sent =
+      event.kind == failure_kind::no_endpoint || event.kind == failure_kind::connect_failed;
+  if (nothing_sent) {
+    attempt_open_ = false;
+    recomputed_estimate_ = 0;
+  } else {
+    note_broken();
+  }
+  if (event.kind == failure_kind::endpoint_status) {
+    error_ = event.response;
+  }
+}
+
+void life_context::note_broken()
+{
+  // A cache handle is good for one import only.
+  transfer_.reset();
+  transfer_usable_ = false;
+  close_attempt();
+}
+
+void life_context::abandon_attempt()
+{
+  cancel_open_attempt();
+  transfer_.reset();
+  transfer_usable_ = false;
+}
+
+void life_context::close_attempt()
+{
+  attempt_open_ = false;
+  ran_ = true;
+  recomputed_ += std::exchange(recomputed_estimate_, 0);
+  if (!endpoint_.empty()) {
+    excluded_.insert(endpoint_);
+  }
+}
+
+void life_context::cancel_open_attempt()
+{
+  if (!attempt_open_) {
+    return;
+  }
+  emit(cancel_attempt{.attempt = attempt_});
+  close_attempt();
+}
+
+chunk_result life_context::note_token(const token_arrived& event)
+{
+  const auto result = assembler_.accept(event.offset, event.text);
+  if (result == chunk_result::appended) {
+    send_new_tokens();
+  }
+  return result;
+}
+
+bool life_context::note_body(const body_arrived& event)
+{
+  if (body_.size() + event.bytes.size() > options_.max_body_bytes) {
+    return false;
+  }
+  body_ += event.bytes;
+  return true;
+}
+
+void life_context::note_caller_back(const caller_back& event)
+{
+  caller_connected_ = true;
+  head_sent_ = false;
+  caller_next_ = event.last_offset ? *event.last_offset + 1 : 0;
+  if (assembler_.next_offset() > 0) {
+    send_new_tokens();
+  }
+}
+
+void life_context::send_new_tokens()
+{
+  if (!options_.streamed || !caller_connected_) {
+    return;
+  }
+  send_stream_head();
+  for (; caller_next_ < assembler_.next_offset(); ++caller_next_) {
+    emit(send_token{.offset = caller_next_, .text = assembler_.tokens()[caller_next_]});
+  }
+}
+
+void life_context::send_stream_head()
+{
+  if (head_sent_) {
+    return;
+  }
+  head_sent_ = true;
+  emit(send_head{.status = status_ok, .fields = {{"Content-Type", "text/event-stream"}}});
+}
+
+void life_context::keep()
+{
+  if (options_.keyed) {
+    emit(keep_answer{now_.wall + options_.retention});
+  }
+}
+
+void life_context::end(const outcome& result)
+{
+  cancel_open_attempt();
+  if (std::holds_alternative<outcome_unknown>(result)) {
+    keep();
+  }
+  emit(finish{.result = result, .head_sent = head_sent_});
+}
+
+void life_context::end_answered(const attempt_finished& event)
+{
+  attempt_open_ = false;
+  recomputed_ +=
+      event.usage.recomputed_tokens > 0 ? event.usage.recomputed_tokens : recomputed_estimate_;
+  recomputed_estimate_ = 0;
+  auto usage = event.usage;
+  usage.recomputed_tokens = recomputed_;
+  int status = status_ok;
+  if (!options_.generation) {
+    status = head_ ? head_->status : status_ok;
+    emit(
+        send_head{.status = status, .fields = head_ ? head_->fields : std::vector<header_field>{}});
+    emit(send_body{std::move(body_)});
+    head_sent_ = true;
+  } else if (options_.streamed) {
+    usage.completion_tokens = assembler_.next_offset();
+    if (caller_connected_) {
+      send_stream_head();
+    }
+  } else {
+    usage.completion_tokens = assembler_.next_offset();
+    emit(send_head{.status = status_ok, .fields = {{"Content-Type", "application/json"}}});
+    emit(send_body{render_whole_answer({.request_id = options_.request_id,
+                                        .model = options_.model,
+                                        .text = assembler_.text(),
+                                        .finish_reason = event.finish_reason,
+                                        .usage = usage})});
+    head_sent_ = true;
+  }
+  keep();
+  emit(finish{.result = answered{status},
+              .head_sent = head_sent_,
+              .finish_reason = event.finish_reason,
+              .usage = usage});
+}
+
+void life_context::end_with_endpoint_error(const response_parts& response)
+{
+  emit(send_head{.status = response.status, .fields = response.fields});
+  emit(send_body{response.body});
+  keep();
+  emit(finish{.result = answered{response.status}, .head_sent = true});
+}
+
+void life_context::end_redirected(const std::string& address)
+{
+  cancel_open_attempt();
+  emit(redirect{address});
+}
+
+outcome life_context::give_up(refusal_reason if_not_run, unknown_reason if_unknown,
+                              std::optional<wall_time> retry_at) const
+{
+  if (may_have_run()) {
+    return outcome_unknown{if_unknown};
+  }
+  return refused_not_run{.reason = if_not_run,
+                         .retry_at = retry_at.value_or(now_.wall + options_.retry_after)};
+}
+
+} // namespace wisteriaflow::requests::internal
