membership: views, gossip, subsets, addresses

Every daemon needs one view of all members that a lagging list cannot take back, and news of a leaving member must reach all daemons within two seconds though the first told dies.

A record joins as the least upper bound of three parts (standing, heartbeat, attributes). What one daemon merely believes (suspected, unreachable) stays out of the records, so it cannot spread and heals by itself. Silence turns a daemon gone only in the eyes of one that hears the majority: else a daemon that was paused would, on waking, declare the fleet gone and empty every address answer.

Weighed for the cost: records sent to each peer once by per-peer versions alone are sent n times by each daemon; bounded rumours with hashes compared, and parts' hashes for repair, replace that. Usage goes to an owner by rendezvous; push-sum was ruled out because a lost message loses mass.

The protocol gains fields only. 58 tests of the package pass.

--- /dev/null
+++ b/src/membership/gossip.cc
@@ -0,0 +1,389 @@
+#include "wisteriaflow/membership/gossip.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wisteriaflow::membership {
+namespace {
+
+// Repair that brings this many records or more is a newcomer's; they are old to everybody else.
+constexpr std::size_t bulk_repair = 32;
+
+// Every so many choices a suspected peer is tried, so that parted halves of a fleet meet again.
+constexpr std::uint64_t suspected_choice = 16;
+
+// Repair is put off by news at most this many times its delay.
+constexpr int repair_delays = 3;
+
+// Live endpoints come to every daemon by the instance list, and each finds by itself who is gone.
+bool is_news(const member& m)
+{
+  if (m.state == member_state::gone) {
+    return false;
+  }
+  return m.key.kind == member_kind::daemon || m.state == member_state::leaving;
+}
+
+std::vector<std::uint32_t> buckets_of(const membership_view& view)
+{
+  return {view.buckets().begin(), view.buckets().end()};
+}
+
+} // namespace
+
+gossiper::gossiper(gossip_options options, membership_view& view, clock_reading now)
+    : options_(std::move(options)), view_(view), random_(options_.seed), usage_(options_.usage),
+      urgent_due_(now.mono), repair_quiet_at_(now.mono), repair_due_(now.mono)
+{
+  // Daemons that start together do not speak together.
+  exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
+}
+
+void gossiper::set_configuration(std::uint64_t revision, std::uint64_t floor)
+{
+  own_configuration_ = {.revision = revision, .floor = floor};
+}
+
+void gossiper::set_load(const endpoint_load& load)
+{
+  own_loads_[load.endpoint] = load;
+}
+
+std::vector<endpoint_load> gossiper::take_loads()
+{
+  return std::exchange(heard_loads_, {});
+}
+
+void gossiper::send_failed(const daemon_id& to, clock_reading now)
+{
+  view_.connect_failed({member_kind::daemon, to.value()}, now);
+}
+
+// Chosen so that the chance that anyone misses a record is far under one in a thousand.
+int gossiper::news_sends() const
+{
+  constexpr double safety = 3;
+  return 2 + static_cast<int>(safety * std::log(1.0 + static_cast<double>(view_.size())));
+}
+
+void gossiper::note_changes(bool spread)
+{
+  const auto& changes = view_.changes();
+  for (auto it = changes.upper_bound(noted_version_); it != changes.end(); ++it) {
+    const member* m = view_.find(it->second);
+    if (is_news(*m) && spread) {
+      news_[it->second] = {.urgent_pushes =
+                               m->state == member_state::leaving ? options_.urgent_pushes : 0};
+    } else {
+      news_.erase(it->second);
+    }
+  }
+  noted_version_ = view_.version();
+}
+
+void gossiper::note_heartbeat(std::uint64_t hash, std::uint64_t counter)
+{
+  auto& kept = heartbeats_[hash];
+  if (counter > kept.counter) {
+    kept = {.counter = counter};
+  }
+}
+
+void gossiper::absorb(const gossip_message& message, clock_reading now)
+{
+  note_changes(true);
+  const auto before = view_.version();
+  for (const member& m : message.members) {
+    view_.apply(m, now);
+  }
+  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent);
+  if (view_.version() != before) {
+    repair_quiet_at_ = now.mono + options_.repair_delay;
+  }
+  for (const auto& [hash, counter] : message.heartbeats) {
+    if (view_.apply_heartbeat(hash, counter, now)) {
+      note_heartbeat(hash, counter);
+    }
+  }
+  if (message.configuration_revision > highest_.revision) {
+    highest_.revision = message.configuration_revision;
+    highest_.holder = message.from;
+  }
+  highest_.floor = std::max(highest_.floor, message.configuration_floor);
+  heard_loads_.insert(heard_loads_.end(), message.loads.begin(), message.loads.end());
+  if (heard_loads_.size() > options_.max_loads * 8) {
+    heard_loads_.erase(heard_loads_.begin(), heard_loads_.end() - options_.max_loads * 8);
+  }
+  const auto* from = view_.find({member_kind::daemon, message.from.value()});
+  if (from != nullptr && from->state != member_state::gone) {
+    view_.connect_succeeded(from->key, now);
+  }
+}
+
+gossip_message gossiper::message_to(const daemon_id& to, gossip_kind kind)
+{
+  gossip_message message{.from = daemon_id{view_.self().key.id},
+                         .kind = kind,
+                         .configuration_revision = own_configuration_.revision,
+                         .configuration_floor = own_configuration_.floor};
+  if (kind == gossip_kind::exchange) {
+    message.view_version = view_.version();
+    message.view_hash = view_.hash();
+    const auto seen = seen_versions_.find(to);
+    message.seen_version = seen == seen_versions_.end() ? 0 : seen->second;
+    add_news(message, false);
+    add_heartbeats(message);
+    add_loads(message, to);
+  }
+  return message;
+}
+
+void gossiper::add_news(gossip_message& message, bool urgent_only)
+{
+  std::vector<std::pair<const member_key, news>*> picked;
+  for (auto& item : news_) {
+    if (!urgent_only || item.second.urgent_pushes > 0) {
+      picked.push_back(&item);
+    }
+  }
+  if (picked.size() > options_.max_news) {
+    std::ranges::nth_element(picked,
+                             picked.begin() + static_cast<std::ptrdiff_t>(options_.max_news), {},
+                             [](const auto* item) { return item->second.sends; });
+    picked.resize(options_.max_news);
+  }
+  for (auto* item : picked) {
+    const member* m = view_.find(item->first);
+    message.members.push_back(m->state == member_state::live ? *m : without_attributes(*m));
+    ++item->second.sends;
+  }
+  const int sends = news_sends();
+  std::erase_if(news_, [sends](const auto& item) {
+    return item.second.sends >= sends && item.second.urgent_pushes == 0;
+  });
+}
+
+void gossiper::add_heartbeats(gossip_message& message)
+{
+  const member& self = view_.self();
+  message.heartbeats.push_back(
+      {.hash = membership_view::heartbeat_hash_of(self), .counter = self.heartbeat});
+  std::vector<std::pair<const std::uint64_t, heartbeat_news>*> picked;
+  picked.reserve(heartbeats_.size());
+  for (auto& item : heartbeats_) {
+    picked.push_back(&item);
+  }
+  if (picked.size() > options_.max_heartbeats) {
+    std::ranges::nth_element(picked,
+                             picked.begin() + static_cast<std::ptrdiff_t>(options_.max_heartbeats),
+                             {}, [](const auto* item) { return item->second.sends; });
+    picked.resize(options_.max_heartbeats);
+  }
+  for (auto* item : picked) {
+    message.heartbeats.push_back({.hash = item->first, .counter = item->second.counter});
+    ++item->second.sends;
+  }
+  std::erase_if(heartbeats_,
+                [this](const auto& item) { return item.second.sends >= options_.heartbeat_sends; });
+}
+
+void gossiper::add_loads(gossip_message& message, const daemon_id& to) const
+{
+  if (!options_.holds) {
+    return;
+  }
+  for (const auto& [endpoint, load] : own_loads_) {
+    if (message.loads.size() < options_.max_loads && options_.holds(to, endpoint)) {
+      message.loads.push_back(load);
+    }
+  }
+}
+
+// The records of the parts that differ, the oldest changes first, so that what is left out by the
+// bound is what comes after `covered_version`.
+void gossiper::add_repair(gossip_message& reply, const gossip_message& asked)
+{
+  reply.covered_version = view_.version();
+  if (asked.view_hash == view_.hash()) {
+    return;
+  }
+  if (asked.view_buckets.size() != view_.buckets().size()) {
+    reply.covered_version = 0;
+    return;
+  }
+  std::size_t added = 0;
+  const auto& changes = view_.changes();
+  // A higher number than ours is of a process before this one.
+  const auto seen = asked.seen_version <= view_.version() ? asked.seen_version : 0;
+  for (auto it = changes.upper_bound(seen); it != changes.end(); ++it) {
+    const auto bucket = membership_view::bucket_of(it->second);
+    if (asked.view_buckets.at(bucket) == view_.buckets().at(bucket)) {
+      continue;
+    }
+    if (added == options_.max_repair) {
+      reply.covered_version = it->first - 1;
+      return;
+    }
+    const member* m = view_.find(it->second);
+    reply.members.push_back(m->state == member_state::gone ? without_attributes(*m) : *m);
+    ++added;
+  }
+}
+
+std::vector<const member*> gossiper::choose_peers(int n)
+{
+  std::vector<const member*> healthy;
+  std::vector<const member*> suspected;
+  for (const member* m : view_.other_daemons()) {
+    if (m->attributes.peer_address.empty()) {
+      continue;
+    }
+    (view_.is_suspected(daemon_id{m->key.id}) ? suspected : healthy).push_back(m);
+  }
+  if (!suspected.empty() && (healthy.empty() || random_() % suspected_choice == 0)) {
+    healthy.push_back(suspected.at(random_() % suspected.size()));
+    std::swap(healthy.front(), healthy.back());
+    std::vector<const member*> chosen = {healthy.front()};
+    std::sample(healthy.begin() + 1, healthy.end(), std::back_inserter(chosen), n - 1, random_);
+    return chosen;
+  }
+  std::vector<const member*> chosen;
+  std::ranges::sample(healthy, std::back_inserter(chosen), n, random_);
+  return chosen;
+}
+
+bool gossiper::has_urgent() const
+{
+  return std::ranges::any_of(news_, [](const auto& item) { return item.second.urgent_pushes > 0; });
+}
+
+std::vector<outgoing_gossip> gossiper::urgent_pushes(clock_reading now)
+{
+  if (now.mono < urgent_due_ || !has_urgent()) {
+    return {};
+  }
+  gossip_message message = message_to({}, gossip_kind::urgent);
+  add_news(message, true);
+  bool again = false;
+  for (const member& m : message.members) {
+    auto& item = news_.at(m.key);
+    item.sends += options_.urgent_fanout - 1;
+    again = --item.urgent_pushes > 0 || again;
+  }
+  // A fresh record may have come last; the next push is due soon enough for it.
+  urgent_due_ = now.mono + (again ? options_.urgent_gap : options_.urgent_batch);
+  std::vector<outgoing_gossip> pushes;
+  for (const member* peer : choose_peers(options_.urgent_fanout)) {
+    pushes.push_back({.to = daemon_id{peer->key.id},
+                      .peer_address = peer->attributes.peer_address,
+                      .message = message});
+  }
+  return pushes;
+}
+
+std::vector<outgoing_gossip> gossiper::exchanges(clock_reading now)
+{
+  if (now.mono < exchange_due_) {
+    return {};
+  }
+  exchange_due_ = now.mono + options_.period;
+  std::erase_if(seen_versions_, [this](const auto& item) {
+    const member* m = view_.find({member_kind::daemon, item.first.value()});
+    return m == nullptr || m->state == member_state::gone;
+  });
+  std::vector<outgoing_gossip> messages;
+  for (const member* peer : choose_peers(options_.fanout)) {
+    const daemon_id to{peer->key.id};
+    messages.push_back({.to = to,
+                        .peer_address = peer->attributes.peer_address,
+                        .message = message_to(to, gossip_kind::exchange)});
+  }
+  return messages;
+}
+
+std::vector<outgoing_gossip> gossiper::usage_messages(clock_reading now)
+{
+  if (now.mono < usage_.report_due()) {
+    return {};
+  }
+  std::vector<outgoing_gossip> messages;
+  for (auto& reports : usage_.take_reports(view_.live_daemons(), now.mono)) {
+    const member* owner = view_.find({member_kind::daemon, reports.owner.value()});
+    auto message = message_to(reports.owner, gossip_kind::usage);
+    message.usage = std::move(reports.usage);
+    messages.push_back({.to = reports.owner,
+                        .peer_address = owner->attributes.peer_address,
+                        .message = std::move(message)});
+  }
+  return messages;
+}
+
+std::vector<outgoing_gossip> gossiper::tick(clock_reading now)
+{
+  note_changes(true);
+  auto messages = urgent_pushes(now);
+  std::ranges::move(exchanges(now), std::back_inserter(messages));
+  std::ranges::move(usage_messages(now), std::back_inserter(messages));
+  return messages;
+}
+
+mono_time gossiper::next_due() const
+{
+  const auto due = std::min(exchange_due_, usage_.report_due());
+  return has_urgent() ? std::min(due, urgent_due_) : due;
+}
+
+gossip_response gossiper::receive(const gossip_message& message, clock_reading now)
+{
+  absorb(message, now);
+  gossip_response response;
+  response.pushes = urgent_pushes(now);
+  response.reply = message_to(message.from, message.kind);
+  // What the peer has just said need not be said back.
+  std::erase_if(response.reply.members, [&](const member& m) {
+    return std::ranges::any_of(message.members,
+                               [&](const member& said) { return agrees(m, said); });
+  });
+  if (message.kind == gossip_kind::exchange) {
+    add_repair(response.reply, message);
+  }
+  if (message.kind == gossip_kind::usage) {
+    response.reply.usage = usage_.receive_reports(message.usage, now.mono);
+  }
+  return response;
+}
+
+bool gossiper::may_repair(clock_reading now) const
+{
+  return now.mono >= repair_quiet_at_ || now.mono >= repair_due_;
+}
+
+std::vector<outgoing_gossip> gossiper::receive_reply(const gossip_message& reply, clock_reading now)
+{
+  absorb(reply, now);
+  if (reply.kind == gossip_kind::usage) {
+    usage_.receive_sums(reply.usage, now.mono);
+  }
+  auto messages = urgent_pushes(now);
+  if (reply.kind != gossip_kind::exchange) {
+    return messages;
+  }
+  auto& seen = seen_versions_[reply.from];
+  seen = std::max(seen, reply.covered_version);
+  const bool was_bounded = reply.covered_version != 0 && reply.covered_version < reply.view_version;
+  const bool differs = reply.covered_version == 0 && reply.view_hash != view_.hash();
+  const member* from = view_.find({member_kind::daemon, reply.from.value()});
+  if (from != nullptr && (was_bounded || (differs && may_repair(now)))) {
+    repair_due_ = now.mono + repair_delays * options_.repair_delay;
+    auto ask = message_to(reply.from, gossip_kind::exchange);
+    ask.heartbeats.clear();
+    ask.view_buckets = buckets_of(view_);
+    messages.push_back({.to = reply.from,
+                        .peer_address = from->attributes.peer_address,
+                        .message = std::move(ask)});
+  }
+  return messages;
+}
+
+} // namespace wisteriaflow::membership
