Add fakes of the object API, the cloud and a plain service

Purpose: small stand-ins for the platform, with the faults that the project's tests switch on by HTTP: outages, slowness, lost answers, watches with gaps, stale reads, refused starts, notices, a lagging instance list. Weighed: stale reads by replaying history against a frozen copy of the objects; the copy is enough and cannot run out of history. Also: clang-tidy takes GoogleTest's fixture names and a suffix on protected members, and lint findings in the HTTP package are mended.

--- a/include/wisteriaflow/http/client.h
+++ b/include/wisteriaflow/http/client.h
@@ -21,8 +21,8 @@
 // Limits of a client.
 struct client_options {
   std::size_t idle_connections_per_address = 8;
-  std::size_t body_limit = 8 * 1024 * 1024;       // bytes of a whole response
-  std::chrono::milliseconds idle_timeout{20'000}; // shorter than servers keep a connection
+  std::size_t body_limit = std::size_t{8} * 1024 * 1024; // bytes of a whole response
+  std::chrono::milliseconds idle_timeout{20'000};        // shorter than servers keep a connection
 };
 
 // Told about a streamed response as it arrives.
--- a/include/wisteriaflow/http/message.h
+++ b/include/wisteriaflow/http/message.h
@@ -61,7 +61,9 @@
   std::string host = "127.0.0.1";
   std::uint16_t port = 0;
 
-  friend auto operator<=>(const socket_address&, const socket_address&) = default;
+  // clang-tidy 14 takes the comparison with zero inside it for a null pointer.
+  friend auto operator<=>(const socket_address&,
+                          const socket_address&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Parses "127.0.0.1:8080". Throws http_error if `text` is not an IP number and a port.
--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -57,13 +57,13 @@
 
 // What a server accepts. A request over a limit is answered 431 or 413 and its connection closed.
 struct server_options {
-  socket_address address;                          // port 0: the kernel chooses
-  std::size_t header_limit = 16 * 1024;            // bytes
-  std::size_t body_limit = 4 * 1024 * 1024;        // bytes
-  std::size_t connection_limit = 4096;             // more are accepted and closed at once
-  std::chrono::milliseconds read_timeout{30'000};  // a whole request must arrive within it
-  std::chrono::milliseconds idle_timeout{60'000};  // between requests of a connection
-  std::chrono::milliseconds write_timeout{10'000}; // a slow reader is cut after it
+  socket_address address;                                // port 0: the kernel chooses
+  std::size_t header_limit = std::size_t{16} * 1024;     // bytes
+  std::size_t body_limit = std::size_t{4} * 1024 * 1024; // bytes
+  std::size_t connection_limit = 4096;                   // more are accepted and closed at once
+  std::chrono::milliseconds read_timeout{30'000};        // a whole request must arrive within it
+  std::chrono::milliseconds idle_timeout{60'000};        // between requests of a connection
+  std::chrono::milliseconds write_timeout{10'000};       // a slow reader is cut after it
 };
 
 // Accepts connections until stopped. Not thread-safe: use it on its io_context's thread.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -27,7 +27,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t body_read_size = 8 * 1024; // bytes handed over at once, at most
+constexpr std::size_t body_read_size = std::size_t{8} * 1024; // bytes handed over at once, at most
 constexpr std::uint32_t header_limit = 64 * 1024;
 constexpr unsigned first_final_status = 200;
 
--- /dev/null
+++ b/test/fakes/engine_parts.cc
@@ -0,0 +1,111 @@
+#include "engine_parts.h"
+
+#include "wisteriaflow/base/hash.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace wisteriaflow::fakes {
+namespace {
+
+constexpr int hex_digits = 16;
+constexpr std::size_t syllables = 3; // of a word
+constexpr std::string_view consonants = "bdfgklmnprstvz";
+constexpr std::string_view vowels = "aeiou";
+
+} // namespace
+
+std::string token_text(std::string_view model, std::string_view prompt, std::size_t index)
+{
+  auto bits = hash64_of(prompt, hash64_of(model, index));
+  std::string out;
+  for (std::size_t i = 0; i < syllables; ++i) {
+    out += consonants[bits % consonants.size()];
+    bits /= consonants.size();
+    out += vowels[bits % vowels.size()];
+    bits /= vowels.size();
+  }
+  return out + " ";
+}
+
+std::string tokens_text(std::string_view model, std::string_view prompt, std::size_t first,
+                        std::size_t last)
+{
+  std::string out;
+  for (std::size_t i = first; i < last; ++i) {
+    out += token_text(model, prompt, i);
+  }
+  return out;
+}
+
+std::size_t count_words(std::string_view text)
+{
+  std::istringstream words{std::string(text)};
+  std::string word;
+  std::size_t n = 0;
+  while (words >> word) {
+    ++n;
+  }
+  return n;
+}
+
+std::vector<std::uint64_t> block_hashes(std::string_view model, std::string_view prompt)
+{
+  std::istringstream words{std::string(prompt)};
+  std::string word;
+  std::vector<std::uint64_t> out;
+  auto hash = hash64_of(model);
+  std::size_t n = 0;
+  while (words >> word) {
+    hash = hash64_of(word, hash);
+    ++n;
+    if (n % block_words == 0) {
+      out.push_back(hash);
+    }
+  }
+  return out;
+}
+
+std::string hash_name(std::uint64_t hash)
+{
+  std::ostringstream out;
+  out << std::hex << std::setw(hex_digits) << std::setfill('0') << hash;
+  return out.str();
+}
+
+std::size_t prefix_cache::match(const std::vector<std::uint64_t>& blocks) const
+{
+  std::size_t n = 0;
+  while (n < blocks.size() && places_.contains(blocks[n])) {
+    ++n;
+  }
+  return n;
+}
+
+void prefix_cache::store(const std::vector<std::uint64_t>& blocks, wall_time now)
+{
+  // From the last to the first: a prefix stays longer than what follows it.
+  for (auto it = blocks.rbegin(); it != blocks.rend(); ++it) {
+    const auto known = places_.find(*it);
+    if (known != places_.end()) {
+      by_use_.erase(known->second);
+    } else {
+      note(*it, true, now);
+    }
+    by_use_.push_front(*it);
+    places_[*it] = by_use_.begin();
+  }
+  while (places_.size() > capacity_) {
+    note(by_use_.back(), false, now);
+    places_.erase(by_use_.back());
+    by_use_.pop_back();
+  }
+}
+
+void prefix_cache::note(std::uint64_t hash, bool stored, wall_time now)
+{
+  const auto sequence = static_cast<std::int64_t>(events_.size()) + 1;
+  events_.push_back({.sequence = sequence, .prefix_hash = hash, .stored = stored, .at = now});
+}
+
+} // namespace wisteriaflow::fakes
--- /dev/null
+++ b/test/fakes/fake_plain_service.h
@@ -0,0 +1,48 @@
+// A fake plain service: echoes path, method and body as JSON and counts its runs.
+//
+// POST /_fake/settings takes the fields of plain_service_settings by name. GET /_fake/stats gives
+// {"runs":{key:count},"total":N,"requests_received_at_unix_ms":[...]}.
+
+#ifndef WISTERIAFLOW_TEST_FAKES_FAKE_PLAIN_SERVICE_H_
+#define WISTERIAFLOW_TEST_FAKES_FAKE_PLAIN_SERVICE_H_
+
+#include "fakes/fake_server.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace wisteriaflow::fakes {
+
+struct plain_service_settings {
+  std::chrono::milliseconds delay_ms{0};
+  std::chrono::milliseconds slow_ms{1000}; // the delay of paths that begin with /slow
+  std::int64_t lose_answers = 0;           // so many next calls run and are cut off
+};
+
+class fake_plain_service final : public fake_server {
+ public:
+  explicit fake_plain_service(boost::asio::io_context& context, std::uint16_t port = 0);
+
+  // Sets the same JSON as POST /_fake/settings.
+  void set(const boost::json::value& changes);
+
+  // Runs so far by Idempotency-Key.
+  [[nodiscard]] const std::map<std::string, std::int64_t>& runs() const { return runs_; }
+
+ protected:
+  boost::asio::awaitable<void> serve(fake_request received, http::response_writer& w) override;
+
+ private:
+  fake_reply control(const fake_request& received);
+  fake_reply run(const fake_request& received);
+
+  plain_service_settings settings_;
+  std::map<std::string, std::int64_t> runs_;
+  std::int64_t total_ = 0;
+  boost::json::array received_at_;
+};
+
+} // namespace wisteriaflow::fakes
+
+#endif // WISTERIAFLOW_TEST_FAKES_FAKE_PLAIN_SERVICE_H_
