Compare declared objects by equality; reasons of the objects package

Changed now: comparison by equality only, hashed instead of ordered maps for ids, suites named for their units.

Everything that decides needs the operators' intent as typed values that never revert. The package `objects` has labels and selectors, the five declared kinds with a validating JSON codec, the fleet's configuration as one immutable value, the store of the configuration in force, and the format of audit records.

Weighed: - One resource for all kinds, hence one name space over them: one watch and one revision order cover it, at the price that a pool and a service cannot share a name. Both the whole-file check and the store key by name. - Lists are merged object by object. An object that a list at V leaves out was deleted by V if its newest version is below V; that holds for any order of arrival. Deletions are remembered only above the last complete list: an unknown object below that is stale by definition, so tombstones stay few. - Watched changes do not advance the complete revision by themselves; the caller says when a watch was free of gaps, because resource versions are not dense and a gap cannot be seen from the numbers. - References resolve by rank (model versions, pools, the rest), so the outcome does not depend on the order in which objects arrive. A version once replaced in force is never a fallback again. - Readiness is a predicate of the floor and of what is held, latched once true.

--- a/include/wisteriaflow/objects/audit_record.h
+++ b/include/wisteriaflow/objects/audit_record.h
@@ -8,7 +8,6 @@
 
 #include "wisteriaflow/base/time.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -42,7 +41,7 @@
   std::string cause;
   std::string detail;
 
-  friend auto operator<=>(const audit_record&, const audit_record&) = default;
+  friend bool operator==(const audit_record&, const audit_record&) = default;
 };
 
 // "<plural>.<object name>.<new revision>".
--- a/include/wisteriaflow/objects/codec.h
+++ b/include/wisteriaflow/objects/codec.h
@@ -6,7 +6,6 @@
 #include "wisteriaflow/objects/declared_object.h"
 #include "wisteriaflow/objects/errors.h"
 
-#include <compare>
 #include <string>
 #include <variant>
 
@@ -21,7 +20,7 @@
   std::string kind;
   std::string reason;
 
-  friend auto operator<=>(const not_understood_object&, const not_understood_object&) = default;
+  friend bool operator==(const not_understood_object&, const not_understood_object&) = default;
 };
 
 // What a document turned out to be.
--- a/include/wisteriaflow/objects/configuration_store.h
+++ b/include/wisteriaflow/objects/configuration_store.h
@@ -38,7 +38,7 @@
   std::uint64_t in_force_revision = 0; // the last valid version; 0 if there is none
   std::string reason;
 
-  friend auto operator<=>(const rejected_object&, const rejected_object&) = default;
+  friend bool operator==(const rejected_object&, const rejected_object&) = default;
 };
 
 // A whole configuration as it goes from daemon to daemon.
--- a/include/wisteriaflow/objects/declared_object.h
+++ b/include/wisteriaflow/objects/declared_object.h
@@ -37,7 +37,7 @@
   std::map<std::string, std::string> annotations;
   std::uint64_t revision = 0; // the object API's resourceVersion; 0 if not stored yet
 
-  friend auto operator<=>(const object_metadata&, const object_metadata&) = default;
+  friend bool operator==(const object_metadata&, const object_metadata&) = default;
 };
 
 // The priorities that a workspace may ask for, both ends included.
@@ -45,7 +45,7 @@
   std::int64_t min = lowest_priority;
   std::int64_t max = highest_priority;
 
-  friend auto operator<=>(const priority_range&, const priority_range&) = default;
+  friend bool operator==(const priority_range&, const priority_range&) = default;
 };
 
 // A customer: its share of the fleet and its limits. A limit that is absent does not bind.
@@ -59,7 +59,7 @@
 
   [[nodiscard]] workspace_id id() const { return workspace_id(metadata.name); }
 
-  friend auto operator<=>(const workspace&, const workspace&) = default;
+  friend bool operator==(const workspace&, const workspace&) = default;
 };
 
 // What the instances of a pool run.
@@ -70,7 +70,7 @@
   std::int64_t first_token_ms = 1000;
   std::int64_t between_tokens_ms = 100;
 
-  friend auto operator<=>(const latency_targets&, const latency_targets&) = default;
+  friend bool operator==(const latency_targets&, const latency_targets&) = default;
 };
 
 // A group of instances that serve together, and the room that capacity planning has.
@@ -87,7 +87,7 @@
   double max_reclaimable_share = 1;                  // of the pool's instances, 0 to 1
   double headroom = 0.2;                             // spare part of the demand, 0 to 4
 
-  friend auto operator<=>(const pool&, const pool&) = default;
+  friend bool operator==(const pool&, const pool&) = default;
 };
 
 // What one instance of a class does with a model version.
@@ -95,7 +95,7 @@
   double prefill_tokens_per_second = 0;
   double decode_tokens_per_second = 0;
 
-  friend auto operator<=>(const token_rates&, const token_rates&) = default;
+  friend bool operator==(const token_rates&, const token_rates&) = default;
 };
 
 // One version of a model, with an adapter or without.
@@ -108,7 +108,7 @@
   std::map<std::string, token_rates> rates; // by instance class
   bool retired = false;
 
-  friend auto operator<=>(const model_version&, const model_version&) = default;
+  friend bool operator==(const model_version&, const model_version&) = default;
 };
 
 // What a routing intent prefers among endpoints that meet the latency target.
@@ -127,7 +127,7 @@
   double weight = 1;          // among requests of one priority
   objects::price_preference price_preference = objects::price_preference::latency;
 
-  friend auto operator<=>(const routing_intent&, const routing_intent&) = default;
+  friend bool operator==(const routing_intent&, const routing_intent&) = default;
 };
 
 // A plain service beside the model engines. A call by a method that is not idempotent runs at most
@@ -138,7 +138,7 @@
   std::vector<std::string> idempotent_methods{"GET", "HEAD", "OPTIONS"};
   std::int64_t timeout_ms = 30'000;
 
-  friend auto operator<=>(const service&, const service&) = default;
+  friend bool operator==(const service&, const service&) = default;
 };
 
 // Any declared object.
--- a/include/wisteriaflow/objects/fleet_configuration.h
+++ b/include/wisteriaflow/objects/fleet_configuration.h
@@ -8,9 +8,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include <boost/json/value.hpp>
@@ -27,7 +27,7 @@
   label_set labels;
   model_id model; // empty: any
 
-  friend auto operator<=>(const request_description&, const request_description&) = default;
+  friend bool operator==(const request_description&, const request_description&) = default;
 };
 
 // What selectors and pools look at in an instance.
@@ -37,7 +37,7 @@
   std::string instance_class;
   pool_role role = pool_role::engine;
 
-  friend auto operator<=>(const instance_description&, const instance_description&) = default;
+  friend bool operator==(const instance_description&, const instance_description&) = default;
 };
 
 // Every declared object, valid by itself and in its references.
@@ -101,7 +101,7 @@
   std::vector<service> services_;
   std::vector<not_understood_object> not_understood_;
   // For each workspace, the places in intents_ that select it: a request then looks only at those.
-  std::map<workspace_id, std::vector<std::size_t>> intents_of_workspace_;
+  std::unordered_map<workspace_id, std::vector<std::size_t>> intents_of_workspace_;
 };
 
 // Whether `members` takes `instance`, by selector, role, zone and class.
--- a/include/wisteriaflow/objects/references.h
+++ b/include/wisteriaflow/objects/references.h
@@ -8,8 +8,8 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_set>
 
 namespace wisteriaflow::objects {
 
@@ -27,7 +27,7 @@
   [[nodiscard]] std::optional<object_fault> find_fault(const pool& p) const;
   [[nodiscard]] std::optional<object_fault> find_fault(const routing_intent& i) const;
 
-  std::set<model_id> models_;
+  std::unordered_set<model_id> models_;
   std::map<std::string, model_id> pools_; // name to model
 };
 
--- a/include/wisteriaflow/objects/selector.h
+++ b/include/wisteriaflow/objects/selector.h
@@ -5,7 +5,6 @@
 
 #include "wisteriaflow/objects/label_set.h"
 
-#include <compare>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,7 +20,7 @@
   selector_operator op = selector_operator::exists;
   std::vector<std::string> values; // sorted, without repeats; empty for the existence operators
 
-  friend auto operator<=>(const requirement&, const requirement&) = default;
+  friend bool operator==(const requirement&, const requirement&) = default;
 };
 
 // Whether `labels` satisfies `wanted`. A label that is absent satisfies `not_in`.
@@ -39,7 +38,7 @@
   [[nodiscard]] bool matches(const label_set& labels) const;
   [[nodiscard]] const std::vector<requirement>& requirements() const { return requirements_; }
 
-  friend auto operator<=>(const selector&, const selector&) = default;
+  friend bool operator==(const selector&, const selector&) = default;
 
  private:
   std::vector<requirement> requirements_;
--- a/test/objects/codec_test.cc
+++ b/test/objects/codec_test.cc
@@ -19,8 +19,9 @@
 };
 
 class codec_fault_test : public testing::TestWithParam<fault_case> {};
+using CodecFaultTest = codec_fault_test; // NOLINT(readability-identifier-naming)
 
-TEST_P(codec_fault_test, NamesObjectFieldAndValue)
+TEST_P(CodecFaultTest, NamesObjectFieldAndValue)
 {
   const auto& expected = GetParam();
   try {
@@ -36,7 +37,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Malformed, codec_fault_test,
+    Malformed, CodecFaultTest,
     testing::Values(
         fault_case{"Workspace", R"({"weight":1})", "spec.weight", "1"},
         fault_case{"Workspace", R"({"share_weight":0})", "spec.share_weight", "0"},
@@ -62,8 +63,9 @@
         fault_case{"Service", R"({"timeout_ms":0})", "spec.timeout_ms", "0"}));
 
 class codec_round_trip_test : public testing::TestWithParam<declared_object> {};
+using CodecRoundTripTest = codec_round_trip_test; // NOLINT(readability-identifier-naming)
 
-TEST_P(codec_round_trip_test, ReadsWhatItWrote)
+TEST_P(CodecRoundTripTest, ReadsWhatItWrote)
 {
   EXPECT_EQ(read(encode_object(GetParam())), GetParam());
 }
@@ -72,7 +74,7 @@
     .name = "it", .labels = {{"a", "b"}}, .annotations = {{"why", "x"}}, .revision = 7};
 
 INSTANTIATE_TEST_SUITE_P(
-    Kinds, codec_round_trip_test,
+    Kinds, CodecRoundTripTest,
     testing::Values(workspace{.metadata = metadata,
                               .share_weight = 2.5,
                               .requests_per_second = 10,
--- a/test/objects/configuration_store_test.cc
+++ b/test/objects/configuration_store_test.cc
@@ -26,8 +26,9 @@
  protected:
   configuration_store store;
 };
+using ConfigurationStoreTest = configuration_store_test; // NOLINT(readability-identifier-naming)
 
-TEST_F(configuration_store_test, AppliesOnlyAHigherRevisionOfAnObject)
+TEST_F(ConfigurationStoreTest, AppliesOnlyAHigherRevisionOfAnObject)
 {
   store.on_put(weighted("w", 5));
   EXPECT_TRUE(store.on_put(weighted("w", 5)).empty());
@@ -37,7 +38,7 @@
   EXPECT_EQ(in_force(store, "w"), 6U);
 }
 
-TEST_F(configuration_store_test, AStaleListNeitherBringsBackNorDeletes)
+TEST_F(ConfigurationStoreTest, AStaleListNeitherBringsBackNorDeletes)
 {
   store.on_list(10, {weighted("kept", 9)});
   EXPECT_TRUE(store.on_list(8, {weighted("deleted", 7)}).empty());
@@ -45,7 +46,7 @@
   EXPECT_EQ(in_force(store, "deleted"), 0U);
 }
 
-TEST_F(configuration_store_test, AListOlderThanAWatchedChangeLeavesItInForce)
+TEST_F(ConfigurationStoreTest, AListOlderThanAWatchedChangeLeavesItInForce)
 {
   store.on_list(3, {weighted("w", 3)});
   store.on_put(weighted("w", 9));
@@ -55,7 +56,7 @@
   EXPECT_EQ(in_force(store, "new"), 10U);
 }
 
-TEST_F(configuration_store_test, AListAfterAWatchGapDeletesWhatIsGone)
+TEST_F(ConfigurationStoreTest, AListAfterAWatchGapDeletesWhatIsGone)
 {
   store.on_list(3, {weighted("w", 3)});
   const auto made = store.on_list(9, {});
@@ -64,7 +65,7 @@
   EXPECT_EQ(in_force(store, "w"), 0U);
 }
 
-TEST_F(configuration_store_test, ALatePutDoesNotUndoADeletion)
+TEST_F(ConfigurationStoreTest, ALatePutDoesNotUndoADeletion)
 {
   store.on_put(weighted("w", 3));
   store.on_deleted("w", 5);
@@ -77,14 +78,14 @@
   EXPECT_EQ(in_force(store, "w"), 9U);
 }
 
-TEST_F(configuration_store_test, ADeletionSeenBeforeItsObjectHolds)
+TEST_F(ConfigurationStoreTest, ADeletionSeenBeforeItsObjectHolds)
 {
   store.on_deleted("w", 5);
   store.on_put(weighted("w", 4));
   EXPECT_EQ(in_force(store, "w"), 0U);
 }
 
-TEST_F(configuration_store_test, AnInvalidVersionLeavesTheLastValidOneInForce)
+TEST_F(ConfigurationStoreTest, AnInvalidVersionLeavesTheLastValidOneInForce)
 {
   store.on_put(weighted("w", 3));
   const auto made = store.on_put(weighted("w", 4, -1));
@@ -99,7 +100,7 @@
   EXPECT_TRUE(store.rejected().empty());
 }
 
-TEST_F(configuration_store_test, AnObjectComesIntoForceWithWhatItRefersTo)
+TEST_F(ConfigurationStoreTest, AnObjectComesIntoForceWithWhatItRefersTo)
 {
   store.on_put(document("Pool", "p", 1, R"({"model":"m"})"));
   EXPECT_EQ(store.rejected().size(), 1U);
@@ -108,7 +109,7 @@
   EXPECT_TRUE(store.rejected().empty());
 }
 
-TEST_F(configuration_store_test, WhatIsNotUnderstoodLeavesTheRestInForce)
+TEST_F(ConfigurationStoreTest, WhatIsNotUnderstoodLeavesTheRestInForce)
 {
   store.on_put(weighted("w", 1));
   store.on_put(document("Teapot", "t", 2));
@@ -117,7 +118,7 @@
   EXPECT_EQ(store.current()->not_understood().size(), 2U);
 }
 
-TEST_F(configuration_store_test, MayNotServeBelowAPeersRevision)
+TEST_F(ConfigurationStoreTest, MayNotServeBelowAPeersRevision)
 {
   store.on_peer_revision(9);
   store.on_list(8, {weighted("w", 3)});
@@ -126,7 +127,7 @@
   EXPECT_EQ(store.readiness(), configuration_readiness::ready);
 }
 
-TEST_F(configuration_store_test, MayNotServeByTheStoreAloneWhilePeersMayAnswer)
+TEST_F(ConfigurationStoreTest, MayNotServeByTheStoreAloneWhilePeersMayAnswer)
 {
   store.on_list(8, {weighted("w", 3)});
   EXPECT_EQ(store.readiness(), configuration_readiness::floor_unknown);
@@ -134,13 +135,13 @@
   EXPECT_EQ(store.readiness(), configuration_readiness::ready);
 }
 
-TEST_F(configuration_store_test, SilentPeersWithoutAListNameNoFloor)
+TEST_F(ConfigurationStoreTest, SilentPeersWithoutAListNameNoFloor)
 {
   store.on_peers_silent();
   EXPECT_EQ(store.readiness(), configuration_readiness::floor_unknown);
 }
 
-TEST_F(configuration_store_test, ANewDaemonTakesEverythingFromAPeer)
+TEST_F(ConfigurationStoreTest, ANewDaemonTakesEverythingFromAPeer)
 {
   store.on_list(3, {weighted("w", 2), weighted("gone", 3)});
   store.on_put(weighted("w", 4, -1));
@@ -154,7 +155,7 @@
   EXPECT_EQ(in_force(fresh, "gone"), 0U) << "a stale list undid a deletion";
 }
 
-TEST_F(configuration_store_test, ANewerPeerSnapshotDeletesWhatIsGone)
+TEST_F(ConfigurationStoreTest, ANewerPeerSnapshotDeletesWhatIsGone)
 {
   store.on_list(3, {weighted("w", 3)});
   configuration_store peer;
@@ -163,7 +164,7 @@
   EXPECT_EQ(in_force(store, "w"), 0U);
 }
 
-TEST_F(configuration_store_test, ALastValidVersionIsTakenFromAPeer)
+TEST_F(ConfigurationStoreTest, ALastValidVersionIsTakenFromAPeer)
 {
   store.on_put(weighted("w", 2));
   store.on_put(weighted("w", 4, -1));
--- a/test/objects/fleet_configuration_test.cc
+++ b/test/objects/fleet_configuration_test.cc
@@ -37,8 +37,9 @@
  protected:
   const fleet_configuration configuration = make_fleet_configuration(8, small_fleet());
 };
+using FleetConfigurationTest = fleet_configuration_test; // NOLINT(readability-identifier-naming)
 
-TEST_F(fleet_configuration_test, FindsObjectsByName)
+TEST_F(FleetConfigurationTest, FindsObjectsByName)
 {
   EXPECT_NE(configuration.find_workspace(workspace_id("bank")), nullptr);
   EXPECT_NE(configuration.find_pool("big"), nullptr);
@@ -47,14 +48,14 @@
   EXPECT_TRUE(configuration.knows_model(model_id("m")));
 }
 
-TEST_F(fleet_configuration_test, OrdersIntentsByPriorityThenName)
+TEST_F(FleetConfigurationTest, OrdersIntentsByPriorityThenName)
 {
   const auto matching = configuration.matching_intents(
       {.workspace = workspace_id("bank"), .labels = {{"kind", "draft"}}});
   EXPECT_EQ(names_of(matching), (std::vector<std::string>{"also-drafts", "drafts", "any"}));
 }
 
-TEST_F(fleet_configuration_test, LeavesOutIntentsThatDoNotSelectTheRequest)
+TEST_F(FleetConfigurationTest, LeavesOutIntentsThatDoNotSelectTheRequest)
 {
   const auto of_bank = configuration.matching_intents({.workspace = workspace_id("bank")});
   EXPECT_EQ(names_of(of_bank), (std::vector<std::string>{"drafts", "any"}));
@@ -62,14 +63,14 @@
   EXPECT_EQ(names_of(of_hotel), (std::vector<std::string>{"any"}));
 }
 
-TEST_F(fleet_configuration_test, LeavesOutIntentsOfAnotherModel)
+TEST_F(FleetConfigurationTest, LeavesOutIntentsOfAnotherModel)
 {
   EXPECT_TRUE(
       configuration.matching_intents({.workspace = workspace_id("bank"), .model = model_id("n")})
           .empty());
 }
 
-TEST_F(fleet_configuration_test, TakesInstancesByZoneLabelsAndRole)
+TEST_F(FleetConfigurationTest, TakesInstancesByZoneLabelsAndRole)
 {
   const auto& intent = configuration.intents().front();
   const instance_description fit{.labels = {{"gpu", ""}}, .zone = availability_zone("a")};
--- a/test/objects/selector_test.cc
+++ b/test/objects/selector_test.cc
@@ -14,15 +14,16 @@
 };
 
 class selector_match_test : public testing::TestWithParam<match_case> {};
+using SelectorMatchTest = selector_match_test; // NOLINT(readability-identifier-naming)
 
-TEST_P(selector_match_test, DecidesAsKubernetesDoes)
+TEST_P(SelectorMatchTest, DecidesAsKubernetesDoes)
 {
   const auto& [text, expected] = GetParam();
   EXPECT_EQ(parse_selector(text).matches(guest), expected) << text << " on " << to_string(guest);
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Operators, selector_match_test,
+    Operators, SelectorMatchTest,
     testing::Values(match_case{"", true}, match_case{"tier=gold", true},
                     match_case{"tier == gold", true}, match_case{"tier!=gold", false},
                     match_case{"absent!=gold", true}, match_case{"zone in (b, a)", true},
@@ -40,8 +41,9 @@
 };
 
 class selector_fault_test : public testing::TestWithParam<fault_case> {};
+using SelectorFaultTest = selector_fault_test; // NOLINT(readability-identifier-naming)
 
-TEST_P(selector_fault_test, NamesTextAndPosition)
+TEST_P(SelectorFaultTest, NamesTextAndPosition)
 {
   const auto& [text, position] = GetParam();
   try {
@@ -53,7 +55,7 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Malformed, selector_fault_test,
+INSTANTIATE_TEST_SUITE_P(Malformed, SelectorFaultTest,
                          testing::Values(fault_case{"a=b,", 4}, fault_case{"=b", 0},
                                          fault_case{"a in x", 5}, fault_case{"a in (x", 7},
                                          fault_case{"a like (x)", 2}, fault_case{"a=b c", 4},
