--- a/include/wisteriaflow/base/ids.h
+++ b/include/wisteriaflow/base/ids.h
@@ -19,7 +19,8 @@
   [[nodiscard]] const std::string& value() const { return value_; }
   [[nodiscard]] bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const strong_id&, const strong_id&) = default;
+  friend auto operator<=>(const strong_id&,
+                          const strong_id&) = default; // NOLINT(modernize-use-nullptr)
 
  private:
   std::string value_;
--- a/include/wisteriaflow/membership/member.h
+++ b/include/wisteriaflow/membership/member.h
@@ -27,7 +27,8 @@
   member_kind kind = member_kind::daemon;
   std::string id;
 
-  friend auto operator<=>(const member_key&, const member_key&) = default;
+  friend auto operator<=>(const member_key&,
+                          const member_key&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // What changes seldom. Instances' own words come from the instance list.
@@ -46,7 +47,8 @@
   // Endpoints only: refuses an order with an old fencing number.
   bool checks_fencing = false;
 
-  friend auto operator<=>(const member_attributes&, const member_attributes&) = default;
+  friend auto operator<=>(const member_attributes&,
+                          const member_attributes&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct member {
@@ -78,6 +80,9 @@
 // Stable hash of a member's name.
 [[nodiscard]] std::uint64_t hash_of(const member_key& key);
 
+// Stable hash of attributes.
+[[nodiscard]] std::uint64_t hash_of(const member_attributes& attributes);
+
 // Stable hash of what two views must agree on: everything but the heartbeat.
 [[nodiscard]] std::uint64_t agreement_hash_of(const member& m);
 
--- a/include/wisteriaflow/membership/messages.h
+++ b/include/wisteriaflow/membership/messages.h
@@ -56,7 +56,7 @@
   std::uint64_t configuration_floor = 0;
   std::vector<member> members;
   std::vector<heartbeat> heartbeats;
-  // To a workspace's owner: reports. From it: fleet-wide sums under the owner's name.
+  // Reports, or in a reply the fleet's sums; see usage_ledger.
   std::vector<workspace_usage> usage;
   std::vector<endpoint_load> loads;
   // The sender's view: its version and hash, and its parts' hashes when it asks for repair.
--- a/include/wisteriaflow/membership/usage_ledger.h
+++ b/include/wisteriaflow/membership/usage_ledger.h
@@ -1,9 +1,12 @@
 // Fleet-wide usage of each workspace, without a store write and with flat traffic.
 //
-// Each workspace has one owner among the live daemons, by rendezvous hashing. Every daemon reports
-// its own usage to the owner and gets the fleet's sum back. The period grows with the fleet, so
-// that an owner receives at most `owner_reports_per_second` for a workspace whatever the fleet's
-// size. An owner that dies is replaced at the next report; the old sum counts until its deadline.
+// Two levels. In each availability zone a workspace has a collector, and in the fleet an owner,
+// both by rendezvous hashing among the live daemons; the owner is its own zone's collector. Daemons
+// report to their collector, collectors report their zone's sum to the owner, and each reply brings
+// the fleet's sum as last heard. A daemon so hears of its zone's daemons and one daemon of each
+// other zone only; the period grows with the zone, so that a collector receives at most
+// `reports_per_second` for a workspace. A sum is two to three periods old. When a collector or
+// owner dies, sums are partial or count a zone twice until the old reports' deadline.
 
 #ifndef WISTERIAFLOW_MEMBERSHIP_USAGE_LEDGER_H_
 #define WISTERIAFLOW_MEMBERSHIP_USAGE_LEDGER_H_
@@ -17,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -24,17 +28,19 @@
 
 struct usage_ledger_options {
   daemon_id self;
+  // This daemon's.
+  availability_zone zone;
   // At most this many workspaces are reported, the largest first.
   std::size_t max_workspaces = 64;
   std::chrono::milliseconds shortest_period{1000};
-  double owner_reports_per_second = 100;
+  double reports_per_second = 12;
   // A report or a sum counts for this many periods.
   int periods_kept = 3;
 };
 
-// The reports due to one owner.
+// The reports due to one collector or owner.
 struct usage_reports {
-  daemon_id owner;
+  daemon_id to;
   std::vector<workspace_usage> usage;
 };
 
@@ -45,16 +51,16 @@
   // Sets what this daemon admits for a workspace; zero takes it out after one more report.
   void set_own(const workspace_id& workspace, double tokens_per_second, double requests_per_second);
 
-  // Reports for each owner if the period has passed. The own share of an owned workspace is kept
-  // here.
+  // Reports for each receiver if the period has passed. What this daemon collects is kept here.
   std::vector<usage_reports> take_reports(std::span<const member* const> live_daemons,
                                           mono_time now);
 
-  // As owner: keeps the reports and returns the sum of each workspace in them.
+  // As collector or owner: keeps the reports and returns the fleet's sum of each workspace in them,
+  // as far as it is known.
   std::vector<workspace_usage> receive_reports(std::span<const workspace_usage> reports,
                                                mono_time now);
 
-  // As reporter: keeps the sums that an owner returned.
+  // As reporter: keeps the sums that came back.
   void receive_sums(std::span<const workspace_usage> sums, mono_time now);
 
   // The fleet's usage as last heard, never less than the own; nothing once it is stale.
@@ -70,12 +76,19 @@
     mono_time good_until;
   };
 
+  void start_period(std::span<const member* const> zone_daemons, mono_time now);
+  void collect_own(std::span<const member* const> zone_daemons, mono_time now,
+                   std::map<daemon_id, usage_reports>& due);
+  void report_collected(std::span<const member* const> live_daemons, mono_time now,
+                        std::map<daemon_id, usage_reports>& due);
   void keep_report(const workspace_usage& usage, mono_time now);
-  workspace_usage sum_of(const workspace_id& workspace, mono_time now);
+  workspace_usage collected_sum(const workspace_id& workspace, mono_time now);
 
   usage_ledger_options options_;
   std::map<workspace_id, workspace_usage> own_;
-  std::map<workspace_id, std::map<daemon_id, kept_usage>> owned_;
+  // What others reported here, and whether this daemon was the workspace's owner when last asked.
+  std::map<workspace_id, std::map<daemon_id, kept_usage>> collected_;
+  std::set<workspace_id> owned_;
   std::map<workspace_id, kept_usage> sums_;
   std::uint64_t sequence_ = 0;
   std::chrono::milliseconds period_;
--- a/include/wisteriaflow/membership/view.h
+++ b/include/wisteriaflow/membership/view.h
@@ -133,7 +133,7 @@
     mono_time left_at;
     // The list's own last word.
     bool listed = false;
-    std::optional<member_attributes> list_attributes;
+    std::optional<std::uint64_t> list_attributes_hash;
     mono_time list_settles_at;
   };
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -13,6 +13,9 @@
 // Every so many choices a suspected peer is tried, so that parted halves of a fleet meet again.
 constexpr std::uint64_t suspected_choice = 16;
 
+// Loads kept until they are taken.
+constexpr std::size_t max_heard_loads = 256;
+
 // Repair is put off by news at most this many times its delay.
 constexpr int repair_delays = 3;
 
@@ -112,8 +115,10 @@
   }
   highest_.floor = std::max(highest_.floor, message.configuration_floor);
   heard_loads_.insert(heard_loads_.end(), message.loads.begin(), message.loads.end());
-  if (heard_loads_.size() > options_.max_loads * 8) {
-    heard_loads_.erase(heard_loads_.begin(), heard_loads_.end() - options_.max_loads * 8);
+  if (heard_loads_.size() > max_heard_loads) {
+    // Nobody takes them; the newest are kept.
+    const auto surplus = static_cast<std::ptrdiff_t>(heard_loads_.size() - max_heard_loads);
+    heard_loads_.erase(heard_loads_.begin(), heard_loads_.begin() + surplus);
   }
   const auto* from = view_.find({member_kind::daemon, message.from.value()});
   if (from != nullptr && from->state != member_state::gone) {
@@ -309,10 +314,10 @@
   }
   std::vector<outgoing_gossip> messages;
   for (auto& reports : usage_.take_reports(view_.live_daemons(), now.mono)) {
-    const member* owner = view_.find({member_kind::daemon, reports.owner.value()});
-    auto message = message_to(reports.owner, gossip_kind::usage);
+    const member* owner = view_.find({member_kind::daemon, reports.to.value()});
+    auto message = message_to(reports.to, gossip_kind::usage);
     message.usage = std::move(reports.usage);
-    messages.push_back({.to = reports.owner,
+    messages.push_back({.to = reports.to,
                         .peer_address = owner->attributes.peer_address,
                         .message = std::move(message)});
   }
--- a/src/membership/member.cc
+++ b/src/membership/member.cc
@@ -25,22 +25,6 @@
   return std::min(*a, *b);
 }
 
-// Chained, so that no two attributes' texts run together.
-std::uint64_t hash_of(const member_attributes& attributes)
-{
-  std::uint64_t h = (attributes.reclaimable ? 1U : 0U) + (attributes.checks_fencing ? 2U : 0U);
-  for (const std::string_view text :
-       {std::string_view(attributes.peer_address), std::string_view(attributes.address),
-        std::string_view(attributes.zone.value()), std::string_view(attributes.instance_class),
-        std::string_view(attributes.role)}) {
-    h = hash64_of(text, h);
-  }
-  for (const auto& [key, value] : attributes.labels) {
-    h = hash64_of(value, hash64_of(key, h));
-  }
-  return h ^ std::bit_cast<std::uint64_t>(attributes.price_per_hour);
-}
-
 } // namespace
 
 member join(const member& a, const member& b)
@@ -78,6 +62,22 @@
   return hash64_of(key.id, static_cast<std::uint64_t>(key.kind));
 }
 
+// Chained, so that no two attributes' texts run together.
+std::uint64_t hash_of(const member_attributes& attributes)
+{
+  std::uint64_t h = (attributes.reclaimable ? 1U : 0U) + (attributes.checks_fencing ? 2U : 0U);
+  for (const std::string_view text :
+       {std::string_view(attributes.peer_address), std::string_view(attributes.address),
+        std::string_view(attributes.zone.value()), std::string_view(attributes.instance_class),
+        std::string_view(attributes.role)}) {
+    h = hash64_of(text, h);
+  }
+  for (const auto& [key, value] : attributes.labels) {
+    h = hash64_of(value, hash64_of(key, h));
+  }
+  return h ^ std::bit_cast<std::uint64_t>(attributes.price_per_hour);
+}
+
 std::uint64_t agreement_hash_of(const member& m)
 {
   const auto reclaim = m.reclaim_at ? to_unix_ms(*m.reclaim_at) : 0;
--- a/src/membership/usage_ledger.cc
+++ b/src/membership/usage_ledger.cc
@@ -8,8 +8,8 @@
 namespace wisteriaflow::membership {
 namespace {
 
-// Null without any live daemon.
-const member* owner_of(const workspace_id& workspace, std::span<const member* const> daemons)
+// Null without any daemon.
+const member* best_of(const workspace_id& workspace, std::span<const member* const> daemons)
 {
   const auto key = hash64_of(workspace.value());
   const auto it = std::ranges::max_element(
@@ -39,13 +39,35 @@
   if (now < report_due_) {
     return {};
   }
+  std::vector<const member*> zone_daemons;
+  std::ranges::copy_if(live_daemons, std::back_inserter(zone_daemons),
+                       [this](const member* m) { return m->attributes.zone == options_.zone; });
+  start_period(zone_daemons, now);
+  std::map<daemon_id, usage_reports> by_receiver;
+  collect_own(zone_daemons, now, by_receiver);
+  report_collected(live_daemons, now, by_receiver);
+  std::vector<usage_reports> due;
+  for (auto& [to, reports] : by_receiver) {
+    reports.to = to;
+    due.push_back(std::move(reports));
+  }
+  return due;
+}
+
+void usage_ledger::start_period(std::span<const member* const> zone_daemons, mono_time now)
+{
   const auto stretched =
       std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(
-          static_cast<double>(live_daemons.size()) / options_.owner_reports_per_second));
+          static_cast<double>(zone_daemons.size()) / options_.reports_per_second));
   period_ = std::max(options_.shortest_period, stretched);
   report_due_ = now + period_;
   ++sequence_;
+}
 
+// Sends the own usage to the zone's collectors, or keeps it where that is this daemon.
+void usage_ledger::collect_own(std::span<const member* const> zone_daemons, mono_time now,
+                               std::map<daemon_id, usage_reports>& due)
+{
   std::vector<workspace_usage> largest;
   for (auto& [workspace, usage] : own_) {
     usage.sequence = sequence_;
@@ -56,41 +78,46 @@
   });
   std::ranges::sort(largest, std::greater{}, &workspace_usage::tokens_per_second);
   largest.resize(std::min(largest.size(), options_.max_workspaces));
-
-  std::map<daemon_id, usage_reports> by_owner;
   for (const auto& usage : largest) {
-    const member* owner = owner_of(usage.workspace, live_daemons);
-    if (owner == nullptr) {
-      continue;
+    const member* collector = best_of(usage.workspace, zone_daemons);
+    if (collector == nullptr || daemon_id{collector->key.id} == options_.self) {
+      keep_report(usage, now);
+    } else {
+      due[daemon_id{collector->key.id}].usage.push_back(usage);
     }
-    const daemon_id id{owner->key.id};
-    if (id == options_.self) {
-      receive_sums(receive_reports(std::span(&usage, 1), now), now);
-      continue;
-    }
-    auto& reports = by_owner[id];
-    reports.owner = id;
-    reports.usage.push_back(usage);
   }
-  std::vector<usage_reports> due;
-  for (auto& [owner, reports] : by_owner) {
-    due.push_back(std::move(reports));
+}
+
+// Sends what was collected to the owners, or takes the sum from it where that is this daemon.
+void usage_ledger::report_collected(std::span<const member* const> live_daemons, mono_time now,
+                                    std::map<daemon_id, usage_reports>& due)
+{
+  owned_.clear();
+  for (auto& [workspace, reports] : collected_) {
+    const auto sum = collected_sum(workspace, now);
+    const member* owner = best_of(workspace, live_daemons);
+    if (owner == nullptr || daemon_id{owner->key.id} == options_.self) {
+      owned_.insert(workspace);
+      receive_sums(std::span(&sum, 1), now);
+    } else if (!reports.empty()) {
+      due[daemon_id{owner->key.id}].usage.push_back(sum);
+    }
   }
-  return due;
+  std::erase_if(collected_, [](const auto& item) { return item.second.empty(); });
 }
 
 void usage_ledger::keep_report(const workspace_usage& usage, mono_time now)
 {
-  auto& kept = owned_[usage.workspace][usage.daemon];
+  auto& kept = collected_[usage.workspace][usage.daemon];
   // A restarted daemon counts from 1 again; its former reports lapse by their deadline.
   if (usage.sequence > kept.usage.sequence || now >= kept.good_until) {
     kept = {.usage = usage, .good_until = now + options_.periods_kept * period_};
   }
 }
 
-workspace_usage usage_ledger::sum_of(const workspace_id& workspace, mono_time now)
+workspace_usage usage_ledger::collected_sum(const workspace_id& workspace, mono_time now)
 {
-  auto& reports = owned_[workspace];
+  auto& reports = collected_[workspace];
   std::erase_if(reports, [now](const auto& item) { return now >= item.second.good_until; });
   workspace_usage sum{.workspace = workspace, .daemon = options_.self, .sequence = sequence_};
   for (const auto& [daemon, kept] : reports) {
@@ -106,9 +133,12 @@
   std::vector<workspace_usage> sums;
   for (const auto& usage : reports) {
     keep_report(usage, now);
-    sums.push_back(sum_of(usage.workspace, now));
+    if (owned_.contains(usage.workspace)) {
+      sums.push_back(collected_sum(usage.workspace, now));
+    } else if (const auto heard = fleet_usage(usage.workspace, now)) {
+      sums.push_back(*heard);
+    }
   }
-  std::erase_if(owned_, [](const auto& item) { return item.second.empty(); });
   return sums;
 }
 
--- a/src/membership/view.cc
+++ b/src/membership/view.cc
@@ -160,9 +160,10 @@
   if (e.record.state != member_state::live) {
     record.reclaim_at = e.record.reclaim_at;
   }
-  const bool edited = e.list_attributes && *e.list_attributes != listed.attributes;
-  if (!e.list_attributes || edited) {
-    e.list_attributes = listed.attributes;
+  const auto shown = hash_of(listed.attributes);
+  const bool edited = e.list_attributes_hash && *e.list_attributes_hash != shown;
+  if (!e.list_attributes_hash || edited) {
+    e.list_attributes_hash = shown;
     e.list_settles_at = now.mono + options_.list_settles_after;
   }
   // An edit is news; the same old words from a list that lags are not, until it has settled.
--- a/test/membership/fixtures.h
+++ b/test/membership/fixtures.h
@@ -61,6 +61,7 @@
 inline std::vector<const member*> pointers_to(const std::vector<member>& members)
 {
   std::vector<const member*> found;
+  found.reserve(members.size());
   for (const member& m : members) {
     found.push_back(&m);
   }
--- a/test/membership/subsets_test.cc
+++ b/test/membership/subsets_test.cc
@@ -15,6 +15,7 @@
 std::vector<member> daemons_numbered(int n)
 {
   std::vector<member> daemons;
+  daemons.reserve(n);
   for (int i = 0; i < n; ++i) {
     daemons.push_back(daemon_member("d" + std::to_string(i)));
   }
@@ -24,6 +25,7 @@
 std::vector<member> endpoints_numbered(int n)
 {
   std::vector<member> endpoints;
+  endpoints.reserve(n);
   for (int i = 0; i < n; ++i) {
     endpoints.push_back(endpoint_member("e" + std::to_string(i)));
   }
