Speak to the object API and run operators' commands

The platform package gets the object API's client and what operators do to declared objects: get, apply, label, delete, audit, and the questions to a daemon. The client's remove takes an optional version, so that a deletion can be conditional too.

Weighed: - A write whose answer is lost is settled by a write id in an annotation and by sending only the very same conditional write again, so that two of them can never both take effect, also while reads are stale. - Edits of labels are merged by key against what was read first; the same key changed to something else is a conflict that names who did it, and the revision to expect in order to overwrite. - apply sets labels and annotations on top of those present. Replacing them would revert label edits that others made since the file was written; the price is that a label is removed only by the label command. - Changes are checked against the whole live configuration; faults that are there already do not block mending another object. - A deletion first writes who and why on the object, as the last version is all that the audit trail sees of it.

--- a/include/wisteriaflow/platform/errors.h
+++ b/include/wisteriaflow/platform/errors.h
@@ -44,6 +44,18 @@
   using platform_error::platform_error;
 };
 
+// What an operator gave is not valid; nothing was written.
+class invalid_input_error : public platform_error {
+ public:
+  using platform_error::platform_error;
+};
+
+// The daemon that an operator asked did not answer, or not with a success.
+class daemon_unavailable : public platform_error {
+ public:
+  using platform_error::platform_error;
+};
+
 } // namespace wisteriaflow::platform
 
 #endif // WISTERIAFLOW_PLATFORM_ERRORS_H_
--- a/include/wisteriaflow/platform/object_api.h
+++ b/include/wisteriaflow/platform/object_api.h
@@ -57,11 +57,13 @@
   boost::asio::awaitable<stored_object>
   replace(std::string_view plural, const boost::json::value& document, mono_time deadline);
 
-  // Deletes an object; no error if it is gone already.
+  // Deletes an object; no error if it is gone already. With a `version`, throws conflict_error
+  // unless that is the object's.
   boost::asio::awaitable<void> remove(std::string_view plural, std::string_view name,
-                                      mono_time deadline);
+                                      mono_time deadline, std::uint64_t version = 0);
 
-  // Reports changes after `version` until the server ends the watch or `deadline` passes.
+  // Reports changes after `version` until the server ends the watch or `deadline` passes. It has
+  // seen every change up to the bookmark's version only if it ends with a bookmark.
   boost::asio::awaitable<void> watch(std::string_view plural, std::uint64_t version,
                                      mono_time deadline, std::function<void(watch_event)> on_event);
 
--- /dev/null
+++ b/src/platform/percent_encoding.h
@@ -0,0 +1,16 @@
+// Percent-encoding of what goes into request targets.
+
+#ifndef WISTERIAFLOW_SRC_PLATFORM_PERCENT_ENCODING_H_
+#define WISTERIAFLOW_SRC_PLATFORM_PERCENT_ENCODING_H_
+
+#include <string>
+#include <string_view>
+
+namespace wisteriaflow::platform::internal {
+
+// `text` with every byte but RFC 3986's unreserved characters as "%XX".
+[[nodiscard]] std::string percent_encoded(std::string_view text);
+
+} // namespace wisteriaflow::platform::internal
+
+#endif // WISTERIAFLOW_SRC_PLATFORM_PERCENT_ENCODING_H_
--- /dev/null
+++ b/test/platform/operator_fixture.h
@@ -0,0 +1,75 @@
+// A fake object API with clients of it, for tests of this package.
+
+#ifndef WISTERIAFLOW_TEST_PLATFORM_OPERATOR_FIXTURE_H_
+#define WISTERIAFLOW_TEST_PLATFORM_OPERATOR_FIXTURE_H_
+
+#include "fakes/fake_object_api.h"
+#include "fakes/run.h"
+#include "wisteriaflow/platform/object_api.h"
+#include "wisteriaflow/platform/operator_commands.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::platform {
+
+class object_api_fixture : public testing::Test {
+ protected:
+  // Runs `task` to its end and returns its result.
+  template <typename result> result await(boost::asio::awaitable<result> task)
+  {
+    std::optional<result> out;
+    fakes::run(context, keep(std::move(task), out));
+    return std::move(*out);
+  }
+
+  void await(boost::asio::awaitable<void> task) { fakes::run(context, std::move(task)); }
+
+  void set_faults(std::string_view changes)
+  {
+    fake.set_faults(boost::json::parse({changes.data(), changes.size()}));
+  }
+
+  [[nodiscard]] operator_commands commands_of(std::string who)
+  {
+    return {
+        api,
+        {.author = {.name = std::move(who), .cause = "test"}, .deadline = fakes::far_deadline()}};
+  }
+
+  // Creates a workspace past the commands, and returns its version.
+  std::uint64_t given_workspace(const std::string& name, std::string_view labels = "{}")
+  {
+    auto document = make_document("Workspace", name, boost::json::object{});
+    document.at("metadata").as_object()["labels"] =
+        boost::json::parse({labels.data(), labels.size()});
+    return await(api.create("declarations", document, fakes::far_deadline())).version;
+  }
+
+  stored_object stored(const std::string& name)
+  {
+    return await(api.get("declarations", name, fakes::far_deadline()));
+  }
+
+  boost::asio::io_context context;
+  fakes::fake_object_api fake{context};
+  http::client client{context};
+  object_api api{client, fake.address()};
+
+ private:
+  template <typename result>
+  static boost::asio::awaitable<void> keep(boost::asio::awaitable<result> task,
+                                           std::optional<result>& out)
+  {
+    out = co_await std::move(task);
+  }
+};
+
+} // namespace wisteriaflow::platform
+
+#endif // WISTERIAFLOW_TEST_PLATFORM_OPERATOR_FIXTURE_H_
