Add the operators' tool wisteriaflowctl

Operators drive the fleet only by labels, selectors and declared objects; the tool gives them get, apply, label, delete, validate, audit, explain and fleet, with JSON or tables on standard output, errors on standard error and an exit code for each kind of failure. It is thin: the commands live in the platform package.

An apply that finds its own effect after a lost race now says "changed"; it said "unchanged", as label did not.

The tests' CMake makes test programs that run the built programs depend on them.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -40,6 +40,11 @@
     target_link_libraries(${package}_test PRIVATE wisteriaflow_daemon wisteriaflow_fakes)
     target_compile_definitions(${package}_test PRIVATE
                                WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
+    foreach(program wisteriaflowd wisteriaflowctl)
+      if(TARGET ${program})
+        add_dependencies(${package}_test ${program})
+      endif()
+    endforeach()
   endif()
   target_link_libraries(${package}_test PRIVATE GTest::gtest GTest::gtest_main rapidcheck)
   gtest_discover_tests(${package}_test DISCOVERY_TIMEOUT 60
--- a/src/platform/operator_commands.cc
+++ b/src/platform/operator_commands.cc
@@ -181,7 +181,8 @@
   for (int attempt = 0;; ++attempt) {
     auto merged = merge(wanted, base.document);
     if (says_the_same(merged, base.document)) {
-      co_return describe(base, change_result::unchanged);
+      const bool same = base.version == read->version;
+      co_return describe(base, same ? change_result::unchanged : change_result::changed);
     }
     stamp(merged);
     auto result =
--- /dev/null
+++ b/src/tools/wisteriaflowctl_commands.h
@@ -0,0 +1,48 @@
+// The subcommands of wisteriaflowctl.
+
+#ifndef WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_COMMANDS_H_
+#define WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_COMMANDS_H_
+
+#include "tools/wisteriaflowctl_output.h"
+#include "wisteriaflow/base/errors.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/message.h"
+#include "wisteriaflow/platform/operator_commands.h"
+#include "wisteriaflow/platform/operator_queries.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriaflow::tools {
+
+// The command line is not one that the tool knows.
+class usage_error : public error {
+ public:
+  using error::error;
+};
+
+// What the flags say.
+struct ctl_settings {
+  http::socket_address platform;
+  http::socket_address daemon;
+  std::string file; // "-": standard input
+  output_format format = output_format::table;
+  platform::change_author author;
+  std::optional<std::uint64_t> expected_revision;
+  platform::explain_query explain;
+  mono_time deadline;
+};
+
+// Runs the subcommand that stands first in `words`, with the rest as its arguments, and prints the
+// result. Throws usage_error, or what the command throws.
+void run_command(const ctl_settings& settings, const std::vector<std::string>& words);
+
+// One line for each subcommand.
+[[nodiscard]] std::string_view command_summary();
+
+} // namespace wisteriaflow::tools
+
+#endif // WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_COMMANDS_H_
