--- a/test/fakes/engine_parts.cc
+++ b/test/fakes/engine_parts.cc
@@ -66,6 +66,11 @@
   return out;
 }
 
+std::uint64_t answer_hash(std::string_view model, std::string_view prompt)
+{
+  return hash64_of(prompt, hash64_of(model));
+}
+
 std::string hash_name(std::uint64_t hash)
 {
   std::ostringstream out;
--- a/test/fakes/engine_parts.h
+++ b/test/fakes/engine_parts.h
@@ -34,6 +34,9 @@
 [[nodiscard]] std::vector<std::uint64_t> block_hashes(std::string_view model,
                                                       std::string_view prompt);
 
+// Names what `model` answers to `prompt`.
+[[nodiscard]] std::uint64_t answer_hash(std::string_view model, std::string_view prompt);
+
 // The name of a prefix hash in cache events: 16 hexadecimal digits.
 [[nodiscard]] std::string hash_name(std::uint64_t hash);
 
--- a/test/fakes/fake_server.cc
+++ b/test/fakes/fake_server.cc
@@ -50,6 +50,11 @@
   return method == wanted_method && path == wanted_path;
 }
 
+fake_reply refusal(int status, std::string_view reason)
+{
+  return {.status = status, .body = {{"reason", reason}}};
+}
+
 fake_server::fake_server(asio::io_context& context, std::uint16_t port)
     : context_(context), server_(context, {.address = {.port = port}, .body_limit = body_limit},
                                  [this](http::request received, http::response_writer& w) {
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -39,6 +39,9 @@
   boost::json::value body = boost::json::object();
 };
 
+// A refusal with a body {"reason":`reason`}.
+[[nodiscard]] fake_reply refusal(int status, std::string_view reason);
+
 // Base of the fakes. Lives as long as its context runs: to let one die, call close().
 class fake_server {
  public:
