--- a/include/wisteriaflow/requests/answer_store.h
+++ b/include/wisteriaflow/requests/answer_store.h
@@ -28,6 +28,7 @@
   workspace_id workspace;
   std::string key;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted operator
   friend auto operator<=>(const answer_key&, const answer_key&) = default;
 };
 
--- a/include/wisteriaflow/requests/request_life.h
+++ b/include/wisteriaflow/requests/request_life.h
@@ -59,6 +59,8 @@
   request_life(request_life_options options, handed_over_state state);
 
   ~request_life();
+  request_life(const request_life&) = delete;
+  request_life& operator=(const request_life&) = delete;
   request_life(request_life&&) noexcept;
   request_life& operator=(request_life&&) noexcept;
 
--- a/src/requests/life_context.cc
+++ b/src/requests/life_context.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_too_many_requests = 429;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
 
 } // namespace
 
@@ -47,6 +51,12 @@
   return !options_.idempotent && claim_nonce_ == 0;
 }
 
+bool life_context::is_retryable(int status)
+{
+  return status == status_too_many_requests || status == status_bad_gateway ||
+         status == status_unavailable || status == status_gateway_timeout;
+}
+
 bool life_context::may_start() const
 {
   return options_.idempotent || transfer_usable_ || !ran_;
@@ -253,9 +263,11 @@
   emit(send_head{.status = status_ok, .fields = {{"Content-Type", "text/event-stream"}}});
 }
 
-void life_context::keep()
+// `repeatable` tells that the caller does better to send an idempotent request again under its key
+// than to get this result once more.
+void life_context::keep(bool repeatable)
 {
-  if (options_.keyed) {
+  if (options_.keyed && !(repeatable && options_.idempotent)) {
     emit(keep_answer{now_.wall + options_.retention});
   }
 }
@@ -264,7 +276,7 @@
 {
   cancel_open_attempt();
   if (std::holds_alternative<outcome_unknown>(result)) {
-    keep();
+    keep(true);
   }
   emit(finish{.result = result, .head_sent = head_sent_});
 }
@@ -299,7 +311,7 @@
                                         .usage = usage})});
     head_sent_ = true;
   }
-  keep();
+  keep(false);
   emit(finish{.result = answered{status},
               .head_sent = head_sent_,
               .finish_reason = event.finish_reason,
@@ -310,7 +322,7 @@
 {
   emit(send_head{.status = response.status, .fields = response.fields});
   emit(send_body{response.body});
-  keep();
+  keep(is_retryable(response.status));
   emit(finish{.result = answered{response.status}, .head_sent = true});
 }
 
--- a/src/requests/life_context.h
+++ b/src/requests/life_context.h
@@ -41,6 +41,9 @@
   [[nodiscard]] bool wants_hand_over() const { return hand_over_after_cancel_; }
   [[nodiscard]] const std::optional<response_parts>& endpoint_error() const { return error_; }
 
+  // Whether another endpoint, or a later try, may well answer what this status refused.
+  [[nodiscard]] static bool is_retryable(int status);
+
   // Whether a further attempt can be no second run of a non-idempotent request.
   [[nodiscard]] bool may_start() const;
 
@@ -91,7 +94,7 @@
   void cancel_open_attempt();
   void send_new_tokens();
   void send_stream_head();
-  void keep();
+  void keep(bool repeatable);
 
   request_life_options options_;
   clock_reading now_{};
--- a/src/requests/life_driver.cc
+++ b/src/requests/life_driver.cc
@@ -4,17 +4,6 @@
 namespace {
 
 constexpr int status_conflict = 409;
-constexpr int status_too_many_requests = 429;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-
-// Whether another endpoint may well answer what this status refused.
-bool is_retryable(int status)
-{
-  return status == status_too_many_requests || status == status_bad_gateway ||
-         status == status_unavailable || status == status_gateway_timeout;
-}
 
 } // namespace
 
@@ -182,9 +171,9 @@
     return;
   }
   context.note_failure(event);
-  const bool is_answer = event.kind == failure_kind::endpoint_status &&
-                         context.answer().next_offset() == 0 &&
-                         !(context.options().idempotent && is_retryable(event.response.status));
+  const bool is_answer =
+      event.kind == failure_kind::endpoint_status && context.answer().next_offset() == 0 &&
+      !(context.options().idempotent && life_context::is_retryable(event.response.status));
   if (is_answer) {
     context.end_with_endpoint_error(event.response);
     take(stop{});
--- a/src/requests/life_driver.h
+++ b/src/requests/life_driver.h
@@ -17,8 +17,8 @@
   life_driver(request_life_options options, handed_over_state state)
       : context(std::move(options), std::move(state))
   {
-    states.context = &context;
-    states.start();
+    states_.context = &context;
+    states_.start();
   }
   life_driver(const life_driver&) = delete;
   life_driver& operator=(const life_driver&) = delete;
@@ -49,19 +49,19 @@
   void operator()(const handover_accepted& event);
   void operator()(const handover_refused& event);
 
-  [[nodiscard]] life_stage stage() const { return states.stage; }
+  [[nodiscard]] life_stage stage() const { return states_.stage; }
 
   life_context context;
 
  private:
-  template <typename step> void take(const step& it) { states.process_event(it); }
-  [[nodiscard]] bool in(life_stage it) const { return states.stage == it; }
+  template <typename step> void take(const step& it) { states_.process_event(it); }
+  [[nodiscard]] bool in(life_stage it) const { return states_.stage == it; }
   void end(const outcome& result);
   void progress();
   void lost(unknown_reason reason);
   void drain_to_peer();
 
-  life_machine states;
+  life_machine states_;
 };
 
 } // namespace wisteriaflow::requests::internal
