--- /dev/null
+++ b/include/wisteriaflow/core/daemon_core.h
@@ -0,0 +1,88 @@
+// Everything that a daemon decides, free of sockets, threads and clocks.
+//
+// The shells hand in events with the current time and carry out the actions that come back. The
+// same code runs in the daemon and in tests that feed it events by hand.
+//
+//   daemon_core core(options, now);
+//   for (const auto& a : core.handle(call_received{1, request}, now)) { carry_out(a); }
+//   // and again with ticked{} at core.wake_at()
+
+#ifndef WISTERIAFLOW_CORE_DAEMON_CORE_H_
+#define WISTERIAFLOW_CORE_DAEMON_CORE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/events.h"
+#include "wisteriaflow/http/message.h"
+
+namespace wisteriaflow::core {
+
+// What a core needs to know of its daemon. Defaults are those of the settings.
+struct daemon_core_options {
+  daemon_id self;
+  instance_id instance;
+  availability_zone zone;
+  http::socket_address caller_address;
+  http::socket_address peer_address;
+  std::vector<http::socket_address> seeds; // peers' addresses known beforehand
+  std::uint64_t seed = 0;                  // of random choices
+  bool has_cloud = false;                  // whether reclaim notices can be polled
+
+  std::chrono::milliseconds gossip_period{500};
+  int gossip_fanout = 2;
+  std::chrono::milliseconds suspect_after{5'000};
+  std::chrono::milliseconds gone_after{15'000};
+  std::chrono::milliseconds peer_call_timeout{500};
+  std::chrono::milliseconds platform_call_timeout{1'000};
+  std::chrono::milliseconds address_validity{30'000};
+
+  std::chrono::milliseconds default_timeout{60'000};
+  std::chrono::milliseconds max_timeout{600'000};
+  std::chrono::milliseconds answer_retention{600'000};
+  std::size_t answer_memory_bytes = std::size_t{4} << 20U;
+  std::size_t requests_in_flight_limit = 1'024;
+  std::size_t prompt_limit_bytes = std::size_t{1} << 20U;
+  std::int64_t output_token_limit = 16'384;
+
+  claims::claim_settings claims;
+
+  std::size_t subset_size = 64;
+  std::chrono::milliseconds load_period{1'000};
+  std::chrono::milliseconds first_token_target{540};
+  double retry_budget = 0.1; // of fresh requests
+
+  std::chrono::milliseconds drain_grace{20'000};
+};
+
+// One daemon's decisions. Not thread-safe: one thread owns it.
+class daemon_core {
+public:
+  daemon_core(daemon_core_options options, clock_reading now);
+  ~daemon_core();
+  daemon_core(const daemon_core&) = delete;
+  daemon_core& operator=(const daemon_core&) = delete;
+
+  // Takes one event and returns what is to be done, in order.
+  [[nodiscard]] std::vector<action> handle(event e, clock_reading now);
+
+  // When the next ticked{} is due, if no other event comes first.
+  [[nodiscard]] std::optional<mono_time> wake_at() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace wisteriaflow::core
+
+#endif // WISTERIAFLOW_CORE_DAEMON_CORE_H_
--- /dev/null
+++ b/include/wisteriaflow/core/peer_messages.h
@@ -0,0 +1,103 @@
+// What daemons say to each other, as plain values. The peer package carries them over gRPC.
+
+#ifndef WISTERIAFLOW_CORE_PEER_MESSAGES_H_
+#define WISTERIAFLOW_CORE_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/http/message.h"
+#include "wisteriaflow/membership/messages.h"
+#include "wisteriaflow/objects/configuration_store.h"
+#include "wisteriaflow/requests/request_actions.h"
+
+namespace wisteriaflow::core {
+
+// Number of a call to a peer, of this process.
+using peer_call_number = std::uint64_t;
+
+// Number of a peer's call that waits for this daemon's reply.
+using peer_reply_number = std::uint64_t;
+
+// Asks an executor what has become of the request that it claimed with `nonce`; with nonce 0, a
+// daemon that keeps the key's place where its request is run.
+struct request_query {
+  hash128 key;
+  std::uint64_t nonce = 0;
+
+  friend bool operator==(const request_query&, const request_query&) = default;
+};
+
+enum class request_state {
+  in_flight,
+  answered,
+  not_run, // and it never will be under this nonce
+  outcome_unknown,
+};
+
+struct request_status {
+  request_state state = request_state::outcome_unknown;
+  std::string caller_address; // where the answer can be fetched
+
+  friend bool operator==(const request_status&, const request_status&) = default;
+};
+
+// A request that another daemon is to finish, or a finished answer that it is to keep.
+struct handed_over_request {
+  daemon_id from;
+  std::string request_id;
+  workspace_id workspace;
+  std::string key; // what the answer is fetched by
+  hash128 body_hash;
+  http::request message; // as the caller sent it
+  wall_time deadline;
+  requests::handed_over_state state;
+  bool finished = false; // the answer is whole and only to be kept
+  http::response answer;
+  std::string finish_reason;
+  wall_time keep_until;
+
+  friend bool operator==(const handed_over_request&, const handed_over_request&) = default;
+};
+
+// Where the request with a key is run.
+struct place_note {
+  hash128 key;
+  std::string caller_address;
+  wall_time keep_until;
+
+  friend bool operator==(const place_note&, const place_note&) = default;
+};
+
+struct place_note_reply {
+  friend bool operator==(const place_note_reply&, const place_note_reply&) = default;
+};
+
+struct hand_over_reply {
+  bool accepted = false;
+  std::string caller_address;
+
+  friend bool operator==(const hand_over_reply&, const hand_over_reply&) = default;
+};
+
+struct configuration_query {
+  std::uint64_t known_revision = 0;
+
+  friend bool operator==(const configuration_query&, const configuration_query&) = default;
+};
+
+// Each request has one response type, in the same place of the two variants.
+using peer_request = std::variant<membership::gossip_message, claims::claim_request, request_query,
+                                  handed_over_request, configuration_query, place_note>;
+using peer_response = std::variant<membership::gossip_message, claims::claim_reply, request_status,
+                                   hand_over_reply, objects::configuration_snapshot, place_note_reply>;
+
+} // namespace wisteriaflow::core
+
+#endif // WISTERIAFLOW_CORE_PEER_MESSAGES_H_
--- /dev/null
+++ b/include/wisteriaflow/daemon/platform_side.h
@@ -0,0 +1,54 @@
+// The duty towards the platform: object API calls, the watch on declarations, the instance list
+// and reclaim notices.
+
+#ifndef WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
+#define WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
+
+#include <memory>
+#include <random>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/platform/object_api.h"
+
+namespace wisteriaflow::daemon {
+
+// Calls the platform. Each loop backs off with full jitter while its service fails, so that a
+// fleet does not come back all at once.
+class platform_side {
+public:
+  platform_side(const settings& s, std::shared_ptr<event_ring> core);
+
+  void start();
+  void stop() { thread_.stop(); }
+  [[nodiscard]] std::shared_ptr<bounded_ring<core::platform_action>> ring() const
+  {
+    return thread_.ring();
+  }
+
+private:
+  boost::asio::awaitable<void> run_store_call(core::call_store a);
+  boost::asio::awaitable<core::store_answer> perform(const core::call_store& a);
+  boost::asio::awaitable<void> watch_declarations();
+  boost::asio::awaitable<std::uint64_t> list_declarations();
+  boost::asio::awaitable<void> poll_instances();
+  boost::asio::awaitable<void> poll_notices();
+  boost::asio::awaitable<bool> fetch(http::socket_address from, std::string target,
+                                     boost::json::value& out);
+  boost::asio::awaitable<void> sleep(std::chrono::milliseconds period);
+  [[nodiscard]] std::chrono::milliseconds backoff(unsigned failures);
+  [[nodiscard]] mono_time call_deadline() const;
+
+  settings settings_;
+  duty_thread<core::platform_action> thread_;
+  http::client client_;
+  platform::object_api store_;
+  std::mt19937_64 random_;
+};
+
+} // namespace wisteriaflow::daemon
+
+#endif // WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
--- /dev/null
+++ b/include/wisteriaflow/daemon/settings.h
@@ -0,0 +1,115 @@
+// The daemon's settings: an INI file, checked whole before anything starts.
+//
+//   const auto s = daemon::load_settings("/etc/wisteriaflow.ini");
+//   s.callers_listen;  // "127.0.0.1:8080"
+//
+// docs/REFERENCE.md lists every key with its default and range.
+
+#ifndef WISTERIAFLOW_DAEMON_SETTINGS_H_
+#define WISTERIAFLOW_DAEMON_SETTINGS_H_
+
+#include "wisteriaflow/base/errors.h"
+
+#include <chrono>
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace wisteriaflow::daemon {
+
+// A settings file that cannot be used. The message names file, section, key, value and what is
+// allowed.
+class settings_error : public error {
+ public:
+  using error::error;
+};
+
+// Everything a daemon learns from its file. Addresses are "IP:port"; lists are comma separated.
+struct settings {
+  // [daemon]
+  std::string daemon_id;
+  std::string instance_id;
+  std::string availability_zone;
+  std::string region;
+  std::int64_t seed = 0;
+
+  // [callers]
+  std::string callers_listen;
+  std::int64_t header_limit_bytes = 0;
+  std::int64_t body_limit_bytes = 0;
+  std::int64_t connection_limit = 0;
+  std::chrono::milliseconds read_timeout{};
+  std::chrono::milliseconds idle_timeout{};
+  std::chrono::milliseconds write_timeout{};
+  std::chrono::milliseconds address_validity{};
+
+  // [peers]
+  std::string peers_listen;
+  std::string peer_seeds;
+  std::chrono::milliseconds peer_call_timeout{};
+
+  // [gossip]
+  std::chrono::milliseconds gossip_period{};
+  std::int64_t gossip_fanout = 0;
+  std::chrono::milliseconds suspect_after{};
+  std::chrono::milliseconds gone_after{};
+
+  // [platform]
+  std::string object_api;
+  std::string instance_list;
+  std::string cloud_api;
+  std::chrono::milliseconds platform_call_timeout{};
+  std::chrono::milliseconds instance_list_period{};
+  std::chrono::milliseconds notice_period{};
+  std::chrono::milliseconds watch_period{};
+
+  // [requests]
+  std::chrono::milliseconds default_timeout{};
+  std::chrono::milliseconds max_timeout{};
+  std::chrono::milliseconds answer_retention{};
+  std::int64_t answer_memory_bytes = 0;
+  std::int64_t requests_in_flight_limit = 0;
+  std::int64_t prompt_limit_bytes = 0;
+  std::int64_t output_token_limit = 0;
+
+  // [claims]
+  std::int64_t claim_shards = 0;
+  std::chrono::milliseconds claim_retention{};
+  std::chrono::milliseconds claim_flush_interval{};
+
+  // [routing]
+  std::int64_t subset_size = 0;
+  std::chrono::milliseconds load_period{};
+  std::chrono::milliseconds first_token_target{};
+  std::int64_t retry_budget_percent = 0;
+
+  // [drain]
+  std::chrono::milliseconds drain_grace{};
+
+  // [log]
+  std::string log_level;
+
+  friend bool operator==(const settings&, const settings&) = default;
+};
+
+// Reads and checks the file at `path`. Throws settings_error.
+[[nodiscard]] settings load_settings(const std::string& path);
+
+// Reads and checks settings from `in`; `name` stands for the file in errors.
+[[nodiscard]] settings parse_settings(std::istream& in, const std::string& name);
+
+// One line a key for the reference: section, key, default and what is allowed.
+struct setting_description {
+  std::string section;
+  std::string key;
+  std::string fallback;
+  std::string allowed;
+};
+
+// Describes every key, in the file's order.
+[[nodiscard]] std::vector<setting_description> describe_settings();
+
+} // namespace wisteriaflow::daemon
+
+#endif // WISTERIAFLOW_DAEMON_SETTINGS_H_
--- a/include/wisteriaflow/platform/errors.h
+++ b/include/wisteriaflow/platform/errors.h
@@ -20,6 +20,12 @@
   using platform_error::platform_error;
 };
 
+// No connection could be made: the call was not sent and has no effect.
+class platform_unreachable : public platform_unavailable {
+ public:
+  using platform_unavailable::platform_unavailable;
+};
+
 // A create found the name taken, or a conditional update found another version. Nothing changed.
 class conflict_error : public platform_error {
  public:
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache git clang-format clang-tidy spin
   libboost1.81-dev libboost-json1.81-dev libgrpc++-dev libprotobuf-dev protobuf-compiler
   protobuf-compiler-grpc libabsl-dev liblog4cxx-dev librapidcheck-dev libxxhash-dev
-  libgtest-dev libgmock-dev libbenchmark-dev
+  curl procps libgtest-dev libgmock-dev libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/core/answer_places.cc
@@ -0,0 +1,110 @@
+#include "core/answer_places.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wisteriaflow/base/hash.h"
+
+namespace wisteriaflow::core::internal {
+namespace {
+
+constexpr std::size_t keepers_of_each_key = 2;
+// At about 150 bytes each; the oldest deadline goes first when there are more.
+constexpr std::size_t place_limit = 16'384;
+
+} // namespace
+
+hash128 place_key_of(const requests::answer_key& key)
+{
+  return hash128_of(key.workspace.value() + "\n" + key.key);
+}
+
+std::vector<daemon_id> answer_places::keepers_of(const hash128& key) const
+{
+  auto daemons = fleet_.live_daemon_ids();
+  const auto score = [&](const daemon_id& id) { return rendezvous_score(key.low, id.value()); };
+  const auto n = std::min(keepers_of_each_key, daemons.size());
+  std::partial_sort(daemons.begin(), daemons.begin() + static_cast<std::ptrdiff_t>(n),
+                    daemons.end(), [&](const daemon_id& a, const daemon_id& b) {
+                      return score(a) > score(b);
+                    });
+  daemons.resize(n);
+  return daemons;
+}
+
+void answer_places::announce(const requests::answer_key& key, const std::string& caller_address)
+{
+  const auto until = context_.now().wall + context_.options().answer_retention;
+  const place_note note{
+      .key = place_key_of(key), .caller_address = caller_address, .keep_until = until};
+  for (const auto& keeper : keepers_of(note.key)) {
+    if (keeper == context_.options().self) {
+      on_note(note);
+    } else if (const auto to = fleet_.peer_address_of(keeper)) {
+      context_.call_peer(*to, note, [](const peer_response*) {});
+    }
+  }
+}
+
+void answer_places::on_note(const place_note& note)
+{
+  const auto now = context_.now().wall;
+  while (!by_deadline_.empty() &&
+         (by_deadline_.begin()->first < now || by_deadline_.size() >= place_limit)) {
+    places_.erase(by_deadline_.begin()->second);
+    by_deadline_.erase(by_deadline_.begin());
+  }
+  const auto [it, is_new] =
+      places_.insert_or_assign(note.key, place{note.caller_address, note.keep_until});
+  if (is_new) {
+    by_deadline_.emplace(note.keep_until, note.key);
+  }
+}
+
+std::string answer_places::kept_place(const hash128& key) const
+{
+  const auto it = places_.find(key);
+  return it == places_.end() ? std::string() : it->second.caller_address;
+}
+
+void answer_places::find(const requests::answer_key& key,
+                         std::function<void(const std::string&)> done)
+{
+  const auto hash = place_key_of(key);
+  const auto kept = kept_place(hash);
+  if (!kept.empty() && kept != to_string(context_.options().caller_address)) {
+    done(kept);
+    return;
+  }
+  auto keepers = keepers_of(hash);
+  std::erase(keepers, context_.options().self);
+  ask(hash, std::move(keepers), std::move(done));
+}
+
+void answer_places::ask(const hash128& key, std::vector<daemon_id> keepers,
+                        std::function<void(const std::string&)> done)
+{
+  if (keepers.empty()) {
+    done({});
+    return;
+  }
+  const auto next = keepers.back();
+  keepers.pop_back();
+  const auto to = fleet_.peer_address_of(next);
+  if (!to) {
+    ask(key, std::move(keepers), std::move(done));
+    return;
+  }
+  const request_query query{.key = key, .nonce = 0};
+  context_.call_peer(*to, query, [this, key, keepers, done](const peer_response* response) {
+    const auto* status = response == nullptr ? nullptr : std::get_if<request_status>(response);
+    const auto own = to_string(context_.options().caller_address);
+    if (status != nullptr && !status->caller_address.empty() && status->caller_address != own) {
+      done(status->caller_address);
+    } else {
+      ask(key, keepers, done);
+    }
+  });
+}
+
+} // namespace wisteriaflow::core::internal
--- /dev/null
+++ b/src/core/fleet.cc
@@ -0,0 +1,503 @@
+#include "core/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/platform_documents.h"
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/membership/subsets.h"
+
+namespace wisteriaflow::core::internal {
+namespace {
+
+using membership::member;
+using membership::member_key;
+using membership::member_kind;
+using membership::member_state;
+
+constexpr std::string_view registrations = "daemons";
+constexpr std::chrono::milliseconds view_tick{500};
+constexpr std::chrono::milliseconds subset_interval{250};
+constexpr std::chrono::milliseconds registration_retry{2'000};
+constexpr std::chrono::milliseconds daemons_list_period{60'000};
+constexpr std::chrono::milliseconds lonely_list_period{2'000};
+
+membership::view_options view_options_of(const daemon_core_options& o, clock_reading now)
+{
+  membership::view_options out;
+  out.self = o.self;
+  out.incarnation = static_cast<std::uint64_t>(to_unix_ms(now.wall));
+  out.self_attributes.peer_address = to_string(o.peer_address);
+  out.self_attributes.address = to_string(o.caller_address);
+  out.self_attributes.zone = o.zone;
+  out.self_attributes.role = "daemon";
+  out.heartbeat_period = o.suspect_after / 5;
+  out.suspected_after = o.suspect_after;
+  out.gone_after = o.gone_after;
+  return out;
+}
+
+membership::gossip_options gossip_options_of(const daemon_core_options& o)
+{
+  membership::gossip_options out;
+  out.period = o.gossip_period;
+  out.fanout = o.gossip_fanout;
+  out.seed = o.seed;
+  out.usage.self = o.self;
+  return out;
+}
+
+std::optional<http::socket_address> parse_address(const std::string& text)
+{
+  try {
+    return http::parse_socket_address(text);
+  } catch (const http::http_error&) {
+    return std::nullopt;
+  }
+}
+
+objects::label_set labels_of(const member& m)
+{
+  objects::label_set out;
+  for (const auto& [key, value] : m.attributes.labels) {
+    if (objects::is_label_key(key) && objects::is_label_value(value)) {
+      out = out.with(key, value);
+    }
+  }
+  return out;
+}
+
+routing::endpoint_description describe_endpoint(const member& m)
+{
+  return {.id = endpoint_id(m.key.id),
+          .address = m.attributes.address,
+          .availability_zone = m.attributes.zone,
+          .instance_class = m.attributes.instance_class,
+          .labels = m.attributes.labels,
+          .price_per_hour = m.attributes.price_per_hour,
+          .reclaimable = m.attributes.reclaimable};
+}
+
+} // namespace
+
+objects::instance_description describe(const member& m)
+{
+  return {.labels = labels_of(m),
+          .zone = m.attributes.zone,
+          .instance_class = m.attributes.instance_class,
+          .role = m.attributes.role == "service" ? objects::pool_role::service
+                                                 : objects::pool_role::engine};
+}
+
+fleet::fleet(core_context& context, fleet_listener listener)
+    : context_(context), listener_(std::move(listener)),
+      view_(view_options_of(context.options(), context.now()), context.now()),
+      gossiper_(gossip_options_of(context.options()), view_, context.now()), endpoints_({}),
+      prefixes_({}), configuration_(std::make_shared<objects::fleet_configuration>()),
+      update_due_(context.now().mono)
+{}
+
+void fleet::start()
+{
+  register_self();
+  list_daemons();
+  for (const auto& seed : context_.options().seeds) {
+    seed_gossip(seed);
+  }
+  context_.every(view_tick, [this] {
+    view_.tick(context_.now());
+    after_change();
+  });
+  context_.every(context_.options().load_period, [this] { poll_loads(); });
+  gossip_now();
+}
+
+void fleet::leave(std::optional<wall_time> reclaim_at)
+{
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  view_.announce_leaving(view_.self().key, reclaim_at, context_.now());
+  after_change();
+  gossip_now();
+  context_.call_store(
+      store_remove{.plural = std::string(registrations), .name = context_.options().self.value()},
+      [](const store_answer&) {});
+}
+
+// The registration lets daemons that know nobody, or that were parted, find each other.
+void fleet::register_self()
+{
+  if (leaving_) {
+    return;
+  }
+  const auto name = context_.options().self.value();
+  const auto write = [this, name](std::uint64_t version) {
+    boost::json::object metadata{{"name", name}};
+    if (version != 0) {
+      metadata["resourceVersion"] = std::to_string(version);
+    }
+    boost::json::value document = boost::json::object{{"apiVersion", "wisteriaflow.dev/v1"},
+                                                      {"kind", "Daemon"},
+                                                      {"metadata", metadata},
+                                                      {"spec", make_registration(view_.self())}};
+    store_operation operation = store_create{std::string(registrations), document};
+    if (version != 0) {
+      operation = store_replace{std::string(registrations), document};
+    }
+    context_.call_store(std::move(operation), [this](const store_answer& answer) {
+      if (answer.status != store_status::ok) {
+        context_.timers().at(context_.jittered(registration_retry), [this] { register_self(); });
+      }
+    });
+  };
+  context_.call_store(store_get{std::string(registrations), name},
+                      [this, write](const store_answer& answer) {
+                        if (answer.status == store_status::ok) {
+                          write(answer.objects.front().version);
+                        } else if (answer.status == store_status::not_found) {
+                          write(0);
+                        } else {
+                          context_.timers().at(context_.jittered(registration_retry),
+                                               [this] { register_self(); });
+                        }
+                      });
+}
+
+// Often while alone; seldom later, to heal islands that have forgotten each other.
+void fleet::list_daemons()
+{
+  context_.call_store(store_list{std::string(registrations)},
+                      [this](const store_answer& answer) { on_daemons_listed(answer); });
+  const bool lonely = view_.live_daemons().size() < 2;
+  const auto period = lonely ? lonely_list_period : daemons_list_period;
+  context_.timers().at(context_.jittered(period) + period / 2, [this] { list_daemons(); });
+}
+
+void fleet::on_daemons_listed(const store_answer& answer)
+{
+  if (answer.status != store_status::ok) {
+    return;
+  }
+  for (const auto& object : answer.objects) {
+    const auto registered = read_registration(object.document);
+    if (!registered || registered->key == view_.self().key) {
+      continue;
+    }
+    const auto* known = view_.find(registered->key);
+    const bool is_new = known == nullptr || known->incarnation < registered->incarnation;
+    if (is_new || known->state == member_state::gone) {
+      if (const auto to = parse_address(registered->attributes.peer_address)) {
+        seed_gossip(*to);
+      }
+    }
+    if (!is_new && known->state == member_state::gone) {
+      remove_stale_registration(*registered);
+    }
+  }
+}
+
+// One daemon, chosen by hash, deletes what a dead one has left behind. If it was alive after all,
+// it finds its registration missing at its next start and peers still know it.
+void fleet::remove_stale_registration(const member& registered)
+{
+  const auto key = hash64_of(registered.key.id);
+  std::string best;
+  std::uint64_t best_score = 0;
+  for (const auto* m : view_.live_daemons()) {
+    const auto score = rendezvous_score(key, m->key.id);
+    if (best.empty() || score > best_score) {
+      best = m->key.id;
+      best_score = score;
+    }
+  }
+  if (best == view_.self().key.id) {
+    context_.call_store(store_remove{std::string(registrations), registered.key.id},
+                        [](const store_answer&) {});
+  }
+}
+
+// Says hello to an address whose daemon may be unknown yet; its reply brings its view.
+void fleet::seed_gossip(const http::socket_address& to)
+{
+  if (to == context_.options().peer_address) {
+    return;
+  }
+  membership::outgoing_gossip hello;
+  hello.peer_address = to_string(to);
+  hello.message.from = context_.options().self;
+  hello.message.members.push_back(view_.self());
+  hello.message.configuration_revision = gossiper_.highest_configuration().revision;
+  send({std::move(hello)});
+}
+
+void fleet::send(std::vector<membership::outgoing_gossip> messages)
+{
+  for (auto& m : messages) {
+    const auto to = parse_address(m.peer_address);
+    if (!to) {
+      continue;
+    }
+    context_.counters().count("gossip_messages_total", {{"direction", "sent"}});
+    peer_request message = m.message;
+    m.message = {};
+    context_.call_peer(*to, std::move(message), [this, m](const peer_response* response) {
+      on_gossip_reply(m, response);
+    });
+  }
+}
+
+void fleet::on_gossip_reply(const membership::outgoing_gossip& sent, const peer_response* response)
+{
+  const auto* reply =
+      response == nullptr ? nullptr : std::get_if<membership::gossip_message>(response);
+  if (reply == nullptr) {
+    if (!sent.to.empty()) {
+      gossiper_.send_failed(sent.to, context_.now());
+    }
+    return;
+  }
+  heard_peers_ = true;
+  send(gossiper_.receive_reply(*reply, context_.now()));
+  note_configuration();
+  after_change();
+}
+
+membership::gossip_message fleet::on_gossip(const membership::gossip_message& message)
+{
+  heard_peers_ = true;
+  context_.counters().count("gossip_messages_total", {{"direction", "received"}});
+  auto response = gossiper_.receive(message, context_.now());
+  send(std::move(response.pushes));
+  note_configuration();
+  after_change();
+  return std::move(response.reply);
+}
+
+void fleet::gossip_now()
+{
+  context_.timers().cancel(gossip_timer_);
+  send(gossiper_.tick(context_.now()));
+  gossip_timer_ = context_.timers().at(gossiper_.next_due(), [this] { gossip_now(); });
+}
+
+void fleet::note_configuration()
+{
+  const auto& highest = gossiper_.highest_configuration();
+  if (highest.revision > heard_revision_ || heard_revision_ == 0) {
+    heard_revision_ = highest.revision;
+    listener_.configuration_heard(highest);
+  }
+}
+
+void fleet::on_instances(const boost::json::value& document)
+{
+  auto list = read_instance_list(document);
+  if (list.unreadable > 0) {
+    context_.counters().count("instance_list_unreadable_total", {},
+                              static_cast<double>(list.unreadable));
+  }
+  const auto* root = document.if_object();
+  if (root == nullptr || !root->contains("instances")) {
+    return; // a failed reading says nothing of who is missing
+  }
+  view_.apply_list(list.endpoints, context_.now());
+  after_change();
+}
+
+void fleet::on_notices(const boost::json::value& document)
+{
+  for (const auto& notice : read_notices(document)) {
+    if (notice.instance == context_.options().instance.value()) {
+      listener_.self_leaving(notice.reclaim_at);
+      continue;
+    }
+    view_.announce_leaving({.kind = member_kind::endpoint, .id = notice.instance},
+                           notice.reclaim_at, context_.now());
+  }
+  after_change();
+  gossip_now();
+}
+
+// Spreads and acts on what the view has learned.
+void fleet::after_change()
+{
+  if (view_.version() == seen_version_) {
+    return;
+  }
+  seen_version_ = view_.version();
+  announce_leaving_endpoints();
+  listener_.daemons_changed();
+  if (context_.now().mono >= update_due_) {
+    update_endpoints();
+    return;
+  }
+  if (!update_scheduled_) {
+    update_scheduled_ = true;
+    context_.timers().at(update_due_, [this] {
+      update_scheduled_ = false;
+      update_endpoints();
+    });
+  }
+}
+
+void fleet::announce_leaving_endpoints()
+{
+  for (const auto slot : endpoints_.slots()) {
+    const auto& id = endpoints_.at(slot).description.id;
+    const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+    const bool leaves = m == nullptr || m->state != member_state::live;
+    if (leaves && announced_.insert(id).second) {
+      endpoints_.on_leaving(slot);
+      listener_.endpoint_leaving(id, m == nullptr ? std::nullopt : m->reclaim_at);
+    }
+  }
+}
+
+void fleet::set_configuration(std::shared_ptr<const objects::fleet_configuration> configuration,
+                              std::uint64_t floor)
+{
+  configuration_ = std::move(configuration);
+  gossiper_.set_configuration(configuration_->revision(), floor);
+  update_endpoints();
+}
+
+// The endpoints of each pool and service that this daemon reaches.
+std::set<endpoint_id> fleet::reached() const
+{
+  const auto daemons = view_.live_daemons();
+  const membership::subset_options subset{.size = context_.options().subset_size};
+  std::set<endpoint_id> out;
+  const auto add = [&](const std::function<bool(const member&)>& matches) {
+    const auto all = view_.live_endpoints(matches);
+    for (auto& id : membership::subset_of(context_.options().self, daemons, all, subset)) {
+      out.insert(std::move(id));
+    }
+  };
+  for (const auto& pool : configuration_->pools()) {
+    add([&](const member& m) { return objects::is_eligible(pool, describe(m)); });
+  }
+  for (const auto& service : configuration_->services()) {
+    add([&](const member& m) { return objects::is_eligible(service, describe(m)); });
+  }
+  return out;
+}
+
+void fleet::update_endpoints()
+{
+  update_due_ = context_.now().mono + subset_interval;
+  const auto wanted = reached();
+  for (const auto& id : wanted) {
+    const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+    endpoints_.upsert(describe_endpoint(*m));
+  }
+  std::vector<endpoint_id> unwanted;
+  for (const auto slot : endpoints_.slots()) {
+    const auto& id = endpoints_.at(slot).description.id;
+    const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+    const bool gone = m == nullptr || m->state == member_state::gone;
+    // An endpoint that only left the subset, or is unreachable for now, keeps its running work.
+    if (gone || (!wanted.contains(id) && m->state == member_state::live)) {
+      unwanted.push_back(id);
+    }
+  }
+  for (const auto& id : unwanted) {
+    prefixes_.forget(*endpoints_.find(id));
+    endpoints_.remove(id);
+    announced_.erase(id);
+  }
+  context_.counters().set("endpoints_reached", static_cast<double>(endpoints_.slots().size()));
+  context_.counters().set("daemons_live", static_cast<double>(view_.live_daemons().size()));
+}
+
+std::vector<routing::endpoint_slot> fleet::candidates(
+    const std::function<bool(const objects::instance_description&)>& matches) const
+{
+  std::vector<routing::endpoint_slot> out;
+  for (const auto slot : endpoints_.slots()) {
+    const auto& id = endpoints_.at(slot).description.id;
+    const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+    if (m != nullptr && view_.is_routable(id) && matches(describe(*m))) {
+      out.push_back(slot);
+    }
+  }
+  return out;
+}
+
+void fleet::connect_failed(const endpoint_id& endpoint)
+{
+  view_.connect_failed({.kind = member_kind::endpoint, .id = endpoint.value()}, context_.now());
+  if (const auto slot = endpoints_.find(endpoint)) {
+    endpoints_.on_connect_failure(*slot, context_.now().mono);
+  }
+}
+
+void fleet::connected(const endpoint_id& endpoint)
+{
+  view_.connect_succeeded({.kind = member_kind::endpoint, .id = endpoint.value()},
+                          context_.now());
+  if (const auto slot = endpoints_.find(endpoint)) {
+    endpoints_.on_connected(*slot);
+  }
+}
+
+void fleet::poll_loads()
+{
+  for (const auto slot : endpoints_.slots()) {
+    const auto& description = endpoints_.at(slot).description;
+    const auto* m =
+        view_.find({.kind = member_kind::endpoint, .id = description.id.value()});
+    const auto to = parse_address(description.address);
+    if (m == nullptr || m->attributes.role != "engine" || !to) {
+      continue;
+    }
+    context_.emit(endpoint_action(
+        poll_load{.endpoint = description.id.value(),
+                  .to = *to,
+                  .deadline = context_.now().mono + context_.options().load_period}));
+  }
+}
+
+void fleet::on_load(const load_reported& report)
+{
+  const endpoint_id id(report.endpoint);
+  const auto slot = endpoints_.find(id);
+  if (!slot) {
+    return;
+  }
+  if (!report.reached) {
+    connect_failed(id);
+    return;
+  }
+  connected(id);
+  if (const auto load = read_load(report.report, context_.now())) {
+    endpoints_.on_report(*slot, *load);
+  }
+}
+
+std::vector<daemon_id> fleet::live_daemon_ids() const
+{
+  std::vector<daemon_id> out;
+  for (const auto* m : view_.live_daemons()) {
+    if (m->state == member_state::live) {
+      out.emplace_back(m->key.id);
+    }
+  }
+  return out;
+}
+
+std::optional<http::socket_address> fleet::peer_address_of(const daemon_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
+  return m == nullptr ? std::nullopt : parse_address(m->attributes.peer_address);
+}
+
+std::string fleet::caller_address_of(const daemon_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
+  return m == nullptr ? std::string() : m->attributes.address;
+}
+
+} // namespace wisteriaflow::core::internal
--- /dev/null
+++ b/src/core/operator_service.h
@@ -0,0 +1,48 @@
+// Answers operators' and health questions from what the daemon knows.
+
+#ifndef WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
+#define WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
+
+#include "core/claim_service.h"
+#include "core/configuration.h"
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "core/placement.h"
+#include "core/request_table.h"
+#include "wisteriaflow/membership/address_book.h"
+
+namespace wisteriaflow::core::internal {
+
+class operator_service {
+public:
+  operator_service(core_context& context, request_services services, request_table& requests);
+
+  // GET /healthz: the core answers.
+  [[nodiscard]] http::response health() const;
+
+  // GET /readyz: 200 once the configuration is known and the daemon is not leaving.
+  [[nodiscard]] http::response readiness(bool draining) const;
+
+  // GET /metrics
+  [[nodiscard]] http::response metrics() const;
+
+  // GET /operator/v1/fleet
+  [[nodiscard]] http::response fleet_view() const;
+
+  // GET /operator/v1/explain?workspace=&labels=&model=&service=
+  [[nodiscard]] http::response explain(const http::target_parts& target);
+
+  // GET /v1/addresses?availability_zone=&workspace=
+  [[nodiscard]] http::response addresses(const http::target_parts& target,
+                                         const http::request& message) const;
+
+private:
+  core_context& context_;
+  request_services services_;
+  request_table& requests_;
+  membership::address_book book_;
+};
+
+} // namespace wisteriaflow::core::internal
+
+#endif // WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
--- /dev/null
+++ b/src/core/request_table.cc
@@ -0,0 +1,498 @@
+#include "core/request_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "core/http_parts.h"
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/request_key.h"
+#include "wisteriaflow/requests/completion_render.h"
+#include "wisteriaflow/requests/errors.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
+namespace wisteriaflow::core::internal {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_see_other = 303;
+constexpr int bytes_per_token = 4; // of English text, for estimates
+constexpr std::chrono::milliseconds draining_retry{1'000};
+constexpr double unlimited = 1e12; // a share that never binds
+
+admission::admission_options admission_options_of(const daemon_core_options& o)
+{
+  return {.max_in_flight = static_cast<int>(o.requests_in_flight_limit)};
+}
+
+requests::refusal_reason reason_of(admission::refusal_reason reason)
+{
+  switch (reason) {
+  case admission::refusal_reason::unknown_workspace:
+  case admission::refusal_reason::over_share:
+    return requests::refusal_reason::over_share;
+  case admission::refusal_reason::daemon_full:
+  case admission::refusal_reason::batch_gives_way:
+    return requests::refusal_reason::overloaded;
+  case admission::refusal_reason::deadline_unreachable:
+    return requests::refusal_reason::deadline_too_near;
+  case admission::refusal_reason::no_endpoint:
+    return requests::refusal_reason::no_endpoint;
+  }
+  return requests::refusal_reason::overloaded;
+}
+
+http::headers stream_head(const active_request& r)
+{
+  return {{.name = "Content-Type", .value = "text/event-stream"},
+          {.name = "Cache-Control", .value = "no-store"},
+          {.name = "Wisteriaflow-Request-Id", .value = r.id}};
+}
+
+objects::label_set labels_of(const requests::call_headers& headers)
+{
+  try {
+    return objects::label_set({headers.labels.begin(), headers.labels.end()});
+  } catch (const objects::objects_error& e) {
+    throw requests::invalid_request(400, "Wisteriaflow-Labels", e.what());
+  }
+}
+
+// Answers without a key are kept under the request's id, for callers that must come back.
+requests::answer_key answer_key_of(const requests::call_headers& headers, const std::string& id)
+{
+  return {.workspace = headers.workspace, .key = headers.key.empty() ? id : headers.key};
+}
+
+} // namespace
+
+service_target split_service_target(std::string_view target)
+{
+  constexpr std::string_view prefix = "/services/";
+  if (!target.starts_with(prefix)) {
+    return {};
+  }
+  target.remove_prefix(prefix.size());
+  const auto end = target.find_first_of("/?");
+  service_target out;
+  out.service = std::string(target.substr(0, end));
+  out.target = end == std::string_view::npos ? "/" : std::string(target.substr(end));
+  if (out.target.front() != '/') {
+    out.target.insert(out.target.begin(), '/');
+  }
+  return out;
+}
+
+request_table::request_table(core_context& context, request_services services)
+    : context_(context), services_(services),
+      admission_(admission_options_of(context.options()),
+                 {.self = context.options().self}),
+      retries_({.fraction = context.options().retry_budget}),
+      answers_({.max_bytes = context.options().answer_memory_bytes})
+{}
+
+requests::call_limits request_table::limits() const
+{
+  const auto& o = context_.options();
+  requests::call_limits out;
+  out.default_timeout = o.default_timeout;
+  out.max_timeout = o.max_timeout;
+  out.max_prompt_bytes = o.prompt_limit_bytes;
+  out.max_body_bytes = 2 * o.prompt_limit_bytes + 65'536;
+  out.max_tokens = static_cast<std::uint64_t>(o.output_token_limit);
+  out.max_priority = static_cast<int>(objects::highest_priority);
+  return out;
+}
+
+std::string request_table::next_id()
+{
+  return context_.options().self.value() + "-" +
+         std::to_string(services_.members.view().self().incarnation) + "-" +
+         std::to_string(++last_id_);
+}
+
+active_request* request_table::find(const std::string& id)
+{
+  const auto it = active_.find(id);
+  return it == active_.end() ? nullptr : it->second.get();
+}
+
+// Refuses what cannot be looked at now: the daemon leaves, or does not know its configuration yet.
+bool request_table::refuse_early(call_number call)
+{
+  const bool ready = services_.config.ready();
+  if (!draining_ && ready) {
+    return false;
+  }
+  const auto reason =
+      draining_ ? requests::refusal_reason::draining : requests::refusal_reason::no_endpoint;
+  const auto message = draining_ ? "this daemon is leaving: ask another address"
+                                 : "this daemon does not know the configuration yet";
+  send_outcome(call, requests::refused_not_run{
+                         reason, context_.now().wall + draining_retry, message});
+  return true;
+}
+
+void request_table::open_completion(call_number call, http::request message)
+{
+  if (refuse_early(call)) {
+    return;
+  }
+  try {
+    auto parsed = requests::parse_completion_request(to_fields(message.fields), message.body,
+                                                     context_.now(), limits());
+    const auto id = next_id();
+    requests::request_life_options options{.request_id = id,
+                                           .model = parsed.model.value(),
+                                           .idempotent = parsed.headers.idempotent,
+                                           .keyed = !parsed.headers.key.empty(),
+                                           .prompt_tokens = parsed.prompt.size() / bytes_per_token,
+                                           .retention = context_.options().answer_retention};
+    auto fresh = std::make_unique<active_request>(id, options, requests::handed_over_state{});
+    fresh->key = answer_key_of(parsed.headers, id);
+    fresh->body_hash = parsed.body_hash;
+    fresh->headers = parsed.headers;
+    fresh->message = std::move(message);
+    const bool streamed = parsed.stream;
+    fresh->completion = std::move(parsed);
+    open(call, std::move(fresh), streamed);
+  } catch (const requests::invalid_request& e) {
+    send_outcome(call, e.result());
+  }
+}
+
+void request_table::open_service_call(call_number call, http::request message,
+                                      const std::string& service, std::string target)
+{
+  if (refuse_early(call)) {
+    return;
+  }
+  const auto* declared = services_.config.current()->find_service(service);
+  if (declared == nullptr) {
+    send_outcome(call, requests::invalid{status_not_found, "no service named " + service});
+    return;
+  }
+  const auto& methods = declared->idempotent_methods;
+  const bool idempotent = std::find(methods.begin(), methods.end(), message.method) != methods.end();
+  if (http::find_header(message.fields, "Wisteriaflow-Idempotent").empty()) {
+    message.fields.push_back(
+        {.name = "Wisteriaflow-Idempotent", .value = idempotent ? "true" : "false"});
+  }
+  try {
+    auto headers =
+        requests::parse_call_headers(to_fields(message.fields), context_.now(), limits());
+    const auto id = next_id();
+    requests::request_life_options options{.request_id = id,
+                                           .generation = false,
+                                           .idempotent = headers.idempotent,
+                                           .keyed = !headers.key.empty(),
+                                           .retention = context_.options().answer_retention};
+    auto fresh = std::make_unique<active_request>(id, options, requests::handed_over_state{});
+    fresh->key = answer_key_of(headers, id);
+    fresh->body_hash = hash128_of(message.method + " " + message.target + "\n" + message.body);
+    fresh->headers = std::move(headers);
+    fresh->message = std::move(message);
+    fresh->service_target = std::move(target);
+    fresh->where.service = service;
+    open(call, std::move(fresh), false);
+  } catch (const requests::invalid_request& e) {
+    send_outcome(call, e.result());
+  }
+}
+
+// Fixes the route, looks the key up, and lets the request in.
+void request_table::open(call_number call, request_ptr fresh, bool streamed)
+{
+  auto& r = *fresh;
+  r.received_at = context_.now().mono;
+  const auto& configuration = *services_.config.current();
+  if (configuration.find_workspace(r.headers.workspace) == nullptr) {
+    throw requests::invalid_request(status_not_found, "Wisteriaflow-Workspace",
+                                    "no workspace named " + r.headers.workspace.value());
+  }
+  if (r.generation()) {
+    const objects::request_description description{.workspace = r.headers.workspace,
+                                                   .labels = labels_of(r.headers),
+                                                   .model = r.completion->model};
+    const auto found = services_.placer.route_for(configuration, description);
+    if (!found) {
+      throw requests::invalid_request(status_not_found, "model",
+                                      "no routing intent selects this request for model " +
+                                          r.completion->model.value());
+    }
+    r.where = *found;
+    r.where.blocks = routing::prefix_block_hashes(r.where.model, r.completion->prompt);
+    r.where.prompt_tokens = static_cast<int>(r.completion->prompt.size()) / bytes_per_token;
+    r.where.output_tokens = static_cast<int>(r.completion->max_tokens);
+  }
+  r.where.deadline = r.headers.deadline;
+  const attached_call attached{.call = call, .streamed = streamed};
+  const auto opened = answers_.open(r.key, r.body_hash, r.id);
+  if (const auto* found = std::get_if<requests::answer_found>(&opened)) {
+    send_kept(call, found->answer, streamed, 0);
+  } else if (const auto* run = std::get_if<requests::run_joined>(&opened)) {
+    join(run->request_id, attached);
+  } else if (std::holds_alternative<requests::body_differs>(opened)) {
+    throw requests::invalid_request(409, "Idempotency-Key", "was used before with another body");
+  } else if (std::holds_alternative<requests::store_full>(opened)) {
+    send_outcome(call, requests::refused_not_run{requests::refusal_reason::overloaded,
+                                                 context_.now().wall + draining_retry, ""});
+  } else {
+    retries_.on_fresh();
+    r.calls.push_back(attached);
+    calls_.emplace(call, r.id);
+    const auto id = r.id;
+    active_.emplace(id, std::move(fresh));
+    admit(*find(id));
+  }
+}
+
+admission::admission_request request_table::admission_request_of(const active_request& r)
+{
+  admission::admission_request out;
+  out.workspace = r.headers.workspace;
+  out.tokens = r.where.prompt_tokens + r.where.output_tokens;
+  out.priority = r.where.batch ? admission::request_priority::batch
+                               : admission::request_priority::interactive;
+  out.deadline = r.headers.deadline;
+  out.utilisation = services_.members.endpoints().utilisation();
+  return out;
+}
+
+void request_table::admit(active_request& r)
+{
+  const auto id = r.id;
+  r.deadline_timer = context_.timers().at(r.headers.deadline, [this, id] {
+    if (auto* late = find(id)) {
+      feed(*late, requests::deadline_passed{});
+    }
+  });
+  auto wanted = admission_request_of(r);
+  const auto tried = services_.placer.place(*services_.config.current(), r.where, {});
+  const auto* none = std::get_if<not_placed>(&tried);
+  if (none == nullptr) {
+    wanted.first_token_at = std::get<placed>(tried).first_token_at;
+  } else if (none->reason == routing::no_endpoint_reason::deadline_unreachable) {
+    wanted.first_token_at = r.headers.deadline + (none->retry_at - context_.now().mono);
+  }
+  const auto decided = admission_.admit(wanted, context_.now().mono, context_.random());
+  if (const auto* refused = std::get_if<admission::refused>(&decided)) {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(refused->retry_at -
+                                                                            context_.now().mono);
+    feed(r, requests::admission_refused{.reason = reason_of(refused->reason),
+                                        .retry_at = context_.now().wall + wait,
+                                        .message = std::string(to_string(refused->reason))});
+    return;
+  }
+  r.admitted = std::get<admission::admitted>(decided);
+  if (r.options.keyed) {
+    services_.places.announce(r.key, to_string(context_.options().caller_address));
+  }
+  feed(r, requests::admission_granted{});
+}
+
+void request_table::join(const std::string& id, attached_call call)
+{
+  auto* r = find(id);
+  if (r == nullptr) {
+    send_outcome(call.call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
+    return;
+  }
+  const bool alone = r->calls.empty();
+  r->calls.push_back(call);
+  calls_.emplace(call.call, id);
+  if (alone) {
+    feed(*r, requests::caller_back{});
+  }
+  if (auto* still = find(id)) {
+    send_tokens(*still);
+  }
+}
+
+// Feeds one event, and those that its actions cause, in order.
+void request_table::feed(active_request& r, requests::request_event event)
+{
+  events_.emplace_back(r.id, std::move(event));
+  if (feeding_) {
+    return;
+  }
+  feeding_ = true;
+  while (!events_.empty()) {
+    const auto [id, next] = std::move(events_.front());
+    events_.pop_front();
+    auto* target = find(id);
+    if (target == nullptr) {
+      continue;
+    }
+    for (const auto& a : target->life.handle(next, context_.now())) {
+      std::visit([&](const auto& one) { act(*target, one); }, a);
+    }
+    send_tokens(*target);
+    if (target->life.finished()) {
+      close(*target);
+    }
+  }
+  feeding_ = false;
+}
+
+// Sends streamed calls the tokens that they do not have yet.
+void request_table::send_tokens(active_request& r)
+{
+  const auto& tokens = r.life.tokens();
+  for (auto& c : r.calls) {
+    if (!c.streamed || c.next_offset >= tokens.size()) {
+      continue;
+    }
+    if (!c.head_sent) {
+      c.head_sent = true;
+      http::response head{.fields = stream_head(r)};
+      context_.emit(caller_action(begin_response{.call = c.call, .head = std::move(head)}));
+    }
+    std::string bytes;
+    for (; c.next_offset < tokens.size(); ++c.next_offset) {
+      bytes += requests::render_token_event(c.next_offset, tokens[c.next_offset]);
+    }
+    context_.emit(caller_action(write_response{.call = c.call, .bytes = std::move(bytes)}));
+  }
+}
+
+void request_table::send_outcome(call_number call, const requests::outcome& result)
+{
+  context_.counters().count("calls_total", {{"outcome", std::string(name_of(result))}});
+  auto whole = to_response(requests::outcome_response(result, context_.now().wall));
+  context_.emit(caller_action(respond{.call = call, .whole = std::move(whole)}));
+}
+
+void request_table::send_kept(call_number call, const requests::kept_answer& answer, bool streamed,
+                              std::uint64_t from)
+{
+  context_.counters().count("kept_answers_sent_total");
+  const bool answered = std::holds_alternative<requests::answered>(answer.result);
+  if (!streamed || !answered || answer.tokens.empty()) {
+    context_.emit(caller_action(respond{.call = call, .whole = to_response(answer.response)}));
+    return;
+  }
+  http::response head{.fields = {{.name = "Content-Type", .value = "text/event-stream"}}};
+  context_.emit(caller_action(begin_response{.call = call, .head = std::move(head)}));
+  std::string bytes;
+  for (auto i = from; i < answer.tokens.size(); ++i) {
+    bytes += requests::render_token_event(i, answer.tokens[i]);
+  }
+  bytes += requests::render_final_events(answer.finish_reason, answer.usage);
+  context_.emit(caller_action(write_response{.call = call, .bytes = std::move(bytes)}));
+  context_.emit(caller_action(end_response{.call = call}));
+}
+
+void request_table::fetch_answer(call_number call, const http::request& message,
+                                 const std::string& key)
+{
+  const workspace_id workspace(
+      std::string(http::find_header(message.fields, "Wisteriaflow-Workspace")));
+  if (workspace.empty()) {
+    send_outcome(call, requests::invalid{400, "Wisteriaflow-Workspace: is required"});
+    return;
+  }
+  const auto last = http::find_header(message.fields, "Last-Event-ID");
+  std::uint64_t offset = 0;
+  const auto parsed = std::from_chars(last.data(), last.data() + last.size(), offset);
+  if (!last.empty() && parsed.ec != std::errc{}) {
+    send_outcome(call, requests::invalid{400, "Last-Event-ID: must be an event's id"});
+    return;
+  }
+  const auto accepted = http::find_header(message.fields, "Accept");
+  const bool streamed =
+      !last.empty() || accepted.find("text/event-stream") != std::string_view::npos;
+  const auto from = last.empty() ? 0 : offset + 1;
+  const requests::answer_key wanted{.workspace = workspace, .key = key};
+  const auto found = answers_.find(wanted);
+  if (const auto* kept = std::get_if<requests::answer_found>(&found)) {
+    send_kept(call, kept->answer, streamed, from);
+    return;
+  }
+  if (const auto* run = std::get_if<requests::run_joined>(&found)) {
+    join(run->request_id, {.call = call, .streamed = streamed, .next_offset = from});
+    return;
+  }
+  services_.places.find(wanted, [this, call, key](const std::string& address) {
+    if (address.empty()) {
+      send_outcome(call, requests::invalid{status_not_found, "no answer is kept for this key"});
+      return;
+    }
+    http::response moved{.status = status_see_other};
+    moved.fields.push_back(
+        {.name = "Location", .value = "http://" + address + "/v1/answers/" + key});
+    context_.emit(caller_action(respond{.call = call, .whole = std::move(moved)}));
+  });
+}
+
+void request_table::on_caller_closed(call_number call)
+{
+  auto node = calls_.extract(call);
+  if (node.empty()) {
+    return;
+  }
+  auto* r = find(node.mapped());
+  if (r == nullptr) {
+    return;
+  }
+  std::erase_if(r->calls, [call](const attached_call& c) { return c.call == call; });
+  if (r->calls.empty()) {
+    feed(*r, requests::caller_gone{});
+  }
+}
+
+void request_table::on_configuration_changed()
+{
+  admission::workspace_amounts shares;
+  for (const auto& w : services_.config.current()->workspaces()) {
+    auto& amounts = shares[w.id()];
+    amounts[admission::share_unit::requests_per_second] =
+        w.requests_per_second.value_or(unlimited);
+    amounts[admission::share_unit::tokens_per_second] = w.tokens_per_second.value_or(unlimited);
+    amounts[admission::share_unit::tokens_in_flight] =
+        w.max_tokens_in_flight ? static_cast<double>(*w.max_tokens_in_flight) : unlimited;
+  }
+  const auto daemons = services_.members.live_daemon_ids().size();
+  admission_.shares().set_daemons(std::max(1, static_cast<int>(daemons)));
+  admission_.shares().set_shares(shares, context_.now().mono);
+}
+
+void request_table::refresh_shares()
+{
+  const auto now = context_.now().mono;
+  const auto& self = context_.options().self;
+  auto& shares = admission_.shares();
+  const auto daemons = services_.members.live_daemon_ids();
+  shares.set_daemons(std::max(1, static_cast<int>(daemons.size())));
+  auto& usage = services_.members.gossip().usage();
+  const auto own = shares.local_demand(now);
+  admission::workspace_amounts of_others;
+  for (const auto& [workspace, demand] : own.demand) {
+    const auto tokens = demand[admission::share_unit::tokens_per_second];
+    const auto requests = demand[admission::share_unit::requests_per_second];
+    usage.set_own(workspace, tokens, requests);
+    const auto fleet = usage.fleet_usage(workspace, now);
+    if (!fleet || daemons.size() < 2) {
+      continue;
+    }
+    // Only the sum is known: what the others use is taken to be spread evenly among them.
+    const auto others = static_cast<double>(daemons.size() - 1);
+    auto& amounts = of_others[workspace];
+    amounts[admission::share_unit::tokens_per_second] =
+        std::max(0.0, fleet->tokens_per_second - tokens) / others;
+    amounts[admission::share_unit::requests_per_second] =
+        std::max(0.0, fleet->requests_per_second - requests) / others;
+    amounts[admission::share_unit::tokens_in_flight] =
+        demand[admission::share_unit::tokens_in_flight];
+  }
+  for (const auto& daemon : daemons) {
+    if (daemon != self && !of_others.empty()) {
+      shares.on_demand({.daemon = daemon, .demand = of_others, .good_until = own.good_until});
+    }
+  }
+  shares.refresh(now);
+}
+
+} // namespace wisteriaflow::core::internal
--- /dev/null
+++ b/src/core/request_table.h
@@ -0,0 +1,172 @@
+// The requests in flight at this daemon, from the call that opens one to its final outcome.
+//
+// Each request's decisions are made by its request_life; this class carries the life's actions out
+// and feeds it with what happens. Implementation files: request_table.cc (opening, attaching,
+// ending), request_table_actions.cc (the life's actions), request_table_attempts.cc (exchanges
+// with endpoints), request_table_peers.cc (handover, queries of peers).
+
+#ifndef WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
+#define WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/active_request.h"
+#include "core/answer_places.h"
+#include "core/claim_service.h"
+#include "core/configuration.h"
+#include "core/core_context.h"
+#include "core/endpoint_calls.h"
+#include "core/fleet.h"
+#include "core/placement.h"
+#include "wisteriaflow/admission/admission_control.h"
+#include "wisteriaflow/admission/retry.h"
+#include "wisteriaflow/requests/answer_store.h"
+
+namespace wisteriaflow::core::internal {
+
+// The services that requests use.
+struct request_services {
+  fleet& members;
+  configuration& config;
+  claim_service& claims;
+  endpoint_calls& endpoints;
+  placement& placer;
+  answer_places& places;
+};
+
+// The parts of a caller's target "/services/{service}/{path}".
+struct service_target {
+  std::string service; // empty if the target is malformed
+  std::string target;  // "/{path}" with the query
+};
+[[nodiscard]] service_target split_service_target(std::string_view target);
+
+class request_table {
+public:
+  request_table(core_context& context, request_services services);
+
+  // A caller's POST /v1/completions.
+  void open_completion(call_number call, http::request message);
+
+  // A caller's call to a plain service: `target` is the path and query at the service.
+  void open_service_call(call_number call, http::request message, const std::string& service,
+                         std::string target);
+
+  // A caller comes back for the answer kept under `key`.
+  void fetch_answer(call_number call, const http::request& message, const std::string& key);
+
+  void on_caller_closed(call_number call);
+  void on_endpoint_leaving(const endpoint_id& endpoint, std::optional<wall_time> reclaim_at);
+  void on_configuration_changed();
+
+  // A peer hands a request or an answer over.
+  [[nodiscard]] hand_over_reply on_handed_over(const handed_over_request& handed);
+
+  // A peer asks what became of a claimed request, or where a key's request is run.
+  [[nodiscard]] request_status on_query(const request_query& query) const;
+
+  // Refuses new requests from now on; what still runs at `hand_over_at` goes to peers.
+  void drain(mono_time hand_over_at);
+
+  // Whether nothing is left to be done for callers.
+  [[nodiscard]] bool drained() const { return draining_ && active_.empty() && handing_ == 0; }
+
+  [[nodiscard]] std::size_t in_flight() const { return active_.size(); }
+  [[nodiscard]] admission::admission_control& admission() { return admission_; }
+
+  // Feeds the shares with the fleet's demand. Called about twice a second.
+  void refresh_shares();
+
+private:
+  using request_ptr = std::unique_ptr<active_request>;
+
+  // request_table.cc
+  [[nodiscard]] requests::call_limits limits() const;
+  bool refuse_early(call_number call);
+  void open(call_number call, request_ptr fresh, bool streamed);
+  void admit(active_request& r);
+  [[nodiscard]] admission::admission_request admission_request_of(const active_request& r);
+  void join(const std::string& id, attached_call call);
+  void send_kept(call_number call, const requests::kept_answer& answer, bool streamed,
+                 std::uint64_t from);
+  void feed(active_request& r, requests::request_event event);
+  void close(active_request& r);
+  void send_tokens(active_request& r);
+  void send_outcome(call_number call, const requests::outcome& result);
+  void answer_call(active_request& r, attached_call& c, const requests::finish& end);
+  [[nodiscard]] std::string next_id();
+  [[nodiscard]] active_request* find(const std::string& id);
+  [[nodiscard]] requests::response_parts whole_response_of(const active_request& r,
+                                                           const requests::finish& end) const;
+  void count_outcome(const active_request& r, const requests::outcome& result);
+
+  // request_table_actions.cc
+  void act(active_request& r, const requests::claim_key& a);
+  void act(active_request& r, const requests::start_attempt& a);
+  void act(active_request& r, const requests::cancel_attempt& a);
+  void act(active_request& r, const requests::ask_retry& a);
+  void act(active_request& r, const requests::export_kv& a);
+  void act(active_request& r, const requests::send_head& a);
+  void act(active_request& r, const requests::send_token& a);
+  void act(active_request& r, const requests::send_body& a);
+  void act(active_request& r, const requests::keep_answer& a);
+  void act(active_request& r, const requests::hand_over& a);
+  void act(active_request& r, const requests::redirect& a);
+  void act(active_request& r, const requests::finish& a);
+  void on_claim(active_request& r, const claim_outcome& outcome);
+
+  // request_table_attempts.cc
+  void start_exchange_for(active_request& r, const requests::start_attempt& a, const placed& where);
+  void import_then_start(active_request& r, const requests::start_attempt& a, const placed& where);
+  [[nodiscard]] http::request message_for(const active_request& r,
+                                          const requests::start_attempt& a) const;
+  void on_attempt_head(const std::string& id, requests::attempt_number n, const http::response& head);
+  void on_attempt_bytes(const std::string& id, requests::attempt_number n, const std::string& bytes);
+  void on_attempt_ended(const std::string& id, requests::attempt_number n);
+  void on_attempt_failed(const std::string& id, requests::attempt_number n,
+                         exchange_failure failure);
+  [[nodiscard]] active_request* running(const std::string& id, requests::attempt_number n);
+  void note_first_token(active_request& r);
+  void note_usage(active_request& r, const requests::token_usage& usage);
+  void end_attempt(active_request& r);
+  void cancel_at_engine(active_request& r, const running_attempt& run, bool confirm);
+  [[nodiscard]] requests::move_estimate estimate_move(const active_request& r,
+                                                      std::optional<wall_time> reclaim_at) const;
+
+  // request_table_peers.cc
+  void hand_over_all();
+  void hand_over_answers();
+  [[nodiscard]] std::optional<daemon_id> choose_successor();
+  void offer(const std::string& id, const handed_over_request& handed, int tries_left);
+  [[nodiscard]] handed_over_request handed_over(const active_request& r,
+                                                const requests::handed_over_state& state) const;
+  void keep_handed_over(const handed_over_request& handed);
+  request_ptr rebuild(const handed_over_request& handed);
+
+  core_context& context_;
+  request_services services_;
+  admission::admission_control admission_;
+  admission::retry_budget retries_;
+  requests::answer_store answers_;
+  std::map<std::string, request_ptr> active_;
+  std::map<call_number, std::string> calls_;           // the request that a call waits for
+  std::map<std::uint64_t, std::string> by_nonce_;      // requests in flight by claim
+  std::map<std::uint64_t, request_status> ended_;      // ended claims that peers may ask about
+  std::multimap<wall_time, std::uint64_t> ended_until_;
+  std::deque<std::pair<std::string, requests::request_event>> events_; // to be fed
+  bool feeding_ = false;
+  bool draining_ = false;
+  int handing_ = 0; // answers on their way to a peer
+  std::uint64_t last_id_ = 0;
+};
+
+} // namespace wisteriaflow::core::internal
+
+#endif // WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
--- /dev/null
+++ b/src/core/request_table_attempts.cc
@@ -0,0 +1,357 @@
+// Exchanges of requests with endpoints.
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "core/http_parts.h"
+#include "core/request_table.h"
+#include "wisteriaflow/requests/errors.h"
+
+namespace wisteriaflow::core::internal {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr std::size_t error_body_limit = 65'536;
+
+// Header fields of a caller that are its connection's own, or the daemon's.
+bool is_passed_on(const std::string& name)
+{
+  static const std::vector<std::string> kept_back = {
+      "connection", "content-length", "expect",     "host",
+      "keep-alive", "te",             "trailer",    "transfer-encoding",
+      "upgrade",    "idempotency-key", "request-id"};
+  std::string lower = name;
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  if (lower.starts_with("proxy-") || lower.starts_with("wisteriaflow-")) {
+    return false;
+  }
+  return std::find(kept_back.begin(), kept_back.end(), lower) == kept_back.end();
+}
+
+http::headers end_to_end(const http::headers& in)
+{
+  http::headers out;
+  std::copy_if(in.begin(), in.end(), std::back_inserter(out),
+               [](const http::header& field) { return is_passed_on(field.name); });
+  return out;
+}
+
+requests::failure_kind kind_of(exchange_failure failure)
+{
+  switch (failure) {
+  case exchange_failure::not_sent:
+    return requests::failure_kind::connect_failed;
+  case exchange_failure::timed_out:
+    return requests::failure_kind::timed_out;
+  case exchange_failure::broken:
+    return requests::failure_kind::broken;
+  }
+  return requests::failure_kind::broken;
+}
+
+} // namespace
+
+http::request request_table::message_for(const active_request& r,
+                                         const requests::start_attempt& a) const
+{
+  http::request out;
+  if (!r.generation()) {
+    out.method = r.message.method;
+    out.target = r.service_target;
+    out.fields = end_to_end(r.message.fields);
+    out.body = r.message.body;
+  } else {
+    out.method = "POST";
+    out.target = "/v1/completions";
+    out.fields.push_back({.name = "Content-Type", .value = "application/json"});
+    const auto priority = r.headers.priority.value_or(static_cast<int>(r.where.priority));
+    out.body = requests::render_engine_body(*r.completion, {.model = r.where.model.value(),
+                                                            .priority = priority,
+                                                            .resume_tokens = a.resume_tokens,
+                                                            .resume_text = a.resume_text});
+  }
+  out.fields.push_back({.name = "Request-Id", .value = r.engine_request_id(a.attempt)});
+  if (!r.headers.key.empty()) {
+    out.fields.push_back({.name = "Idempotency-Key", .value = r.headers.key});
+  }
+  return out;
+}
+
+void request_table::start_exchange_for(active_request& r, const requests::start_attempt& a,
+                                       const placed& where)
+{
+  const auto id = r.id;
+  const auto n = a.attempt;
+  exchange_observer observer;
+  observer.on_head = [this, id, n](const http::response& head) { on_attempt_head(id, n, head); };
+  observer.on_bytes = [this, id, n](const std::string& bytes) { on_attempt_bytes(id, n, bytes); };
+  observer.on_ended = [this, id, n] { on_attempt_ended(id, n); };
+  observer.on_failed = [this, id, n](exchange_failure f) { on_attempt_failed(id, n, f); };
+  const auto now = context_.now().mono;
+  const int to_compute = std::max(0, r.where.prompt_tokens - where.believed_tokens);
+  running_attempt run;
+  run.attempt = n;
+  run.endpoint = where.endpoint;
+  run.address = where.address;
+  run.believed_tokens = where.believed_tokens;
+  run.work = services_.members.endpoints().on_sent(where.slot, to_compute, now);
+  run.exchange = services_.endpoints.open(where.address, message_for(r, a), r.headers.deadline,
+                                          r.generation(), std::move(observer));
+  services_.members.prefixes().on_sent(where.slot, r.where.blocks, now);
+  r.running = std::move(run);
+  context_.counters().count("attempts_total",
+                            {{"kind", r.generation() ? "generation" : "service"}});
+}
+
+// An import that fails costs only the recomputation: the attempt carries the text as well.
+void request_table::import_then_start(active_request& r, const requests::start_attempt& a,
+                                      const placed& where)
+{
+  const auto slot = services_.members.endpoints().find(a.transfer->from);
+  const auto from =
+      slot ? services_.members.endpoints().at(*slot).description.address : std::string();
+  http::request message{.method = "POST", .target = "/kv/import"};
+  message.fields.push_back({.name = "Content-Type", .value = "application/json"});
+  message.body = boost::json::serialize(
+      boost::json::object{{"handle", a.transfer->handle}, {"from", from}});
+  const auto deadline = context_.now().mono + context_.options().platform_call_timeout;
+  services_.endpoints.call(where.address, std::move(message), deadline,
+                           [this, id = r.id, a, where](const std::optional<http::response>& whole) {
+                             auto* moving = find(id);
+                             if (moving == nullptr || moving->life.endpoint() != where.endpoint) {
+                               return;
+                             }
+                             const bool imported = whole && whole->status == status_ok;
+                             context_.counters().count(
+                                 "kv_imports_total", {{"result", imported ? "ok" : "failed"}});
+                             start_exchange_for(*moving, a, where);
+                           });
+}
+
+active_request* request_table::running(const std::string& id, requests::attempt_number n)
+{
+  auto* r = find(id);
+  return r != nullptr && r->running && r->running->attempt == n ? r : nullptr;
+}
+
+void request_table::on_attempt_head(const std::string& id, requests::attempt_number n,
+                                    const http::response& head)
+{
+  auto* r = running(id, n);
+  if (r == nullptr) {
+    return;
+  }
+  services_.members.connected(r->running->endpoint);
+  r->running->status = head.status;
+  r->running->fields = end_to_end(head.fields);
+  if (!r->generation() || head.status == status_ok) {
+    feed(*r, requests::attempt_head{.attempt = n,
+                                    .status = head.status,
+                                    .fields = to_fields(r->running->fields)});
+  }
+}
+
+void request_table::on_attempt_bytes(const std::string& id, requests::attempt_number n,
+                                     const std::string& bytes)
+{
+  auto* r = running(id, n);
+  if (r == nullptr) {
+    return;
+  }
+  if (!r->generation()) {
+    feed(*r, requests::body_arrived{.attempt = n, .bytes = bytes});
+    return;
+  }
+  if (r->running->status != status_ok) {
+    const auto room = error_body_limit - std::min(error_body_limit, r->running->error_body.size());
+    r->running->error_body += bytes.substr(0, room);
+    return;
+  }
+  std::vector<requests::engine_event> events;
+  try {
+    events = r->running->parser.feed(bytes);
+  } catch (const requests::stream_error& e) {
+    context_.log(severity::warn, "an engine's stream is malformed",
+                 {{"endpoint", r->running->endpoint.value()}, {"problem", e.what()}});
+    services_.endpoints.cancel(r->running->exchange);
+    on_attempt_failed(id, n, exchange_failure::broken);
+    return;
+  }
+  for (const auto& e : events) {
+    r = running(id, n); // an earlier event may have ended the attempt
+    if (r == nullptr) {
+      return;
+    }
+    if (const auto* token = std::get_if<requests::engine_token>(&e)) {
+      note_first_token(*r);
+      feed(*r, requests::token_arrived{.attempt = n, .offset = token->offset, .text = token->text});
+    } else if (const auto* end = std::get_if<requests::engine_end>(&e)) {
+      r->running->end = *end;
+      r->running->end_seen = true;
+    }
+  }
+}
+
+void request_table::note_first_token(active_request& r)
+{
+  if (r.running->first_token_seen) {
+    return;
+  }
+  r.running->first_token_seen = true;
+  const auto now = context_.now().mono;
+  services_.members.endpoints().on_first_token(r.running->work, now);
+  if (r.running->attempt == 1) {
+    context_.counters().observe("first_token_seconds",
+                                std::chrono::duration<double>(now - r.received_at).count());
+  }
+}
+
+void request_table::note_usage(active_request& r, const requests::token_usage& usage)
+{
+  services_.members.prefixes().on_answer(r.running->work.slot, r.running->believed_tokens,
+                                         static_cast<int>(usage.cached_tokens));
+  auto& counters = context_.counters();
+  counters.count("prompt_tokens_total", {}, static_cast<double>(usage.prompt_tokens));
+  counters.count("cached_tokens_total", {}, static_cast<double>(usage.cached_tokens));
+  counters.count("completion_tokens_total", {}, static_cast<double>(usage.completion_tokens));
+}
+
+// The attempt no longer occupies its endpoint.
+void request_table::end_attempt(active_request& r)
+{
+  if (!r.running) {
+    return;
+  }
+  const auto tokens = static_cast<int>(r.life.tokens().size());
+  services_.members.endpoints().on_finished(r.running->work, tokens, context_.now().mono);
+  r.running.reset();
+}
+
+void request_table::on_attempt_ended(const std::string& id, requests::attempt_number n)
+{
+  auto* r = running(id, n);
+  if (r == nullptr) {
+    return;
+  }
+  const auto run = *r->running;
+  if (r->generation() && run.status != status_ok) {
+    end_attempt(*r);
+    feed(*r, requests::attempt_failed{.attempt = n,
+                                      .kind = requests::failure_kind::endpoint_status,
+                                      .response = {.status = run.status,
+                                                   .fields = to_fields(run.fields),
+                                                   .body = run.error_body}});
+    return;
+  }
+  if (run.end_seen) {
+    note_usage(*r, run.end.usage);
+  }
+  end_attempt(*r);
+  feed(*r, requests::attempt_finished{.attempt = n,
+                                      .tokens = run.end.tokens,
+                                      .finish_reason = run.end.finish_reason,
+                                      .usage = run.end.usage});
+}
+
+void request_table::on_attempt_failed(const std::string& id, requests::attempt_number n,
+                                      exchange_failure failure)
+{
+  auto* r = running(id, n);
+  if (r == nullptr) {
+    return;
+  }
+  if (failure == exchange_failure::not_sent) {
+    services_.members.connect_failed(r->running->endpoint);
+  }
+  end_attempt(*r);
+  feed(*r, requests::attempt_failed{.attempt = n, .kind = kind_of(failure)});
+}
+
+// Frees the engine's place. With `confirm` the life waits to know that the run has stopped.
+void request_table::cancel_at_engine(active_request& r, const running_attempt& run, bool confirm)
+{
+  if (!r.generation()) {
+    if (confirm) {
+      feed(r, requests::cancel_failed{run.attempt});
+    }
+    return;
+  }
+  http::request message{.method = "DELETE",
+                        .target = "/v1/requests/" + r.engine_request_id(run.attempt)};
+  const auto deadline = context_.now().mono + context_.options().platform_call_timeout;
+  services_.endpoints.call(
+      run.address, std::move(message), deadline,
+      [this, id = r.id, n = run.attempt, confirm](const std::optional<http::response>& whole) {
+        auto* cancelled = find(id);
+        if (cancelled == nullptr || !confirm) {
+          return;
+        }
+        const bool stopped =
+            whole && (whole->status == status_ok || whole->status == status_not_found ||
+                      whole->status == 204);
+        if (!stopped) {
+          feed(*cancelled, requests::cancel_failed{n});
+          return;
+        }
+        if (cancelled->running && cancelled->running->attempt == n) {
+          services_.endpoints.cancel(cancelled->running->exchange);
+          end_attempt(*cancelled);
+        }
+        feed(*cancelled, requests::cancel_confirmed{n});
+      });
+}
+
+requests::move_estimate request_table::estimate_move(const active_request& r,
+                                                     std::optional<wall_time> reclaim_at) const
+{
+  // Rates that nothing has measured yet; moderate, so that no step is ruled out.
+  constexpr double default_transfer_rate = 50'000; // tokens/s of KV cache
+  constexpr double default_prefill_rate = 8'000;
+  constexpr double default_decode_rate = 30;
+  constexpr std::chrono::seconds default_notice{5};
+  requests::move_estimate out;
+  const auto now = context_.now();
+  out.reclaim_at = now.mono + default_notice;
+  if (reclaim_at) {
+    out.reclaim_at = now.mono + (*reclaim_at - now.wall);
+  }
+  const auto made = r.life.tokens().size();
+  out.kv_tokens = static_cast<std::uint64_t>(r.where.prompt_tokens) + made;
+  const auto wanted = static_cast<std::uint64_t>(std::max(0, r.where.output_tokens));
+  out.remaining_tokens = wanted > made ? wanted - made : 0;
+  out.transfer_rate = default_transfer_rate;
+  out.prefill_rate = default_prefill_rate;
+  out.decode_rate = default_decode_rate;
+  const auto slot = services_.members.endpoints().find(r.life.endpoint());
+  if (slot) {
+    const auto& state = services_.members.endpoints().at(*slot);
+    out.decode_rate = state.decode_rate.sampled() ? state.decode_rate.value() : default_decode_rate;
+    out.prefill_rate = state.prefill_rate.sampled() ? state.prefill_rate.value() : default_prefill_rate;
+  }
+  return out;
+}
+
+void request_table::on_endpoint_leaving(const endpoint_id& endpoint,
+                                        std::optional<wall_time> reclaim_at)
+{
+  std::vector<std::string> there;
+  for (const auto& [id, r] : active_) {
+    if (r->life.endpoint() == endpoint) {
+      there.push_back(id);
+    }
+  }
+  for (const auto& id : there) {
+    if (auto* r = find(id)) {
+      context_.counters().count("moves_total");
+      feed(*r, requests::endpoint_leaving{.endpoint = endpoint,
+                                          .estimate = estimate_move(*r, reclaim_at)});
+    }
+  }
+}
+
+} // namespace wisteriaflow::core::internal
--- /dev/null
+++ b/src/daemon/caller_side.cc
@@ -0,0 +1,151 @@
+#include "wisteriaflow/daemon/caller_side.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::daemon {
+namespace {
+
+http::server_options server_options_of(const settings& s)
+{
+  return {.address = http::parse_socket_address(s.callers_listen),
+          .header_limit = static_cast<std::size_t>(s.header_limit_bytes),
+          .body_limit = static_cast<std::size_t>(s.body_limit_bytes),
+          .connection_limit = static_cast<std::size_t>(s.connection_limit),
+          .read_timeout = s.read_timeout,
+          .idle_timeout = s.idle_timeout,
+          .write_timeout = s.write_timeout};
+}
+
+// Sent when the core's ring is full. The call was never seen by the core, so it was not run.
+http::response overloaded()
+{
+  return {.status = 503,
+          .fields = {{.name = "Content-Type", .value = "application/json"},
+                     {.name = "Retry-After", .value = "1"},
+                     {.name = "Wisteriaflow-Outcome", .value = "refused-not-run"}},
+          .body = R"({"error":{"type":"refused_not_run","reason":"overloaded",)"
+                  R"("message":"this daemon takes no more calls at the moment"}})"};
+}
+
+// Writes one action of a call; returns whether the response has ended.
+struct write_action {
+  http::response_writer& writer;
+
+  boost::asio::awaitable<bool> operator()(core::respond a) const
+  {
+    co_await writer.send(std::move(a.whole));
+    co_return true;
+  }
+  boost::asio::awaitable<bool> operator()(core::begin_response a) const
+  {
+    co_await writer.start_stream(std::move(a.head));
+    co_return false;
+  }
+  boost::asio::awaitable<bool> operator()(core::write_response a) const
+  {
+    co_await writer.write_chunk(a.bytes);
+    co_return false;
+  }
+  boost::asio::awaitable<bool> operator()(core::end_response /*a*/) const
+  {
+    co_await writer.finish_stream();
+    co_return true;
+  }
+  boost::asio::awaitable<bool> operator()(core::stop_accepting /*a*/) const { co_return false; }
+};
+
+} // namespace
+
+caller_side::caller_side(const settings& s, std::shared_ptr<event_ring> core)
+    : core_(core), thread_(std::move(core), [this](core::caller_action a) { take(std::move(a)); }),
+      server_(thread_.context(), server_options_of(s),
+              [this](http::request message, http::response_writer& writer) {
+                return serve(std::move(message), writer);
+              })
+{}
+
+boost::asio::awaitable<void> caller_side::serve(http::request message,
+                                                http::response_writer& writer)
+{
+  const auto call = ++last_call_;
+  const auto box = std::make_shared<mailbox>(thread_.context());
+  open_.emplace(call, box);
+  // A new call is refused when the ring is full; it is never queued outside it.
+  core::event received = core::call_received{.call = call, .message = std::move(message)};
+  if (!core_->try_push(std::move(received))) {
+    open_.erase(call);
+    co_await writer.send(overloaded());
+    co_return;
+  }
+  writer.on_peer_closed([box] {
+    box->closed_by_peer = true;
+    box->signal.cancel();
+  });
+  bool ended = false;
+  try {
+    co_await answer(*box, writer);
+    ended = !box->closed_by_peer;
+  } catch (const http::http_error&) {
+    ended = false;
+  }
+  open_.erase(call);
+  if (!ended) {
+    thread_.post_event(core::caller_closed{.call = call});
+    writer.abort();
+  }
+}
+
+boost::asio::awaitable<void> caller_side::answer(mailbox& box, http::response_writer& writer)
+{
+  const write_action write{writer};
+  while (!box.closed_by_peer) {
+    if (box.waiting.empty()) {
+      boost::system::error_code ec;
+      box.signal.expires_at(mono_time::max());
+      co_await box.signal.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+      continue;
+    }
+    auto next = std::move(box.waiting.front());
+    box.waiting.pop_front();
+    const bool ended = co_await std::visit(write, std::move(next));
+    if (ended) {
+      co_return;
+    }
+  }
+}
+
+void caller_side::deliver(core::call_number call, core::caller_action a)
+{
+  const auto it = open_.find(call);
+  if (it == open_.end()) {
+    return; // the caller has gone
+  }
+  it->second->waiting.push_back(std::move(a));
+  it->second->signal.cancel();
+}
+
+void caller_side::take(core::caller_action a)
+{
+  if (std::holds_alternative<core::stop_accepting>(a)) {
+    server_.stop_accepting();
+    return;
+  }
+  const auto call = std::visit(
+      [](const auto& one) -> core::call_number {
+        if constexpr (requires { one.call; }) {
+          return one.call;
+        } else {
+          return 0;
+        }
+      },
+      a);
+  deliver(call, std::move(a));
+}
+
+} // namespace wisteriaflow::daemon
--- /dev/null
+++ b/src/daemon/platform_side.cc
@@ -0,0 +1,240 @@
+#include "wisteriaflow/daemon/platform_side.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/platform/errors.h"
+
+namespace wisteriaflow::daemon {
+namespace {
+
+constexpr std::chrono::milliseconds backoff_base{100};
+constexpr std::chrono::milliseconds backoff_limit{5'000};
+constexpr unsigned backoff_doublings = 6;
+constexpr std::string_view declarations = "declarations";
+
+core::store_object store_object_of(platform::stored_object o)
+{
+  return {.name = std::move(o.name), .version = o.version, .document = std::move(o.document)};
+}
+
+// Performs one operation and fills in the answer's objects.
+struct perform_operation {
+  platform::object_api& store;
+  mono_time deadline;
+
+  using result = boost::asio::awaitable<core::store_answer>;
+
+  result operator()(const core::store_list& o) const
+  {
+    auto listed = co_await store.list(o.plural, deadline);
+    core::store_answer out{.status = core::store_status::ok, .list_version = listed.version};
+    for (auto& item : listed.items) {
+      out.objects.push_back(store_object_of(std::move(item)));
+    }
+    co_return out;
+  }
+  result operator()(const core::store_get& o) const
+  {
+    auto found = co_await store.get(o.plural, o.name, deadline);
+    co_return one(std::move(found));
+  }
+  result operator()(const core::store_create& o) const
+  {
+    auto made = co_await store.create(o.plural, o.document, deadline);
+    co_return one(std::move(made));
+  }
+  result operator()(const core::store_replace& o) const
+  {
+    auto made = co_await store.replace(o.plural, o.document, deadline);
+    co_return one(std::move(made));
+  }
+  result operator()(const core::store_remove& o) const
+  {
+    co_await store.remove(o.plural, o.name, deadline);
+    core::store_answer out{.status = core::store_status::ok};
+    co_return out;
+  }
+
+private:
+  static core::store_answer one(platform::stored_object o)
+  {
+    core::store_answer out{.status = core::store_status::ok};
+    out.objects.push_back(store_object_of(std::move(o)));
+    return out;
+  }
+};
+
+} // namespace
+
+platform_side::platform_side(const settings& s, std::shared_ptr<event_ring> core)
+    : settings_(s),
+      thread_(std::move(core),
+              [this](core::platform_action a) {
+                auto call = std::get<core::call_store>(std::move(a));
+                boost::asio::co_spawn(thread_.context(), run_store_call(std::move(call)),
+                                      boost::asio::detached);
+              }),
+      client_(thread_.context()), store_(client_, http::parse_socket_address(s.object_api)),
+      random_(hash64_of(s.daemon_id, static_cast<std::uint64_t>(s.seed)))
+{}
+
+void platform_side::start()
+{
+  auto& context = thread_.context();
+  boost::asio::co_spawn(context, watch_declarations(), boost::asio::detached);
+  boost::asio::co_spawn(context, poll_instances(), boost::asio::detached);
+  if (!settings_.cloud_api.empty()) {
+    boost::asio::co_spawn(context, poll_notices(), boost::asio::detached);
+  }
+  thread_.start();
+}
+
+boost::asio::awaitable<void> platform_side::run_store_call(core::call_store a)
+{
+  auto answer = co_await perform(a);
+  answer.call = a.call;
+  thread_.post_event(std::move(answer));
+}
+
+boost::asio::awaitable<core::store_answer> platform_side::perform(const core::call_store& a)
+{
+  core::store_answer failed;
+  try {
+    const perform_operation perform{store_, a.deadline};
+    co_return co_await std::visit(perform, a.operation);
+  } catch (const platform::conflict_error&) {
+    failed.status = core::store_status::conflict;
+  } catch (const platform::not_found_error&) {
+    failed.status = core::store_status::not_found;
+  } catch (const platform::rejected_error&) {
+    failed.status = core::store_status::rejected;
+  } catch (const platform::platform_unreachable&) {
+    failed.status = core::store_status::not_sent;
+  } catch (const platform::platform_error&) {
+    failed.status = core::store_status::unavailable;
+  }
+  co_return failed;
+}
+
+boost::asio::awaitable<std::uint64_t> platform_side::list_declarations()
+{
+  auto listed = co_await store_.list(declarations, call_deadline());
+  core::declarations_listed e{.version = listed.version};
+  for (auto& item : listed.items) {
+    e.objects.push_back(store_object_of(std::move(item)));
+  }
+  thread_.post_event(std::move(e));
+  co_return listed.version;
+}
+
+boost::asio::awaitable<void> platform_side::watch_declarations()
+{
+  unsigned failures = 0;
+  std::uint64_t version = 0;
+  for (;;) {
+    bool failed = false;
+    try {
+      // Each watch starts from a full list: a change that a watch lost is seen a period later.
+      version = co_await list_declarations();
+      failures = 0;
+      const auto on_event = [this](platform::watch_event e) {
+        if (e.kind == platform::watch_event_kind::bookmark) {
+          return;
+        }
+        const bool deleted = e.kind == platform::watch_event_kind::deleted;
+        auto object = store_object_of(std::move(e.object));
+        thread_.post_event(
+            core::declaration_changed{.deleted = deleted, .object = std::move(object)});
+      };
+      const auto deadline = std::chrono::steady_clock::now() + settings_.watch_period;
+      co_await store_.watch(declarations, version, deadline, on_event);
+    } catch (const platform::platform_error&) {
+      failed = true;
+    }
+    if (failed) {
+      ++failures;
+      co_await sleep(backoff(failures));
+    }
+  }
+}
+
+boost::asio::awaitable<bool> platform_side::fetch(http::socket_address from, std::string target,
+                                                  boost::json::value& out)
+{
+  try {
+    http::request message;
+    message.target = std::move(target);
+    const auto whole = co_await client_.call(from, std::move(message), call_deadline());
+    boost::json::error_code ec;
+    out = boost::json::parse(whole.body, ec);
+    co_return !ec && whole.status == 200;
+  } catch (const http::http_error&) {
+    co_return false;
+  }
+}
+
+boost::asio::awaitable<void> platform_side::poll_instances()
+{
+  const auto from = http::parse_socket_address(settings_.instance_list);
+  unsigned failures = 0;
+  for (;;) {
+    core::instances_listed e;
+    const bool fetched = co_await fetch(from, "/instances", e.document);
+    if (fetched) {
+      thread_.post_event(std::move(e));
+    }
+    failures = fetched ? 0 : failures + 1;
+    co_await sleep(fetched ? settings_.instance_list_period : backoff(failures));
+  }
+}
+
+boost::asio::awaitable<void> platform_side::poll_notices()
+{
+  const auto from = http::parse_socket_address(settings_.cloud_api);
+  unsigned failures = 0;
+  std::int64_t after = 0;
+  for (;;) {
+    core::notices_received e;
+    const bool fetched =
+        co_await fetch(from, "/notices?after=" + std::to_string(after), e.document);
+    if (fetched) {
+      for (const auto& notice : e.document.at("notices").as_array()) {
+        after = std::max(after, notice.at("sequence").to_number<std::int64_t>());
+      }
+      thread_.post_event(std::move(e));
+    }
+    failures = fetched ? 0 : failures + 1;
+    co_await sleep(fetched ? settings_.notice_period : backoff(failures));
+  }
+}
+
+boost::asio::awaitable<void> platform_side::sleep(std::chrono::milliseconds period)
+{
+  boost::asio::steady_timer timer(thread_.context());
+  timer.expires_after(period);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+std::chrono::milliseconds platform_side::backoff(unsigned failures)
+{
+  const auto doublings = std::min(failures, backoff_doublings);
+  const auto ceiling = std::min(backoff_base * (1 << doublings), backoff_limit);
+  std::uniform_int_distribution<std::int64_t> jitter(1, ceiling.count());
+  return std::chrono::milliseconds(jitter(random_));
+}
+
+mono_time platform_side::call_deadline() const
+{
+  return std::chrono::steady_clock::now() + settings_.platform_call_timeout;
+}
+
+} // namespace wisteriaflow::daemon
--- a/src/platform/object_api.cc
+++ b/src/platform/object_api.cc
@@ -214,6 +214,8 @@
   http::response answer;
   try {
     answer = co_await client.call(std::move(to), std::move(message), deadline);
+  } catch (const http::connect_error& e) {
+    throw platform_unreachable("object API, " + target + ": " + e.what());
   } catch (const http::http_error& e) {
     throw platform_unavailable("object API, " + target + ": " + e.what());
   }
--- /dev/null
+++ b/test/daemon/settings_test.cc
@@ -0,0 +1,74 @@
+#include "wisteriaflow/daemon/settings.h"
+
+#include <sstream>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::daemon {
+namespace {
+
+constexpr const char* least = "[daemon]\nid=d1\navailability_zone=a\n"
+                              "[platform]\nobject_api=127.0.0.1:1\ninstance_list=127.0.0.1:2\n";
+
+settings parse(const std::string& text)
+{
+  std::istringstream in(text);
+  return parse_settings(in, "test.ini");
+}
+
+// The message of the error that parsing `text` throws; empty if it throws none.
+std::string error_of(const std::string& text)
+{
+  try {
+    parse(text);
+    return {};
+  } catch (const settings_error& e) {
+    return e.what();
+  }
+}
+
+TEST(SettingsTest, FillsInDefaults)
+{
+  EXPECT_EQ(parse(least).claim_shards, 16);
+}
+
+TEST(SettingsTest, ErrorNamesFileSectionKeyValueAndRange)
+{
+  const auto message = error_of(std::string(least) + "[claims]\nshards=0\n");
+  EXPECT_EQ(message,
+            "test.ini: section [claims], key 'shards' = '0': allowed: a whole number from 1 to 999");
+}
+
+TEST(SettingsTest, RejectsAnUnknownKey)
+{
+  const auto message = error_of(std::string(least) + "[claims]\nshard=4\n");
+  EXPECT_NE(message.find("key 'shard' = '4': unknown key"), std::string::npos) << message;
+}
+
+TEST(SettingsTest, RejectsAMissingRequiredKey)
+{
+  const auto message = error_of("[daemon]\nid=d1\n");
+  EXPECT_NE(message.find("key 'availability_zone' = ''"), std::string::npos) << message;
+}
+
+TEST(SettingsTest, RejectsATrailingUnit)
+{
+  const auto message = error_of(std::string(least) + "[drain]\ngrace_ms=20s\n");
+  EXPECT_NE(message.find("key 'grace_ms' = '20s'"), std::string::npos) << message;
+}
+
+TEST(SettingsTest, RejectsAHostName)
+{
+  const auto message = error_of(std::string(least) + "[callers]\nlisten=localhost:80\n");
+  EXPECT_NE(message.find("an IP number and port"), std::string::npos) << message;
+}
+
+TEST(SettingsTest, ChecksKeysAgainstEachOther)
+{
+  const auto message = error_of(std::string(least) + "[gossip]\ngone_after_ms=500\n");
+  EXPECT_NE(message.find("more than suspect_after_ms"), std::string::npos) << message;
+}
+
+} // namespace
+} // namespace wisteriaflow::daemon
