--- /dev/null
+++ b/src/claims/owner_core.h
@@ -0,0 +1,112 @@
+// What a shard's owner does in each step of its life; the state machine in claim_shard_owner.cc
+// says which step comes when.
+
+#ifndef WISTERIAFLOW_CLAIMS_OWNER_CORE_H_
+#define WISTERIAFLOW_CLAIMS_OWNER_CORE_H_
+
+#include "claims/pending_claims.h"
+#include "claims/shard_contents.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace wisteriaflow::claims::internal {
+
+class owner_core {
+ public:
+  explicit owner_core(owner_options options);
+
+  // Inputs that are the same in every state.
+  void set_now(clock_reading now) { now_ = now; }
+  void set_desired(bool desired) { desired_ = desired; }
+  [[nodiscard]] bool desired() const { return desired_; }
+  [[nodiscard]] std::vector<owner_action> take_actions();
+  // Whether `answer` belongs to the open call; answers to deletes are dealt with here.
+  [[nodiscard]] bool expects(const store_answer& answer);
+
+  // Claims.
+  void hold(const claim_asked& asked); // until the takeover is done
+  void admit(const claim_asked& asked);
+  void turn_away(const claim_asked& asked);
+
+  // Taking over.
+  void read_tail_object();
+  void keep_tail(const tail_value& value);
+  [[nodiscard]] bool all_loaded() const { return !contents_.next_to_load().has_value(); }
+  void read_next_segment();
+  void load(const segment_value& value);
+  void note_missing_segment();
+  void announce();
+  void become_owner(const written& answer);
+  void back_off();
+  void abandon_takeover();
+
+  // Owning.
+  [[nodiscard]] bool flush_is_due() const;
+  [[nodiscard]] bool needs_roll() const { return contents_.needs_roll(); }
+  [[nodiscard]] bool is_idle() const { return pending_.size() == 0; }
+  void start_roll();
+  void roll_created();
+  void roll_failed();
+  void write_batch();
+  void batch_landed(const written& answer) { land(answer.version); }
+  void batch_landed(const tail_value& value) { land(value.version); }
+  void batch_refused();
+
+  // Settling.
+  [[nodiscard]] bool is_ours(const tail_value& value) const;
+  [[nodiscard]] bool has_not_landed_yet(const tail_value& value) const;
+  [[nodiscard]] bool is_anothers(const tail_value& value) const;
+  void send_again();
+  void settle_later();
+  void lose(const tail_value& value);
+
+  // Time.
+  [[nodiscard]] bool retry_is_due() const;
+  [[nodiscard]] bool takeover_is_due() const;
+  [[nodiscard]] std::optional<mono_time> retry_at() const { return retry_at_; }
+  [[nodiscard]] mono_time takeover_at() const { return takeover_at_; }
+  [[nodiscard]] std::optional<mono_time> flush_at() const;
+
+ private:
+  void call(store_operation operation);
+  void reply(std::uint64_t token, claim_reply reply);
+  void reply_all(const std::vector<pending_claim>& claims, const claim_reply& answer);
+  void grant(const std::vector<pending_claim>& claims);
+  void refuse(const std::vector<pending_claim>& claims);
+  void land(std::uint64_t version);
+  void delete_retired();
+  [[nodiscard]] bool store_is_down() const;
+  [[nodiscard]] bool may_be_forgotten(wall_time created) const;
+  [[nodiscard]] claim_reply not_owner_reply() const;
+  [[nodiscard]] mono_time after(std::chrono::milliseconds pause);
+  [[nodiscard]] bool join(const claim_asked& asked);
+  [[nodiscard]] bool answer_from_memory(const claim_asked& asked);
+
+  owner_options options_;
+  std::mt19937_64 random_;
+  clock_reading now_;
+  bool desired_ = false;
+  shard_contents contents_;
+  pending_claims pending_;
+  std::vector<claim_asked> held_; // asked during the takeover
+  std::vector<owner_action> actions_;
+  std::uint64_t next_call_ = 1;
+  std::uint64_t open_call_ = 0;
+  std::map<std::uint64_t, segment_id> open_deletes_;
+  std::optional<update_tail> update_; // under way, or unsettled
+  std::optional<segment_id> missing_segment_;
+  std::uint64_t missing_at_version_ = 0;
+  daemon_id owner_hint_;
+  std::optional<mono_time> retry_at_;
+  mono_time takeover_at_;
+  mono_time refuse_until_;
+  mono_time next_flush_at_;
+};
+
+} // namespace wisteriaflow::claims::internal
+
+#endif // WISTERIAFLOW_CLAIMS_OWNER_CORE_H_
