--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,235 @@
+// Measures the routing and admission policies against plain ones, each rule switched off alone,
+// and the time and memory of a decision at the planned size. Prints a table; --json=FILE writes
+// every figure. The seeds are fixed and printed.
+//
+//   policy_bench --json=policy.json
+
+#include "policy_bench_fleet.h"
+#include "policy_bench_scale.h"
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/json.hpp>
+
+ABSL_FLAG(std::string, json, "", "file to write every figure to");
+ABSL_FLAG(std::string, deployment, "", "run only this deployment (authority, association)");
+ABSL_FLAG(std::string, condition, "", "run only this condition");
+ABSL_FLAG(std::string, part, "", "run only this part (baselines, ablations, scale)");
+
+namespace wisteriaflow::bench {
+namespace {
+
+constexpr std::uint64_t seeds[] = {11, 12, 13};
+
+engine_spec make_engine(int i, int zone, const std::string& kind)
+{
+  // Prices differ by zone and class; the larger class is faster and dearer for its speed.
+  constexpr double zone_price[] = {1.0, 0.9, 1.1, 1.25};
+  const bool large = i % 3 == 0;
+  engine_spec it;
+  it.description = {.id = endpoint_id(kind + std::to_string(i)),
+                    .address = "10.0.0." + std::to_string(i) + ":8000",
+                    .availability_zone = availability_zone("z" + std::to_string(zone)),
+                    .instance_class = large ? "large" : "small",
+                    .price_per_hour = (large ? 1.5 : 0.9) * zone_price[zone],
+                    .reclaimable = i % 12 < 7};
+  it.prefill_rate = large ? 10'000 : 7'000;
+  it.cache_blocks = 3'000;
+  return it;
+}
+
+std::vector<engine_spec> make_engines(int n, const std::string& kind)
+{
+  std::vector<engine_spec> all;
+  for (int i = 0; i < n; ++i) {
+    all.push_back(make_engine(i, i % 4, kind));
+  }
+  return all;
+}
+
+std::vector<engine_spec> make_services(int n)
+{
+  auto all = make_engines(n, "service");
+  for (auto& it : all) {
+    it.service_seconds = 0.003;
+    it.max_running = 64;
+  }
+  return all;
+}
+
+std::vector<deployment> deployments()
+{
+  return {{.name = "authority",
+           .models = make_engines(9, "model"),
+           .services = make_services(4),
+           .workspaces = {0.35, 0.3, 0.2, 0.1, 0.05},
+           .sessions_per_second = 5.0,
+           .between_zones = 0.0005,
+           .price_preference = 0.1},
+          {.name = "association",
+           .models = make_engines(18, "model"),
+           .services = make_services(4),
+           .daemons = 8,
+           .workspaces = {0.35, 0.3, 0.2, 0.1, 0.05},
+           .sessions_per_second = 10.0,
+           .between_zones = 0.001,
+           .price_preference = 0.5}};
+}
+
+std::vector<condition> conditions()
+{
+  return {{.name = "steady"},
+          {.name = "burst", .burst = true},
+          {.name = "zone-loss", .zone_loss = true},
+          {.name = "second-wave", .zone_loss = true, .second_wave = true},
+          {.name = "late-reports", .report_lag = 4},
+          {.name = "events-lost", .event_loss = 0.2},
+          {.name = "nightly", .nightly = true}};
+}
+
+std::vector<variant_options> baselines()
+{
+  return {{.name = "wisteriaflow"},
+          {.name = "random", .kind = policy::random},
+          {.name = "round-robin", .kind = policy::round_robin},
+          {.name = "least-loaded", .kind = policy::least_loaded},
+          {.name = "prefix-affinity", .kind = policy::prefix_affinity}};
+}
+
+std::vector<variant_options> ablations()
+{
+  return {{.name = "no own work", .rules = {.own_work = false}},
+          {.name = "no prefixes", .rules = {.prefixes = false}},
+          {.name = "no network", .rules = {.network = false}},
+          {.name = "no reclaim risk", .rules = {.reclaim_risk = false}},
+          {.name = "no price", .rules = {.price = false}},
+          {.name = "no spread", .rules = {.spread = false}},
+          {.name = "no answer correction", .correct_by_answers = false},
+          {.name = "no cache events", .cache_events = false},
+          {.name = "no limits", .limits = false},
+          {.name = "no lending", .lend = false},
+          {.name = "no deadline refusal", .deadline_refusal = false},
+          {.name = "batch not giving way", .batch_gives_way = false},
+          {.name = "with hedging", .hedge = true}};
+}
+
+figures mean_of(const std::vector<figures>& runs)
+{
+  figures f;
+  const auto n = static_cast<double>(runs.size());
+  for (const auto& it : runs) {
+    f.offered += it.offered;
+    f.turned_away += it.turned_away;
+    f.given_up += it.given_up;
+    f.hedged += it.hedged;
+    f.within_target += it.within_target / n;
+    f.worst_workspace += it.worst_workspace / n;
+    f.p50 += it.p50 / n;
+    f.p95 += it.p95 / n;
+    f.p99 += it.p99 / n;
+    f.service_p50 += it.service_p50 / n;
+    f.recomputed += it.recomputed / n;
+    f.cost += it.cost / n;
+    f.busy += it.busy / n;
+    f.batch_tokens += it.batch_tokens / n;
+  }
+  return f;
+}
+
+boost::json::object to_json(const deployment& where, const condition& what,
+                            const variant_options& how, const figures& f)
+{
+  return {{"deployment", where.name},
+          {"condition", what.name},
+          {"policy", how.name},
+          {"offered", f.offered},
+          {"turned_away", f.turned_away},
+          {"given_up", f.given_up},
+          {"hedged", f.hedged},
+          {"within_target", f.within_target},
+          {"worst_workspace_within_target", f.worst_workspace},
+          {"first_token_p50_s", f.p50},
+          {"first_token_p95_s", f.p95},
+          {"first_token_p99_s", f.p99},
+          {"service_p50_ms", f.service_p50},
+          {"recomputed_kilotokens", f.recomputed},
+          {"cost_per_million_tokens", f.cost},
+          {"prefill_busy", f.busy},
+          {"batch_kilotokens", f.batch_tokens}};
+}
+
+boost::json::object measure(const deployment& where, const condition& what,
+                            const variant_options& how)
+{
+  std::vector<figures> runs;
+  for (const auto seed : seeds) {
+    runs.push_back(run_fleet({.where = where, .what = what, .how = how, .seed = seed}));
+  }
+  const auto f = mean_of(runs);
+  std::printf(
+      "%-11s %-12s %-20s %5.1f %5.1f %6.2f %6.2f %6.2f %7.2f %8.0f %7.3f %4.0f %6d %5d %6d %7.0f\n",
+      where.name.c_str(), what.name.c_str(), how.name.c_str(), 100 * f.within_target,
+      100 * f.worst_workspace, f.p50, f.p95, f.p99, f.service_p50, f.recomputed, f.cost,
+      100 * f.busy, f.turned_away, f.given_up, f.hedged, f.batch_tokens);
+  std::fflush(stdout);
+  return to_json(where, what, how, f);
+}
+
+bool wanted(const std::string& flag, const std::string& name)
+{
+  return flag.empty() || flag == name;
+}
+
+boost::json::array compare(const std::vector<variant_options>& variants)
+{
+  std::printf("%-11s %-12s %-20s %5s %5s %6s %6s %6s %7s %8s %7s %4s %6s %5s %6s %7s\n", "where",
+              "condition", "policy", "in%", "worst", "p50 s", "p95 s", "p99 s", "call ms",
+              "again k", "cost/M", "busy", "turned", "gave", "hedged", "batch k");
+  boost::json::array rows;
+  for (const auto& where : deployments()) {
+    for (const auto& what : conditions()) {
+      if (!wanted(absl::GetFlag(FLAGS_deployment), where.name) ||
+          !wanted(absl::GetFlag(FLAGS_condition), what.name)) {
+        continue;
+      }
+      for (const auto& how : variants) {
+        rows.push_back(measure(where, what, how));
+      }
+    }
+  }
+  return rows;
+}
+
+int run()
+{
+  std::printf("seeds 11 12 13\n");
+  boost::json::object all;
+  const auto part = absl::GetFlag(FLAGS_part);
+  if (wanted(part, "baselines")) {
+    all["baselines"] = compare(baselines());
+  }
+  if (wanted(part, "ablations")) {
+    all["ablations"] = compare(ablations());
+  }
+  if (wanted(part, "scale")) {
+    all["scale"] = measure_scale();
+  }
+  if (const auto file = absl::GetFlag(FLAGS_json); !file.empty()) {
+    std::ofstream(file) << boost::json::serialize(all) << '\n';
+  }
+  return 0;
+}
+
+} // namespace
+} // namespace wisteriaflow::bench
+
+int main(int argc, char** argv)
+{
+  absl::ParseCommandLine(argc, argv);
+  return wisteriaflow::bench::run();
+}
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -53,8 +53,11 @@
   file(GLOB bench_parts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/${name}_*.cc)
   add_executable(${name} ${bench} ${bench_parts})
   target_include_directories(${name} PRIVATE bench src test)
-  target_link_libraries(${name} PRIVATE wisteriaflow_daemon wisteriaflow_fakes benchmark::benchmark
-                        absl::flags absl::flags_parse)
+  target_link_libraries(${name} PRIVATE wisteriaflow_daemon benchmark::benchmark absl::flags
+                        absl::flags_parse)
+  if(TARGET wisteriaflow_fakes)
+    target_link_libraries(${name} PRIVATE wisteriaflow_fakes)
+  endif()
 endforeach()
 
 # Samples, numbered from simple to full.
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -47,8 +47,8 @@
   double price_preference = 0.3;
   // Share of the latency target that a prediction may use up and still count as meeting it.
   double target_margin = 0.7;
-  // Scores within this of the best one are near-equals.
-  double near_equal = 0.05;
+  // Scores up to this part above the best one are near-equals.
+  double near_equal = 0.1;
   std::chrono::microseconds network_within_zone{200};
   std::chrono::microseconds network_between_zones{1'500};
   double reclaims_per_hour = 0.2; // of a reclaimable endpoint
@@ -73,7 +73,8 @@
   double prefill = 0;
   double network = 0;
   double reclaim_risk = 0;
-  int cached_tokens = 0; // prompt tokens believed to be in the endpoint's cache
+  int believed_tokens = 0; // prompt tokens believed cached: what `prefix_belief::on_answer` takes
+  int cached_tokens = 0;   // the same, as far as the endpoint's beliefs are trusted
 
   [[nodiscard]] double first_token() const { return queue + prefill + network + reclaim_risk; }
 
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -56,8 +56,9 @@
   const auto& rules = options.rules;
   prediction p;
   p.queue = endpoint.queue_seconds(rules.own_work);
-  const double believed = blocks * options.tokens_per_block * view.prefixes.trust(slot);
-  p.cached_tokens = std::min(request.prompt_tokens, static_cast<int>(believed));
+  const int believed = static_cast<int>(blocks) * options.tokens_per_block;
+  p.believed_tokens = std::min(request.prompt_tokens, believed);
+  p.cached_tokens = static_cast<int>(p.believed_tokens * view.prefixes.trust(slot));
   p.prefill = (request.prompt_tokens - p.cached_tokens) / endpoint.prefill_rate.value();
   if (rules.network) {
     const bool same = endpoint.description.availability_zone == options.availability_zone;
@@ -132,14 +133,20 @@
   }
 }
 
-const scored* draw(const std::vector<scored>& all, const comparison& c, double tolerance,
+// The highest score that counts as equal to the best one.
+double highest_equal(const comparison& c, const routing_options& options)
+{
+  return options.rules.spread ? c.best_score * (1 + options.near_equal) : c.best_score;
+}
+
+const scored* draw(const std::vector<scored>& all, const comparison& c, double highest,
                    std::mt19937_64& rng)
 {
   // Reservoir sampling: one pass, no list of near-equals.
   const scored* drawn = nullptr;
   std::uint64_t seen = 0;
   for (const auto& it : all) {
-    if (!considered(it, c.limit) || it.score > c.best_score + tolerance) {
+    if (!considered(it, c.limit) || it.score > highest) {
       continue;
     }
     ++seen;
@@ -181,7 +188,7 @@
       c.best_score = std::min(c.best_score, it.score);
     }
   }
-  c.chosen = draw(all, c, options.rules.spread ? options.near_equal : 0, rng);
+  c.chosen = draw(all, c, highest_equal(c, options), rng);
   return c;
 }
 
@@ -207,8 +214,7 @@
   if (!considered(it, c.limit)) {
     return verdict::misses_target;
   }
-  const double tolerance = options.rules.spread ? options.near_equal : 0;
-  return it.score <= c.best_score + tolerance ? verdict::near_equal : verdict::worse;
+  return it.score <= highest_equal(c, options) ? verdict::near_equal : verdict::worse;
 }
 
 no_endpoint refusal(const comparison& c, const request_view& request, mono_time now)
