membership: what a gossiper starts with is no news

Joins are now sent on about ten times, since repair reaches whom that misses; leaving members keep their pushes.

--- a/src/membership/address_book.cc
+++ b/src/membership/address_book.cc
@@ -40,8 +40,8 @@
   serving.resize(daemons_for(query.share, serving.size()));
 
   auto chosen = best_for(hash64_of(query.caller, workspace), serving);
-  std::ranges::stable_partition(chosen,
-                                [&](const member* m) { return m->attributes.zone == query.zone; });
+  std::stable_partition(chosen.begin(), chosen.end(),
+                        [&](const member* m) { return m->attributes.zone == query.zone; });
   // A zone may go whole: the last address is in another one than the first, if there is any.
   if (chosen.size() > options_.addresses) {
     const auto& zone = chosen.front()->attributes.zone;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -41,6 +41,9 @@
 {
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
+  // What the view was started with is news to nobody but for this daemon itself.
+  note_changes(false);
+  news_[view_.self().key] = {};
 }
 
 void gossiper::set_configuration(std::uint64_t revision, std::uint64_t floor)
@@ -63,11 +66,10 @@
   view_.connect_failed({member_kind::daemon, to.value()}, now);
 }
 
-// Chosen so that the chance that anyone misses a record is far under one in a thousand.
+// Whom this many random sends by everybody miss, repair reaches. Urgent records are sent oftener.
 int gossiper::news_sends() const
 {
-  constexpr double safety = 3;
-  return 2 + static_cast<int>(safety * std::log(1.0 + static_cast<double>(view_.size())));
+  return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
 }
 
 void gossiper::note_changes(bool spread)
