--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -45,6 +45,7 @@
   out.fanout = o.gossip_fanout;
   out.seed = o.seed;
   out.usage.self = o.self;
+  out.usage.zone = o.zone;
   return out;
 }
 
