core: a failed cache import must not run a request again

Cause: when the import of an exported KV cache failed, the attempt went on with the text so far. For a non-idempotent generation that is a second run of its key: the claim covers one run and what continues its cache.

Ruled out: trying another engine, since a handle is good for one import; and taking the replay for the same run, since choose_move already refuses a replay to whatever is not idempotent. The attempt now fails as broken, so the request ends as outcome unknown; an idempotent one is replayed as before.

Before: a random fleet of three cores found a key that ran twice after 13 cases: submit, reclaim of its engine, crash of one daemon, drain of another.

--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -108,7 +108,8 @@
                             {{"kind", r.generation() ? "generation" : "service"}});
 }
 
-// An import that fails costs only the recomputation: the attempt carries the text as well.
+// An import that fails costs an idempotent request only the recomputation: its attempt carries the
+// text as well. Without the cache the attempt would be a second run of any other request.
 void request_table::import_then_start(active_request& r, const requests::start_attempt& a,
                                       const placed& where)
 {
@@ -129,7 +130,13 @@
                              const bool imported = whole && whole->status == status_ok;
                              context_.counters().count(
                                  "kv_imports_total", {{"result", imported ? "ok" : "failed"}});
-                             start_exchange_for(*moving, a, where);
+                             if (imported || moving->options.idempotent) {
+                               start_exchange_for(*moving, a, where);
+                               return;
+                             }
+                             feed(*moving, requests::attempt_failed{
+                                               .attempt = a.attempt,
+                                               .kind = requests::failure_kind::broken});
                            });
 }
 
