core: find the exporter of a cache outside the own subset too

Cause: an import names the address of the engine that exported the cache, and that address was looked up among the endpoints that this daemon reaches. A leaving engine is in no subset of a daemon that has just started, so a request handed over to it imported from an empty address, and failed.

The address now comes from the membership view, which keeps leaving members.

--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -495,6 +495,12 @@
   return m == nullptr ? std::nullopt : parse_address(m->attributes.peer_address);
 }
 
+std::string fleet::endpoint_address_of(const endpoint_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+  return m == nullptr ? std::string() : m->attributes.address;
+}
+
 std::string fleet::caller_address_of(const daemon_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -72,6 +72,10 @@
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
+  // The address of an endpoint, also of one that leaves or is not reached from here; empty if it is
+  // unknown.
+  [[nodiscard]] std::string endpoint_address_of(const endpoint_id& id) const;
+
   [[nodiscard]] const membership::membership_view& view() const { return view_; }
   [[nodiscard]] membership::gossiper& gossip() { return gossiper_; }
   [[nodiscard]] routing::endpoint_table& endpoints() { return endpoints_; }
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -113,9 +113,8 @@
 void request_table::import_then_start(active_request& r, const requests::start_attempt& a,
                                       const placed& where)
 {
-  const auto slot = services_.members.endpoints().find(a.transfer->from);
-  const auto from =
-      slot ? services_.members.endpoints().at(*slot).description.address : std::string();
+  // A leaving endpoint is in no subset of a daemon that has just started, nor of a peer's.
+  const auto from = services_.members.endpoint_address_of(a.transfer->from);
   http::request message{.method = "POST", .target = "/kv/import"};
   message.fields.push_back({.name = "Content-Type", .value = "application/json"});
   message.body = boost::json::serialize(
