--- /dev/null
+++ b/bench/run-slopes.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# What control costs an idle daemon as the fleet grows: real processes on loopback.
+#
+#   bench/run-slopes.sh [N...]     fleet sizes, default 4 8 16 32 64
+#
+# For each size: processor time, resident memory, messages and bytes received from peers, and store
+# calls of the first four daemons, each the mean over $SECONDS_MEASURED (default 20) after the fleet
+# has settled. Bytes are protobuf sizes, without gRPC's framing. One line of JSON a size.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD_DIR:-$root/build}
+measured=${SECONDS_MEASURED:-20}
+sizes=("$@")
+[ "${#sizes[@]}" -gt 0 ] || sizes=(4 8 16 32 64)
+
+run_size() {
+  # shellcheck source=scripts/lib/fleet.sh
+  . "$root/scripts/lib/fleet.sh"
+  local n=$1 pids=() addresses=()
+  start_fake object_api "$build/fake_object_api"; object_api=$started_address
+  start_fake cloud_api "$build/fake_cloud_api"; cloud_api=$started_address
+  start_fake engine "$build/fake_model_engine"
+  register_instance engine-a "$started_address" zone-a engine 1.0 true
+  "$build/wisteriaflowctl" --platform="$object_api" --as=bench apply \
+    --file="$root/samples/declarations/hotel.json" >/dev/null
+  for i in $(seq 1 "$n"); do
+    start_daemon "d$i" "zone-$((i % 4))"
+    pids+=("$started_pid")
+    addresses+=("$started_address")
+  done
+  for _ in $(seq 1 240); do
+    [ "$(metric "${addresses[0]}" daemons_live)" = "$n" ] && break
+    sleep 0.25
+  done
+  sleep 5
+  local before after
+  before=$(sample)
+  sleep "$measured"
+  after=$(sample)
+  paste <(echo "$before") <(echo "$after") | awk -v n="$n" -v s="$measured" -v hz="$(getconf CLK_TCK)" '
+    { cpu += ($6 - $1) / hz / s; mem += $7 / 1024; bytes += ($8 - $3) / s
+      messages += ($9 - $4) / s; calls += ($10 - $5) / s; k++ }
+    END { printf "{\"daemons\":%d,\"cpu_percent\":%.3f,\"resident_mb\":%.2f,\"peer_bytes_per_second\":%.0f,\"gossip_messages_per_second\":%.2f,\"store_calls_per_second\":%.3f}\n",
+          n, 100 * cpu / k, mem / k, bytes / k, messages / k, calls / k }'
+}
+
+metric() { curl -sf "http://$1/metrics" | sed -n "s/^wisteriaflow_$2 //p"; }
+
+# The sum of all series of a metric.
+metric_sum() {
+  curl -sf "http://$1/metrics" | awk -v m="wisteriaflow_$2{" 'index($0, m) == 1 { s += $2 } END { printf "%d", s }'
+}
+
+# A line for each of the first four daemons: ticks, resident KB, bytes, messages, store calls.
+sample() {
+  for i in 0 1 2 3; do
+    local pid=${pids[$i]} address=${addresses[$i]}
+    echo "$(awk '{print $14 + $15}' "/proc/$pid/stat") $(awk '/VmRSS/{print $2}' "/proc/$pid/status")" \
+      "$(metric "$address" peer_bytes_received_total)" "$(metric_sum "$address" gossip_messages_total)" \
+      "$(metric_sum "$address" store_calls_total)"
+  done
+}
+
+for n in "${sizes[@]}"; do (run_size "$n"); done
--- a/include/wisteriaflow/core/events.h
+++ b/include/wisteriaflow/core/events.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIAFLOW_CORE_EVENTS_H_
 #define WISTERIAFLOW_CORE_EVENTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -82,14 +83,17 @@
 
 // From peers.
 
+// `bytes` is the message's size on the wire, without framing.
 struct peer_asked {
   peer_reply_number reply = 0;
   peer_request message;
+  std::size_t bytes = 0;
 };
 
 struct peer_answered {
   peer_call_number call = 0;
   peer_response message;
+  std::size_t bytes = 0;
 };
 
 // The peer did not answer; what was asked may have been done.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,7 +24,7 @@
 
 step "an operator declares a workspace, a pool, a model, an intent and a service"
 ctl() { "$build/wisteriaflowctl" --platform="$object_api" --as=demo "$@"; }
-ctl apply --file="$root/samples/declarations/hotel.json" --cause=$(echo "$addresses" | grep -o '"address":"[^"]*"' | head -n 1 | cut -d'"' -f4)
+ctl apply --file="$root/samples/declarations/hotel.json" --cause="first set-up"
 
 step "three daemons in two availability zones"
 start_daemon d1 zone-a; d1=$started_address
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -181,6 +181,7 @@
 
   void on(const peer_asked& e)
   {
+    context_.counters().count("peer_bytes_received_total", {}, static_cast<double>(e.bytes));
     std::visit([&](const auto& message) { on_peer(e.reply, message); }, e.message);
   }
 
@@ -215,7 +216,11 @@
     reply(to, place_note_reply{});
   }
 
-  void on(const peer_answered& e) { context_.on_peer_answer(e.call, &e.message); }
+  void on(const peer_answered& e)
+  {
+    context_.counters().count("peer_bytes_received_total", {}, static_cast<double>(e.bytes));
+    context_.on_peer_answer(e.call, &e.message);
+  }
   void on(const peer_failed& e) { context_.on_peer_answer(e.call, nullptr); }
   void on(const drain_requested& /*e*/) { leave(std::nullopt); }
   void on(const ticked& /*e*/) {}
--- a/src/peer/peer_side.cc
+++ b/src/peer/peer_side.cc
@@ -117,7 +117,8 @@
     auto* reactor = context->DefaultReactor();
     const auto fill = [out](const core::peer_response& response) { encode(response, *out); };
     const auto reply = waiting_.add({.reactor = reactor, .fill = fill});
-    core::event asked = core::peer_asked{.reply = reply, .message = decode(in)};
+    core::event asked =
+        core::peer_asked{.reply = reply, .message = decode(in), .bytes = in.ByteSizeLong()};
     if (!core_->try_push(std::move(asked)) && waiting_.take(reply).reactor != nullptr) {
       reactor->Finish({grpc::StatusCode::RESOURCE_EXHAUSTED, "the core's ring is full"});
     }
@@ -307,7 +308,9 @@
     const auto done = [state, number = a.call, ring = core_](const grpc::Status& status) {
       core::event e = core::peer_failed{.call = number};
       if (status.ok()) {
-        e = core::peer_answered{.call = number, .message = decode(state->reply)};
+        e = core::peer_answered{.call = number,
+                                .message = decode(state->reply),
+                                .bytes = state->reply.ByteSizeLong()};
       }
       // A lost answer is what the core must bear anyway: its own deadline for the call passes.
       ring->try_push(std::move(e));
