--- a/bench/run-slopes.sh
+++ b/bench/run-slopes.sh
@@ -9,6 +9,7 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 build=${BUILD_DIR:-$root/build}
+gossip_period_ms=1000 # the default, not the demo's
 measured=${SECONDS_MEASURED:-20}
 sizes=("$@")
 [ "${#sizes[@]}" -gt 0 ] || sizes=(4 8 16 32 64)
--- a/include/wisteriaflow/core/daemon_core.h
+++ b/include/wisteriaflow/core/daemon_core.h
@@ -38,7 +38,7 @@
   std::uint64_t seed = 0;                  // of random choices
   bool has_cloud = false;                  // whether reclaim notices can be polled
 
-  std::chrono::milliseconds gossip_period{500};
+  std::chrono::milliseconds gossip_period{1'000};
   int gossip_fanout = 2;
   std::chrono::milliseconds suspect_after{5'000};
   std::chrono::milliseconds gone_after{15'000};
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -61,7 +61,7 @@
 instance_list_period_ms = 500
 
 [gossip]
-period_ms = 200
+period_ms = ${gossip_period_ms:-200}
 INI
   start_program "$id" '^callers ' "$build/wisteriaflowd" "--config=$fleet_dir/$id.ini"
   started_address=$(echo "$started_line" | awk '{print $2}')
