--- a/src/tools/wisteriaflowctl.cc
+++ b/src/tools/wisteriaflowctl.cc
@@ -46,7 +46,7 @@
 
 std::string default_author()
 {
-  const auto named = absl::GetFlag(FLAGS_as);
+  auto named = absl::GetFlag(FLAGS_as);
   const char* user = std::getenv("USER");
   if (!named.empty()) {
     return named;
--- a/test/objects/configuration_store_test.cc
+++ b/test/objects/configuration_store_test.cc
@@ -24,154 +24,154 @@
 
 class configuration_store_test : public testing::Test {
  protected:
-  configuration_store store;
+  configuration_store store_;
 };
 using ConfigurationStoreTest = configuration_store_test; // NOLINT(readability-identifier-naming)
 
 TEST_F(ConfigurationStoreTest, AppliesOnlyAHigherRevisionOfAnObject)
 {
-  store.on_put(weighted("w", 5));
-  EXPECT_TRUE(store.on_put(weighted("w", 5)).empty());
-  EXPECT_TRUE(store.on_put(weighted("w", 4)).empty());
-  EXPECT_EQ(in_force(store, "w"), 5U);
-  EXPECT_EQ(store.on_put(weighted("w", 6)).size(), 1U);
-  EXPECT_EQ(in_force(store, "w"), 6U);
+  store_.on_put(weighted("w", 5));
+  EXPECT_TRUE(store_.on_put(weighted("w", 5)).empty());
+  EXPECT_TRUE(store_.on_put(weighted("w", 4)).empty());
+  EXPECT_EQ(in_force(store_, "w"), 5U);
+  EXPECT_EQ(store_.on_put(weighted("w", 6)).size(), 1U);
+  EXPECT_EQ(in_force(store_, "w"), 6U);
 }
 
 TEST_F(ConfigurationStoreTest, AStaleListNeitherBringsBackNorDeletes)
 {
-  store.on_list(10, {weighted("kept", 9)});
-  EXPECT_TRUE(store.on_list(8, {weighted("deleted", 7)}).empty());
-  EXPECT_EQ(in_force(store, "kept"), 9U);
-  EXPECT_EQ(in_force(store, "deleted"), 0U);
+  store_.on_list(10, {weighted("kept", 9)});
+  EXPECT_TRUE(store_.on_list(8, {weighted("deleted", 7)}).empty());
+  EXPECT_EQ(in_force(store_, "kept"), 9U);
+  EXPECT_EQ(in_force(store_, "deleted"), 0U);
 }
 
 TEST_F(ConfigurationStoreTest, AListOlderThanAWatchedChangeLeavesItInForce)
 {
-  store.on_list(3, {weighted("w", 3)});
-  store.on_put(weighted("w", 9));
-  store.on_put(weighted("new", 10));
-  store.on_list(7, {weighted("w", 6)});
-  EXPECT_EQ(in_force(store, "w"), 9U);
-  EXPECT_EQ(in_force(store, "new"), 10U);
+  store_.on_list(3, {weighted("w", 3)});
+  store_.on_put(weighted("w", 9));
+  store_.on_put(weighted("new", 10));
+  store_.on_list(7, {weighted("w", 6)});
+  EXPECT_EQ(in_force(store_, "w"), 9U);
+  EXPECT_EQ(in_force(store_, "new"), 10U);
 }
 
 TEST_F(ConfigurationStoreTest, AListAfterAWatchGapDeletesWhatIsGone)
 {
-  store.on_list(3, {weighted("w", 3)});
-  const auto made = store.on_list(9, {});
+  store_.on_list(3, {weighted("w", 3)});
+  const auto made = store_.on_list(9, {});
   ASSERT_EQ(made.size(), 1U);
   EXPECT_EQ(made[0].kind, change_kind::deleted);
-  EXPECT_EQ(in_force(store, "w"), 0U);
+  EXPECT_EQ(in_force(store_, "w"), 0U);
 }
 
 TEST_F(ConfigurationStoreTest, ALatePutDoesNotUndoADeletion)
 {
-  store.on_put(weighted("w", 3));
-  store.on_deleted("w", 5);
-  store.on_put(weighted("w", 4));
-  EXPECT_EQ(in_force(store, "w"), 0U);
-  store.on_list(8, {});
-  store.on_put(weighted("w", 4));
-  EXPECT_EQ(in_force(store, "w"), 0U) << "after the tombstone was dropped";
-  store.on_put(weighted("w", 9));
-  EXPECT_EQ(in_force(store, "w"), 9U);
+  store_.on_put(weighted("w", 3));
+  store_.on_deleted("w", 5);
+  store_.on_put(weighted("w", 4));
+  EXPECT_EQ(in_force(store_, "w"), 0U);
+  store_.on_list(8, {});
+  store_.on_put(weighted("w", 4));
+  EXPECT_EQ(in_force(store_, "w"), 0U) << "after the tombstone was dropped";
+  store_.on_put(weighted("w", 9));
+  EXPECT_EQ(in_force(store_, "w"), 9U);
 }
 
 TEST_F(ConfigurationStoreTest, ADeletionSeenBeforeItsObjectHolds)
 {
-  store.on_deleted("w", 5);
-  store.on_put(weighted("w", 4));
-  EXPECT_EQ(in_force(store, "w"), 0U);
+  store_.on_deleted("w", 5);
+  store_.on_put(weighted("w", 4));
+  EXPECT_EQ(in_force(store_, "w"), 0U);
 }
 
 TEST_F(ConfigurationStoreTest, AnInvalidVersionLeavesTheLastValidOneInForce)
 {
-  store.on_put(weighted("w", 3));
-  const auto made = store.on_put(weighted("w", 4, -1));
+  store_.on_put(weighted("w", 3));
+  const auto made = store_.on_put(weighted("w", 4, -1));
   ASSERT_EQ(made.size(), 1U);
   EXPECT_EQ(made[0].kind, change_kind::rejected);
-  EXPECT_EQ(in_force(store, "w"), 3U);
-  ASSERT_EQ(store.rejected().size(), 1U);
-  EXPECT_EQ(store.rejected()[0].revision, 4U);
-  EXPECT_EQ(store.rejected()[0].in_force_revision, 3U);
-  store.on_put(weighted("w", 5));
-  EXPECT_EQ(in_force(store, "w"), 5U);
-  EXPECT_TRUE(store.rejected().empty());
+  EXPECT_EQ(in_force(store_, "w"), 3U);
+  ASSERT_EQ(store_.rejected().size(), 1U);
+  EXPECT_EQ(store_.rejected()[0].revision, 4U);
+  EXPECT_EQ(store_.rejected()[0].in_force_revision, 3U);
+  store_.on_put(weighted("w", 5));
+  EXPECT_EQ(in_force(store_, "w"), 5U);
+  EXPECT_TRUE(store_.rejected().empty());
 }
 
 TEST_F(ConfigurationStoreTest, AnObjectComesIntoForceWithWhatItRefersTo)
 {
-  store.on_put(document("Pool", "p", 1, R"({"model":"m"})"));
-  EXPECT_EQ(store.rejected().size(), 1U);
-  store.on_put(document("ModelVersion", "m-1", 2, R"({"model":"m","version":"1"})"));
-  EXPECT_NE(store.current()->find_pool("p"), nullptr);
-  EXPECT_TRUE(store.rejected().empty());
+  store_.on_put(document("Pool", "p", 1, R"({"model":"m"})"));
+  EXPECT_EQ(store_.rejected().size(), 1U);
+  store_.on_put(document("ModelVersion", "m-1", 2, R"({"model":"m","version":"1"})"));
+  EXPECT_NE(store_.current()->find_pool("p"), nullptr);
+  EXPECT_TRUE(store_.rejected().empty());
 }
 
 TEST_F(ConfigurationStoreTest, WhatIsNotUnderstoodLeavesTheRestInForce)
 {
-  store.on_put(weighted("w", 1));
-  store.on_put(document("Teapot", "t", 2));
-  store.on_put(document("Workspace", "w", 3, R"({"schema":99})"));
-  EXPECT_EQ(in_force(store, "w"), 1U);
-  EXPECT_EQ(store.current()->not_understood().size(), 2U);
+  store_.on_put(weighted("w", 1));
+  store_.on_put(document("Teapot", "t", 2));
+  store_.on_put(document("Workspace", "w", 3, R"({"schema":99})"));
+  EXPECT_EQ(in_force(store_, "w"), 1U);
+  EXPECT_EQ(store_.current()->not_understood().size(), 2U);
 }
 
 TEST_F(ConfigurationStoreTest, MayNotServeBelowAPeersRevision)
 {
-  store.on_peer_revision(9);
-  store.on_list(8, {weighted("w", 3)});
-  EXPECT_EQ(store.readiness(), configuration_readiness::catching_up);
-  store.on_list(9, {weighted("w", 9)});
-  EXPECT_EQ(store.readiness(), configuration_readiness::ready);
+  store_.on_peer_revision(9);
+  store_.on_list(8, {weighted("w", 3)});
+  EXPECT_EQ(store_.readiness(), configuration_readiness::catching_up);
+  store_.on_list(9, {weighted("w", 9)});
+  EXPECT_EQ(store_.readiness(), configuration_readiness::ready);
 }
 
 TEST_F(ConfigurationStoreTest, MayNotServeByTheStoreAloneWhilePeersMayAnswer)
 {
-  store.on_list(8, {weighted("w", 3)});
-  EXPECT_EQ(store.readiness(), configuration_readiness::floor_unknown);
-  store.on_peers_silent();
-  EXPECT_EQ(store.readiness(), configuration_readiness::ready);
+  store_.on_list(8, {weighted("w", 3)});
+  EXPECT_EQ(store_.readiness(), configuration_readiness::floor_unknown);
+  store_.on_peers_silent();
+  EXPECT_EQ(store_.readiness(), configuration_readiness::ready);
 }
 
 TEST_F(ConfigurationStoreTest, SilentPeersWithoutAListNameNoFloor)
 {
-  store.on_peers_silent();
-  EXPECT_EQ(store.readiness(), configuration_readiness::floor_unknown);
+  store_.on_peers_silent();
+  EXPECT_EQ(store_.readiness(), configuration_readiness::floor_unknown);
 }
 
 TEST_F(ConfigurationStoreTest, ANewDaemonTakesEverythingFromAPeer)
 {
-  store.on_list(3, {weighted("w", 2), weighted("gone", 3)});
-  store.on_put(weighted("w", 4, -1));
-  store.on_deleted("gone", 5);
+  store_.on_list(3, {weighted("w", 2), weighted("gone", 3)});
+  store_.on_put(weighted("w", 4, -1));
+  store_.on_deleted("gone", 5);
   configuration_store fresh;
-  fresh.on_peer_snapshot(store.snapshot());
+  fresh.on_peer_snapshot(store_.snapshot());
   EXPECT_EQ(fresh.readiness(), configuration_readiness::ready);
-  EXPECT_EQ(*fresh.current(), *store.current());
-  EXPECT_EQ(fresh.rejected(), store.rejected());
+  EXPECT_EQ(*fresh.current(), *store_.current());
+  EXPECT_EQ(fresh.rejected(), store_.rejected());
   fresh.on_list(4, {weighted("w", 4, -1), weighted("gone", 3)});
   EXPECT_EQ(in_force(fresh, "gone"), 0U) << "a stale list undid a deletion";
 }
 
 TEST_F(ConfigurationStoreTest, ANewerPeerSnapshotDeletesWhatIsGone)
 {
-  store.on_list(3, {weighted("w", 3)});
+  store_.on_list(3, {weighted("w", 3)});
   configuration_store peer;
   peer.on_list(9, {});
-  store.on_peer_snapshot(peer.snapshot());
-  EXPECT_EQ(in_force(store, "w"), 0U);
+  store_.on_peer_snapshot(peer.snapshot());
+  EXPECT_EQ(in_force(store_, "w"), 0U);
 }
 
 TEST_F(ConfigurationStoreTest, ALastValidVersionIsTakenFromAPeer)
 {
-  store.on_put(weighted("w", 2));
-  store.on_put(weighted("w", 4, -1));
+  store_.on_put(weighted("w", 2));
+  store_.on_put(weighted("w", 4, -1));
   configuration_store fresh;
   fresh.on_list(4, {weighted("w", 4, -1)});
   EXPECT_EQ(in_force(fresh, "w"), 0U);
-  fresh.on_peer_snapshot(store.snapshot());
+  fresh.on_peer_snapshot(store_.snapshot());
   EXPECT_EQ(in_force(fresh, "w"), 2U);
 }
 
--- a/test/objects/fleet_configuration_test.cc
+++ b/test/objects/fleet_configuration_test.cc
@@ -35,53 +35,53 @@
 
 class fleet_configuration_test : public testing::Test {
  protected:
-  const fleet_configuration configuration = make_fleet_configuration(8, small_fleet());
+  const fleet_configuration configuration_ = make_fleet_configuration(8, small_fleet());
 };
 using FleetConfigurationTest = fleet_configuration_test; // NOLINT(readability-identifier-naming)
 
 TEST_F(FleetConfigurationTest, FindsObjectsByName)
 {
-  EXPECT_NE(configuration.find_workspace(workspace_id("bank")), nullptr);
-  EXPECT_NE(configuration.find_pool("big"), nullptr);
-  EXPECT_NE(configuration.find_service("desk"), nullptr);
-  EXPECT_EQ(configuration.find_pool("desk"), nullptr);
-  EXPECT_TRUE(configuration.knows_model(model_id("m")));
+  EXPECT_NE(configuration_.find_workspace(workspace_id("bank")), nullptr);
+  EXPECT_NE(configuration_.find_pool("big"), nullptr);
+  EXPECT_NE(configuration_.find_service("desk"), nullptr);
+  EXPECT_EQ(configuration_.find_pool("desk"), nullptr);
+  EXPECT_TRUE(configuration_.knows_model(model_id("m")));
 }
 
 TEST_F(FleetConfigurationTest, OrdersIntentsByPriorityThenName)
 {
-  const auto matching = configuration.matching_intents(
+  const auto matching = configuration_.matching_intents(
       {.workspace = workspace_id("bank"), .labels = {{"kind", "draft"}}});
   EXPECT_EQ(names_of(matching), (std::vector<std::string>{"also-drafts", "drafts", "any"}));
 }
 
 TEST_F(FleetConfigurationTest, LeavesOutIntentsThatDoNotSelectTheRequest)
 {
-  const auto of_bank = configuration.matching_intents({.workspace = workspace_id("bank")});
+  const auto of_bank = configuration_.matching_intents({.workspace = workspace_id("bank")});
   EXPECT_EQ(names_of(of_bank), (std::vector<std::string>{"drafts", "any"}));
-  const auto of_hotel = configuration.matching_intents({.workspace = workspace_id("hotel")});
+  const auto of_hotel = configuration_.matching_intents({.workspace = workspace_id("hotel")});
   EXPECT_EQ(names_of(of_hotel), (std::vector<std::string>{"any"}));
 }
 
 TEST_F(FleetConfigurationTest, LeavesOutIntentsOfAnotherModel)
 {
   EXPECT_TRUE(
-      configuration.matching_intents({.workspace = workspace_id("bank"), .model = model_id("n")})
+      configuration_.matching_intents({.workspace = workspace_id("bank"), .model = model_id("n")})
           .empty());
 }
 
 TEST_F(FleetConfigurationTest, TakesInstancesByZoneLabelsAndRole)
 {
-  const auto& intent = configuration.intents().front();
+  const auto& intent = configuration_.intents().front();
   const instance_description fit{.labels = {{"gpu", ""}}, .zone = availability_zone("a")};
   auto elsewhere = fit;
   elsewhere.zone = availability_zone("b");
   auto plain = fit;
   plain.role = pool_role::service;
-  EXPECT_TRUE(configuration.is_eligible(intent, fit));
-  EXPECT_FALSE(configuration.is_eligible(intent, elsewhere));
-  EXPECT_FALSE(configuration.is_eligible(intent, plain));
-  EXPECT_FALSE(configuration.is_eligible(intent, {.zone = availability_zone("a")}));
+  EXPECT_TRUE(configuration_.is_eligible(intent, fit));
+  EXPECT_FALSE(configuration_.is_eligible(intent, elsewhere));
+  EXPECT_FALSE(configuration_.is_eligible(intent, plain));
+  EXPECT_FALSE(configuration_.is_eligible(intent, {.zone = availability_zone("a")}));
 }
 
 TEST(FleetConfigurationFaultTest, ReportsEveryFaultOfTheWhole)
--- a/test/platform/object_api_test.cc
+++ b/test/platform/object_api_test.cc
@@ -13,7 +13,7 @@
 TEST_F(ObjectApiTest, ListsWhatWasCreated)
 {
   const auto version = given_workspace("w");
-  const auto listed = await(api.list("declarations", fakes::far_deadline()));
+  const auto listed = await(api_.list("declarations", fakes::far_deadline()));
   ASSERT_EQ(listed.items.size(), 1U);
   EXPECT_EQ(listed.items[0].name, "w");
   EXPECT_EQ(listed.items[0].version, version);
@@ -24,8 +24,8 @@
 {
   given_workspace("w");
   const auto first = stored("w");
-  await(api.replace("declarations", first.document, fakes::far_deadline()));
-  EXPECT_THROW(await(api.replace("declarations", first.document, fakes::far_deadline())),
+  await(api_.replace("declarations", first.document, fakes::far_deadline()));
+  EXPECT_THROW(await(api_.replace("declarations", first.document, fakes::far_deadline())),
                conflict_error);
 }
 
@@ -39,10 +39,10 @@
 TEST_F(ObjectApiTest, DeletesOnlyTheVersionNamedAndIsContentIfGone)
 {
   const auto version = given_workspace("w");
-  EXPECT_THROW(await(api.remove("declarations", "w", fakes::far_deadline(), version + 1)),
+  EXPECT_THROW(await(api_.remove("declarations", "w", fakes::far_deadline(), version + 1)),
                conflict_error);
-  await(api.remove("declarations", "w", fakes::far_deadline(), version));
-  await(api.remove("declarations", "w", fakes::far_deadline(), version));
+  await(api_.remove("declarations", "w", fakes::far_deadline(), version));
+  await(api_.remove("declarations", "w", fakes::far_deadline(), version));
   EXPECT_THROW(stored("w"), not_found_error);
 }
 
@@ -50,7 +50,7 @@
 {
   set_faults(R"({"outage":"refuse"})");
   EXPECT_THROW(stored("w"), platform_unavailable);
-  fake.close();
+  fake_.close();
   EXPECT_THROW(stored("w"), platform_unavailable);
 }
 
@@ -65,11 +65,11 @@
 {
   const auto first = given_workspace("a");
   const auto second = given_workspace("b");
-  await(api.remove("declarations", "a", fakes::far_deadline()));
+  await(api_.remove("declarations", "a", fakes::far_deadline()));
   std::vector<watch_event> events;
   const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
-  await(api.watch("declarations", first, deadline,
-                  [&](watch_event e) { events.push_back(std::move(e)); }));
+  await(api_.watch("declarations", first, deadline,
+                   [&](watch_event e) { events.push_back(std::move(e)); }));
   ASSERT_EQ(events.size(), 3U);
   EXPECT_EQ(events[0].kind, watch_event_kind::added);
   EXPECT_EQ(events[0].object.version, second);
@@ -83,8 +83,8 @@
 TEST_F(ObjectApiTest, AWatchFromAForgottenVersionHasExpired)
 {
   given_workspace("a");
-  fake.forget_history();
-  EXPECT_THROW(await(api.watch("declarations", 0, fakes::far_deadline(), [](watch_event) {})),
+  fake_.forget_history();
+  EXPECT_THROW(await(api_.watch("declarations", 0, fakes::far_deadline(), [](watch_event) {})),
                watch_expired_error);
 }
 
--- a/test/platform/operator_commands_test.cc
+++ b/test/platform/operator_commands_test.cc
@@ -42,19 +42,19 @@
       }
     };
     const object_reference target{.kind = "Workspace", .name = "w"};
-    boost::asio::co_spawn(context, mere.label(target, std::move(one), {}), note);
-    boost::asio::co_spawn(context, huong.label(target, std::move(other), {}), note);
-    fakes::run_until(context, [&] { return ended == 2; });
+    boost::asio::co_spawn(context_, mere.label(target, std::move(one), {}), note);
+    boost::asio::co_spawn(context_, huong.label(target, std::move(other), {}), note);
+    fakes::run_until(context_, [&] { return ended == 2; });
     return conflicts;
   }
 
-  operator_commands commands = commands_of("mere");
+  operator_commands commands_ = commands_of("mere");
 };
 using OperatorCommandsTest = operator_commands_test; // NOLINT(readability-identifier-naming)
 
 TEST_F(OperatorCommandsTest, AppliesInTheOrderOfReferences)
 {
-  const auto results = await(commands.apply(parse_documents(model_and_pool)));
+  const auto results = await(commands_.apply(parse_documents(model_and_pool)));
   ASSERT_EQ(results.size(), 3U);
   EXPECT_EQ(results[0].name, "m-1");
   EXPECT_EQ(results[1].name, "p");
@@ -63,12 +63,12 @@
 
 TEST_F(OperatorCommandsTest, ApplyingAgainChangesNothing)
 {
-  await(commands.apply(parse_documents(model_and_pool)));
-  const auto version = fake.version();
-  for (const auto& result : await(commands.apply(parse_documents(model_and_pool)))) {
+  await(commands_.apply(parse_documents(model_and_pool)));
+  const auto version = fake_.version();
+  for (const auto& result : await(commands_.apply(parse_documents(model_and_pool)))) {
     EXPECT_EQ(result.result, change_result::unchanged) << result.name;
   }
-  EXPECT_EQ(fake.version(), version);
+  EXPECT_EQ(fake_.version(), version);
 }
 
 TEST_F(OperatorCommandsTest, WritesNothingIfTheWholeWouldBeInvalid)
@@ -76,14 +76,14 @@
   const auto documents = parse_documents(
       R"([{"kind":"Workspace","metadata":{"name":"w"}},
           {"kind":"Pool","metadata":{"name":"p"},"spec":{"model":"none"}}])");
-  EXPECT_THROW(await(commands.apply(documents)), invalid_input_error);
-  EXPECT_EQ(fake.version(), 0U);
+  EXPECT_THROW(await(commands_.apply(documents)), invalid_input_error);
+  EXPECT_EQ(fake_.version(), 0U);
 }
 
 TEST_F(OperatorCommandsTest, AppliesLabelsOnTopOfThoseThatAreThere)
 {
   given_workspace("w", R"({"kept":"1","tier":"gold"})");
-  await(commands.apply(
+  await(commands_.apply(
       {parsed(R"({"kind":"Workspace","metadata":{"name":"w","labels":{"tier":"silver"}}})")}));
   EXPECT_EQ(labels_text(stored("w")), "kept=1,tier=silver");
 }
@@ -93,20 +93,20 @@
   given_workspace("w");
   const auto wanted = parsed(R"({"kind":"Workspace","metadata":{"name":"w","resourceVersion":"9"},
                                  "spec":{"share_weight":2}})");
-  EXPECT_THROW(await(commands.apply({wanted})), conflict_error);
+  EXPECT_THROW(await(commands_.apply({wanted})), conflict_error);
 }
 
 TEST_F(OperatorCommandsTest, RefusesANameThatAnotherKindHas)
 {
   given_workspace("w");
-  EXPECT_THROW(await(commands.apply({parsed(R"({"kind":"Service","metadata":{"name":"w"}})")})),
+  EXPECT_THROW(await(commands_.apply({parsed(R"({"kind":"Service","metadata":{"name":"w"}})")})),
                invalid_input_error);
 }
 
 TEST_F(OperatorCommandsTest, KeepsWhoAndWhy)
 {
   given_workspace("w");
-  await(commands.label({"Workspace", "w"}, {{"tier", "gold"}}, {}));
+  await(commands_.label({"Workspace", "w"}, {{"tier", "gold"}}, {}));
   const auto document = stored("w").document;
   EXPECT_EQ(annotation_of(document, objects::changed_by_annotation), "mere");
   EXPECT_EQ(annotation_of(document, objects::cause_annotation), "test");
@@ -129,39 +129,39 @@
 {
   const auto version = given_workspace("w");
   const object_reference target{"Workspace", "w"};
-  await(commands.label(target, {{"a", "1"}}, version));
-  EXPECT_THROW(await(commands.label(target, {{"a", "2"}}, version)), conflict_error);
-  await(commands.label(target, {{"a", "2"}}, stored("w").version));
+  await(commands_.label(target, {{"a", "1"}}, version));
+  EXPECT_THROW(await(commands_.label(target, {{"a", "2"}}, version)), conflict_error);
+  await(commands_.label(target, {{"a", "2"}}, stored("w").version));
   EXPECT_EQ(labels_text(stored("w")), "a=2");
 }
 
 TEST_F(OperatorCommandsTest, ALostAnswerIsSettledByReadingBack)
 {
   given_workspace("w");
-  const auto before = fake.version();
+  const auto before = fake_.version();
   set_faults(R"({"lose_answers":1})");
-  const auto result = await(commands.label({"Workspace", "w"}, {{"a", "1"}}, {}));
+  const auto result = await(commands_.label({"Workspace", "w"}, {{"a", "1"}}, {}));
   EXPECT_EQ(result.result, change_result::changed);
-  EXPECT_EQ(fake.counts().answers_lost, 1U);
-  EXPECT_EQ(fake.version(), before + 1) << "the write was made twice";
+  EXPECT_EQ(fake_.counts().answers_lost, 1U);
+  EXPECT_EQ(fake_.version(), before + 1) << "the write was made twice";
 }
 
 TEST_F(OperatorCommandsTest, ALostAnswerOfACreationIsSettledByReadingBack)
 {
   set_faults(R"({"lose_answers":1})");
   const auto results =
-      await(commands.apply({parsed(R"({"kind":"Workspace","metadata":{"name":"w"}})")}));
+      await(commands_.apply({parsed(R"({"kind":"Workspace","metadata":{"name":"w"}})")}));
   EXPECT_EQ(results.at(0).result, change_result::created);
-  EXPECT_EQ(fake.version(), 1U);
+  EXPECT_EQ(fake_.version(), 1U);
 }
 
 TEST_F(OperatorCommandsTest, AWriteLostDuringStaleReadsIsNeverMadeTwice)
 {
   given_workspace("w");
-  const auto before = fake.version();
+  const auto before = fake_.version();
   set_faults(R"({"lose_answers":1,"stale_for_ms":200})");
-  await(commands.label({"Workspace", "w"}, {{"a", "1"}}, {}));
-  EXPECT_EQ(fake.version(), before + 1);
+  await(commands_.label({"Workspace", "w"}, {{"a", "1"}}, {}));
+  EXPECT_EQ(fake_.version(), before + 1);
   EXPECT_EQ(labels_text(stored("w")), "a=1");
 }
 
@@ -169,26 +169,26 @@
 {
   set_faults(R"({"outage":"refuse"})");
   operator_commands hasty(
-      api, {.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(100)});
+      api_, {.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(100)});
   EXPECT_THROW(await(hasty.get("", "")), platform_unavailable);
 }
 
 TEST_F(OperatorCommandsTest, DeletesOnlyWhatNothingRefersTo)
 {
-  await(commands.apply(parse_documents(model_and_pool)));
-  EXPECT_THROW(await(commands.remove({"Pool", "p"}, {})), invalid_input_error);
-  await(commands.remove({"RoutingIntent", "i"}, {}));
-  await(commands.remove({"Pool", "p"}, {}));
+  await(commands_.apply(parse_documents(model_and_pool)));
+  EXPECT_THROW(await(commands_.remove({"Pool", "p"}, {})), invalid_input_error);
+  await(commands_.remove({"RoutingIntent", "i"}, {}));
+  await(commands_.remove({"Pool", "p"}, {}));
   EXPECT_THROW(stored("p"), not_found_error);
 }
 
 TEST_F(OperatorCommandsTest, GetsByKindAndName)
 {
-  await(commands.apply(parse_documents(model_and_pool)));
-  EXPECT_EQ(await(commands.get("", "")).size(), 3U);
-  EXPECT_EQ(await(commands.get("Pool", "")).size(), 1U);
-  EXPECT_EQ(await(commands.get("Pool", "p")).size(), 1U);
-  EXPECT_THROW(await(commands.get("Workspace", "p")), not_found_error);
+  await(commands_.apply(parse_documents(model_and_pool)));
+  EXPECT_EQ(await(commands_.get("", "")).size(), 3U);
+  EXPECT_EQ(await(commands_.get("Pool", "")).size(), 1U);
+  EXPECT_EQ(await(commands_.get("Pool", "p")).size(), 1U);
+  EXPECT_THROW(await(commands_.get("Workspace", "p")), not_found_error);
 }
 
 TEST_F(OperatorCommandsTest, SortsTheAuditTrailByTimeAndSetsAsideWhatItCannotRead)
@@ -200,18 +200,18 @@
                                                       .object_kind = "Pool",
                                                       .object_name = name,
                                                       .new_revision = revision});
-    await(api.create("auditrecords", record, fakes::far_deadline()));
+    await(api_.create("auditrecords", record, fakes::far_deadline()));
   };
   add(2000, 2, "p");
   add(1000, 1, "p");
   add(1500, 3, "q");
-  await(api.create("auditrecords", make_document("AuditRecord", "odd", nullptr),
-                   fakes::far_deadline()));
-  const auto all = await(commands.audit(""));
+  await(api_.create("auditrecords", make_document("AuditRecord", "odd", nullptr),
+                    fakes::far_deadline()));
+  const auto all = await(commands_.audit(""));
   ASSERT_EQ(all.records.size(), 3U);
   EXPECT_EQ(all.records.front().new_revision, 1U);
   EXPECT_EQ(all.unreadable, std::vector<std::string>{"odd"});
-  EXPECT_EQ(await(commands.audit("q")).records.size(), 1U);
+  EXPECT_EQ(await(commands_.audit("q")).records.size(), 1U);
 }
 
 TEST(OperatorInputTest, ReadsOneManyOrAList)
--- a/test/platform/operator_fixture.h
+++ b/test/platform/operator_fixture.h
@@ -24,42 +24,42 @@
   template <typename result> result await(boost::asio::awaitable<result> task)
   {
     std::optional<result> out;
-    fakes::run(context, keep(std::move(task), out));
+    fakes::run(context_, keep(std::move(task), out));
     return std::move(*out);
   }
 
-  void await(boost::asio::awaitable<void> task) { fakes::run(context, std::move(task)); }
+  void await(boost::asio::awaitable<void> task) { fakes::run(context_, std::move(task)); }
 
   void set_faults(std::string_view changes)
   {
-    fake.set_faults(boost::json::parse({changes.data(), changes.size()}));
+    fake_.set_faults(boost::json::parse({changes.data(), changes.size()}));
   }
 
   [[nodiscard]] operator_commands commands_of(std::string who)
   {
     return {
-        api,
+        api_,
         {.author = {.name = std::move(who), .cause = "test"}, .deadline = fakes::far_deadline()}};
   }
 
-  // Creates a workspace past the commands, and returns its version.
+  // Creates a workspace past the commands_, and returns its version.
   std::uint64_t given_workspace(const std::string& name, std::string_view labels = "{}")
   {
     auto document = make_document("Workspace", name, boost::json::object{});
     document.at("metadata").as_object()["labels"] =
         boost::json::parse({labels.data(), labels.size()});
-    return await(api.create("declarations", document, fakes::far_deadline())).version;
+    return await(api_.create("declarations", document, fakes::far_deadline())).version;
   }
 
   stored_object stored(const std::string& name)
   {
-    return await(api.get("declarations", name, fakes::far_deadline()));
+    return await(api_.get("declarations", name, fakes::far_deadline()));
   }
 
-  boost::asio::io_context context;
-  fakes::fake_object_api fake{context};
-  http::client client{context};
-  object_api api{client, fake.address()};
+  boost::asio::io_context context_;
+  fakes::fake_object_api fake_{context_};
+  http::client client_{context_};
+  object_api api_{client_, fake_.address()};
 
  private:
   template <typename result>
--- a/test/platform/wisteriaflowctl_test.cc
+++ b/test/platform/wisteriaflowctl_test.cc
@@ -40,11 +40,14 @@
 // The fake runs on a thread of its own while the program runs.
 class wisteriaflowctl_test : public object_api_fixture {
  protected:
-  wisteriaflowctl_test() : serving_([this] { context.run(); }) {}
+  wisteriaflowctl_test() : serving_([this] { context_.run(); }) {}
+
+  wisteriaflowctl_test(const wisteriaflowctl_test&) = delete;
+  wisteriaflowctl_test& operator=(const wisteriaflowctl_test&) = delete;
 
   ~wisteriaflowctl_test() override
   {
-    context.stop();
+    context_.stop();
     serving_.join();
   }
 
@@ -54,9 +57,9 @@
   }
 
  private:
-  std::string platform_ = http::to_string(fake.address());
+  std::string platform_ = http::to_string(fake_.address());
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_ =
-      boost::asio::make_work_guard(context);
+      boost::asio::make_work_guard(context_);
   std::thread serving_;
 };
 using WisteriaflowctlTest = wisteriaflowctl_test; // NOLINT(readability-identifier-naming)
