Watch on from the last version instead of listing each period

Cause: each 30 s watch began with a whole list. At 500 declarations of 1 KB that is some 16 KB/s a daemon, all of its control budget (arithmetic, not measured). Now a watch goes on where the last one ended; a whole list comes every relist_ms (5 min, jittered) and after a 410.

--- a/include/wisteriaflow/daemon/caller_side.h
+++ b/include/wisteriaflow/daemon/caller_side.h
@@ -3,6 +3,10 @@
 #ifndef WISTERIAFLOW_DAEMON_CALLER_SIDE_H_
 #define WISTERIAFLOW_DAEMON_CALLER_SIDE_H_
 
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/http/server.h"
+
 #include <deque>
 #include <map>
 #include <memory>
@@ -10,15 +14,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "wisteriaflow/daemon/duty_thread.h"
-#include "wisteriaflow/daemon/settings.h"
-#include "wisteriaflow/http/server.h"
-
 namespace wisteriaflow::daemon {
 
 // Serves callers. Everything that is decided about a call is decided by the core.
 class caller_side {
-public:
+ public:
   // Listens at once; throws http::http_error if it cannot. Serves after start().
   caller_side(const settings& s, std::shared_ptr<event_ring> core);
 
@@ -32,7 +32,7 @@
     return thread_.ring();
   }
 
-private:
+ private:
   // What the core has sent for one call and its coroutine has not yet written.
   struct mailbox {
     explicit mailbox(boost::asio::io_context& context) : signal(context) {}
--- a/include/wisteriaflow/daemon/daemon.h
+++ b/include/wisteriaflow/daemon/daemon.h
@@ -3,11 +3,11 @@
 #ifndef WISTERIAFLOW_DAEMON_DAEMON_H_
 #define WISTERIAFLOW_DAEMON_DAEMON_H_
 
-#include <memory>
-
 #include "wisteriaflow/daemon/settings.h"
 #include "wisteriaflow/http/message.h"
 
+#include <memory>
+
 namespace wisteriaflow::daemon {
 
 // Runs until it is told to drain and has drained.
@@ -16,7 +16,7 @@
 //   d.run();          // on this thread, until drained
 //   d.request_drain() // from any thread
 class daemon {
-public:
+ public:
   // Binds its addresses at once. Throws http::http_error or peer::peer_error if it cannot.
   explicit daemon(const settings& s);
   ~daemon();
@@ -32,7 +32,7 @@
   // Takes no new work, finishes or hands over the rest, then lets run() return.
   void request_drain();
 
-private:
+ private:
   class implementation;
   std::unique_ptr<implementation> implementation_;
 };
--- a/include/wisteriaflow/daemon/duty_thread.h
+++ b/include/wisteriaflow/daemon/duty_thread.h
@@ -3,6 +3,9 @@
 #ifndef WISTERIAFLOW_DAEMON_DUTY_THREAD_H_
 #define WISTERIAFLOW_DAEMON_DUTY_THREAD_H_
 
+#include "wisteriaflow/daemon/event_sink.h"
+#include "wisteriaflow/daemon/ring_port.h"
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -14,20 +17,18 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "wisteriaflow/daemon/event_sink.h"
-#include "wisteriaflow/daemon/ring_port.h"
-
 namespace wisteriaflow::daemon {
 
 // Runs an io_context on a thread of its own. Actions pushed into its ring are handed to `on_action`
 // on that thread; events go to the core through `events()`, also on that thread.
 template <typename Action> class duty_thread {
-public:
+ public:
   duty_thread(std::shared_ptr<event_ring> core, std::function<void(Action)> on_action)
       : on_action_(std::move(on_action)), events_(std::move(core)), retry_(context_),
         work_(boost::asio::make_work_guard(context_)),
         ring_(std::make_shared<bounded_ring<Action>>(action_ring_capacity, [this] { wake(); }))
-  {}
+  {
+  }
 
   ~duty_thread() { stop(); }
   duty_thread(const duty_thread&) = delete;
@@ -60,7 +61,7 @@
     flush_later();
   }
 
-private:
+ private:
   static constexpr std::chrono::milliseconds retry_interval{1};
 
   void wake()
--- a/include/wisteriaflow/daemon/endpoint_side.h
+++ b/include/wisteriaflow/daemon/endpoint_side.h
@@ -3,20 +3,20 @@
 #ifndef WISTERIAFLOW_DAEMON_ENDPOINT_SIDE_H_
 #define WISTERIAFLOW_DAEMON_ENDPOINT_SIDE_H_
 
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/http/client.h"
+
 #include <map>
 #include <memory>
 
 #include <boost/asio/awaitable.hpp>
 
-#include "wisteriaflow/daemon/duty_thread.h"
-#include "wisteriaflow/http/client.h"
-
 namespace wisteriaflow::daemon {
 
 // Runs exchanges with endpoints. An exchange ends with exactly one of ended and failed, or with
 // nothing after the core cancelled it.
 class endpoint_side {
-public:
+ public:
   explicit endpoint_side(std::shared_ptr<event_ring> core);
 
   void start() { thread_.start(); }
@@ -26,7 +26,7 @@
     return thread_.ring();
   }
 
-private:
+ private:
   void take(const core::start_exchange& a);
   void take(const core::cancel_exchange& a);
   void take(const core::poll_load& a);
--- a/include/wisteriaflow/daemon/platform_side.h
+++ b/include/wisteriaflow/daemon/platform_side.h
@@ -4,22 +4,22 @@
 #ifndef WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
 #define WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
 
-#include <memory>
-#include <random>
-
-#include <boost/asio/awaitable.hpp>
-
 #include "wisteriaflow/daemon/duty_thread.h"
 #include "wisteriaflow/daemon/settings.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/platform/object_api.h"
 
+#include <memory>
+#include <random>
+
+#include <boost/asio/awaitable.hpp>
+
 namespace wisteriaflow::daemon {
 
 // Calls the platform. Each loop backs off with full jitter while its service fails, so that a
 // fleet does not come back all at once.
 class platform_side {
-public:
+ public:
   platform_side(const settings& s, std::shared_ptr<event_ring> core);
 
   void start();
@@ -29,10 +29,11 @@
     return thread_.ring();
   }
 
-private:
+ private:
   boost::asio::awaitable<void> run_store_call(core::call_store a);
   boost::asio::awaitable<core::store_answer> perform(const core::call_store& a);
   boost::asio::awaitable<void> watch_declarations();
+  boost::asio::awaitable<void> watch_from(std::uint64_t& version);
   boost::asio::awaitable<std::uint64_t> list_declarations();
   boost::asio::awaitable<void> poll_instances();
   boost::asio::awaitable<void> poll_notices();
@@ -40,6 +41,7 @@
                                      boost::json::value& out);
   boost::asio::awaitable<void> sleep(std::chrono::milliseconds period);
   [[nodiscard]] std::chrono::milliseconds backoff(unsigned failures);
+  [[nodiscard]] std::chrono::milliseconds jittered(std::chrono::milliseconds longest);
   [[nodiscard]] mono_time call_deadline() const;
 
   settings settings_;
--- a/include/wisteriaflow/daemon/ring_port.h
+++ b/include/wisteriaflow/daemon/ring_port.h
@@ -3,18 +3,18 @@
 #ifndef WISTERIAFLOW_DAEMON_RING_PORT_H_
 #define WISTERIAFLOW_DAEMON_RING_PORT_H_
 
+#include "wisteriaflow/daemon/bounded_ring.h"
+
 #include <deque>
 #include <memory>
 #include <utility>
 
-#include "wisteriaflow/daemon/bounded_ring.h"
-
 namespace wisteriaflow::daemon {
 
 // Keeps messages in order while the ring is full, and passes them on at the next flush. What can
 // pile up here is bounded by the requests that were admitted. Used by one thread.
 template <typename T> class ring_port {
-public:
+ public:
   explicit ring_port(std::shared_ptr<bounded_ring<T>> ring) : ring_(std::move(ring)) {}
 
   // Sends `message`, or keeps it until flush().
@@ -37,7 +37,7 @@
     return true;
   }
 
-private:
+ private:
   std::shared_ptr<bounded_ring<T>> ring_;
   std::deque<T> waiting_;
 };
--- a/include/wisteriaflow/daemon/settings.h
+++ b/include/wisteriaflow/daemon/settings.h
@@ -63,6 +63,7 @@
   std::chrono::milliseconds instance_list_period{};
   std::chrono::milliseconds notice_period{};
   std::chrono::milliseconds watch_period{};
+  std::chrono::milliseconds relist_period{};
 
   // [requests]
   std::chrono::milliseconds default_timeout{};
--- a/src/daemon/platform_side.cc
+++ b/src/daemon/platform_side.cc
@@ -1,5 +1,9 @@
 #include "wisteriaflow/daemon/platform_side.h"
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/platform/errors.h"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -9,10 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/platform/errors.h"
-
 namespace wisteriaflow::daemon {
 namespace {
 
@@ -64,7 +64,7 @@
     co_return out;
   }
 
-private:
+ private:
   static core::store_answer one(platform::stored_object o)
   {
     core::store_answer out{.status = core::store_status::ok};
@@ -85,7 +85,8 @@
               }),
       client_(thread_.context()), store_(client_, http::parse_socket_address(s.object_api)),
       random_(hash64_of(s.daemon_id, static_cast<std::uint64_t>(s.seed)))
-{}
+{
+}
 
 void platform_side::start()
 {
@@ -140,23 +141,20 @@
 {
   unsigned failures = 0;
   std::uint64_t version = 0;
+  mono_time list_due; // long past: lists first
   for (;;) {
     bool failed = false;
     try {
-      // Each watch starts from a full list: a change that a watch lost is seen a period later.
-      version = co_await list_declarations();
+      const auto now = std::chrono::steady_clock::now();
+      if (now >= list_due) {
+        version = co_await list_declarations();
+        // Jittered, so that a fleet that started together does not list together for ever.
+        list_due = now + settings_.relist_period / 2 + jittered(settings_.relist_period);
+      }
+      co_await watch_from(version);
       failures = 0;
-      const auto on_event = [this](platform::watch_event e) {
-        if (e.kind == platform::watch_event_kind::bookmark) {
-          return;
-        }
-        const bool deleted = e.kind == platform::watch_event_kind::deleted;
-        auto object = store_object_of(std::move(e.object));
-        thread_.post_event(
-            core::declaration_changed{.deleted = deleted, .object = std::move(object)});
-      };
-      const auto deadline = std::chrono::steady_clock::now() + settings_.watch_period;
-      co_await store_.watch(declarations, version, deadline, on_event);
+    } catch (const platform::watch_expired_error&) {
+      list_due = {};
     } catch (const platform::platform_error&) {
       failed = true;
     }
@@ -167,6 +165,22 @@
   }
 }
 
+// Passes on the changes after `version`, and raises it as they come.
+boost::asio::awaitable<void> platform_side::watch_from(std::uint64_t& version)
+{
+  const auto on_event = [this, &version](platform::watch_event e) {
+    version = std::max(version, e.object.version);
+    if (e.kind == platform::watch_event_kind::bookmark) {
+      return;
+    }
+    const bool deleted = e.kind == platform::watch_event_kind::deleted;
+    auto object = store_object_of(std::move(e.object));
+    thread_.post_event(core::declaration_changed{.deleted = deleted, .object = std::move(object)});
+  };
+  const auto deadline = std::chrono::steady_clock::now() + settings_.watch_period;
+  co_await store_.watch(declarations, version, deadline, on_event);
+}
+
 boost::asio::awaitable<bool> platform_side::fetch(http::socket_address from, std::string target,
                                                   boost::json::value& out)
 {
@@ -228,8 +242,13 @@
 {
   const auto doublings = std::min(failures, backoff_doublings);
   const auto ceiling = std::min(backoff_base * (1 << doublings), backoff_limit);
-  std::uniform_int_distribution<std::int64_t> jitter(1, ceiling.count());
-  return std::chrono::milliseconds(jitter(random_));
+  return jittered(ceiling);
+}
+
+std::chrono::milliseconds platform_side::jittered(std::chrono::milliseconds longest)
+{
+  std::uniform_int_distribution<std::int64_t> draw(1, longest.count());
+  return std::chrono::milliseconds(draw(random_));
 }
 
 mono_time platform_side::call_deadline() const
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -100,6 +100,7 @@
        period_rule{&s::instance_list_period, 50, 10 * minute}},
       {"platform", "notice_period_ms", "500", period_rule{&s::notice_period, 50, 10 * minute}},
       {"platform", "watch_ms", "30000", period_rule{&s::watch_period, second, hour}},
+      {"platform", "relist_ms", "300000", period_rule{&s::relist_period, second, 24 * hour}},
       {"requests", "default_timeout_ms", "60000", period_rule{&s::default_timeout, 100, hour}},
       {"requests", "max_timeout_ms", "600000", period_rule{&s::max_timeout, 100, 24 * hour}},
       {"requests", "answer_retention_ms", "600000",
