--- a/src/claims/asker_core.cc
+++ b/src/claims/asker_core.cc
@@ -37,8 +37,8 @@
 
 void asker_core::query_again()
 {
-  actions_.emplace_back(query_executor{
-      .executor = holder_, .key = options_.request.key, .nonce = holder_nonce_});
+  actions_.emplace_back(
+      query_executor{.executor = holder_, .key = options_.request.key, .nonce = holder_nonce_});
 }
 
 void asker_core::note_replaced()
@@ -54,8 +54,8 @@
 
 void asker_core::follow(const executor_answered& answer)
 {
-  actions_.emplace_back(follow_executor{
-      .executor = holder_, .nonce = holder_nonce_, .standing = answer.standing});
+  actions_.emplace_back(
+      follow_executor{.executor = holder_, .nonce = holder_nonce_, .standing = answer.standing});
 }
 
 void asker_core::refuse_unavailable(const claim_reply& reply)
@@ -71,8 +71,7 @@
 
 void asker_core::refuse_granted()
 {
-  actions_.emplace_back(
-      refuse_claim{.reason = refusal_reason::deadline_passed, .key_free = true});
+  actions_.emplace_back(refuse_claim{.reason = refusal_reason::deadline_passed, .key_free = true});
 }
 
 void asker_core::refuse_cancelled()
--- a/src/claims/asker_core.h
+++ b/src/claims/asker_core.h
@@ -101,7 +101,7 @@
   std::chrono::milliseconds pause_;
   mono_time retry_at_;
   int hints_followed_ = 0; // since the last pause
-  daemon_id holder_; // executor of the claim that holds the key
+  daemon_id holder_;       // executor of the claim that holds the key
   std::uint64_t holder_nonce_ = 0;
   bool dispatched_ = false;
   std::vector<asker_action> actions_;
--- a/src/claims/claim_asker.cc
+++ b/src/claims/claim_asker.cc
@@ -149,8 +149,7 @@
  private:
   [[nodiscard]] bool is_waiting() const
   {
-    return machine_.current == phase::waiting_to_ask ||
-           machine_.current == phase::waiting_to_query;
+    return machine_.current == phase::waiting_to_ask || machine_.current == phase::waiting_to_query;
   }
 
   asker_machine machine_;
--- a/src/claims/owner_core.cc
+++ b/src/claims/owner_core.cc
@@ -16,8 +16,7 @@
 
 claim_reply duplicate_of(const claim_entry& entry)
 {
-  return {
-      .result = claim_result::duplicate, .executor = entry.executor, .nonce = entry.nonce};
+  return {.result = claim_result::duplicate, .executor = entry.executor, .nonce = entry.nonce};
 }
 
 } // namespace
@@ -54,8 +53,8 @@
 void owner_core::call(store_operation operation)
 {
   open_call_ = next_call_++;
-  actions_.emplace_back(store_call{
-      .id = open_call_, .shard = options_.shard, .operation = std::move(operation)});
+  actions_.emplace_back(
+      store_call{.id = open_call_, .shard = options_.shard, .operation = std::move(operation)});
 }
 
 void owner_core::reply(std::uint64_t token, claim_reply reply)
@@ -195,8 +194,11 @@
 {
   contents_.reset(value.version, value.tail.value_or(shard_tail{}));
   owner_hint_ = contents_.tail().owner;
-  if (missing_segment_ && missing_at_version_ == value.version) {
-    contents_.give_up(*missing_segment_);
+  if (missing_at_version_ != value.version) {
+    missing_segments_.clear();
+  }
+  for (const auto& id : missing_segments_) {
+    contents_.give_up(id);
   }
 }
 
@@ -214,7 +216,9 @@
 
 void owner_core::note_missing_segment()
 {
-  missing_segment_ = contents_.next_to_load();
+  if (const auto id = contents_.next_to_load()) {
+    missing_segments_.insert(*id);
+  }
   missing_at_version_ = contents_.version();
 }
 
@@ -229,7 +233,7 @@
 {
   contents_.landed(answer.version, std::move(update_->tail));
   update_.reset();
-  missing_segment_.reset();
+  missing_segments_.clear();
   refuse_until_ = {};
   owner_hint_ = options_.self;
   next_flush_at_ = now_.mono;
@@ -321,8 +325,8 @@
 {
   for (const auto& id : contents_.take_deletable()) {
     open_deletes_.emplace(next_call_, id);
-    actions_.emplace_back(store_call{
-        .id = next_call_++, .shard = options_.shard, .operation = delete_segment{id}});
+    actions_.emplace_back(
+        store_call{.id = next_call_++, .shard = options_.shard, .operation = delete_segment{id}});
   }
 }
 
--- a/src/claims/owner_core.h
+++ b/src/claims/owner_core.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace wisteriaflow::claims::internal {
@@ -97,8 +98,8 @@
   std::uint64_t next_call_ = 1;
   std::uint64_t open_call_ = 0;
   std::map<std::uint64_t, segment_id> open_deletes_;
-  std::optional<update_tail> update_; // under way, or unsettled
-  std::optional<segment_id> missing_segment_;
+  std::optional<update_tail> update_;     // under way, or unsettled
+  std::set<segment_id> missing_segments_; // listed at missing_at_version_, but not there
   std::uint64_t missing_at_version_ = 0;
   daemon_id owner_hint_;
   std::optional<mono_time> retry_at_;
--- a/src/claims/shard_map.cc
+++ b/src/claims/shard_map.cc
@@ -18,9 +18,8 @@
   const auto rank = [shard](const daemon_id& id) {
     return std::pair(rendezvous_score(shard, id.value()), id);
   };
-  return *std::max_element(live.begin(), live.end(), [&](const auto& a, const auto& b) {
-    return rank(a) < rank(b);
-  });
+  return *std::max_element(live.begin(), live.end(),
+                           [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
 }
 
 } // namespace wisteriaflow::claims
--- a/test/claims/claims_property_test.cc
+++ b/test/claims/claims_property_test.cc
@@ -41,8 +41,8 @@
 rc::Gen<step_list> any_steps()
 {
   const auto step = rc::gen::map(rc::gen::inRange(0, total_weight()), step_for);
-  return rc::gen::scale(
-      6.0, rc::gen::container<step_list>(rc::gen::pair(step, rc::gen::inRange<std::size_t>(0, 40))));
+  return rc::gen::scale(6.0, rc::gen::container<step_list>(
+                                 rc::gen::pair(step, rc::gen::inRange<std::size_t>(0, 40))));
 }
 
 int most_runs(const claims_world& world)
--- a/test/claims/claims_world.h
+++ b/test/claims/claims_world.h
@@ -19,19 +19,19 @@
 
 // What a step does; the same actions as in models/claims.pml.
 enum class world_step : std::uint8_t {
-  submit,        // a caller sends a key to a daemon
-  apply_call,    // a call reaches the store
-  answer_call,   // its answer reaches the daemon
-  lose_answer,   // the daemon gives up on a call, which may still reach the store
-  refuse_call,   // a call fails for certain
-  deliver,       // a message between daemons arrives
-  lose_message,  // or does not
-  want,          // a daemon comes to believe that it should own the shard
-  unwant,        // or that it should not
-  pause,         // a daemon stops
-  resume,        // and goes on
-  crash,         // a daemon starts anew with nothing
-  pass_time,     // a short while
+  submit,         // a caller sends a key to a daemon
+  apply_call,     // a call reaches the store
+  answer_call,    // its answer reaches the daemon
+  lose_answer,    // the daemon gives up on a call, which may still reach the store
+  refuse_call,    // a call fails for certain
+  deliver,        // a message between daemons arrives
+  lose_message,   // or does not
+  want,           // a daemon comes to believe that it should own the shard
+  unwant,         // or that it should not
+  pause,          // a daemon stops
+  resume,         // and goes on
+  crash,          // a daemon starts anew with nothing
+  pass_time,      // a short while
   pass_retention, // a long while
 };
 inline constexpr int world_steps = 14;
--- a/test/claims/fake_claim_store.h
+++ b/test/claims/fake_claim_store.h
@@ -34,8 +34,7 @@
   [[nodiscard]] std::optional<shard_tail> tail(std::uint32_t shard) const
   {
     const auto it = objects_.find(tail_name(shard));
-    return it == objects_.end() ? std::nullopt
-                                : std::optional(decode_tail(it->second.document));
+    return it == objects_.end() ? std::nullopt : std::optional(decode_tail(it->second.document));
   }
 
   [[nodiscard]] std::size_t segments() const { return segments_.size(); }
