--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -40,6 +40,11 @@
     target_link_libraries(${package}_test PRIVATE wisteriaflow_daemon wisteriaflow_fakes)
     target_compile_definitions(${package}_test PRIVATE
                                WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
+    foreach(program wisteriaflowd wisteriaflowctl)
+      if(TARGET ${program})
+        add_dependencies(${package}_test ${program})
+      endif()
+    endforeach()
   endif()
   target_link_libraries(${package}_test PRIVATE GTest::gtest GTest::gtest_main rapidcheck)
   gtest_discover_tests(${package}_test DISCOVERY_TIMEOUT 60
@@ -53,8 +58,7 @@
   file(GLOB bench_parts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/${name}_*.cc)
   add_executable(${name} ${bench} ${bench_parts})
   target_include_directories(${name} PRIVATE bench src test)
-  target_link_libraries(${name} PRIVATE wisteriaflow_daemon
-                        $<$<TARGET_EXISTS:wisteriaflow_fakes>:wisteriaflow_fakes> benchmark::benchmark
+  target_link_libraries(${name} PRIVATE wisteriaflow_daemon wisteriaflow_fakes benchmark::benchmark
                         absl::flags absl::flags_parse)
 endforeach()
 
--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -3,9 +3,13 @@
 //   boost::asio::io_context context;
 //   http::server server(context, {.address = {"127.0.0.1", 0}},
 //                       [](http::request r, http::response_writer& w) -> asio::awaitable<void> {
-//                         co_await w.send({.status = 200, .body = "hello"});
+//                         http::response hello{.status = 200, .body = "hello"};
+//                         co_await w.send(std::move(hello));
 //                       });
 //   context.run();
+//
+// In handlers, build messages in locals as above: GCC 12 destroys some temporaries inside a
+// co_await expression twice.
 
 #ifndef WISTERIAFLOW_HTTP_SERVER_H_
 #define WISTERIAFLOW_HTTP_SERVER_H_
@@ -53,13 +57,13 @@
 
 // What a server accepts. A request over a limit is answered 431 or 413 and its connection closed.
 struct server_options {
-  socket_address address;                          // port 0: the kernel chooses
-  std::size_t header_limit = 16 * 1024;            // bytes
-  std::size_t body_limit = 4 * 1024 * 1024;        // bytes
-  std::size_t connection_limit = 4096;             // more are accepted and closed at once
-  std::chrono::milliseconds read_timeout{30'000};  // a whole request must arrive within it
-  std::chrono::milliseconds idle_timeout{60'000};  // between requests of a connection
-  std::chrono::milliseconds write_timeout{10'000}; // a slow reader is cut after it
+  socket_address address;                                // port 0: the kernel chooses
+  std::size_t header_limit = std::size_t{16} * 1024;     // bytes
+  std::size_t body_limit = std::size_t{4} * 1024 * 1024; // bytes
+  std::size_t connection_limit = 4096;                   // more are accepted and closed at once
+  std::chrono::milliseconds read_timeout{30'000};        // a whole request must arrive within it
+  std::chrono::milliseconds idle_timeout{60'000};        // between requests of a connection
+  std::chrono::milliseconds write_timeout{10'000};       // a slow reader is cut after it
 };
 
 // Accepts connections until stopped. Not thread-safe: use it on its io_context's thread.
@@ -77,7 +81,8 @@
   // Requests received whose response is not finished.
   [[nodiscard]] std::size_t open_requests() const;
 
-  // Takes no new connections; connections close after the response they are sending.
+  // Takes no new connections; connections close after the response they are sending, and idle
+  // ones after a moment in which a request under way is still answered.
   void stop_accepting();
 
   // Closes everything at once.
