--- a/include/wisteriaflow/base/hash.h
+++ b/include/wisteriaflow/base/hash.h
@@ -16,7 +16,8 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  friend auto operator<=>(const hash128&, const hash128&) = default;
+  friend auto operator<=>(const hash128&,
+                          const hash128&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Hash of `text`, different for each `seed`.
--- a/include/wisteriaflow/claims/claim.h
+++ b/include/wisteriaflow/claims/claim.h
@@ -50,7 +50,8 @@
   daemon_id executor;
   std::uint64_t nonce = 0;
 
-  friend auto operator<=>(const claim_entry&, const claim_entry&) = default;
+  friend auto operator<=>(const claim_entry&,
+                          const claim_entry&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Asks that `executor`, and nobody else, may run the request with this key.
@@ -67,7 +68,8 @@
   std::uint64_t replaces_nonce = 0;
   workspace_id workspace;
 
-  friend auto operator<=>(const claim_request&, const claim_request&) = default;
+  friend auto operator<=>(const claim_request&,
+                          const claim_request&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class claim_result {
@@ -88,7 +90,8 @@
   // the key. An owner that has been taken over without knowing it may be wrong in this.
   bool key_free = false;
 
-  friend auto operator<=>(const claim_reply&, const claim_reply&) = default;
+  friend auto operator<=>(const claim_reply&,
+                          const claim_reply&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace wisteriaflow::claims
--- a/include/wisteriaflow/claims/shard_tail.h
+++ b/include/wisteriaflow/claims/shard_tail.h
@@ -24,7 +24,8 @@
   std::uint64_t epoch = 0;
   std::uint32_t number = 0;
 
-  friend auto operator<=>(const segment_id&, const segment_id&) = default;
+  friend auto operator<=>(const segment_id&,
+                          const segment_id&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A segment as the tail lists it.
@@ -33,7 +34,8 @@
   std::uint32_t entries = 0;
   wall_time max_created; // of the youngest key in it
 
-  friend auto operator<=>(const segment_info&, const segment_info&) = default;
+  friend auto operator<=>(const segment_info&,
+                          const segment_info&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A segment's content, in order of key.
@@ -41,7 +43,8 @@
   segment_id id;
   std::vector<claim_entry> entries;
 
-  friend auto operator<=>(const claim_segment&, const claim_segment&) = default;
+  friend auto operator<=>(const claim_segment&,
+                          const claim_segment&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // The tail's content.
@@ -62,7 +65,8 @@
   // Younger than all segments.
   std::vector<claim_entry> entries;
 
-  friend auto operator<=>(const shard_tail&, const shard_tail&) = default;
+  friend auto operator<=>(const shard_tail&,
+                          const shard_tail&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Name of a shard's tail object, as in `shard-007`.
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using membership::member;
-using membership::member_key;
 using membership::member_kind;
 using membership::member_state;
 
