core: a hello to a seed brings the peer's whole view

Cause: the first message to a seed carried no hashes of the own view, so the reply held only what was news to the peer at that moment. A daemon that came back knew no live peer for some hundred milliseconds, until an exchange and a repair had run; a caller who came back to it in that time was told that no answer is kept for its key.

The hello now carries the view's hashes, as a repair asks, and the reply brings the records that differ.

Ruled out: a shorter gossip period, which costs all daemons for ever. Before: a random script of drains and returning callers failed with 404 387 ms after a restart. After: that script passes.

--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -229,6 +229,10 @@
   hello.peer_address = to_string(to);
   hello.message.from = context_.options().self;
   hello.message.members.push_back(view_.self());
+  // By these the peer sees what is unknown here, so that its reply brings it.
+  hello.message.view_version = view_.version();
+  hello.message.view_hash = view_.hash();
+  hello.message.view_buckets = {view_.buckets().begin(), view_.buckets().end()};
   hello.message.configuration_revision = gossiper_.highest_configuration().revision;
   send({std::move(hello)});
 }
