core: do not deny an answer before the peers are known

Cause: a daemon that had just started answered GET /v1/answers/KEY with 404 at once, since it knew no peer that it could ask. A caller reads that as final.

It now looks the key up when its configuration is ready, which is when it has heard a peer or knows that none answers; after five seconds it says outcome unknown, since it cannot know. Such callers also hold a drain open: the process does not stop under a call that waits for peers.

Ruled out: 503 refused, not run: a request under that key may be running.

--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -20,6 +20,8 @@
 constexpr int status_see_other = 303;
 constexpr int bytes_per_token = 4; // of English text, for estimates
 constexpr std::chrono::milliseconds draining_retry{1'000};
+constexpr std::chrono::milliseconds readiness_wait{5'000};
+constexpr std::chrono::milliseconds readiness_check{100};
 constexpr double unlimited = 1e12; // a share that never binds
 
 admission::admission_options admission_options_of(const daemon_core_options& o)
@@ -415,18 +417,47 @@
     join(run->request_id, {.call = call, .streamed = streamed, .next_offset = from});
     return;
   }
-  services_.places.find(wanted, [this, call, key](const std::string& address) {
-    if (address.empty()) {
-      send_outcome(call, requests::invalid{status_not_found, "no answer is kept for this key"});
-      return;
-    }
-    http::response moved{.status = status_see_other};
-    moved.fields.push_back(
-        {.name = "Location", .value = "http://" + address + "/v1/answers/" + key});
-    context_.emit(caller_action(respond{.call = call, .whole = std::move(moved)}));
+  look_elsewhere(call, wanted, context_.now().mono + readiness_wait);
+}
+
+// A daemon that has just started knows neither its peers nor what they keep: saying that there is no
+// answer would be wrong, so the caller waits until it does.
+void request_table::look_elsewhere(call_number call, const requests::answer_key& wanted,
+                                   mono_time deadline)
+{
+  ++looking_;
+  if (services_.config.ready()) {
+    services_.places.find(wanted, [this, call, wanted](const std::string& address) {
+      --looking_;
+      send_place(call, wanted, address);
+    });
+    return;
+  }
+  const auto now = context_.now().mono;
+  if (now >= deadline) {
+    --looking_;
+    send_outcome(call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
+    return;
+  }
+  context_.timers().at(now + readiness_check, [this, call, wanted, deadline] {
+    --looking_;
+    look_elsewhere(call, wanted, deadline);
   });
 }
 
+void request_table::send_place(call_number call, const requests::answer_key& wanted,
+                               const std::string& address)
+{
+  if (address.empty()) {
+    send_outcome(call, requests::invalid{status_not_found, "no answer is kept for this key"});
+    return;
+  }
+  http::response moved{.status = status_see_other};
+  moved.fields.push_back(
+      {.name = "Location", .value = "http://" + address + "/v1/answers/" + wanted.key});
+  context_.emit(caller_action(respond{.call = call, .whole = std::move(moved)}));
+}
+
 void request_table::on_caller_closed(call_number call)
 {
   auto node = calls_.extract(call);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -76,7 +76,10 @@
   void drain(mono_time hand_over_at);
 
   // Whether nothing is left to be done for callers.
-  [[nodiscard]] bool drained() const { return draining_ && active_.empty() && handing_ == 0; }
+  [[nodiscard]] bool drained() const
+  {
+    return draining_ && active_.empty() && handing_ == 0 && looking_ == 0;
+  }
 
   [[nodiscard]] std::size_t in_flight() const { return active_.size(); }
   [[nodiscard]] admission::admission_control& admission() { return admission_; }
@@ -96,6 +99,8 @@
   void join(const std::string& id, attached_call call);
   void send_kept(call_number call, const requests::kept_answer& answer, bool streamed,
                  std::uint64_t from);
+  void look_elsewhere(call_number call, const requests::answer_key& wanted, mono_time deadline);
+  void send_place(call_number call, const requests::answer_key& wanted, const std::string& address);
   void feed(active_request& r, requests::request_event event);
   void close(active_request& r);
   void send_tokens(active_request& r);
@@ -164,6 +169,7 @@
   bool feeding_ = false;
   bool draining_ = false;
   int handing_ = 0; // answers on their way to a peer
+  int looking_ = 0; // callers for whom peers are asked where an answer is
   std::uint64_t last_id_ = 0;
 };
 
