core: tell new keepers of a key where its answer is

Cause: the place of an answer was told to the key's two keepers once, when its request was admitted. When both had left, and others had come, no daemon but the one that had the answer could find it, though nothing had failed.

A daemon now tells again whenever the live daemons change, only the keepers that it has not told.

Ruled out: handing the notes over at a drain, which a crash would not do; asking every daemon before a 404, which costs the fleet one message each.

--- a/src/core/answer_places.cc
+++ b/src/core/answer_places.cc
@@ -37,12 +37,47 @@
   const auto until = context_.now().wall + context_.options().answer_retention;
   const place_note note{
       .key = place_key_of(key), .caller_address = caller_address, .keep_until = until};
-  for (const auto& keeper : keepers_of(note.key)) {
-    if (keeper == context_.options().self) {
-      on_note(note);
-    } else if (const auto to = fleet_.peer_address_of(keeper)) {
-      context_.call_peer(*to, note, [](const peer_response*) {});
+  auto keepers = keepers_of(note.key);
+  for (const auto& keeper : keepers) {
+    tell(keeper, note);
+  }
+  if (caller_address != to_string(context_.options().caller_address)) {
+    own_.erase(note.key); // handed over: its new place tells the keepers from now on
+  } else if (own_.size() < place_limit) {
+    own_.insert_or_assign(note.key, own_answer{until, std::move(keepers)});
+  }
+}
+
+void answer_places::tell(const daemon_id& keeper, const place_note& note)
+{
+  if (keeper == context_.options().self) {
+    on_note(note);
+  } else if (const auto to = fleet_.peer_address_of(keeper)) {
+    context_.call_peer(*to, note, [](const peer_response*) {});
+  }
+}
+
+// A keeper that left has forgotten, and one that came does not know yet.
+void answer_places::on_daemons_changed()
+{
+  auto live = fleet_.live_daemon_ids();
+  if (live == live_) {
+    return;
+  }
+  live_ = std::move(live);
+  const auto now = context_.now().wall;
+  std::erase_if(own_, [now](const auto& item) { return item.second.keep_until < now; });
+  const auto own = to_string(context_.options().caller_address);
+  for (auto& [key, answer] : own_) {
+    const place_note note{
+        .key = key, .caller_address = own, .keep_until = answer.keep_until};
+    auto keepers = keepers_of(key);
+    for (const auto& keeper : keepers) {
+      if (std::find(answer.told.begin(), answer.told.end(), keeper) == answer.told.end()) {
+        tell(keeper, note);
+      }
     }
+    answer.told = std::move(keepers);
   }
 }
 
--- a/src/core/answer_places.h
+++ b/src/core/answer_places.h
@@ -27,6 +27,9 @@
   // Tells the key's keepers that the answer is, or will be, at `caller_address`.
   void announce(const requests::answer_key& key, const std::string& caller_address);
 
+  // Daemons have come or gone: tells keys' new keepers what is to be had here.
+  void on_daemons_changed();
+
   // A peer announced a place.
   void on_note(const place_note& note);
 
@@ -42,7 +45,14 @@
     wall_time keep_until;
   };
 
+  // An answer that is, or will be, here.
+  struct own_answer {
+    wall_time keep_until;
+    std::vector<daemon_id> told;
+  };
+
   [[nodiscard]] std::vector<daemon_id> keepers_of(const hash128& key) const;
+  void tell(const daemon_id& keeper, const place_note& note);
   void ask(const hash128& key, std::vector<daemon_id> keepers,
            std::function<void(const std::string&)> done);
 
@@ -50,6 +60,8 @@
   fleet& fleet_;
   std::map<hash128, place> places_;
   std::multimap<wall_time, hash128> by_deadline_;
+  std::map<hash128, own_answer> own_;
+  std::vector<daemon_id> live_; // when the keepers of own_ were told
 };
 
 } // namespace wisteriaflow::core::internal
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -72,7 +72,11 @@
                 [this](const endpoint_id& id, std::optional<wall_time> reclaim_at) {
                   requests_.on_endpoint_leaving(id, reclaim_at);
                 },
-            .daemons_changed = [this] { claims_.update_ownership(); },
+            .daemons_changed =
+                [this] {
+                  claims_.update_ownership();
+                  places_.on_daemons_changed();
+                },
             .self_leaving = [this](std::optional<wall_time> reclaim_at) { leave(reclaim_at); },
             .configuration_heard =
                 [this](const membership::gossiper::known_configuration& highest) {
