core: a repeat of a key finds the daemon that took its request over

Cause: a repeat of a non-idempotent key asks the executor that the claim names. If that one has handed the request to a peer and ended, nobody answers, and the repeat was told outcome unknown while the answer stood at the peer. Worse, the repeat had announced its own daemon as the key's place before its claim, over the place of the daemon that really ran it.

A request that must be claimed is now announced once the claim is granted, and a claim whose executor cannot account for it asks the key's keepers for its place before it says outcome unknown.

Ruled out: renaming the executor in the claim at each handover, a store write for each request of a drain.

--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -289,7 +289,8 @@
     return;
   }
   r.admitted = std::get<admission::admitted>(decided);
-  if (r.options.keyed) {
+  // What must be claimed first may be running elsewhere, and its place must not be overwritten.
+  if (r.options.keyed && r.options.idempotent) {
     services_.places.announce(r.key, to_string(context_.options().caller_address));
   }
   feed(r, requests::admission_granted{});
--- a/src/core/request_table_actions.cc
+++ b/src/core/request_table_actions.cc
@@ -55,6 +55,7 @@
       "claim_seconds",
       std::chrono::duration<double>(context_.now().mono - r.received_at).count());
   if (const auto* granted = std::get_if<claims::dispatch_claimed>(&outcome)) {
+    services_.places.announce(r.key, caller_address_text(context_.options()));
     feed(r, requests::claim_granted{granted->nonce});
     return;
   }
@@ -75,8 +76,15 @@
     feed(r, requests::claim_unavailable{context_.now().wall + claim_retry});
     return;
   }
-  // Nobody can say that an earlier submission of the key was not run.
-  feed(r, requests::claim_duplicate{duplicate_state::outcome_unknown, {}});
+  // Nobody can say that an earlier submission of the key was not run. It may have been handed over
+  // by an executor that is gone: then the key's keepers know where it is.
+  services_.places.find(r.key, [this, id = r.id](const std::string& address) {
+    if (auto* waiting = find(id)) {
+      const auto state = address.empty() ? duplicate_state::outcome_unknown
+                                         : duplicate_state::in_flight_elsewhere;
+      feed(*waiting, requests::claim_duplicate{state, address});
+    }
+  });
 }
 
 void request_table::act(active_request& r, const requests::start_attempt& a)
