core: an unknown outcome stays unknown when it is handed over

Cause: a drain hands kept answers to a peer, and the peer took each of them for answered. The kept outcome of a request that had been lost became a stream of no tokens that ended with [DONE]: a caller took half an answer for a whole one.

The peer now takes the outcome from the header that each kept answer carries; the messages between daemons stay as they are.

--- a/src/core/request_table_peers.cc
+++ b/src/core/request_table_peers.cc
@@ -15,6 +15,19 @@
 
 constexpr int handover_tries = 4;
 
+// What a kept answer says of itself: an unknown outcome is kept and handed over like any other.
+requests::outcome outcome_of(const http::response& kept)
+{
+  const auto name = http::find_header(kept.fields, "Wisteriaflow-Outcome");
+  if (name == requests::name_of(requests::outcome_unknown{})) {
+    return requests::outcome_unknown{requests::unknown_reason::earlier_run_lost};
+  }
+  if (name == requests::name_of(requests::invalid{})) {
+    return requests::invalid{kept.status, {}};
+  }
+  return requests::answered{kept.status};
+}
+
 } // namespace
 
 void request_table::drain(mono_time hand_over_at)
@@ -197,7 +210,7 @@
 void request_table::keep_handed_over(const handed_over_request& handed)
 {
   requests::kept_answer kept;
-  kept.result = requests::answered{handed.answer.status};
+  kept.result = outcome_of(handed.answer);
   kept.response = to_parts(handed.answer);
   kept.tokens = handed.state.tokens;
   kept.finish_reason = handed.finish_reason;
