test: a process that ends reads no further calls

Calls that wait unread when a drained daemon stops are connections closed by its end: their callers come back elsewhere. Every call that the core has seen must still have ended before the stop.

--- a/test/core/core_fleet.h
+++ b/test/core/core_fleet.h
@@ -98,6 +98,7 @@
     bool paused = false;
     bool draining = false;
     bool accepting = true;
+    bool stopped = false;  // its process is ending
     mono_time aware_since; // since when it has run without a pause
     std::vector<event> inbox;
     mono_time tick_at;
@@ -108,6 +109,7 @@
     std::size_t daemon = 0;
     std::uint64_t life = 0;
     bool is_post = false;
+    bool delivered = false; // the core has seen it
     bool ended = false;
     bool closed = false;        // by the caller
     std::uint64_t received = 0; // the next token of a stream
@@ -127,6 +129,7 @@
   [[nodiscard]] clock_reading clock_of(std::size_t d) const;
   void start(std::size_t d);
   void tell(std::size_t d, std::uint64_t life, event e);
+  bool was_refused_by_end(std::size_t d, const event& e);
   void handle(std::size_t d, event e);
   void arm(std::size_t d);
   void carry(std::size_t d, const caller_action& a);
