core: look again at requests that stay at a leaving engine

Cause: whether a request can end before its engine is reclaimed was judged once, at the notice, by an average decode rate or a default of 30 tokens/s. At an engine of 17 tokens/s a non-idempotent generation was left to stay, and was cut by the announced reclaim: outcome unknown.

The rate that the run itself has shown now goes before the average, and while the notice lasts the choice is made anew every 250 ms; a failed move is tried again by the same way.

Ruled out: moving every request at once, which recomputes tokens that would have been made in time; a lower default, which is wrong for other engines.

--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -36,7 +36,8 @@
   requests::sse_parser parser;
   routing::sent_work work;
   int believed_tokens = 0;
-  bool first_token_seen = false;
+  std::optional<mono_time> first_token_at;
+  std::size_t tokens_before = 0; // that the answer had when this attempt's first one came
   int status = 0;           // of the endpoint's answer; 0 before its head
   std::string error_body;   // of an answer that is no stream
   http::headers fields;     // of the answer
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -153,6 +153,9 @@
   void note_usage(active_request& r, const requests::token_usage& usage);
   void end_attempt(active_request& r);
   void cancel_at_engine(active_request& r, const running_attempt& run, bool confirm);
+  [[nodiscard]] std::vector<std::string> requests_at(const endpoint_id& endpoint) const;
+  void consider_moves(const endpoint_id& endpoint, std::optional<wall_time> reclaim_at);
+  [[nodiscard]] std::optional<double> own_decode_rate(const active_request& r) const;
   [[nodiscard]] requests::move_estimate estimate_move(const active_request& r,
                                                       std::optional<wall_time> reclaim_at) const;
 
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -16,6 +16,7 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr std::size_t error_body_limit = 65'536;
+constexpr std::chrono::milliseconds move_check{250};
 
 // Header fields of a caller that are its connection's own, or the daemon's.
 bool is_passed_on(const std::string& name)
@@ -205,11 +206,12 @@
 
 void request_table::note_first_token(active_request& r)
 {
-  if (r.running->first_token_seen) {
+  if (r.running->first_token_at) {
     return;
   }
-  r.running->first_token_seen = true;
   const auto now = context_.now().mono;
+  r.running->first_token_at = now;
+  r.running->tokens_before = r.life.tokens().size();
   services_.members.endpoints().on_first_token(r.running->work, now);
   if (r.running->attempt == 1) {
     context_.counters().observe("first_token_seconds",
@@ -339,25 +341,61 @@
     out.decode_rate = state.decode_rate.sampled() ? state.decode_rate.value() : default_decode_rate;
     out.prefill_rate = state.prefill_rate.sampled() ? state.prefill_rate.value() : default_prefill_rate;
   }
+  out.decode_rate = own_decode_rate(r).value_or(out.decode_rate);
   return out;
 }
 
-void request_table::on_endpoint_leaving(const endpoint_id& endpoint,
-                                        std::optional<wall_time> reclaim_at)
+// What this very run has shown says more than any average; nothing before it has shown enough.
+std::optional<double> request_table::own_decode_rate(const active_request& r) const
 {
-  std::vector<std::string> there;
+  constexpr std::size_t enough = 4;
+  if (!r.running || !r.running->first_token_at) {
+    return std::nullopt;
+  }
+  const auto made = r.life.tokens().size() - r.running->tokens_before;
+  const std::chrono::duration<double> took = context_.now().mono - *r.running->first_token_at;
+  if (made < enough || took.count() <= 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(made) / took.count();
+}
+
+std::vector<std::string> request_table::requests_at(const endpoint_id& endpoint) const
+{
+  std::vector<std::string> out;
   for (const auto& [id, r] : active_) {
     if (r->life.endpoint() == endpoint) {
-      there.push_back(id);
+      out.push_back(id);
     }
   }
+  return out;
+}
+
+void request_table::on_endpoint_leaving(const endpoint_id& endpoint,
+                                        std::optional<wall_time> reclaim_at)
+{
+  context_.counters().count("moves_total", {}, static_cast<double>(requests_at(endpoint).size()));
+  consider_moves(endpoint, reclaim_at);
+}
+
+// Again and again until the endpoint is empty or gone: an estimate by which a request could finish
+// in time may have been wrong, and a move that failed may succeed now.
+void request_table::consider_moves(const endpoint_id& endpoint, std::optional<wall_time> reclaim_at)
+{
+  const auto there = requests_at(endpoint);
+  const bool gone = reclaim_at && *reclaim_at <= context_.now().wall;
+  if (there.empty() || gone) {
+    return;
+  }
   for (const auto& id : there) {
     if (auto* r = find(id)) {
-      context_.counters().count("moves_total");
       feed(*r, requests::endpoint_leaving{.endpoint = endpoint,
                                           .estimate = estimate_move(*r, reclaim_at)});
     }
   }
+  context_.timers().at(context_.now().mono + move_check, [this, endpoint, reclaim_at] {
+    consider_moves(endpoint, reclaim_at);
+  });
 }
 
 } // namespace wisteriaflow::core::internal
