core: an answer that is handed over reaches a waiting repeat of its key

Cause: a repeat of a non-idempotent key that was still asking for its claim when the key's answer was handed to its own daemon did not look at it: the executor in the claim was gone, so the repeat ended as outcome unknown, and its end replaced the answer that had come.

The repeat is now sent to the answer, at its own daemon, before it is kept.

Ruled out: keeping both entries, since a key has one place in the store.

--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -167,6 +167,7 @@
   [[nodiscard]] handed_over_request handed_over(const active_request& r,
                                                 const requests::handed_over_state& state) const;
   void keep_handed_over(const handed_over_request& handed);
+  void send_claiming_to_answer(const requests::answer_key& key);
   request_ptr rebuild(const handed_over_request& handed);
 
   core_context& context_;
--- a/src/core/request_table_peers.cc
+++ b/src/core/request_table_peers.cc
@@ -215,10 +215,30 @@
   kept.tokens = handed.state.tokens;
   kept.finish_reason = handed.finish_reason;
   const requests::answer_key key{.workspace = handed.workspace, .key = handed.key};
+  send_claiming_to_answer(key);
   answers_.keep(key, handed.body_hash, std::move(kept), handed.keep_until);
   services_.places.announce(key, to_string(context_.options().caller_address));
 }
 
+// A repeat of the key that still asks for its claim here would get no answer from an executor that
+// is gone, and its own end would overwrite the answer that has just come.
+void request_table::send_claiming_to_answer(const requests::answer_key& key)
+{
+  const auto found = answers_.find(key);
+  const auto* run = std::get_if<requests::run_joined>(&found);
+  auto* repeat = run == nullptr ? nullptr : find(run->request_id);
+  if (repeat == nullptr || repeat->claim_nonce == 0) {
+    return;
+  }
+  const auto id = repeat->id;
+  const auto nonce = repeat->claim_nonce;
+  feed(*repeat, requests::claim_duplicate{requests::duplicate_state::answered_elsewhere,
+                                          to_string(context_.options().caller_address)});
+  if (find(id) == nullptr) {
+    services_.claims.cancel(nonce);
+  }
+}
+
 // The request as it was at the peer; null if it cannot be read, as from a newer daemon.
 request_table::request_ptr request_table::rebuild(const handed_over_request& handed)
 {
