core: a place that is told again is kept for its new time

Cause: a note of a known place did not move the deadline by which the place is forgotten, so that it went with the first note's, and the map of deadlines could name a key twice.

Before: AnswerPlacesTest.KeepsAPlaceThatWasToldAgainUntilItsLaterDeadline found no place 40 s after the second note. After: the suite passes.

--- a/src/core/answer_places.cc
+++ b/src/core/answer_places.cc
@@ -84,16 +84,25 @@
 void answer_places::on_note(const place_note& note)
 {
   const auto now = context_.now().wall;
+  forget(note.key);
   while (!by_deadline_.empty() &&
          (by_deadline_.begin()->first < now || by_deadline_.size() >= place_limit)) {
     places_.erase(by_deadline_.begin()->second);
     by_deadline_.erase(by_deadline_.begin());
   }
-  const auto [it, is_new] =
-      places_.insert_or_assign(note.key, place{note.caller_address, note.keep_until});
-  if (is_new) {
-    by_deadline_.emplace(note.keep_until, note.key);
+  places_.emplace(note.key, place{note.caller_address, note.keep_until});
+  by_deadline_.emplace(note.keep_until, note.key);
+}
+
+void answer_places::forget(const hash128& key)
+{
+  const auto node = places_.extract(key);
+  if (node.empty()) {
+    return;
   }
+  const auto [first, last] = by_deadline_.equal_range(node.mapped().keep_until);
+  const auto it = std::find_if(first, last, [&](const auto& item) { return item.second == key; });
+  by_deadline_.erase(it);
 }
 
 std::string answer_places::kept_place(const hash128& key) const
--- a/src/core/answer_places.h
+++ b/src/core/answer_places.h
@@ -52,6 +52,7 @@
   };
 
   [[nodiscard]] std::vector<daemon_id> keepers_of(const hash128& key) const;
+  void forget(const hash128& key);
   void tell(const daemon_id& keeper, const place_note& note);
   void ask(const hash128& key, std::vector<daemon_id> keepers,
            std::function<void(const std::string&)> done);
