core: one unreadable reclaim notice does not end the daemon

Cause: a notice whose instance was no text, or whose time was no number, threw out of the core, and the daemon would have ended on it.

It is now left out, and the others count, as in the instance list. Before: PlatformDocumentsTest.LeavesOutNoticesThatCannotBeRead ended with Boost.JSON's exception. After: the suite passes.

--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -88,12 +88,13 @@
     return out;
   }
   for (const auto& item : notices->get_array()) {
-    const auto* o = item.if_object();
-    if (o == nullptr || !o->contains("instance_id")) {
-      continue;
+    try {
+      const auto& o = item.as_object();
+      out.push_back({.instance = json::value_to<std::string>(o.at("instance_id")),
+                     .reclaim_at = from_unix_ms(number_at(o, "reclaim_at_unix_ms"))});
+    } catch (const std::exception&) {
+      // What cannot be read names no instance that could be told to leave.
     }
-    out.push_back({.instance = text_at(*o, "instance_id"),
-                   .reclaim_at = from_unix_ms(number_at(*o, "reclaim_at_unix_ms"))});
   }
   return out;
 }
