Make the members of the claims fixtures public

Cause: the linter wants a suffix on protected members, which reads badly in tests. Ruled out: the suffix.

--- a/test/claims/claim_asker_test.cc
+++ b/test/claims/claim_asker_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 class ClaimAskerTest : public ::testing::Test {
- protected:
+ public:
   clock_reading now;
   const mono_time deadline = now.mono + std::chrono::seconds{1};
   claim_asker asker{
--- a/test/claims/claim_shard_owner_test.cc
+++ b/test/claims/claim_shard_owner_test.cc
@@ -14,7 +14,7 @@
 
 // One or two owners over a fake store that answers at once, unless it is told to fail a call.
 class ClaimShardOwnerTest : public ::testing::Test {
- protected:
+ public:
   claim_shard_owner owner{{.self = daemon_id("a"), .settings = settings(), .seed = 1}};
   claim_shard_owner other{{.self = daemon_id("b"), .settings = settings(), .seed = 2}};
   fake_claim_store store;
