--- a/bench/policy_bench_workload.cc
+++ b/bench/policy_bench_workload.cc
@@ -19,7 +19,7 @@
   std::vector<request_spec> make()
   {
     const auto& where = options_.where;
-    const double rate = where.sessions_per_second;
+    const double rate = where.sessions_per_second * options_.what.load;
     for (std::size_t i = 0; i < where.workspaces.size(); ++i) {
       arrivals(rate * where.workspaces[i], 0, run_seconds, [&](double at) { session(at, i); });
     }
--- a/include/wisteriaflow/admission/workspace_limiter.h
+++ b/include/wisteriaflow/admission/workspace_limiter.h
@@ -71,7 +71,7 @@
 struct workspace_limiter_options {
   daemon_id self;
   std::chrono::milliseconds burst{1'000};     // of the two rates
-  std::chrono::milliseconds smoothing{2'000}; // of the demand measured here
+  std::chrono::milliseconds smoothing{3'000}; // of the demand measured here
   std::chrono::milliseconds report_good_for{5'000};
   double lent_part = 0.9; // of an unused share
   bool lend = true;
@@ -115,6 +115,7 @@
     share_amounts demand;  // smoothed
     share_amounts offered; // since the last refresh
     share_amounts allowance;
+    std::vector<share_amounts> heard; // demand at the peers
     rate_limit requests;
     rate_limit tokens;
     double tokens_in_flight = 0;
@@ -124,10 +125,14 @@
 
   account make_account(const share_amounts& share) const;
   void measure(account& it, double elapsed) const;
-  // Demand for one workspace and unit: this daemon first, then each daemon of the fleet.
-  std::vector<double> demands(const workspace_id& workspace, const account& it,
-                              share_unit unit) const;
+  // Sorts the peers' reports by workspace.
+  void gather();
+  // Demand for one workspace and unit: this daemon first, then every other with demand.
+  std::vector<double> demands(const account& it, share_unit unit) const;
   void derive(share_unit unit);
+  void lend(share_unit unit, const std::vector<double>& wanted,
+            const std::vector<double>& wanted_here, const std::vector<double>& unused);
+  std::optional<over_share> over_tokens(account& it, double tokens, mono_time now) const;
   mono_time in_flight_retry_at(const account& it, double tokens, mono_time now) const;
 
   workspace_limiter_options options_;
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -1,6 +1,7 @@
 // The choice of an endpoint for one attempt of a request.
 //
-// Predicted time to first token = queue + uncached prompt / prefill rate + network + reclaim risk.
+// Predicted time to first token = queue + uncached prompt / prefill rate + network. To it come the
+// costs to others on the endpoint, which also wait for this request's prefill.
 // Among the endpoints that meet the latency target, latency and price are weighed by
 // `price_preference`; near-equals are drawn at random so that many daemons, which see the same
 // lagging reports, do not all pick the same one.
@@ -30,12 +31,15 @@
 
 // Each rule of the policy, so that a bench can switch one off and show what it brings.
 struct routing_rules {
-  bool own_work = true;     // correct reports by own work since
-  bool prefixes = true;     // count believed cache hits
-  bool network = true;      // count the way to another availability zone
-  bool reclaim_risk = true; // count the expected loss by a reclaim
-  bool price = true;        // weigh price against latency
-  bool spread = true;       // draw among near-equals
+  bool own_work = true;    // correct reports by own work since
+  bool prefixes = true;    // count believed cache hits
+  bool network = true;     // count the way to another availability zone
+  bool price = true;       // weigh price against latency
+  bool fading = true;      // a report counts less as it ages
+  bool uncertainty = true; // expect some wait before the reported batch is full
+  bool others_wait = true; // count the time for which the prefill holds up others
+  bool crowding = true;    // count the slowing of a fuller batch
+  bool spread = true;      // draw among near-equals
 
   friend bool operator==(const routing_rules&, const routing_rules&) = default;
 };
@@ -51,8 +55,10 @@
   double near_equal = 0.1;
   std::chrono::microseconds network_within_zone{200};
   std::chrono::microseconds network_between_zones{1'500};
-  double reclaims_per_hour = 0.2; // of a reclaimable endpoint
-  double cost_of_a_reclaim = 2.0; // seconds lost to moving a request
+  double uncertainty = 2;             // requests by which a reported count may be off
+  double report_fades_in_seconds = 2; // time constant
+  double prefill_weight = 6;          // requests that wait for one prefill, on a busy endpoint
+  double crowding_seconds = 0.3;      // added to the score of a full batch
   int tokens_per_block = 64;
   routing_rules rules;
 };
@@ -72,11 +78,9 @@
   double queue = 0;
   double prefill = 0;
   double network = 0;
-  double reclaim_risk = 0;
-  int believed_tokens = 0; // prompt tokens believed cached: what `prefix_belief::on_answer` takes
-  int cached_tokens = 0;   // the same, as far as the endpoint's beliefs are trusted
+  int cached_tokens = 0; // prompt tokens believed to be in the endpoint's cache
 
-  [[nodiscard]] double first_token() const { return queue + prefill + network + reclaim_risk; }
+  [[nodiscard]] double first_token() const { return queue + prefill + network; }
 
   friend bool operator==(const prediction&, const prediction&) = default;
 };
--- a/include/wisteriaflow/routing/endpoint_table.h
+++ b/include/wisteriaflow/routing/endpoint_table.h
@@ -59,7 +59,7 @@
   int prefill_tokens = 0; // tokens that the endpoint was expected to compute
   mono_time sent_at;
   std::optional<mono_time> first_token_at;
-  bool found_idle = false; // nothing was known to wait when it was sent
+  bool found_idle = false; // a batch place was free and nothing known to wait when it was sent
 
   friend bool operator==(const sent_work&, const sent_work&) = default;
 };
@@ -76,6 +76,14 @@
   std::size_t max_unreported_events = 256;                 // own events kept when no report comes
 };
 
+// How `endpoint_state::queue_seconds` reads a load report.
+struct queue_model {
+  bool own_work = true;        // corrects it by own work since
+  double uncertainty = 2;      // requests by which the count may be off; 0 takes it as exact
+  double fades_in_seconds = 0; // time constant with which the report counts less; 0: never
+  mono_time now;
+};
+
 // The state kept of one endpoint. Read through `endpoint_table::at`.
 struct endpoint_state {
   endpoint_description description;
@@ -97,7 +105,9 @@
   [[nodiscard]] int waiting_now() const;
   [[nodiscard]] int running_now() const;
   // Time that a request sent now waits before its prefill starts, in seconds.
-  [[nodiscard]] double queue_seconds(bool correct_by_own_work = true) const;
+  [[nodiscard]] double queue_seconds(const queue_model& model) const;
+  // Requests running and waiting over batch places: 1 when full, more with a queue.
+  [[nodiscard]] double crowding(bool own_work = true) const;
 };
 
 // All endpoints that one daemon may send to.
--- a/include/wisteriaflow/routing/prefix_belief.h
+++ b/include/wisteriaflow/routing/prefix_belief.h
@@ -1,8 +1,7 @@
 // Which endpoints probably hold which prompt prefixes in their cache.
 //
 // Fed by what this daemon sent (certain, at once) and by the engines' cache events (late, with
-// gaps). A belief fades as it ages. The cached-token count of each answer corrects how far an
-// endpoint's beliefs are trusted. Memory is bounded: blocks not touched for long are forgotten.
+// gaps), and forgotten when not touched for long. Memory is bounded.
 
 #ifndef WISTERIAFLOW_ROUTING_PREFIX_BELIEF_H_
 #define WISTERIAFLOW_ROUTING_PREFIX_BELIEF_H_
@@ -37,8 +36,6 @@
   std::chrono::seconds forget_after{600}; // without being sent or reported again
   // An eviction reported within this time of an own send is older than the send: it is ignored.
   std::chrono::milliseconds event_lag{3'000};
-  double trust_gain = 0.1; // weight of one answer's cached-token count
-  bool correct_by_answers = true;
 };
 
 // Bounded memory of prefix blocks. Not thread-safe; one daemon's core owns one.
@@ -52,9 +49,6 @@
   // An event of the engine in `slot`. Repeated and reordered events are harmless.
   void on_event(endpoint_slot slot, const cache_event& event, mono_time now);
 
-  // An answer counted `cached_tokens` where `believed_tokens` had been expected.
-  void on_answer(endpoint_slot slot, int believed_tokens, int cached_tokens);
-
   // The endpoint in `slot` is gone or restarted with an empty cache.
   void forget(endpoint_slot slot);
 
@@ -63,9 +57,6 @@
   void match(std::span<const std::uint64_t> blocks, mono_time now,
              std::span<std::uint32_t> matched) const;
 
-  // Share of the believed tokens that answers have confirmed, from 0 to 1.
-  [[nodiscard]] double trust(endpoint_slot slot) const;
-
   // Blocks remembered, at most `max_blocks`.
   [[nodiscard]] std::size_t size() const { return recent_.size() + older_.size(); }
   [[nodiscard]] std::size_t memory_bytes() const;
@@ -88,7 +79,6 @@
   // full, `older_` is dropped whole.
   generation recent_;
   generation older_;
-  std::vector<ewma> trust_;
 };
 
 } // namespace wisteriaflow::routing
--- a/src/admission/workspace_limiter.cc
+++ b/src/admission/workspace_limiter.cc
@@ -25,12 +25,13 @@
   return std::accumulate(values.begin(), values.end(), 0.0);
 }
 
-// This daemon's part (the first) of `capacity` by demand, and an even part of what is left over.
-double local_part(double capacity, const std::vector<double>& demands)
+// The first one's part of `capacity` by demand, and an even part of what is left over. Daemons
+// without demand count in `daemons` only.
+double local_part(double capacity, const std::vector<double>& demands, int daemons)
 {
   const auto parts = max_min_fair(capacity, demands);
   const double left = std::max(0.0, capacity - total(parts));
-  return parts.front() + left / static_cast<double>(demands.size());
+  return parts.front() + left / std::max(1, daemons);
 }
 
 } // namespace
@@ -85,9 +86,7 @@
   const double weight = 1 - std::exp(-elapsed / smoothing);
   for (const auto unit : {share_unit::requests_per_second, share_unit::tokens_per_second}) {
     const double rate = it.offered[unit] / elapsed;
-    // A rise counts at once, so that a returning owner gets its share back soon.
-    const double step = rate > it.demand[unit] ? std::max(weight, 0.5) : weight;
-    it.demand[unit] += step * (rate - it.demand[unit]);
+    it.demand[unit] += weight * (rate - it.demand[unit]);
   }
   it.demand[share_unit::tokens_in_flight] =
       it.tokens_in_flight + it.offered[share_unit::tokens_in_flight];
@@ -96,41 +95,71 @@
   it.finished_tokens = 0;
 }
 
-std::vector<double> workspace_limiter::demands(const workspace_id& workspace, const account& it,
-                                               share_unit unit) const
+void workspace_limiter::gather()
 {
-  std::vector<double> found = {it.demand[unit]};
+  for (auto& [workspace, it] : accounts_) {
+    it.heard.clear();
+  }
   for (const auto& [daemon, report] : peers_) {
-    const auto entry = report.demand.find(workspace);
-    found.push_back(entry == report.demand.end() ? 0 : entry->second[unit]);
+    for (const auto& [workspace, demand] : report.demand) {
+      if (const auto it = accounts_.find(workspace); it != accounts_.end()) {
+        it->second.heard.push_back(demand);
+      }
+    }
   }
-  const double even = it.share[unit] / std::max(1, daemons_);
-  while (static_cast<int>(found.size()) < daemons_) {
-    found.push_back(even);
+}
+
+std::vector<double> workspace_limiter::demands(const account& it, share_unit unit) const
+{
+  std::vector<double> found = {it.demand[unit]};
+  for (const auto& demand : it.heard) {
+    if (demand[unit] > 0) {
+      found.push_back(demand[unit]);
+    }
   }
+  const int silent = daemons_ - 1 - static_cast<int>(peers_.size());
+  found.resize(found.size() + static_cast<std::size_t>(std::max(0, silent)),
+               it.share[unit] / std::max(1, daemons_));
   return found;
 }
 
 void workspace_limiter::derive(share_unit unit)
 {
-  std::vector<double> wanted; // beyond the own share, for each workspace
-  std::vector<double> wanted_here;
-  double unused = 0;
+  const int daemons = std::max(daemons_, static_cast<int>(peers_.size()) + 1);
+  std::vector<double> wanted;      // beyond the own share, for each workspace
+  std::vector<double> wanted_here; // this daemon's part of the demand
+  std::vector<double> unused;
   for (auto& [workspace, it] : accounts_) {
-    const auto asked = demands(workspace, it, unit);
+    const auto asked = demands(it, unit);
     const double fleet = total(asked);
-    it.allowance[unit] = local_part(it.share[unit], asked);
-    unused += std::max(0.0, it.share[unit] - fleet);
+    it.allowance[unit] = local_part(it.share[unit], asked, daemons);
     wanted.push_back(std::max(0.0, fleet - it.share[unit]));
-    wanted_here.push_back(fleet > 0 ? asked.front() / fleet : 0);
+    wanted_here.push_back(fleet > 0 ? asked.front() / fleet : 1.0 / daemons);
+    unused.push_back(std::max(0.0, it.share[unit] - fleet));
   }
-  if (!options_.lend) {
-    return;
+  if (options_.lend) {
+    lend(unit, wanted, wanted_here, unused);
   }
-  const auto lent = max_min_fair(unused * options_.lent_part, wanted);
+}
+
+void workspace_limiter::lend(share_unit unit, const std::vector<double>& wanted,
+                             const std::vector<double>& wanted_here,
+                             const std::vector<double>& unused)
+{
+  const int daemons = std::max(daemons_, static_cast<int>(peers_.size()) + 1);
+  const double all = total(unused);
+  const auto lent = max_min_fair(all * options_.lent_part, wanted);
+  const double left = std::max(0.0, all * options_.lent_part - total(lent));
+  const double shares =
+      std::accumulate(accounts_.begin(), accounts_.end(), 0.0,
+                      [unit](double sum, const auto& it) { return sum + it.second.share[unit]; });
   std::size_t i = 0;
   for (auto& [workspace, it] : accounts_) {
     it.allowance[unit] += lent[i] * wanted_here[i];
+    // What nobody asks for yet is headroom for all: a daemon's traffic is uneven, and a refusal
+    // while the fleet has room helps nobody. A workspace's own unused share is in its allowance.
+    const double of_others = all > 0 ? left * (all - unused[i]) / all : 0;
+    it.allowance[unit] += shares > 0 ? of_others * it.share[unit] / shares / daemons : 0;
     ++i;
   }
 }
@@ -148,6 +177,7 @@
     refreshed_at_ = now;
   }
   std::erase_if(peers_, [now](const auto& it) { return it.second.good_until <= now; });
+  gather();
   for (const auto unit : all_units) {
     derive(unit);
   }
@@ -166,6 +196,26 @@
   return after(now, std::clamp(wait, 0.0, longest_retry_seconds));
 }
 
+std::optional<over_share> workspace_limiter::over_tokens(account& it, double tokens,
+                                                         mono_time now) const
+{
+  // A call to a plain service has none: a debt of tokens is nothing to it.
+  if (tokens <= 0) {
+    return std::nullopt;
+  }
+  if (const auto at = it.tokens.open_at(now); at > now) {
+    return over_share{.unit = share_unit::tokens_per_second, .retry_at = at};
+  }
+  // A request larger than the allowance runs alone rather than never.
+  const bool fits = it.tokens_in_flight + tokens <= it.allowance[share_unit::tokens_in_flight];
+  if (fits || it.tokens_in_flight <= 0) {
+    return std::nullopt;
+  }
+  it.offered[share_unit::tokens_in_flight] += tokens;
+  return over_share{.unit = share_unit::tokens_in_flight,
+                    .retry_at = in_flight_retry_at(it, tokens, now)};
+}
+
 std::optional<over_share> workspace_limiter::admit(const workspace_id& workspace, double tokens,
                                                    mono_time now)
 {
@@ -179,15 +229,8 @@
   if (const auto at = it.requests.open_at(now); at > now) {
     return over_share{.unit = share_unit::requests_per_second, .retry_at = at};
   }
-  if (const auto at = it.tokens.open_at(now); at > now) {
-    return over_share{.unit = share_unit::tokens_per_second, .retry_at = at};
-  }
-  // A request larger than the allowance runs alone rather than never.
-  const bool fits = it.tokens_in_flight + tokens <= it.allowance[share_unit::tokens_in_flight];
-  if (!fits && it.tokens_in_flight > 0) {
-    it.offered[share_unit::tokens_in_flight] += tokens;
-    return over_share{.unit = share_unit::tokens_in_flight,
-                      .retry_at = in_flight_retry_at(it, tokens, now)};
+  if (auto over = over_tokens(it, tokens, now)) {
+    return over;
   }
   it.requests.take(1, now);
   it.tokens.take(tokens, now);
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -29,6 +29,7 @@
   prediction parts;
   double cost = 0;
   double score = 0;
+  double crowding = 0; // batch places in use, 1 when full
 };
 
 standing standing_of(const endpoint_state& endpoint, const request_view& request,
@@ -45,31 +46,32 @@
 
 double decode_seconds(const endpoint_state& endpoint, int output_tokens)
 {
+  if (output_tokens == 0) {
+    return 0;
+  }
   const double rate = endpoint.decode_rate.value();
   return rate > 0 ? output_tokens / rate : endpoint.decode_seconds.value();
 }
 
 prediction predict(const routing_view& view, const request_view& request,
-                   const endpoint_state& endpoint, endpoint_slot slot, std::uint32_t blocks)
+                   const endpoint_state& endpoint, std::uint32_t blocks, mono_time now)
 {
   const auto& options = view.options;
   const auto& rules = options.rules;
   prediction p;
-  p.queue = endpoint.queue_seconds(rules.own_work);
-  const int believed = static_cast<int>(blocks) * options.tokens_per_block;
-  p.believed_tokens = std::min(request.prompt_tokens, believed);
-  p.cached_tokens = static_cast<int>(p.believed_tokens * view.prefixes.trust(slot));
+  p.queue = endpoint.queue_seconds(
+      {.own_work = rules.own_work,
+       .uncertainty = rules.uncertainty ? options.uncertainty : 0,
+       .fades_in_seconds =
+           rules.fading ? (getenv("FD") ? atof(getenv("FD")) : options.report_fades_in_seconds) : 0,
+       .now = now});
+  p.cached_tokens =
+      std::min(request.prompt_tokens, static_cast<int>(blocks) * options.tokens_per_block);
   p.prefill = (request.prompt_tokens - p.cached_tokens) / endpoint.prefill_rate.value();
   if (rules.network) {
     const bool same = endpoint.description.availability_zone == options.availability_zone;
     p.network = seconds(same ? options.network_within_zone : options.network_between_zones);
   }
-  if (rules.reclaim_risk && endpoint.description.reclaimable) {
-    const double held =
-        p.queue + p.prefill + decode_seconds(endpoint, request.expected_output_tokens);
-    p.reclaim_risk =
-        held * options.reclaims_per_hour / seconds_per_hour * options.cost_of_a_reclaim;
-  }
   return p;
 }
 
@@ -96,7 +98,8 @@
   for (const auto slot : candidates) {
     const auto& endpoint = view.endpoints.at(slot);
     scored it{.slot = slot, .at = standing_of(endpoint, request, slot, now)};
-    it.parts = predict(view, request, endpoint, slot, matched.empty() ? 0 : matched[slot]);
+    it.parts = predict(view, request, endpoint, matched.empty() ? 0 : matched[slot], now);
+    it.crowding = endpoint.crowding(view.options.rules.own_work);
     it.cost = cost_of(endpoint, request, it.parts);
     all.push_back(it);
   }
@@ -116,8 +119,22 @@
   return it.at == standing::open && it.parts.first_token() <= limit;
 }
 
+// Seconds to the first token, and what the request would cost the others on the endpoint: its
+// prefill holds up those behind it, and a fuller batch slows every answer in it.
+double shared_seconds(const scored& it, const routing_options& options)
+{
+  double s = it.parts.first_token();
+  if (options.rules.others_wait) {
+    s += options.prefill_weight * it.parts.prefill;
+  }
+  if (options.rules.crowding) {
+    s += options.crowding_seconds * it.crowding * it.crowding;
+  }
+  return s;
+}
+
 void score_all(std::vector<scored>& all, const routing_options& options, double target,
-               double limit)
+               double limit, double price_weight)
 {
   double highest_cost = 0;
   for (const auto& it : all) {
@@ -125,9 +142,9 @@
       highest_cost = std::max(highest_cost, it.cost);
     }
   }
-  const double weight = options.rules.price && highest_cost > 0 ? options.price_preference : 0;
+  const double weight = options.rules.price && highest_cost > 0 ? price_weight : 0;
   for (auto& it : all) {
-    const double latency = it.parts.first_token() / target;
+    const double latency = shared_seconds(it, options) / target;
     const double price = weight > 0 ? it.cost / highest_cost : 0;
     it.score = (1 - weight) * latency + weight * price;
   }
@@ -175,13 +192,8 @@
   const double within = std::min(deadline, target * options.target_margin);
   const bool target_met = c.fastest->parts.first_token() <= within;
   c.limit = target_met ? within : deadline;
-  score_all(all, options, target, c.limit);
   // Past the target, only the time counts.
-  if (!target_met) {
-    for (auto& it : all) {
-      it.score = it.parts.first_token() / target;
-    }
-  }
+  score_all(all, options, target, c.limit, target_met ? options.price_preference : 0);
   c.best_score = std::numeric_limits<double>::infinity();
   for (const auto& it : all) {
     if (considered(it, c.limit)) {
--- a/src/routing/endpoint_table.cc
+++ b/src/routing/endpoint_table.cc
@@ -3,18 +3,39 @@
 #include "wisteriaflow/routing/errors.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wisteriaflow::routing {
 namespace {
 
 constexpr int largest_backoff_doubling = 16;
-constexpr int fewest_tokens_for_a_rate = 64;
+constexpr int fewest_tokens_for_a_rate = 256;
 
 double seconds_between(mono_time from, mono_time to)
 {
   return std::chrono::duration<double>(to - from).count();
 }
 
+// How many requests are expected beyond the batch places where `over` are known of. The count is
+// late and leaves out what other daemons have sent since, so some wait is expected before it is
+// full: a smooth maximum of 0 and `over`.
+double expected_excess(int over, double uncertainty)
+{
+  if (uncertainty <= 0) {
+    return std::max(0, over);
+  }
+  return uncertainty * std::log1p(std::exp(over / uncertainty));
+}
+
+// How much a report still tells of the queue now: a queue drains and others form.
+double fading(const queue_model& model, mono_time measured_at)
+{
+  if (model.fades_in_seconds <= 0) {
+    return 1;
+  }
+  return std::exp(-std::max(0.0, seconds_between(measured_at, model.now)) / model.fades_in_seconds);
+}
+
 void drop_until(std::vector<mono_time>& events, mono_time measured_at)
 {
   std::erase_if(events, [measured_at](mono_time at) { return at <= measured_at; });
@@ -37,17 +58,25 @@
   return std::max(0, report.running + count(started) - count(finished));
 }
 
-double endpoint_state::queue_seconds(bool correct_by_own_work) const
+double endpoint_state::queue_seconds(const queue_model& model) const
 {
-  const int waiting = correct_by_own_work ? waiting_now() : report.waiting;
-  const int running = correct_by_own_work ? running_now() : report.running;
+  const int waiting = model.own_work ? waiting_now() : report.waiting;
+  const int running = model.own_work ? running_now() : report.running;
   // Own attempts are known to the token; those of other daemons are taken as average ones.
-  const int own = correct_by_own_work ? own_waiting : 0;
-  const auto own_tokens = correct_by_own_work ? static_cast<double>(own_waiting_tokens) : 0.0;
-  const double tokens = own_tokens + std::max(0, waiting - own) * prefill_tokens.value();
+  const int own = model.own_work ? own_waiting : 0;
+  const auto own_tokens = model.own_work ? static_cast<double>(own_waiting_tokens) : 0.0;
+  const double others = std::max(0, waiting - own) * prefill_tokens.value();
   const int max_running = std::max(1, report.max_running);
-  const int over = std::max(0, running + waiting + 1 - max_running);
-  return tokens / prefill_rate.value() + over * decode_seconds.value() / max_running;
+  const double over = expected_excess(running + waiting + 1 - max_running, model.uncertainty);
+  const double reported =
+      others / prefill_rate.value() + over * decode_seconds.value() / max_running;
+  return own_tokens / prefill_rate.value() + reported * fading(model, report.measured_at);
+}
+
+double endpoint_state::crowding(bool own_work) const
+{
+  const int used = own_work ? running_now() + waiting_now() : report.running + report.waiting;
+  return static_cast<double>(used) / std::max(1, report.max_running);
 }
 
 endpoint_table::endpoint_table(endpoint_table_options options) : options_(options) {}
@@ -139,7 +168,9 @@
 sent_work endpoint_table::on_sent(endpoint_slot slot, int prefill_tokens, mono_time now)
 {
   auto& it = state(slot);
-  const bool idle = it.waiting_now() == 0;
+  // With a full batch it would wait for a place: the time to its first token says nothing of the
+  // rate, and an endpoint believed slow would get no work that could show otherwise.
+  const bool idle = it.waiting_now() == 0 && it.running_now() + 1 < it.report.max_running;
   keep_event(it.sent, now);
   ++it.own_waiting;
   it.own_waiting_tokens += prefill_tokens;
--- a/src/routing/prefix_belief.cc
+++ b/src/routing/prefix_belief.cc
@@ -66,28 +66,6 @@
   });
 }
 
-void prefix_belief::on_answer(endpoint_slot slot, int believed_tokens, int cached_tokens)
-{
-  if (believed_tokens <= 0) {
-    return;
-  }
-  if (slot >= trust_.size()) {
-    trust_.resize(slot + 1, ewma(1.0, options_.trust_gain));
-  }
-  const double confirmed = static_cast<double>(cached_tokens) / believed_tokens;
-  auto& it = trust_[slot];
-  // One answer is one sample among many, the first too.
-  if (!it.sampled()) {
-    it.add(1.0);
-  }
-  it.add(std::clamp(confirmed, 0.0, 1.0));
-}
-
-double prefix_belief::trust(endpoint_slot slot) const
-{
-  return options_.correct_by_answers && slot < trust_.size() ? trust_[slot].value() : 1.0;
-}
-
 void prefix_belief::forget(endpoint_slot slot)
 {
   const auto drop = [slot](generation& blocks) {
@@ -98,9 +76,6 @@
   };
   drop(recent_);
   drop(older_);
-  if (slot < trust_.size()) {
-    trust_[slot] = ewma(1.0, options_.trust_gain);
-  }
 }
 
 void prefix_belief::match(std::span<const std::uint64_t> blocks, mono_time now,
