--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -13,6 +13,9 @@
 // Every so many choices a suspected peer is tried, so that parted halves of a fleet meet again.
 constexpr std::uint64_t suspected_choice = 16;
 
+// Loads kept until they are taken.
+constexpr std::size_t max_heard_loads = 256;
+
 // Repair is put off by news at most this many times its delay.
 constexpr int repair_delays = 3;
 
@@ -38,6 +41,9 @@
 {
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
+  // What the view was started with is news to nobody but for this daemon itself.
+  note_changes(false);
+  news_[view_.self().key] = {};
 }
 
 void gossiper::set_configuration(std::uint64_t revision, std::uint64_t floor)
@@ -60,11 +66,10 @@
   view_.connect_failed({member_kind::daemon, to.value()}, now);
 }
 
-// Chosen so that the chance that anyone misses a record is far under one in a thousand.
+// Whom this many random sends by everybody miss, repair reaches. Urgent records are sent oftener.
 int gossiper::news_sends() const
 {
-  constexpr double safety = 3;
-  return 2 + static_cast<int>(safety * std::log(1.0 + static_cast<double>(view_.size())));
+  return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
 }
 
 void gossiper::note_changes(bool spread)
@@ -112,8 +117,10 @@
   }
   highest_.floor = std::max(highest_.floor, message.configuration_floor);
   heard_loads_.insert(heard_loads_.end(), message.loads.begin(), message.loads.end());
-  if (heard_loads_.size() > options_.max_loads * 8) {
-    heard_loads_.erase(heard_loads_.begin(), heard_loads_.end() - options_.max_loads * 8);
+  if (heard_loads_.size() > max_heard_loads) {
+    // Nobody takes them; the newest are kept.
+    const auto surplus = static_cast<std::ptrdiff_t>(heard_loads_.size() - max_heard_loads);
+    heard_loads_.erase(heard_loads_.begin(), heard_loads_.begin() + surplus);
   }
   const auto* from = view_.find({member_kind::daemon, message.from.value()});
   if (from != nullptr && from->state != member_state::gone) {
@@ -309,10 +316,10 @@
   }
   std::vector<outgoing_gossip> messages;
   for (auto& reports : usage_.take_reports(view_.live_daemons(), now.mono)) {
-    const member* owner = view_.find({member_kind::daemon, reports.owner.value()});
-    auto message = message_to(reports.owner, gossip_kind::usage);
+    const member* owner = view_.find({member_kind::daemon, reports.to.value()});
+    auto message = message_to(reports.to, gossip_kind::usage);
     message.usage = std::move(reports.usage);
-    messages.push_back({.to = reports.owner,
+    messages.push_back({.to = reports.to,
                         .peer_address = owner->attributes.peer_address,
                         .message = std::move(message)});
   }
