Measure routing and limits against plain policies

Purpose: the policies' defaults need figures, and each rule has to earn its place. Ruled out by trials: a reclaim-risk term, trust corrected by answers, hedging. Utilisation is now that of the slots asked for: places of plain services hid a full pool of engines. The daemon's use of the removed terms is dropped with them. Limits still cost small workspaces and give batch work too much.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -48,6 +48,7 @@
 std::vector<engine_spec> make_engines(int n, const std::string& kind)
 {
   std::vector<engine_spec> all;
+  all.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     all.push_back(make_engine(i, i % 4, kind));
   }
@@ -182,12 +183,14 @@
     it.cache_blocks = static_cast<std::size_t>(static_cast<double>(it.cache_blocks) * what.cache);
   }
   std::vector<std::future<figures>> running;
+  running.reserve(std::size(seeds));
   for (const auto seed : seeds) {
     running.push_back(std::async(std::launch::async, [&, seed] {
       return run_fleet({.where = deployed, .what = what, .how = how, .seed = seed});
     }));
   }
   std::vector<figures> runs;
+  runs.reserve(running.size());
   for (auto& it : running) {
     runs.push_back(it.get());
   }
--- a/bench/policy_bench_fleet.cc
+++ b/bench/policy_bench_fleet.cc
@@ -1,11 +1,11 @@
 #include "policy_bench_fleet.h"
 
+#include "policy_bench_figures.h"
+#include "policy_bench_plain.h"
 #include "policy_bench_workload.h"
 #include "wisteriaflow/admission/retry.h"
-#include "wisteriaflow/base/hash.h"
 
 #include <algorithm>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <random>
@@ -19,7 +19,6 @@
 
 using routing::endpoint_slot;
 
-constexpr double never = std::numeric_limits<double>::infinity();
 constexpr double report_interval = 1;
 constexpr double cache_event_lag = 1;
 constexpr double refresh_interval = 0.5;
@@ -31,7 +30,6 @@
 constexpr double headroom_of_shares = 1.5; // declared share over the steady traffic
 constexpr double share_of_batch = 0.1;     // beside the others, which add up to 1
 constexpr double unlimited = 1e12;
-constexpr std::size_t affinity_block = 32; // the baseline hashes a prompt this deep
 constexpr std::size_t latencies_kept = 200;
 
 struct request_state {
@@ -478,7 +476,9 @@
     std::vector<endpoint_slot> live;
     std::copy_if(all.begin(), all.end(), std::back_inserter(live),
                  [&](endpoint_slot it) { return open(d, it) && it != not_there; });
-    return live.empty() ? pick{} : pick{.slot = choose_plainly(d, spec, live)};
+    return live.empty() ? pick{}
+                        : pick{.slot = choose_plainly(how().kind, d.table, live, spec.blocks,
+                                                      d.turn, d.rng)};
   }
 
   pick choose_by_prediction(daemon_state& d, const request_spec& spec,
@@ -511,101 +511,19 @@
             .first_token_at = how().deadline_refusal ? chosen.first_token_at : events_.now()};
   }
 
-  endpoint_slot choose_plainly(daemon_state& d, const request_spec& spec,
-                               const std::vector<endpoint_slot>& live)
-  {
-    const auto lowest = [&](auto score) {
-      std::vector<endpoint_slot> best;
-      for (const auto it : live) {
-        if (!best.empty() && score(it) < score(best.front())) {
-          best.clear();
-        }
-        if (best.empty() || score(it) == score(best.front())) {
-          best.push_back(it);
-        }
-      }
-      return best[d.rng() % best.size()];
-    };
-    switch (how().kind) {
-    case policy::round_robin:
-      return live[d.turn++ % live.size()];
-    case policy::least_loaded:
-      return lowest([&](endpoint_slot it) {
-        const auto& endpoint = d.table.at(it);
-        return endpoint.waiting_now() + endpoint.running_now();
-      });
-    case policy::prefix_affinity:
-      if (!spec.blocks.empty()) {
-        const std::size_t depth = std::min(spec.blocks.size() - 1, affinity_block);
-        const auto key = spec.blocks[depth];
-        return lowest([&](endpoint_slot it) {
-          return ~rendezvous_score(key, d.table.at(it).description.id.value());
-        });
-      }
-      [[fallthrough]];
-    default:
-      return live[d.rng() % live.size()];
-    }
-  }
-
   // ---- figures -----------------------------------------------------------------------------
 
-  bool in_window(const request_spec& spec) const
-  {
-    const auto& what = options_.what;
-    const bool event = what.zone_loss || what.burst || what.nightly;
-    return spec.arrival >= start + from_seconds(event ? event_at : warm_up_seconds);
-  }
-
-  static double percentile(std::vector<double>& values, double part)
-  {
-    if (values.empty()) {
-      return 0;
-    }
-    const auto last = static_cast<double>(values.size() - 1);
-    const auto nth = values.begin() + static_cast<std::ptrdiff_t>(part * last);
-    std::nth_element(values.begin(), nth, values.end());
-    return *nth;
-  }
+  bool in_window(const request_spec& spec) const { return is_measured(options_.what, spec); }
 
   figures collect()
   {
-    figures f{.turned_away = turned_away_, .hedged = hedged_};
-    std::vector<double> latencies;
-    std::vector<double> calls;
-    int in_time = 0;
-    std::vector<std::pair<int, int>> by_workspace(options_.where.workspaces.size());
+    std::vector<outcome> outcomes;
     for (const auto& r : requests_) {
-      if (!in_window(*r.spec) || r.spec->kind == request_kind::batch) {
-        continue;
-      }
-      if (r.spec->kind == request_kind::service) {
-        calls.push_back(r.first_token * 1000);
-        continue;
-      }
-      latencies.push_back(r.first_token);
-      f.given_up += r.first_token == never ? 1 : 0;
-      auto& [within, offered] = by_workspace[r.spec->workspace];
-      in_time += r.first_token <= options_.where.deadline_seconds ? 1 : 0;
-      within += r.first_token <= options_.where.target_seconds ? 1 : 0;
-      ++offered;
-    }
-    f.offered = static_cast<int>(latencies.size());
-    f.worst_workspace = 1;
-    int within_all = 0;
-    for (std::size_t i = 0; i < by_workspace.size(); ++i) {
-      const auto& [within, offered] = by_workspace[i];
-      within_all += within;
-      if (offered > 0 && !(options_.what.burst && i == 2)) {
-        f.worst_workspace = std::min(f.worst_workspace, static_cast<double>(within) / offered);
-      }
+      outcomes.push_back({.request = r.spec, .first_token = r.first_token});
     }
-    f.within_target = static_cast<double>(within_all) / std::max(1, f.offered);
-    f.within_deadline = static_cast<double>(in_time) / std::max(1, f.offered);
-    f.p50 = percentile(latencies, 0.50);
-    f.p95 = percentile(latencies, 0.95);
-    f.p99 = percentile(latencies, 0.99);
-    f.service_p50 = percentile(calls, 0.5);
+    auto f = summarise(options_, outcomes);
+    f.turned_away = turned_away_;
+    f.hedged = hedged_;
     f.recomputed = recomputed_ / 1000;
     f.batch_tokens = batch_tokens_ / 1000;
     double cost = 0;
--- a/bench/policy_bench_workload.cc
+++ b/bench/policy_bench_workload.cc
@@ -10,7 +10,6 @@
 constexpr double think_seconds = 10;
 constexpr double burst_seconds = 60;
 constexpr double burst_factor = 9; // on top of the workspace's own traffic
-constexpr std::size_t bursting_workspace = 2;
 
 class generator {
  public:
--- a/bench/policy_bench_workload.h
+++ b/bench/policy_bench_workload.h
@@ -17,6 +17,7 @@
 inline constexpr double drain_seconds = 120;
 inline constexpr double warm_up_seconds = 60;
 inline constexpr double second_wave_after = 30;
+inline constexpr std::size_t bursting_workspace = 2;
 
 enum class request_kind { interactive, batch, service };
 
--- a/include/wisteriaflow/routing/endpoint_table.h
+++ b/include/wisteriaflow/routing/endpoint_table.h
@@ -151,6 +151,9 @@
 
   // Share of batch places in use over those of `slots` that take new work; 1 if there are none.
   [[nodiscard]] double utilisation(std::span<const endpoint_slot> slots) const;
+  // The same over all endpoints, for an overview: places of plain services would hide a full pool
+  // of engines, so admission takes that of the request's own candidates.
+  [[nodiscard]] double utilisation() const { return utilisation(used_); }
 
   // Memory held, in bytes, for the capacity page.
   [[nodiscard]] std::size_t memory_bytes() const;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -142,7 +142,6 @@
         {"queue_seconds", line.parts.queue},
         {"prefill_seconds", line.parts.prefill},
         {"network_seconds", line.parts.network},
-        {"reclaim_risk_seconds", line.parts.reclaim_risk},
         {"cached_tokens", line.parts.cached_tokens},
         {"cost", line.cost},
         {"score", line.score}});
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -213,8 +213,6 @@
 
 void request_table::note_usage(active_request& r, const requests::token_usage& usage)
 {
-  services_.members.prefixes().on_answer(r.running->work.slot, r.running->believed_tokens,
-                                         static_cast<int>(usage.cached_tokens));
   auto& counters = context_.counters();
   counters.count("prompt_tokens_total", {}, static_cast<double>(usage.prompt_tokens));
   counters.count("cached_tokens_total", {}, static_cast<double>(usage.cached_tokens));
