--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -9,6 +9,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,8 @@
 
 ABSL_FLAG(std::string, json, "", "file to write every figure to");
 ABSL_FLAG(std::string, deployment, "", "run only this deployment (authority, association)");
-ABSL_FLAG(std::string, condition, "", "run only this condition");
+ABSL_FLAG(std::string, condition, "", "run only this condition (a comma-separated list)");
+ABSL_FLAG(std::string, policy, "", "run only this policy or variant");
 ABSL_FLAG(std::string, part, "", "run only this part (baselines, ablations, scale)");
 
 namespace wisteriaflow::bench {
@@ -46,6 +48,7 @@
 std::vector<engine_spec> make_engines(int n, const std::string& kind)
 {
   std::vector<engine_spec> all;
+  all.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     all.push_back(make_engine(i, i % 4, kind));
   }
@@ -87,8 +90,11 @@
           {.name = "burst", .burst = true},
           {.name = "zone-loss", .zone_loss = true},
           {.name = "second-wave", .zone_loss = true, .second_wave = true},
+          {.name = "peak", .load = 1.6},
+          {.name = "overload", .load = 1.9},
           {.name = "late-reports", .report_lag = 4},
-          {.name = "events-lost", .event_loss = 0.2},
+          {.name = "many-daemons", .load = 1.6, .report_lag = 4, .daemons = 32},
+          {.name = "events-lost", .load = 1.3, .event_loss = 0.2, .cache = 0.3},
           {.name = "nightly", .nightly = true}};
 }
 
@@ -103,13 +109,16 @@
 
 std::vector<variant_options> ablations()
 {
-  return {{.name = "no own work", .rules = {.own_work = false}},
+  return {{.name = "wisteriaflow"},
+          {.name = "no own work", .rules = {.own_work = false}},
           {.name = "no prefixes", .rules = {.prefixes = false}},
           {.name = "no network", .rules = {.network = false}},
-          {.name = "no reclaim risk", .rules = {.reclaim_risk = false}},
           {.name = "no price", .rules = {.price = false}},
+          {.name = "no uncertainty", .rules = {.uncertainty = false}},
+          {.name = "no others wait", .rules = {.others_wait = false}},
+          {.name = "no crowding", .rules = {.crowding = false}},
           {.name = "no spread", .rules = {.spread = false}},
-          {.name = "no answer correction", .correct_by_answers = false},
+          {.name = "no fading", .rules = {.fading = false}},
           {.name = "no cache events", .cache_events = false},
           {.name = "no limits", .limits = false},
           {.name = "no lending", .lend = false},
@@ -128,6 +137,7 @@
     f.given_up += it.given_up;
     f.hedged += it.hedged;
     f.within_target += it.within_target / n;
+    f.within_deadline += it.within_deadline / n;
     f.worst_workspace += it.worst_workspace / n;
     f.p50 += it.p50 / n;
     f.p95 += it.p95 / n;
@@ -152,6 +162,7 @@
           {"given_up", f.given_up},
           {"hedged", f.hedged},
           {"within_target", f.within_target},
+          {"within_deadline", f.within_deadline},
           {"worst_workspace_within_target", f.worst_workspace},
           {"first_token_p50_s", f.p50},
           {"first_token_p95_s", f.p95},
@@ -166,30 +177,45 @@
 boost::json::object measure(const deployment& where, const condition& what,
                             const variant_options& how)
 {
-  std::vector<figures> runs;
+  auto deployed = where;
+  deployed.daemons = what.daemons > 0 ? what.daemons : where.daemons;
+  for (auto& it : deployed.models) {
+    it.cache_blocks = static_cast<std::size_t>(static_cast<double>(it.cache_blocks) * what.cache);
+  }
+  std::vector<std::future<figures>> running;
+  running.reserve(std::size(seeds));
   for (const auto seed : seeds) {
-    runs.push_back(run_fleet({.where = where, .what = what, .how = how, .seed = seed}));
+    running.push_back(std::async(std::launch::async, [&, seed] {
+      return run_fleet({.where = deployed, .what = what, .how = how, .seed = seed});
+    }));
+  }
+  std::vector<figures> runs;
+  runs.reserve(running.size());
+  for (auto& it : running) {
+    runs.push_back(it.get());
   }
   const auto f = mean_of(runs);
-  std::printf(
-      "%-11s %-12s %-20s %5.1f %5.1f %6.2f %6.2f %6.2f %7.2f %8.0f %7.3f %4.0f %6d %5d %6d %7.0f\n",
-      where.name.c_str(), what.name.c_str(), how.name.c_str(), 100 * f.within_target,
-      100 * f.worst_workspace, f.p50, f.p95, f.p99, f.service_p50, f.recomputed, f.cost,
-      100 * f.busy, f.turned_away, f.given_up, f.hedged, f.batch_tokens);
+  std::printf("%-11s %-12s %-20s %5.1f %5.1f %5.1f %6.2f %6.2f %6.2f %7.2f %8.0f %7.3f %4.0f %6d "
+              "%5d %6d %7.0f\n",
+              where.name.c_str(), what.name.c_str(), how.name.c_str(), 100 * f.within_target,
+              100 * f.within_deadline, 100 * f.worst_workspace, f.p50, f.p95, f.p99, f.service_p50,
+              f.recomputed, f.cost, 100 * f.busy, f.turned_away, f.given_up, f.hedged,
+              f.batch_tokens);
   std::fflush(stdout);
   return to_json(where, what, how, f);
 }
 
+// `flag` is a comma-separated list; empty means all.
 bool wanted(const std::string& flag, const std::string& name)
 {
-  return flag.empty() || flag == name;
+  return flag.empty() || ("," + flag + ",").find("," + name + ",") != std::string::npos;
 }
 
 boost::json::array compare(const std::vector<variant_options>& variants)
 {
-  std::printf("%-11s %-12s %-20s %5s %5s %6s %6s %6s %7s %8s %7s %4s %6s %5s %6s %7s\n", "where",
-              "condition", "policy", "in%", "worst", "p50 s", "p95 s", "p99 s", "call ms",
-              "again k", "cost/M", "busy", "turned", "gave", "hedged", "batch k");
+  std::printf("%-11s %-12s %-20s %5s %5s %5s %6s %6s %6s %7s %8s %7s %4s %6s %5s %6s %7s\n",
+              "where", "condition", "policy", "in%", "dl%", "worst", "p50 s", "p95 s", "p99 s",
+              "call ms", "again k", "cost/M", "busy", "turned", "gave", "hedged", "batch k");
   boost::json::array rows;
   for (const auto& where : deployments()) {
     for (const auto& what : conditions()) {
@@ -198,7 +224,9 @@
         continue;
       }
       for (const auto& how : variants) {
-        rows.push_back(measure(where, what, how));
+        if (wanted(absl::GetFlag(FLAGS_policy), how.name)) {
+          rows.push_back(measure(where, what, how));
+        }
       }
     }
   }
