--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -34,6 +34,7 @@
 ABSL_FLAG(std::string, service, "", "address of the fake plain service");
 ABSL_FLAG(int, calls, 1000, "calls of each kind");
 ABSL_FLAG(int, connections, 32, "connections of the throughput part");
+ABSL_FLAG(int, load_tokens, 4, "tokens of each answer of the throughput part");
 ABSL_FLAG(int, idle_seconds, 5, "length of the idle part");
 ABSL_FLAG(int, load_seconds, 5, "length of the throughput part");
 
@@ -44,6 +45,7 @@
 using clock_type = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds call_timeout{20};
+constexpr int few_tokens = 4;
 
 // CPU seconds and resident bytes of a process, from /proc.
 struct process_usage {
@@ -91,7 +93,7 @@
   return out;
 }
 
-http::request completion_call(bool streamed)
+http::request completion_call(bool streamed, int tokens)
 {
   http::request out;
   out.method = "POST";
@@ -100,7 +102,7 @@
   out.fields.push_back({.name = "Content-Type", .value = "application/json"});
   const boost::json::object body{{"model", "phrasebook"},
                                  {"prompt", "where is the lift"},
-                                 {"max_tokens", 4},
+                                 {"max_tokens", tokens},
                                  {"stream", streamed}};
   out.body = boost::json::serialize(body);
   return out;
@@ -152,9 +154,9 @@
     service.direct.push_back(co_await timed_call(client, desk, std::move(direct)));
     auto routed = service_call("/services/deliveries/rooms/412");
     service.routed.push_back(co_await timed_call(client, daemon, std::move(routed)));
-    auto direct_stream = completion_call(true);
+    auto direct_stream = completion_call(true, few_tokens);
     stream.direct.push_back(co_await timed_stream(client, engine, std::move(direct_stream)));
-    auto routed_stream = completion_call(true);
+    auto routed_stream = completion_call(true, few_tokens);
     stream.routed.push_back(co_await timed_stream(client, daemon, std::move(routed_stream)));
   }
 }
@@ -163,8 +165,8 @@
 {
   const auto daemon = http::parse_socket_address(absl::GetFlag(FLAGS_daemon));
   while (clock_type::now() < end) {
-    auto next = completion_call(false);
-    co_await timed_call(client, daemon, std::move(next));
+    auto next = completion_call(true, absl::GetFlag(FLAGS_load_tokens));
+    co_await timed_stream(client, daemon, std::move(next));
     ++done;
   }
 }
@@ -235,6 +237,7 @@
   const double cpu = after.cpu_seconds - before.cpu_seconds;
   std::cout << "load: " << done / seconds << " requests/s, " << done / cpu
             << " requests per core-second, " << after.resident_mb << " MB afterwards\n";
+  out["load_tokens"] = absl::GetFlag(FLAGS_load_tokens);
   out["requests_per_second"] = done / seconds;
   out["requests_per_core_second"] = done / cpu;
   out["resident_mb_after_load"] = after.resident_mb;
