Test non-idempotent requests and store outages with real processes

A small harness starts the fakes and daemons with posix_spawn, on ports of the kernel, and a blocking caller that follows moved streams by plain HTTP. The tests assert on the fakes' run counts and on the bytes that callers got.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -40,17 +40,36 @@
     target_link_libraries(${package}_test PRIVATE wisteriaflow_daemon wisteriaflow_fakes)
     target_compile_definitions(${package}_test PRIVATE
                                WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
-    foreach(program wisteriaflowd wisteriaflowctl)
+    foreach(program wisteriaflowd wisteriaflowctl fake_object_api fake_cloud_api
+                    fake_model_engine fake_plain_service)
       if(TARGET ${program})
         add_dependencies(${package}_test ${program})
       endif()
     endforeach()
   endif()
   target_link_libraries(${package}_test PRIVATE GTest::gtest GTest::gtest_main rapidcheck)
+  # System tests start a fleet each: of six processors two such tests run at a time.
+  set(processors 1)
+  if(package STREQUAL "system")
+    set(processors 3)
+  endif()
   gtest_discover_tests(${package}_test DISCOVERY_TIMEOUT 60
-                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202" TIMEOUT 300)
+                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202" TIMEOUT 300
+                                  PROCESSORS ${processors})
 endforeach()
 
+# The soak program runs a fleet under random faults; scripts/soak.sh starts it.
+if(EXISTS ${CMAKE_SOURCE_DIR}/test/system/soak_main.cc)
+  file(GLOB soak_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/system/*.cc)
+  list(FILTER soak_sources EXCLUDE REGEX "_test\\.cc$")
+  add_executable(soak ${soak_sources})
+  target_include_directories(soak PRIVATE test src)
+  target_link_libraries(soak PRIVATE wisteriaflow_fakes absl::flags absl::flags_parse)
+  target_compile_definitions(soak PRIVATE WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
+  add_dependencies(soak wisteriaflowd fake_object_api fake_cloud_api fake_model_engine
+                   fake_plain_service)
+endif()
+
 # Benches are built with everything else and run by hand or by bench/run.
 file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cc)
 foreach(bench ${benches})
--- /dev/null
+++ b/test/system/fleet_fixture.h
@@ -0,0 +1,94 @@
+// A fleet of three daemons in two availability zones with three engines and a plain service.
+
+#ifndef WISTERIAFLOW_TEST_SYSTEM_FLEET_FIXTURE_H_
+#define WISTERIAFLOW_TEST_SYSTEM_FLEET_FIXTURE_H_
+
+#include "system/eventually.h"
+#include "system/fleet.h"
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::system_tests {
+
+class fleet_fixture : public testing::Test {
+ protected:
+  void SetUp() override
+  {
+    f.start_engine({.id = "engine-a", .zone = "zone-a", .token_interval_ms = token_interval_ms});
+    f.start_engine({.id = "engine-b", .zone = "zone-b", .token_interval_ms = token_interval_ms});
+    f.start_engine({.id = "engine-c", .zone = "zone-b", .token_interval_ms = token_interval_ms});
+    f.start_service("desk", "zone-a");
+    f.declare();
+    f.start_daemon("d1", "zone-a");
+    f.start_daemon("d2", "zone-a");
+    f.start_daemon("d3", "zone-b");
+    f.await_ready(endpoints);
+  }
+
+  // A stream that runs while the test goes on.
+  struct running_stream {
+    std::atomic<int> seen{0};
+    std::future<streamed_answer> answer;
+  };
+
+  // Starts a stream and waits until a few of its tokens are there.
+  std::unique_ptr<running_stream> start_stream(const std::string& daemon,
+                                               const completion_options& options)
+  {
+    auto out = std::make_unique<running_stream>();
+    out->answer = std::async(std::launch::async, [this, daemon, options, s = out.get()] {
+      return follow_stream(f.address_of(daemon), completion(options), &s->seen);
+    });
+    const bool begun = eventually([&] { return out->seen >= 3; });
+    EXPECT_TRUE(begun) << "the stream at " << daemon << " did not begin";
+    return out;
+  }
+
+  static void expect_whole(const streamed_answer& got, const completion_options& options)
+  {
+    EXPECT_EQ(got.text, expected_text(options));
+    EXPECT_TRUE(got.in_order) << "tokens repeated or missing, got " << got.tokens;
+    EXPECT_TRUE(got.done) << "no [DONE]; error: " << got.error;
+    EXPECT_FALSE(got.cut) << "cut after " << got.tokens << " tokens";
+  }
+
+  // The engine that runs a request now; empty if none does.
+  std::string busy_engine()
+  {
+    for (const auto* id : {"engine-a", "engine-b", "engine-c"}) {
+      const auto got = call(f.address_of(id), {.target = "/load"});
+      if (got.body.find("\"running\":0") == std::string::npos && got.whole) {
+        return id;
+      }
+    }
+    return {};
+  }
+
+  // Sends a non-idempotent delivery on a thread of its own.
+  std::future<reply> send_delivery(const std::string& daemon, const std::string& key,
+                                   const std::string& path = "/confirm")
+  {
+    const auto address = f.address_of(daemon);
+    return std::async(std::launch::async,
+                      [=] { return call_following(address, delivery(key, path)); });
+  }
+
+  // Waits until the service has begun to run `key`.
+  void await_run(const std::string& key)
+  {
+    EXPECT_TRUE(eventually([&] { return f.runs_of(key) > 0; })) << key << " was not run";
+  }
+
+  static constexpr int token_interval_ms = 15;
+  static constexpr int endpoints = 4;
+  fleet f;
+};
+
+} // namespace wisteriaflow::system_tests
+
+#endif // WISTERIAFLOW_TEST_SYSTEM_FLEET_FIXTURE_H_
--- /dev/null
+++ b/test/system/process.cc
@@ -0,0 +1,103 @@
+#include "system/process.h"
+
+#include "system/eventually.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace wisteriaflow::system_tests {
+namespace {
+
+constexpr mode_t log_mode = 0600;
+
+} // namespace
+
+process::process(const std::vector<std::string>& arguments, std::string log) : log_(std::move(log))
+{
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_.c_str(),
+                                   O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, log_mode);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<char*> argv;
+  for (const auto& each : arguments) {
+    argv.push_back(const_cast<char*>(each.c_str())); // NOLINT: posix_spawn takes no const
+  }
+  argv.push_back(nullptr);
+  const int ec = posix_spawn(&pid_, argv[0], &files, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (ec != 0) {
+    pid_ = 0;
+    throw std::runtime_error("cannot start " + arguments.front());
+  }
+}
+
+process::~process()
+{
+  kill();
+}
+
+std::string process::output() const
+{
+  std::ostringstream out;
+  out << std::ifstream(log_).rdbuf();
+  return out.str();
+}
+
+std::string process::await_line(const std::string& start) const
+{
+  std::string found;
+  const bool there = eventually([&] {
+    std::ifstream in(log_);
+    std::string line;
+    while (std::getline(in, line)) {
+      if (line.starts_with(start) && !in.eof()) {
+        found = line;
+        return true;
+      }
+    }
+    return false;
+  });
+  if (!there) {
+    throw std::runtime_error("no line '" + start + "' in: " + output());
+  }
+  return found;
+}
+
+void process::signal(int number) const
+{
+  if (pid_ != 0) {
+    ::kill(pid_, number);
+  }
+}
+
+void process::kill()
+{
+  if (pid_ == 0) {
+    return;
+  }
+  ::kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+bool process::await_end()
+{
+  int status = 0;
+  const bool ended = eventually([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+  if (!ended) {
+    return false;
+  }
+  pid_ = 0;
+  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+} // namespace wisteriaflow::system_tests
