Refuse a claim at once while its shard's update cannot be settled

Cause: the owner of a shard answered nobody whose claim stood in an update that the store neither confirmed nor denied, so that during an outage a caller with a fresh key waited for its whole deadline (seen: 60 s). Now the owner refuses those who ask at the first failed read. An asker that is refused never runs under its nonce, so a late landing makes no second run; the entries stay in the batch, and a repeat is told of them.

Likewise a repeat asked after an executor that is gone for as long as the deadline allowed. It is told at once that the outcome is unknown. Ruled out: asking on for less time, which would call a slow executor unknown.

--- a/src/claims/owner_core.cc
+++ b/src/claims/owner_core.cc
@@ -126,6 +126,9 @@
   }
   if (other->entry.nonce == asked.request.nonce) {
     other->tokens.push_back(asked.token);
+  } else if (other->entry.nonce == asked.request.replaces_nonce && store_is_down()) {
+    // What it replaces cannot be settled now, so it cannot be written either.
+    reply(asked.token, {.result = claim_result::unavailable, .key_free = true});
   } else if (other->entry.body_hash != asked.request.body_hash) {
     reply(asked.token, {.result = claim_result::body_mismatch});
   } else {
@@ -349,9 +352,13 @@
 
 void owner_core::settle_later()
 {
-  // The batch may still land, so it is not answered; what is in no update can be refused.
   refuse_until_ = now_.mono + options_.settings.store_retry;
   retry_at_ = after(options_.settings.store_retry);
+  // The batch may still land, so its entries stay. Those who asked need not wait for that: an asker
+  // that is refused never runs under its nonce, whether or not the entry lands.
+  for (const auto token : pending_.take_batch_tokens()) {
+    reply(token, {.result = claim_result::unavailable, .key_free = true});
+  }
   refuse(pending_.take_gathered());
 }
 
--- a/src/claims/pending_claims.h
+++ b/src/claims/pending_claims.h
@@ -32,6 +32,17 @@
   void start_batch() { batch_ = std::exchange(gathered_, {}); }
 
   [[nodiscard]] std::vector<pending_claim> take_batch() { return std::exchange(batch_, {}); }
+  // Who waits for the batch; its entries stay.
+  [[nodiscard]] std::vector<std::uint64_t> take_batch_tokens()
+  {
+    std::vector<std::uint64_t> out;
+    for (auto& claim : batch_) {
+      out.insert(out.end(), claim.tokens.begin(), claim.tokens.end());
+      claim.tokens.clear();
+    }
+    return out;
+  }
+
   [[nodiscard]] std::vector<pending_claim> take_gathered() { return std::exchange(gathered_, {}); }
 
   // The claim of `key` that is on its way, or null.
--- a/src/core/claim_service.cc
+++ b/src/core/claim_service.cc
@@ -220,6 +220,13 @@
 
 void claim_service::act(std::uint64_t nonce, const claims::query_executor& a)
 {
+  if (fleet_.is_gone(a.executor)) {
+    // Nobody else knows what became of it. Asking on would only keep the caller waiting.
+    context_.timers().at(context_.now().mono, [this, nonce] {
+      feed_asker(nonce, claims::executor_answered{claims::request_standing::outcome_unknown});
+    });
+    return;
+  }
   const auto to = fleet_.peer_address_of(a.executor);
   if (!to) {
     context_.timers().at(context_.now().mono,
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -95,7 +95,7 @@
       view_(view_options_of(context.options(), context.now()), context.now()),
       gossiper_(gossip_options_of(context.options()), view_, context.now()), endpoints_({}),
       prefixes_({}), configuration_(std::make_shared<objects::fleet_configuration>()),
-      update_due_(context.now().mono)
+      started_at_(context.now().mono), update_due_(context.now().mono)
 {}
 
 void fleet::start()
@@ -488,6 +488,15 @@
   return out;
 }
 
+bool fleet::is_gone(const daemon_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
+  if (m == nullptr) {
+    return context_.now().mono >= started_at_ + context_.options().gone_after;
+  }
+  return m->state == member_state::gone;
+}
+
 std::optional<http::socket_address> fleet::peer_address_of(const daemon_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -69,6 +69,9 @@
   [[nodiscard]] std::vector<daemon_id> live_daemon_ids() const;
 
   // Where to reach a daemon that is not gone; nothing if it is unknown.
+  // Whether a daemon is known to be gone, or has not been heard of in the time that takes to learn.
+  [[nodiscard]] bool is_gone(const daemon_id& id) const;
+
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
@@ -106,6 +109,7 @@
   std::uint64_t seen_version_ = 0;
   std::uint64_t heard_revision_ = 0;
   timer_number gossip_timer_ = 0;
+  mono_time started_at_;
   mono_time update_due_;
   bool update_scheduled_ = false;
   bool heard_peers_ = false;
