membership bench: bytes by part and second, unannounced loss, real subsets

The bench gave one sum over ten seconds for the notices of a zone loss, and its messages carried no loads. Bytes are now counted by part of the messages (through the daemon's own codec) and by second, loads travel between holders, a zone's daemons may die unannounced, and leave events are as many as asked for.

--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -1,11 +1,9 @@
-// Membership at the planned size: how fast all know that a member leaves, bytes, time and memory a
-// daemon, and how the ways to give endpoints to daemons compare.
+// Membership at the planned size: how fast all know that a member leaves or dies, and the bytes by
+// part, time and memory of a daemon.
 //
-//   build/membership_bench --seeds=5 --json=membership.json
+//   build/membership_bench --measure=steady,leave,zone,silent,subsets --events=5 --json=out.json
 
 #include "membership_bench_fleet.h"
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/membership/subsets.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -15,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <numeric>
+#include <ranges>
 #include <string>
 #include <vector>
 
@@ -23,40 +22,82 @@
 #include <boost/json.hpp>
 #include <malloc.h>
 
-ABSL_FLAG(int, seeds, 5, "leave events for each size and condition, one seed each");
+ABSL_FLAG(std::vector<std::string>, measure,
+          std::vector<std::string>({"subsets", "steady", "leave", "zone", "silent"}),
+          "what is measured");
+ABSL_FLAG(std::vector<std::string>, sizes, std::vector<std::string>({"50", "100", "200", "390"}),
+          "numbers of daemons; endpoints and zones go with them");
+ABSL_FLAG(int, events, 5, "leave events for each size and condition");
+ABSL_FLAG(std::uint64_t, seed, 1, "of the choice of peers and of lost messages");
 ABSL_FLAG(std::string, json, "", "file for the results as JSON");
-ABSL_FLAG(bool, quick, false, "the two smaller sizes only");
 
 namespace wisteriaflow::membership {
 namespace {
 
 constexpr std::int64_t warm_up_ms = 10'000;
-constexpr std::int64_t steady_ms = 20'000;
 constexpr std::int64_t leave_limit_ms = 10'000;
 
+using rows = boost::json::array;
+
 double cpu_seconds()
 {
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-fleet_options size_of(int daemons, std::uint64_t seed)
+fleet_options size_of(int daemons)
 {
   // Endpoints and zones in proportion to the planned 390 daemons, 2,500 endpoints, 11 zones.
   return {.daemons = daemons,
           .endpoints = daemons * 2500 / 390,
           .zones = std::max(4, daemons * 11 / 390),
-          .seed = seed};
+          .seed = absl::GetFlag(FLAGS_seed)};
+}
+
+std::uint64_t sum_of(const wire_bytes& bytes)
+{
+  return std::reduce(bytes.begin(), bytes.end());
 }
 
-std::uint64_t mean_of(const std::vector<std::uint64_t>& values)
+// Bytes by part and second of the mean daemon.
+boost::json::object parts_of(const wire_bytes& bytes, int daemons, double seconds)
 {
-  return std::accumulate(values.begin(), values.end(), std::uint64_t{0}) / values.size();
+  boost::json::object parts;
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    parts[wire_part_names.at(i)] =
+        static_cast<std::int64_t>(static_cast<double>(bytes.at(i)) / daemons / seconds);
+  }
+  return parts;
 }
 
+// The dearest second, on the mean over daemons and at the worst one.
+struct peak_bytes {
+  int second = 0;
+  std::uint64_t worst_daemon = 0;
+  wire_bytes bytes{};
+
+  void note(int at_second, const bench_fleet::sent_bytes& sent)
+  {
+    worst_daemon = std::max(worst_daemon, sent.most);
+    if (sum_of(sent.all) > sum_of(bytes)) {
+      second = at_second;
+      bytes = sent.all;
+    }
+  }
+
+  [[nodiscard]] boost::json::object describe(int daemons) const
+  {
+    return {{"bytes_mean", sum_of(bytes) / daemons},
+            {"at_second", second},
+            {"parts", parts_of(bytes, daemons, 1)},
+            {"bytes_of_worst_daemon", worst_daemon}};
+  }
+};
+
 // Steady state of one size, with `workspaces` in use on every daemon.
-boost::json::object measure_steady(int daemons, int workspaces)
+void measure_steady(int daemons, int workspaces, rows& out)
 {
-  auto options = size_of(daemons, 1);
+  constexpr int seconds = 20;
+  auto options = size_of(daemons);
   options.workspaces = workspaces;
   const auto heap_before = mallinfo2().uordblks;
   bench_fleet fleet(options);
@@ -64,54 +105,59 @@
   const auto heap = mallinfo2().uordblks - heap_before;
   fleet.take_bytes();
   const auto cpu = cpu_seconds();
-  fleet.run_for(steady_ms);
+  fleet.run_for(seconds * 1000);
   const auto used = cpu_seconds() - cpu;
-  const auto bytes = fleet.take_bytes();
-  constexpr double seconds = steady_ms / 1000.0;
+  const auto sent = fleet.take_bytes();
   fleet.run_for(15'000); // By now, a daemon never heard would be suspected.
-  return {{"daemons", daemons},
-          {"workspaces", workspaces},
-          {"bytes_per_s_mean", static_cast<double>(mean_of(bytes)) / seconds},
-          {"bytes_per_s_max", static_cast<double>(std::ranges::max(bytes)) / seconds},
-          {"cpu_us_per_s", used * 1e6 / seconds / daemons},
-          {"heap_kb", heap / 1024 / static_cast<std::size_t>(daemons)},
-          {"wrongly_suspected", fleet.suspected()}};
+  out.push_back({{"daemons", daemons},
+                 {"workspaces", workspaces},
+                 {"bytes_per_s_mean", sum_of(sent.all) / daemons / seconds},
+                 {"bytes_per_s_max", sent.most / seconds},
+                 {"parts", parts_of(sent.all, daemons, seconds)},
+                 {"cpu_us_per_s", static_cast<int>(used * 1e6 / seconds / daemons)},
+                 {"heap_kb", heap / 1024 / static_cast<std::size_t>(daemons)},
+                 {"wrongly_suspected", fleet.count_opinions().suspected_alive - daemons}});
 }
 
-// Milliseconds until all daemons know of one leaving endpoint, over the seeds.
-boost::json::object measure_leave(int daemons, double loss, bool first_told_dies)
+// Milliseconds until all daemons know of one leaving endpoint.
+void measure_leave(int daemons, double loss, bool first_told_dies, rows& out)
 {
-  std::vector<std::int64_t> times;
-  int missed = 0;
-  auto options = size_of(daemons, 1);
+  auto options = size_of(daemons);
   options.loss = loss;
-  bench_fleet fleet(options);
-  fleet.run_for(warm_up_ms);
-  for (int seed = 0; seed < absl::GetFlag(FLAGS_seeds); ++seed) {
-    const member_key key{member_kind::endpoint, "e" + std::to_string(seed)};
-    fleet.announce(seed, key, 30'000);
-    if (first_told_dies) {
-      fleet.kill(seed);
+  std::vector<std::int64_t> times;
+  const int events = absl::GetFlag(FLAGS_events);
+  // A fleet loses few daemons before the next one is begun.
+  constexpr int events_of_fleet = 20;
+  while (std::ssize(times) < events) {
+    options.seed += 1;
+    bench_fleet fleet(options);
+    fleet.run_for(warm_up_ms);
+    for (int i = 0; i < events_of_fleet && std::ssize(times) < events; ++i) {
+      const member_key key{member_kind::endpoint, "e" + std::to_string(i)};
+      fleet.announce(i, key, 30'000);
+      if (first_told_dies) {
+        fleet.kill(i);
+      }
+      const auto ms = fleet.run_until_known(key, leave_limit_ms);
+      times.push_back(ms < 0 ? leave_limit_ms : ms);
+      fleet.run_for(1500);
     }
-    const auto ms = fleet.run_until_known(key, leave_limit_ms);
-    missed += ms < 0 || ms > 2000 ? 1 : 0;
-    times.push_back(ms < 0 ? leave_limit_ms : ms);
-    fleet.run_for(1500);
   }
   std::ranges::sort(times);
-  return {{"daemons", daemons},
-          {"loss", loss},
-          {"first_told_dies", first_told_dies},
-          {"events", times.size()},
-          {"ms_median", times[times.size() / 2]},
-          {"ms_max", times.back()},
-          {"over_2_s", missed}};
+  out.push_back({{"daemons", daemons},
+                 {"loss", loss},
+                 {"first_told_dies", first_told_dies},
+                 {"events", times.size()},
+                 {"ms_median", times[times.size() / 2]},
+                 {"ms_p99", times[times.size() * 99 / 100]},
+                 {"ms_max", times.back()},
+                 {"over_2_s", std::ranges::count_if(times, [](auto ms) { return ms > 2000; })}});
 }
 
 // A zone's instances all get notices, each from a random daemon, within a second; then they die.
-boost::json::object measure_zone_loss(int daemons)
+void measure_zone_loss(int daemons, rows& out)
 {
-  const auto options = size_of(daemons, 1);
+  const auto options = size_of(daemons);
   bench_fleet fleet(options);
   fleet.run_for(warm_up_ms);
   fleet.take_bytes();
@@ -122,224 +168,139 @@
   for (int i = 0; i < options.endpoints; i += options.zones) {
     leaving.push_back({member_kind::endpoint, "e" + std::to_string(i)});
   }
-  for (std::size_t i = 0; i < leaving.size(); ++i) {
-    fleet.announce(static_cast<int>(i * 7919) % daemons, leaving[i], 10'000);
-    if (i % (leaving.size() / 50 + 1) == 0) {
-      fleet.run_for(20);
-    }
-  }
+  peak_bytes notices;
+  std::size_t known = 0;
   std::int64_t last_ms = 0;
-  for (const auto& key : leaving) {
-    const auto ms = fleet.run_until_known(key, leave_limit_ms);
-    last_ms += ms;
+  for (std::size_t step = 0; step < 500; ++step) {
+    // All are announced within the first of ten seconds.
+    const auto first = std::min(step * leaving.size() / 50, leaving.size());
+    const auto end = std::min((step + 1) * leaving.size() / 50, leaving.size());
+    for (auto i = first; i < end; ++i) {
+      fleet.announce(static_cast<int>(i * 7919) % daemons, leaving[i], 10'000);
+    }
+    fleet.run_for(20);
+    for (; known < end && fleet.is_known(leaving[known]); ++known) {
+      last_ms = static_cast<std::int64_t>(step - 48) * 20;
+    }
+    if (step % 50 == 49) {
+      notices.note(static_cast<int>(step) / 50 + 1, fleet.take_bytes());
+    }
   }
-  fleet.run_for(10'000 - last_ms);
-  const auto notices = fleet.take_bytes();
   for (int i = 0; i < options.daemons; i += options.zones) {
     fleet.kill(i);
   }
-  std::uint64_t peak = 0;
-  for (int s = 0; s < 30; ++s) {
+  peak_bytes after;
+  for (int second = 1; second <= 30; ++second) {
     fleet.run_for(1000);
-    peak = std::max(peak, mean_of(fleet.take_bytes()));
-  }
-  return {{"daemons", daemons},
-          {"members_lost", leaving.size()},
-          {"ms_after_last_notice", last_ms},
-          {"bytes_per_s_mean_10s", mean_of(notices) / 10},
-          {"bytes_per_s_worst_second_after", peak},
-          {"distinct_views_at_end", fleet.distinct_views()}};
-}
-
-using chooser = std::function<std::vector<std::vector<int>>(int daemons, int endpoints)>;
-
-struct subset_figures {
-  std::string name;
-  std::vector<std::vector<int>> held;
-};
-
-std::vector<const member*> pointers_to(const std::vector<member>& members)
-{
-  std::vector<const member*> found;
-  found.reserve(members.size());
-  for (const auto& m : members) {
-    found.push_back(&m);
-  }
-  return found;
-}
-
-// The project's own way.
-std::vector<std::vector<int>> two_sided(int daemons, int endpoints)
-{
-  const fleet_options options;
-  std::vector<member> all_daemons;
-  all_daemons.reserve(daemons);
-  std::vector<member> all_endpoints;
-  all_endpoints.reserve(endpoints);
-  for (int i = 0; i < daemons; ++i) {
-    all_daemons.push_back(bench_daemon(i, options));
-  }
-  for (int i = 0; i < endpoints; ++i) {
-    all_endpoints.push_back(bench_endpoint(i, options));
-  }
-  std::vector<std::vector<int>> held;
-  for (const auto& d : all_daemons) {
-    auto& mine = held.emplace_back();
-    for (const auto& e :
-         subset_of(daemon_id{d.key.id}, pointers_to(all_daemons), pointers_to(all_endpoints))) {
-      mine.push_back(std::stoi(e.value().substr(1)));
-    }
-  }
-  return held;
-}
-
-// Each daemon takes the 64 endpoints with the highest scores; random choice is alike in coverage,
-// but moves wholly when it is drawn again.
-std::vector<std::vector<int>> daemon_rendezvous(int daemons, int endpoints)
-{
-  std::vector<std::vector<int>> held;
-  for (int d = 0; d < daemons; ++d) {
-    std::vector<int> ranked(endpoints);
-    std::iota(ranked.begin(), ranked.end(), 0);
-    std::ranges::partial_sort(
-        ranked, ranked.begin() + std::min(64, endpoints), std::greater{}, [d](int e) {
-          return rendezvous_score(hash64_of("d" + std::to_string(d)), "e" + std::to_string(e));
-        });
-    ranked.resize(std::min(64, endpoints));
-    held.push_back(std::move(ranked));
-  }
-  return held;
-}
-
-// Each daemon takes the 64 endpoints that follow it on a hash ring.
-std::vector<std::vector<int>> ring(int daemons, int endpoints)
-{
-  std::map<std::uint64_t, int> points;
-  for (int e = 0; e < endpoints; ++e) {
-    points.emplace(hash64_of("e" + std::to_string(e)), e);
-  }
-  std::vector<std::vector<int>> held;
-  for (int d = 0; d < daemons; ++d) {
-    auto& mine = held.emplace_back();
-    auto it = points.lower_bound(hash64_of("d" + std::to_string(d)));
-    while (std::ssize(mine) < 64) {
-      it = it == points.end() ? points.begin() : it;
-      mine.push_back((it++)->second);
-    }
+    after.note(second, fleet.take_bytes());
   }
-  return held;
+  out.push_back({{"daemons", daemons},
+                 {"members_lost", leaving.size()},
+                 {"ms_after_last_notice", last_ms},
+                 {"known", known},
+                 {"worst_second_of_notices", notices.describe(daemons)},
+                 {"worst_second_after_loss", after.describe(fleet.alive())},
+                 {"distinct_views_at_end", fleet.distinct_views()}});
 }
 
-// Deterministic subsetting: rounds of daemons share out one shuffled list.
-std::vector<std::vector<int>> shuffled_rounds(int daemons, int endpoints)
+// A zone's daemons die without a word.
+void measure_silent_loss(int daemons, rows& out)
 {
-  const int in_round = std::max(1, endpoints / 64);
-  std::vector<std::vector<int>> held;
-  for (int d = 0; d < daemons; ++d) {
-    std::vector<int> order(endpoints);
-    std::iota(order.begin(), order.end(), 0);
-    std::mt19937_64 random(static_cast<std::uint64_t>(d / in_round));
-    std::ranges::shuffle(order, random);
-    const auto begin = order.begin() + static_cast<std::ptrdiff_t>(d % in_round) * 64;
-    held.emplace_back(begin, begin + 64);
+  const auto options = size_of(daemons);
+  bench_fleet fleet(options);
+  fleet.run_for(warm_up_ms);
+  fleet.take_bytes();
+  for (int i = 0; i < options.daemons; i += options.zones) {
+    fleet.kill(i);
   }
-  return held;
-}
-
-// Endpoints newly taken on, over all daemons but the one that left.
-std::size_t moved_between(const std::vector<std::vector<int>>& before,
-                          const std::vector<std::vector<int>>& after)
-{
-  std::size_t moved = 0;
-  for (std::size_t d = 0; d < after.size(); ++d) {
-    for (const int e : after[d]) {
-      moved += std::ranges::find(before[d], e) == before[d].end() ? 1U : 0U;
-    }
+  const int alive = fleet.alive();
+  const int pairs = alive * (daemons - alive);
+  peak_bytes peak;
+  std::map<std::string, int> seconds;
+  int wrongly_gone = 0;
+  for (int s = 1; s <= 90; ++s) {
+    fleet.run_for(1000);
+    peak.note(s, fleet.take_bytes());
+    const auto found = fleet.count_opinions();
+    wrongly_gone = std::max(wrongly_gone, found.gone_alive);
+    const auto note = [&](const char* what, bool reached) {
+      if (reached) {
+        seconds.try_emplace(what, s);
+      }
+    };
+    note("half_suspected", 2 * found.suspected_dead >= pairs);
+    note("all_suspected", found.suspected_dead == pairs);
+    note("first_gone", found.gone_dead > 0);
+    note("all_gone", found.gone_dead == pairs);
   }
-  return moved;
+  out.push_back({{"daemons", daemons},
+                 {"died", daemons - alive},
+                 {"seconds_until", boost::json::value_from(seconds)},
+                 {"wrongly_gone", wrongly_gone},
+                 {"worst_second", peak.describe(alive)},
+                 {"distinct_views_at_end", fleet.distinct_views()}});
 }
 
-boost::json::object measure_subsets(const std::string& name, const chooser& choose)
+// How evenly endpoints are held.
+void measure_subsets(int daemons, rows& out)
 {
-  constexpr int daemons = 390;
-  constexpr int endpoints = 2500;
+  const auto options = size_of(daemons);
   const auto cpu = cpu_seconds();
-  const auto held = choose(daemons, endpoints);
+  const auto held = bench_subsets(options);
   const auto used = cpu_seconds() - cpu;
-  std::vector<int> holders(endpoints);
+  std::map<endpoint_id, int> holders;
   std::vector<std::size_t> sizes;
   for (const auto& mine : held) {
     sizes.push_back(mine.size());
-    for (const int e : mine) {
+    for (const auto& e : mine) {
       ++holders[e];
     }
   }
-  const double mean_holders = std::accumulate(holders.begin(), holders.end(), 0.0) / endpoints;
-  return {
-      {"way", name},
-      {"holders_min", std::ranges::min(holders)},
-      {"holders_mean", mean_holders},
-      {"holders_max", std::ranges::max(holders)},
-      {"endpoints_under_3_holders", std::ranges::count_if(holders, [](int n) { return n < 3; })},
-      {"subset_min", std::ranges::min(sizes)},
-      {"subset_max", std::ranges::max(sizes)},
-      {"moved_by_one_daemon", moved_between(held, choose(daemons - 1, endpoints))},
-      {"moved_by_one_endpoint", moved_between(held, choose(daemons, endpoints - 1))},
-      {"us_per_daemon", used * 1e6 / daemons}};
+  const auto [fewest, most] = std::ranges::minmax(holders | std::views::values);
+  out.push_back({{"daemons", daemons},
+                 {"endpoints_held", holders.size()},
+                 {"holders_min", fewest},
+                 {"holders_max", most},
+                 {"subset_min", std::ranges::min(sizes)},
+                 {"subset_max", std::ranges::max(sizes)},
+                 {"us_per_daemon", used * 1e6 / daemons}});
 }
 
-void print(const char* title, const boost::json::array& rows)
+void measure_at(const std::string& what, int daemons, rows& out)
 {
-  std::printf("\n%s\n", title);
-  for (const auto& row : rows) {
-    for (const auto& [key, value] : row.as_object()) {
-      const auto text =
-          value.is_double() ? std::to_string(value.as_double()) : boost::json::serialize(value);
-      std::printf("  %s=%s", std::string(key).c_str(), text.c_str());
-    }
-    std::printf("\n");
+  if (what == "subsets") {
+    measure_subsets(daemons, out);
+  } else if (what == "steady") {
+    measure_steady(daemons, 5, out);
+    measure_steady(daemons, 64, out);
+  } else if (what == "leave") {
+    measure_leave(daemons, 0, false, out);
+    measure_leave(daemons, 0, true, out);
+    measure_leave(daemons, 0.1, true, out);
+    measure_leave(daemons, 0.2, true, out);
+  } else if (what == "zone") {
+    measure_zone_loss(daemons, out);
+  } else if (what == "silent") {
+    measure_silent_loss(daemons, out);
   }
-  std::fflush(stdout);
 }
 
 void run()
 {
-  std::vector<int> sizes = {50, 100, 200, 390};
-  if (absl::GetFlag(FLAGS_quick)) {
-    sizes = {50, 100};
-  }
   boost::json::object results;
-  auto measure = [&](const char* title, const std::function<void(boost::json::array&)>& fill) {
-    boost::json::array rows;
-    fill(rows);
-    print(title, rows);
-    results[title] = std::move(rows);
-  };
-  measure("subsets", [](auto& rows) {
-    rows.push_back(measure_subsets("two-sided rendezvous", two_sided));
-    rows.push_back(measure_subsets("daemon-side rendezvous", daemon_rendezvous));
-    rows.push_back(measure_subsets("ring", ring));
-    rows.push_back(measure_subsets("deterministic rounds", shuffled_rounds));
-  });
-  measure("steady", [&](auto& rows) {
-    for (const int n : sizes) {
-      rows.push_back(measure_steady(n, 5));
+  for (const auto& what : absl::GetFlag(FLAGS_measure)) {
+    rows measured;
+    std::printf("\n%s\n", what.c_str());
+    for (const auto& size : absl::GetFlag(FLAGS_sizes)) {
+      const auto printed = measured.size();
+      measure_at(what, std::stoi(size), measured);
+      for (auto i = printed; i < measured.size(); ++i) {
+        std::printf("  %s\n", boost::json::serialize(measured[i]).c_str());
+      }
+      std::fflush(stdout);
     }
-    rows.push_back(measure_steady(sizes.back(), 64));
-  });
-  measure("leave", [&](auto& rows) {
-    for (const int n : sizes) {
-      rows.push_back(measure_leave(n, 0, false));
-      rows.push_back(measure_leave(n, 0, true));
-      rows.push_back(measure_leave(n, 0.1, true));
-      rows.push_back(measure_leave(n, 0.2, true));
-    }
-  });
-  measure("zone loss", [&](auto& rows) {
-    for (const int n : sizes) {
-      rows.push_back(measure_zone_loss(n));
-    }
-  });
+    results[what] = std::move(measured);
+  }
   if (const auto file = absl::GetFlag(FLAGS_json); !file.empty()) {
     std::ofstream(file) << boost::json::serialize(results) << '\n';
   }
--- a/bench/membership_bench_fleet.cc
+++ b/bench/membership_bench_fleet.cc
@@ -1,13 +1,17 @@
 #include "membership_bench_fleet.h"
 
+#include "peer/peer_codec.h"
+#include "wisteriaflow/membership/subsets.h"
+
 #include <algorithm>
 #include <chrono>
-#include <set>
+#include <functional>
+#include <iterator>
+#include <numeric>
+#include <span>
 #include <string>
 #include <utility>
 
-#include <peer.pb.h>
-
 namespace wisteriaflow::membership {
 namespace {
 
@@ -23,29 +27,6 @@
   return {.mono = mono_time{std::chrono::milliseconds{ms}}, .wall = from_unix_ms(epoch_ms + ms)};
 }
 
-void encode(const member& m, peer::v1::Member& out)
-{
-  out.set_kind(m.key.kind == member_kind::daemon ? peer::v1::MEMBER_KIND_DAEMON
-                                                 : peer::v1::MEMBER_KIND_ENDPOINT);
-  out.set_id(m.key.id);
-  out.set_incarnation(m.incarnation);
-  out.set_state(static_cast<peer::v1::MemberState>(static_cast<int>(m.state) + 1));
-  out.set_heartbeat(m.heartbeat);
-  out.set_reclaim_at_unix_ms(m.reclaim_at ? to_unix_ms(*m.reclaim_at) : 0);
-  out.set_attributes_revision(m.attributes_revision);
-  out.set_peer_address(m.attributes.peer_address);
-  out.set_caller_address(m.attributes.address);
-  out.set_availability_zone(m.attributes.zone.value());
-  for (const auto& [key, value] : m.attributes.labels) {
-    (*out.mutable_labels())[key] = value;
-  }
-  out.set_instance_class(m.attributes.instance_class);
-  out.set_role(m.attributes.role);
-  out.set_reclaimable(m.attributes.reclaimable);
-  out.set_price_per_hour(m.attributes.price_per_hour);
-  out.set_checks_fencing(m.attributes.checks_fencing);
-}
-
 std::string name_of(const char* prefix, int i)
 {
   return prefix + std::to_string(i);
@@ -56,40 +37,39 @@
   return std::stoi(id.value().substr(1));
 }
 
-} // namespace
+// Bytes of repeated sub-messages, each with its tag and a length of one byte or two.
+template <typename Messages> std::uint64_t size_of_all(const Messages& messages)
+{
+  std::uint64_t bytes = 0;
+  for (const auto& m : messages) {
+    bytes += m.ByteSizeLong() + (m.ByteSizeLong() < 128 ? 2 : 3);
+  }
+  return bytes;
+}
 
-std::size_t wire_size_of(const gossip_message& message)
+void count(const gossip_message& message, bool is_repair, wire_bytes& bytes)
 {
   peer::v1::GossipMessage out;
-  out.set_from(message.from.value());
-  out.set_kind(static_cast<peer::v1::GossipKind>(static_cast<int>(message.kind) + 1));
-  out.set_configuration_revision(message.configuration_revision);
-  out.set_configuration_floor(message.configuration_floor);
-  out.set_view_version(message.view_version);
-  out.set_view_hash(message.view_hash);
-  out.set_seen_version(message.seen_version);
-  out.set_covered_version(message.covered_version);
-  for (const auto& m : message.members) {
-    encode(m, *out.add_members());
-  }
-  for (const auto& h : message.heartbeats) {
-    out.add_heartbeat_hashes(h.hash);
-    out.add_heartbeat_counters(h.counter);
-  }
-  for (const auto part : message.view_buckets) {
-    out.add_view_buckets(part);
-  }
-  for (const auto& u : message.usage) {
-    auto& usage = *out.add_usage();
-    usage.set_workspace(u.workspace.value());
-    usage.set_daemon(u.daemon.value());
-    usage.set_tokens_per_second(u.tokens_per_second);
-    usage.set_requests_per_second(u.requests_per_second);
-    usage.set_sequence(u.sequence);
-  }
-  return out.ByteSizeLong() + framing_bytes;
+  peer::encode(message, out);
+  const auto add = [&bytes](wire_part part, std::uint64_t n) {
+    bytes.at(static_cast<std::size_t>(part)) += n;
+    return n;
+  };
+  auto rest = out.ByteSizeLong() + framing_bytes;
+  rest -= add(wire_part::buckets, 4 * static_cast<std::uint64_t>(out.view_buckets_size()));
+  rest -= add(wire_part::usage, size_of_all(out.usage()));
+  rest -= add(wire_part::loads, size_of_all(out.loads()));
+  const auto plain = message.kind == gossip_kind::urgent ? wire_part::urgent : wire_part::news;
+  rest -= add(is_repair ? wire_part::repair : plain, size_of_all(out.members()));
+  auto without = out;
+  without.clear_heartbeat_hashes();
+  without.clear_heartbeat_counters();
+  rest -= add(wire_part::heartbeats, out.ByteSizeLong() - without.ByteSizeLong());
+  add(wire_part::headers, rest);
 }
 
+} // namespace
+
 member bench_daemon(int i, const fleet_options& options)
 {
   const auto id = name_of("d", i);
@@ -117,39 +97,72 @@
                          .price_per_hour = 0.42}};
 }
 
-bench_fleet::bench_fleet(const fleet_options& options) : options_(options), random_(options.seed)
+std::vector<std::set<endpoint_id>> bench_subsets(const fleet_options& options)
+{
+  std::vector<member> members;
+  for (int i = 0; i < options.daemons; ++i) {
+    members.push_back(bench_daemon(i, options));
+  }
+  for (int i = 0; i < options.endpoints; ++i) {
+    members.push_back(bench_endpoint(i, options));
+  }
+  std::vector<const member*> pointers;
+  std::ranges::transform(members, std::back_inserter(pointers), [](auto& m) { return &m; });
+  const std::span all(pointers);
+  const auto daemons = all.first(options.daemons);
+  std::vector<std::set<endpoint_id>> held;
+  for (const member* d : daemons) {
+    const auto subset = subset_of(daemon_id{d->key.id}, daemons, all.subspan(options.daemons));
+    held.emplace_back(subset.begin(), subset.end());
+  }
+  return held;
+}
+
+bench_fleet::bench_fleet(const fleet_options& options)
+    : options_(options), random_(options.seed), held_(bench_subsets(options))
 {
   std::vector<member> list;
-  list.reserve(options.endpoints);
   for (int i = 0; i < options.endpoints; ++i) {
     list.push_back(bench_endpoint(i, options));
   }
   for (int i = 0; i < options.daemons; ++i) {
-    const auto self = bench_daemon(i, options);
-    node n;
-    n.view = std::make_unique<membership_view>(view_options{.self = daemon_id{self.key.id},
-                                                            .incarnation = self.incarnation,
-                                                            .self_attributes = self.attributes},
-                                               at(0));
-    for (int other = 0; other < options.daemons; ++other) {
-      n.view->apply(bench_daemon(other, options), at(0));
-    }
-    n.view->apply_list(list, at(0));
-    n.gossip = std::make_unique<gossiper>(
-        gossip_options{.seed = options.seed * 1'000'003 + static_cast<std::uint64_t>(i),
-                       .usage = {.self = daemon_id{self.key.id}, .zone = self.attributes.zone}},
-        *n.view, at(0));
-    for (int w = 0; w < options.workspaces; ++w) {
-      n.gossip->usage().set_own(workspace_id{name_of("workspace-", w)}, 700, 3);
-    }
-    nodes_.push_back(std::move(n));
+    add_node(i, list);
+  }
+}
+
+void bench_fleet::add_node(int i, const std::vector<member>& list)
+{
+  const auto self = bench_daemon(i, options_);
+  const daemon_id id{self.key.id};
+  node n;
+  n.view = std::make_unique<membership_view>(
+      view_options{.self = id, .incarnation = self.incarnation, .self_attributes = self.attributes},
+      at(0));
+  for (int other = 0; other < options_.daemons; ++other) {
+    n.view->apply(bench_daemon(other, options_), at(0));
+  }
+  n.view->apply_list(list, at(0));
+  n.gossip = std::make_unique<gossiper>(
+      gossip_options{
+          .seed = options_.seed * 1'000'003 + static_cast<std::uint64_t>(i),
+          .usage = {.self = id, .zone = self.attributes.zone},
+          .holds = [this](const daemon_id& d,
+                          const endpoint_id& e) { return held_[number_of(d)].contains(e); }},
+      *n.view, at(0));
+  for (int w = 0; w < options_.workspaces; ++w) {
+    n.gossip->usage().set_own(workspace_id{name_of("workspace-", w)}, 700, 3);
+  }
+  for (const auto& e : held_[i]) {
+    n.gossip->set_load(
+        {.endpoint = e, .running = 9, .waiting = 2, .kv_used = 0.5, .measured_at = at(0).wall});
   }
+  nodes_.push_back(std::move(n));
 }
 
 // A lost message, or one to a dead daemon, is noticed by its sender after a timeout.
 void bench_fleet::post(delivery d)
 {
-  nodes_[d.from].bytes += wire_size_of(d.message);
+  count(d.message, d.is_repair, nodes_[d.from].bytes);
   const bool lost = std::uniform_real_distribution<>(0, 1)(random_) < options_.loss;
   if (!lost) {
     in_flight_.emplace(now_ms_ + one_way_ms, std::move(d));
@@ -175,7 +188,11 @@
     return;
   }
   auto response = to.gossip->receive(d.message, at(now_ms_));
-  post({.from = d.to, .to = d.from, .is_reply = true, .message = std::move(response.reply)});
+  post({.from = d.to,
+        .to = d.from,
+        .is_reply = true,
+        .is_repair = !d.message.view_buckets.empty(),
+        .message = std::move(response.reply)});
   send(d.to, std::move(response.pushes));
 }
 
@@ -216,14 +233,18 @@
   nodes_[daemon].alive = false;
 }
 
+bool bench_fleet::is_known(const member_key& key) const
+{
+  return std::ranges::all_of(nodes_, [&](const node& n) {
+    return !n.alive || n.view->find(key)->state != member_state::live;
+  });
+}
+
 std::int64_t bench_fleet::run_until_known(const member_key& key, std::int64_t limit_ms)
 {
   const auto begin = now_ms_;
   for (; now_ms_ - begin < limit_ms; run_for(step_ms)) {
-    const bool known = std::ranges::all_of(nodes_, [&](const node& n) {
-      return !n.alive || n.view->find(key)->state != member_state::live;
-    });
-    if (known) {
+    if (is_known(key)) {
       return now_ms_ - begin;
     }
   }
@@ -241,36 +262,39 @@
   return hashes.size();
 }
 
-std::vector<std::uint64_t> bench_fleet::take_bytes()
+bench_fleet::sent_bytes bench_fleet::take_bytes()
 {
-  std::vector<std::uint64_t> bytes;
+  sent_bytes sent;
   for (node& n : nodes_) {
-    bytes.push_back(std::exchange(n.bytes, 0));
+    const auto bytes = std::exchange(n.bytes, {});
+    std::ranges::transform(bytes, sent.all, sent.all.begin(), std::plus{});
+    sent.most = std::max(sent.most, std::reduce(bytes.begin(), bytes.end()));
   }
-  return bytes;
+  return sent;
 }
 
-std::vector<int> bench_fleet::alive() const
+int bench_fleet::alive() const
 {
-  std::vector<int> found;
-  for (int i = 0; i < std::ssize(nodes_); ++i) {
-    if (nodes_[i].alive) {
-      found.push_back(i);
-    }
-  }
-  return found;
+  return static_cast<int>(std::ranges::count_if(nodes_, &node::alive));
 }
 
-// Pairs of a daemon alive and a peer alive that it suspects: should be none.
-int bench_fleet::suspected() const
+bench_fleet::opinions bench_fleet::count_opinions() const
 {
-  int n = 0;
-  for (const int i : alive()) {
-    for (const int other : alive()) {
-      n += nodes_[i].view->is_suspected(daemon_id{name_of("d", other)}) ? 1 : 0;
+  opinions found;
+  for (const node& n : nodes_) {
+    if (!n.alive) {
+      continue;
+    }
+    for (int i = 0; i < std::ssize(nodes_); ++i) {
+      const auto id = name_of("d", i);
+      const member* m = n.view->find({member_kind::daemon, id});
+      const bool gone = m == nullptr || m->state == member_state::gone;
+      const bool suspected = gone || n.view->is_suspected(daemon_id{id});
+      (nodes_[i].alive ? found.gone_alive : found.gone_dead) += gone ? 1 : 0;
+      (nodes_[i].alive ? found.suspected_alive : found.suspected_dead) += suspected ? 1 : 0;
     }
   }
-  return n;
+  return found;
 }
 
 } // namespace wisteriaflow::membership
