membership: let differences that heal by themselves do so; learn from agreement

Repair was meant to wait while changes spread, but its latest moment lay in the past whenever the fleet had been quiet, so the first difference was repaired at once; and changes that a view found by itself (members that turn gone) did not put it off at all. Views that agree note each other's versions, also on the receiving side, so that a later repair begins there and not at zero.

--- a/include/wisteriaflow/membership/gossip.h
+++ b/include/wisteriaflow/membership/gossip.h
@@ -116,7 +116,9 @@
   };
 
   void absorb(const gossip_message& message, clock_reading now);
-  void note_changes(bool spread);
+  void put_off_repair(clock_reading now);
+  void note_changes(bool spread, clock_reading now);
+  void note_agreement(const gossip_message& message);
   void note_heartbeat(std::uint64_t hash, std::uint64_t counter);
   gossip_message message_to(const daemon_id& to, gossip_kind kind);
   void add_news(gossip_message& message, bool urgent_only);
@@ -145,6 +147,8 @@
   std::uint64_t noted_version_ = 0;
   mono_time exchange_due_;
   mono_time urgent_due_;
+  // Whether this view has agreed with a peer's, or has asked for repair.
+  bool settled_ = false;
   // Repair is put off until the first, but not past the second.
   mono_time repair_quiet_at_;
   mono_time repair_due_;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -42,7 +42,7 @@
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
   // What the view was started with is news to nobody but for this daemon itself.
-  note_changes(false);
+  note_changes(false, now);
   news_[view_.self().key] = {};
 }
 
@@ -72,8 +72,22 @@
   return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
 }
 
-void gossiper::note_changes(bool spread)
+// A change is still spreading, or every daemon is about to find it by itself, as when a deadline
+// passes: views that differ now will soon agree without repair.
+void gossiper::put_off_repair(clock_reading now)
 {
+  if (now.mono >= repair_quiet_at_) {
+    repair_due_ = now.mono + repair_delays * options_.repair_delay;
+  }
+  repair_quiet_at_ = now.mono + options_.repair_delay;
+}
+
+void gossiper::note_changes(bool spread, clock_reading now)
+{
+  if (view_.version() == noted_version_) {
+    return;
+  }
+  put_off_repair(now);
   const auto& changes = view_.changes();
   for (auto it = changes.upper_bound(noted_version_); it != changes.end(); ++it) {
     const member* m = view_.find(it->second);
@@ -97,15 +111,11 @@
 
 void gossiper::absorb(const gossip_message& message, clock_reading now)
 {
-  note_changes(true);
-  const auto before = view_.version();
+  note_changes(true, now);
   for (const member& m : message.members) {
     view_.apply(m, now);
   }
-  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent);
-  if (view_.version() != before) {
-    repair_quiet_at_ = now.mono + options_.repair_delay;
-  }
+  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent, now);
   for (const auto& [hash, counter] : message.heartbeats) {
     if (view_.apply_heartbeat(hash, counter, now)) {
       note_heartbeat(hash, counter);
@@ -328,7 +338,7 @@
 
 std::vector<outgoing_gossip> gossiper::tick(clock_reading now)
 {
-  note_changes(true);
+  note_changes(true, now);
   auto messages = urgent_pushes(now);
   std::ranges::move(exchanges(now), std::back_inserter(messages));
   std::ranges::move(usage_messages(now), std::back_inserter(messages));
@@ -353,6 +363,7 @@
                                [&](const member& said) { return agrees(m, said); });
   });
   if (message.kind == gossip_kind::exchange) {
+    note_agreement(message);
     add_repair(response.reply, message);
   }
   if (message.kind == gossip_kind::usage) {
@@ -361,9 +372,20 @@
   return response;
 }
 
+// Views that agree have each other's changes: repair between the two need not begin at the start.
+void gossiper::note_agreement(const gossip_message& message)
+{
+  if (message.view_hash == view_.hash()) {
+    settled_ = true;
+    auto& seen = seen_versions_[message.from];
+    seen = std::max(seen, message.view_version);
+  }
+}
+
+// A newcomer does not wait: its view differs because it is empty.
 bool gossiper::may_repair(clock_reading now) const
 {
-  return now.mono >= repair_quiet_at_ || now.mono >= repair_due_;
+  return !settled_ || now.mono >= repair_quiet_at_ || now.mono >= repair_due_;
 }
 
 std::vector<outgoing_gossip> gossiper::receive_reply(const gossip_message& reply, clock_reading now)
@@ -376,12 +398,14 @@
   if (reply.kind != gossip_kind::exchange) {
     return messages;
   }
+  note_agreement(reply);
   auto& seen = seen_versions_[reply.from];
   seen = std::max(seen, reply.covered_version);
   const bool was_bounded = reply.covered_version != 0 && reply.covered_version < reply.view_version;
   const bool differs = reply.covered_version == 0 && reply.view_hash != view_.hash();
   const member* from = view_.find({member_kind::daemon, reply.from.value()});
   if (from != nullptr && (was_bounded || (differs && may_repair(now)))) {
+    settled_ = true;
     repair_due_ = now.mono + repair_delays * options_.repair_delay;
     auto ask = message_to(reply.from, gossip_kind::exchange);
     ask.heartbeats.clear();
