membership: ask for repair only of a difference that lasts; 512 parts in place of 128

A daemon whose view was still quiet asked at once when a peer had already taken a member for gone. A difference must now show in a second exchange with the same peer, two seconds later, and the own view be quiet; a newcomer asks at once. With 512 parts (2 KB in an ask) a part holds 6 records of the planned fleet, where 128 held 23, so a lasting difference costs a quarter of the records.

Ruled out: a bound of repair bytes a second, since a newcomer needs its whole view at once.

--- a/include/wisteriaflow/membership/gossip.h
+++ b/include/wisteriaflow/membership/gossip.h
@@ -17,6 +17,7 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/internal/repair_pacer.h"
 #include "wisteriaflow/membership/member.h"
 #include "wisteriaflow/membership/messages.h"
 #include "wisteriaflow/membership/usage_ledger.h"
@@ -116,7 +117,6 @@
   };
 
   void absorb(const gossip_message& message, clock_reading now);
-  void put_off_repair(clock_reading now);
   void note_changes(bool spread, clock_reading now);
   void note_agreement(const gossip_message& message);
   void note_heartbeat(std::uint64_t hash, std::uint64_t counter);
@@ -131,12 +131,12 @@
   std::vector<outgoing_gossip> usage_messages(clock_reading now);
   [[nodiscard]] bool has_urgent() const;
   [[nodiscard]] int news_sends() const;
-  [[nodiscard]] bool may_repair(clock_reading now) const;
 
   gossip_options options_;
   membership_view& view_;
   std::mt19937_64 random_;
   usage_ledger usage_;
+  internal::repair_pacer repair_;
   known_configuration own_configuration_;
   known_configuration highest_;
   std::map<member_key, news> news_;
@@ -147,11 +147,6 @@
   std::uint64_t noted_version_ = 0;
   mono_time exchange_due_;
   mono_time urgent_due_;
-  // Whether this view has agreed with a peer's, or has asked for repair.
-  bool settled_ = false;
-  // Repair is put off until the first, but not past the second.
-  mono_time repair_quiet_at_;
-  mono_time repair_due_;
 };
 
 } // namespace wisteriaflow::membership
--- a/include/wisteriaflow/membership/view.h
+++ b/include/wisteriaflow/membership/view.h
@@ -107,7 +107,7 @@
   [[nodiscard]] std::uint64_t hash() const;
 
   // The hash by parts: a member counts in the bucket `bucket_of` its key.
-  using bucket_hashes = std::array<std::uint32_t, 128>;
+  using bucket_hashes = std::array<std::uint32_t, 512>;
   [[nodiscard]] const bucket_hashes& buckets() const { return buckets_; }
   [[nodiscard]] static std::size_t bucket_of(const member_key& key);
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -16,9 +16,6 @@
 // Loads kept until they are taken.
 constexpr std::size_t max_heard_loads = 256;
 
-// Repair is put off by news at most this many times its delay.
-constexpr int repair_delays = 3;
-
 // Live endpoints come to every daemon by the instance list, and each finds by itself who is gone.
 bool is_news(const member& m)
 {
@@ -37,7 +34,7 @@
 
 gossiper::gossiper(gossip_options options, membership_view& view, clock_reading now)
     : options_(std::move(options)), view_(view), random_(options_.seed), usage_(options_.usage),
-      urgent_due_(now.mono), repair_quiet_at_(now.mono), repair_due_(now.mono)
+      repair_(options_.repair_delay, now.mono), urgent_due_(now.mono)
 {
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
@@ -72,22 +69,12 @@
   return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
 }
 
-// A change is still spreading, or every daemon is about to find it by itself, as when a deadline
-// passes: views that differ now will soon agree without repair.
-void gossiper::put_off_repair(clock_reading now)
-{
-  if (now.mono >= repair_quiet_at_) {
-    repair_due_ = now.mono + repair_delays * options_.repair_delay;
-  }
-  repair_quiet_at_ = now.mono + options_.repair_delay;
-}
-
 void gossiper::note_changes(bool spread, clock_reading now)
 {
   if (view_.version() == noted_version_) {
     return;
   }
-  put_off_repair(now);
+  repair_.note_change(now.mono);
   const auto& changes = view_.changes();
   for (auto it = changes.upper_bound(noted_version_); it != changes.end(); ++it) {
     const member* m = view_.find(it->second);
@@ -309,8 +296,15 @@
     const member* m = view_.find({member_kind::daemon, item.first.value()});
     return m == nullptr || m->state == member_state::gone;
   });
+  auto peers = choose_peers(options_.fanout);
+  if (const auto again = repair_.take_recheck(now.mono)) {
+    const member* peer = view_.find({member_kind::daemon, again->value()});
+    if (peer != nullptr && !peers.empty()) {
+      peers.back() = peer;
+    }
+  }
   std::vector<outgoing_gossip> messages;
-  for (const member* peer : choose_peers(options_.fanout)) {
+  for (const member* peer : peers) {
     const daemon_id to{peer->key.id};
     messages.push_back({.to = to,
                         .peer_address = peer->attributes.peer_address,
@@ -376,18 +370,12 @@
 void gossiper::note_agreement(const gossip_message& message)
 {
   if (message.view_hash == view_.hash()) {
-    settled_ = true;
+    repair_.note_agreement(message.from);
     auto& seen = seen_versions_[message.from];
     seen = std::max(seen, message.view_version);
   }
 }
 
-// A newcomer does not wait: its view differs because it is empty.
-bool gossiper::may_repair(clock_reading now) const
-{
-  return !settled_ || now.mono >= repair_quiet_at_ || now.mono >= repair_due_;
-}
-
 std::vector<outgoing_gossip> gossiper::receive_reply(const gossip_message& reply, clock_reading now)
 {
   absorb(reply, now);
@@ -404,9 +392,8 @@
   const bool was_bounded = reply.covered_version != 0 && reply.covered_version < reply.view_version;
   const bool differs = reply.covered_version == 0 && reply.view_hash != view_.hash();
   const member* from = view_.find({member_kind::daemon, reply.from.value()});
-  if (from != nullptr && (was_bounded || (differs && may_repair(now)))) {
-    settled_ = true;
-    repair_due_ = now.mono + repair_delays * options_.repair_delay;
+  if (from != nullptr &&
+      (was_bounded || (differs && repair_.note_difference(reply.from, now.mono)))) {
     auto ask = message_to(reply.from, gossip_kind::exchange);
     ask.heartbeats.clear();
     ask.view_buckets = buckets_of(view_);
