--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -16,9 +16,6 @@
 // Loads kept until they are taken.
 constexpr std::size_t max_heard_loads = 256;
 
-// Repair is put off by news at most this many times its delay.
-constexpr int repair_delays = 3;
-
 // Live endpoints come to every daemon by the instance list, and each finds by itself who is gone.
 bool is_news(const member& m)
 {
@@ -37,12 +34,12 @@
 
 gossiper::gossiper(gossip_options options, membership_view& view, clock_reading now)
     : options_(std::move(options)), view_(view), random_(options_.seed), usage_(options_.usage),
-      urgent_due_(now.mono), repair_quiet_at_(now.mono), repair_due_(now.mono)
+      repair_(options_.repair_delay, now.mono), urgent_due_(now.mono)
 {
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
   // What the view was started with is news to nobody but for this daemon itself.
-  note_changes(false);
+  note_changes(false, now);
   news_[view_.self().key] = {};
 }
 
@@ -72,8 +69,12 @@
   return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
 }
 
-void gossiper::note_changes(bool spread)
+void gossiper::note_changes(bool spread, clock_reading now)
 {
+  if (view_.version() == noted_version_) {
+    return;
+  }
+  repair_.note_change(now.mono);
   const auto& changes = view_.changes();
   for (auto it = changes.upper_bound(noted_version_); it != changes.end(); ++it) {
     const member* m = view_.find(it->second);
@@ -97,15 +98,11 @@
 
 void gossiper::absorb(const gossip_message& message, clock_reading now)
 {
-  note_changes(true);
-  const auto before = view_.version();
+  note_changes(true, now);
   for (const member& m : message.members) {
     view_.apply(m, now);
   }
-  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent);
-  if (view_.version() != before) {
-    repair_quiet_at_ = now.mono + options_.repair_delay;
-  }
+  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent, now);
   for (const auto& [hash, counter] : message.heartbeats) {
     if (view_.apply_heartbeat(hash, counter, now)) {
       note_heartbeat(hash, counter);
@@ -299,8 +296,15 @@
     const member* m = view_.find({member_kind::daemon, item.first.value()});
     return m == nullptr || m->state == member_state::gone;
   });
+  auto peers = choose_peers(options_.fanout);
+  if (const auto again = repair_.take_recheck(now.mono)) {
+    const member* peer = view_.find({member_kind::daemon, again->value()});
+    if (peer != nullptr && !peers.empty()) {
+      peers.back() = peer;
+    }
+  }
   std::vector<outgoing_gossip> messages;
-  for (const member* peer : choose_peers(options_.fanout)) {
+  for (const member* peer : peers) {
     const daemon_id to{peer->key.id};
     messages.push_back({.to = to,
                         .peer_address = peer->attributes.peer_address,
@@ -328,7 +332,7 @@
 
 std::vector<outgoing_gossip> gossiper::tick(clock_reading now)
 {
-  note_changes(true);
+  note_changes(true, now);
   auto messages = urgent_pushes(now);
   std::ranges::move(exchanges(now), std::back_inserter(messages));
   std::ranges::move(usage_messages(now), std::back_inserter(messages));
@@ -353,6 +357,7 @@
                                [&](const member& said) { return agrees(m, said); });
   });
   if (message.kind == gossip_kind::exchange) {
+    note_agreement(message);
     add_repair(response.reply, message);
   }
   if (message.kind == gossip_kind::usage) {
@@ -361,9 +366,14 @@
   return response;
 }
 
-bool gossiper::may_repair(clock_reading now) const
+// Views that agree have each other's changes: repair between the two need not begin at the start.
+void gossiper::note_agreement(const gossip_message& message)
 {
-  return now.mono >= repair_quiet_at_ || now.mono >= repair_due_;
+  if (message.view_hash == view_.hash()) {
+    repair_.note_agreement(message.from);
+    auto& seen = seen_versions_[message.from];
+    seen = std::max(seen, message.view_version);
+  }
 }
 
 std::vector<outgoing_gossip> gossiper::receive_reply(const gossip_message& reply, clock_reading now)
@@ -376,13 +386,14 @@
   if (reply.kind != gossip_kind::exchange) {
     return messages;
   }
+  note_agreement(reply);
   auto& seen = seen_versions_[reply.from];
   seen = std::max(seen, reply.covered_version);
   const bool was_bounded = reply.covered_version != 0 && reply.covered_version < reply.view_version;
   const bool differs = reply.covered_version == 0 && reply.view_hash != view_.hash();
   const member* from = view_.find({member_kind::daemon, reply.from.value()});
-  if (from != nullptr && (was_bounded || (differs && may_repair(now)))) {
-    repair_due_ = now.mono + repair_delays * options_.repair_delay;
+  if (from != nullptr &&
+      (was_bounded || (differs && repair_.note_difference(reply.from, now.mono)))) {
     auto ask = message_to(reply.from, gossip_kind::exchange);
     ask.heartbeats.clear();
     ask.view_buckets = buckets_of(view_);
