--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -3,12 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ACTIVE_REQUEST_H_
 #define WISTERIAFLOW_SRC_CORE_ACTIVE_REQUEST_H_
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <utility>
-#include <vector>
-
 #include "core/core_context.h"
 #include "core/placement.h"
 #include "wisteriaflow/admission/admission_control.h"
@@ -17,6 +11,12 @@
 #include "wisteriaflow/requests/request_life.h"
 #include "wisteriaflow/requests/sse_parser.h"
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace wisteriaflow::core::internal {
 
 // A caller's call that waits for a request's answer.
@@ -55,7 +55,8 @@
   active_request(std::string request_id, requests::request_life_options options,
                  requests::handed_over_state state)
       : id(std::move(request_id)), options(options), life(std::move(options), std::move(state))
-  {}
+  {
+  }
 
   std::string id;
   requests::request_life_options options;
--- a/src/core/answer_places.cc
+++ b/src/core/answer_places.cc
@@ -1,10 +1,10 @@
 #include "core/answer_places.h"
 
+#include "wisteriaflow/base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "wisteriaflow/base/hash.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -25,9 +25,8 @@
   const auto score = [&](const daemon_id& id) { return rendezvous_score(key.low, id.value()); };
   const auto n = std::min(keepers_of_each_key, daemons.size());
   std::partial_sort(daemons.begin(), daemons.begin() + static_cast<std::ptrdiff_t>(n),
-                    daemons.end(), [&](const daemon_id& a, const daemon_id& b) {
-                      return score(a) > score(b);
-                    });
+                    daemons.end(),
+                    [&](const daemon_id& a, const daemon_id& b) { return score(a) > score(b); });
   daemons.resize(n);
   return daemons;
 }
--- a/src/core/answer_places.h
+++ b/src/core/answer_places.h
@@ -6,22 +6,22 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ANSWER_PLACES_H_
 #define WISTERIAFLOW_SRC_CORE_ANSWER_PLACES_H_
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/requests/answer_store.h"
+
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/requests/answer_store.h"
-
 namespace wisteriaflow::core::internal {
 
 // Stable name of an answer among all daemons.
 [[nodiscard]] hash128 place_key_of(const requests::answer_key& key);
 
 class answer_places {
-public:
+ public:
   answer_places(core_context& context, fleet& members) : context_(context), fleet_(members) {}
 
   // Tells the key's keepers that the answer is, or will be, at `caller_address`.
@@ -36,7 +36,7 @@
   // Asks the keepers one after another; `done` gets an empty address if none knows.
   void find(const requests::answer_key& key, std::function<void(const std::string&)> done);
 
-private:
+ private:
   struct place {
     std::string caller_address;
     wall_time keep_until;
--- a/src/core/claim_documents.cc
+++ b/src/core/claim_documents.cc
@@ -1,14 +1,14 @@
 #include "core/claim_documents.h"
 
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/shard_tail.h"
+#include "wisteriaflow/claims/tail_codec.h"
+
 #include <string>
 #include <utility>
 
 #include <boost/json/object.hpp>
 
-#include "wisteriaflow/claims/errors.h"
-#include "wisteriaflow/claims/shard_tail.h"
-#include "wisteriaflow/claims/tail_codec.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -51,9 +51,9 @@
   store_operation operator()(const claims::create_segment& o) const
   {
     return store_create{.plural = segments,
-                        .document = make_document("ClaimSegment",
-                                                  claims::segment_name(shard, o.segment.id),
-                                                  claims::encode_segment(o.segment))};
+                        .document =
+                            make_document("ClaimSegment", claims::segment_name(shard, o.segment.id),
+                                          claims::encode_segment(o.segment))};
   }
   store_operation operator()(const claims::delete_segment& o) const
   {
--- a/src/core/claim_service.cc
+++ b/src/core/claim_service.cc
@@ -1,12 +1,12 @@
 #include "core/claim_service.h"
 
+#include "core/claim_documents.h"
+#include "wisteriaflow/claims/shard_map.h"
+
 #include <algorithm>
 #include <optional>
 #include <utility>
 
-#include "core/claim_documents.h"
-#include "wisteriaflow/claims/shard_map.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -108,10 +108,11 @@
 
 void claim_service::act(std::uint32_t shard, const claims::store_call& a)
 {
-  context_.call_store(to_store_operation(shard, a.operation),
-                      [this, shard, id = a.id, operation = a.operation](const store_answer& answer) {
-                        answer_owner(shard, id, operation, answer);
-                      });
+  context_.call_store(
+      to_store_operation(shard, a.operation),
+      [this, shard, id = a.id, operation = a.operation](const store_answer& answer) {
+        answer_owner(shard, id, operation, answer);
+      });
 }
 
 void claim_service::answer_owner(std::uint32_t shard, std::uint64_t id,
@@ -164,7 +165,10 @@
   return nonce;
 }
 
-void claim_service::cancel(std::uint64_t nonce) { feed_asker(nonce, claims::ask_cancelled{}); }
+void claim_service::cancel(std::uint64_t nonce)
+{
+  feed_asker(nonce, claims::ask_cancelled{});
+}
 
 void claim_service::feed_asker(std::uint64_t nonce, const claims::asker_event& e)
 {
@@ -264,6 +268,9 @@
   std::erase_if(not_run_, [now = context_.now().mono](const auto& e) { return e.second < now; });
 }
 
-bool claim_service::never_ran(std::uint64_t nonce) const { return not_run_.contains(nonce); }
+bool claim_service::never_ran(std::uint64_t nonce) const
+{
+  return not_run_.contains(nonce);
+}
 
 } // namespace wisteriaflow::core::internal
--- a/src/core/claim_service.h
+++ b/src/core/claim_service.h
@@ -3,24 +3,24 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CLAIM_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_CLAIM_SERVICE_H_
 
-#include <cstdint>
-#include <functional>
-#include <map>
-#include <variant>
-#include <vector>
-
 #include "core/core_context.h"
 #include "core/fleet.h"
 #include "wisteriaflow/claims/claim.h"
 #include "wisteriaflow/claims/claim_asker.h"
 #include "wisteriaflow/claims/claim_shard_owner.h"
 
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <variant>
+#include <vector>
+
 namespace wisteriaflow::core::internal {
 
 // How a claim ended for the request that asked.
-using claim_outcome = std::variant<claims::dispatch_claimed, claims::follow_executor,
-                                   claims::refuse_claim, claims::report_unknown,
-                                   claims::report_body_mismatch>;
+using claim_outcome =
+    std::variant<claims::dispatch_claimed, claims::follow_executor, claims::refuse_claim,
+                 claims::report_unknown, claims::report_body_mismatch>;
 
 // What is to be claimed.
 struct claim_wish {
@@ -32,7 +32,7 @@
 };
 
 class claim_service {
-public:
+ public:
   using claim_callback = std::function<void(const claim_outcome&)>;
 
   claim_service(core_context& context, fleet& members);
@@ -64,7 +64,7 @@
   // Gives a claim up that has not been dispatched.
   void cancel(std::uint64_t nonce);
 
-private:
+ private:
   struct asking {
     claims::claim_asker asker;
     claim_callback done;
@@ -82,7 +82,6 @@
   void act(std::uint64_t nonce, const claims::ask_owner& a);
   void act(std::uint64_t nonce, const claims::query_executor& a);
   void finish(std::uint64_t nonce, const claim_outcome& outcome);
-  
 
   core_context& context_;
   fleet& fleet_;
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -1,14 +1,14 @@
 #include "core/configuration.h"
 
+#include "wisteriaflow/base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "wisteriaflow/base/hash.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
-// A daemon that hears no peer this long takes the store's own list for the floor.
+// A daemon to whom no peer names a revision this long takes the store's own list for the floor.
 constexpr std::chrono::milliseconds peers_silent_after{3'000};
 constexpr std::chrono::milliseconds floor_check{200};
 // A change is written to the audit trail by the daemon that ranks first for it; others follow, so
@@ -49,9 +49,13 @@
 configuration::configuration(core_context& context, fleet& members, std::function<void()> changed)
     : context_(context), fleet_(members), changed_(std::move(changed)),
       silent_at_(context.now().mono + peers_silent_after)
-{}
+{
+}
 
-void configuration::start() { check_floor(); }
+void configuration::start()
+{
+  check_floor();
+}
 
 // Until the floor is known this daemon may not serve: what the store lists could be stale.
 void configuration::check_floor()
@@ -59,7 +63,7 @@
   if (ready()) {
     return;
   }
-  if (!fleet_.heard_peers() && context_.now().mono >= silent_at_) {
+  if (!floor_named_ && context_.now().mono >= silent_at_) {
     store_.on_peers_silent();
     after({});
   }
@@ -90,6 +94,7 @@
   if (highest.holder.empty() || highest.holder == context_.options().self) {
     return;
   }
+  floor_named_ = true;
   store_.on_peer_revision(highest.revision);
   if (highest.revision > store_.revision()) {
     fetch_from(highest.holder);
@@ -158,9 +163,9 @@
 void configuration::audit(objects::audit_record record)
 {
   const bool shared = record.change != objects::audit_change::action;
-  const auto rank = shared ? rank_of(context_.options().self, fleet_.live_daemon_ids(),
-                                     objects::name_of(record))
-                           : 0;
+  const auto rank =
+      shared ? rank_of(context_.options().self, fleet_.live_daemon_ids(), objects::name_of(record))
+             : 0;
   if (rank >= audit_writers) {
     return;
   }
@@ -173,19 +178,18 @@
 // The name follows from the change, so writing it twice is harmless.
 void configuration::write_audit(const boost::json::value& document, unsigned tries_left)
 {
-  context_.call_store(
-      store_create{std::string(objects::audit_records_plural), document},
-      [this, document, tries_left](const store_answer& answer) {
-        const bool failed = answer.status == store_status::unavailable ||
-                            answer.status == store_status::not_sent;
-        if (!failed || tries_left == 0) {
-          return;
-        }
-        context_.timers().at(context_.jittered(audit_retry) + audit_retry,
-                             [this, document, tries_left] {
-                               write_audit(document, tries_left - 1);
-                             });
-      });
+  context_.call_store(store_create{std::string(objects::audit_records_plural), document},
+                      [this, document, tries_left](const store_answer& answer) {
+                        const bool failed = answer.status == store_status::unavailable ||
+                                            answer.status == store_status::not_sent;
+                        if (!failed || tries_left == 0) {
+                          return;
+                        }
+                        context_.timers().at(context_.jittered(audit_retry) + audit_retry,
+                                             [this, document, tries_left] {
+                                               write_audit(document, tries_left - 1);
+                                             });
+                      });
 }
 
 } // namespace wisteriaflow::core::internal
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -4,20 +4,20 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CONFIGURATION_H_
 #define WISTERIAFLOW_SRC_CORE_CONFIGURATION_H_
 
-#include <functional>
-#include <memory>
-#include <string>
-#include <vector>
-
 #include "core/core_context.h"
 #include "core/fleet.h"
 #include "wisteriaflow/objects/audit_record.h"
 #include "wisteriaflow/objects/configuration_store.h"
 
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace wisteriaflow::core::internal {
 
 class configuration {
-public:
+ public:
   // `changed` is called whenever another configuration has come into force.
   configuration(core_context& context, fleet& members, std::function<void()> changed);
 
@@ -42,7 +42,7 @@
     return store_.current();
   }
 
-private:
+ private:
   void after(const std::vector<objects::configuration_change>& changes);
   void audit_change(const objects::configuration_change& change);
   void write_audit(const boost::json::value& document, unsigned tries_left);
@@ -55,6 +55,7 @@
   objects::configuration_store store_;
   mono_time silent_at_;
   bool fetching_ = false;
+  bool floor_named_ = false; // by a peer
 };
 
 } // namespace wisteriaflow::core::internal
--- a/src/core/core_context.h
+++ b/src/core/core_context.h
@@ -3,6 +3,13 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CORE_CONTEXT_H_
 #define WISTERIAFLOW_SRC_CORE_CORE_CONTEXT_H_
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/daemon_core.h"
+#include "wisteriaflow/core/events.h"
+#include "wisteriaflow/core/metrics.h"
+#include "wisteriaflow/core/timer_queue.h"
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -11,26 +18,20 @@
 #include <utility>
 #include <vector>
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/core/actions.h"
-#include "wisteriaflow/core/daemon_core.h"
-#include "wisteriaflow/core/events.h"
-#include "wisteriaflow/core/metrics.h"
-#include "wisteriaflow/core/timer_queue.h"
-
 namespace wisteriaflow::core::internal {
 
 // Shared by all services of one core. Calls to the store and to peers are continued by callbacks,
 // each called exactly once.
 class core_context {
-public:
+ public:
   using store_callback = std::function<void(const store_answer&)>;
   // Null if the peer did not answer.
   using peer_callback = std::function<void(const peer_response*)>;
 
   core_context(daemon_core_options options, clock_reading now)
       : options_(std::move(options)), now_(now), random_(options_.seed)
-  {}
+  {
+  }
 
   [[nodiscard]] const daemon_core_options& options() const { return options_; }
   [[nodiscard]] clock_reading now() const { return now_; }
@@ -71,10 +72,9 @@
     const auto call = ++last_call_;
     store_calls_.emplace(call, std::move(done));
     metrics_.count("store_calls_total", {{"kind", kind_of(operation)}});
-    emit(platform_action(
-        core::call_store{.call = call,
-                         .operation = std::move(operation),
-                         .deadline = now_.mono + options_.platform_call_timeout}));
+    emit(platform_action(core::call_store{.call = call,
+                                          .operation = std::move(operation),
+                                          .deadline = now_.mono + options_.platform_call_timeout}));
   }
 
   void on_store_answer(const store_answer& answer)
@@ -93,8 +93,8 @@
     const auto deadline = now_.mono + options_.peer_call_timeout;
     peer_calls_.emplace(call, std::move(done));
     timers_.at(deadline + grace, [this, call] { on_peer_answer(call, nullptr); });
-    emit(peer_action(send_to_peer{
-        .call = call, .to = to, .message = std::move(message), .deadline = deadline}));
+    emit(peer_action(
+        send_to_peer{.call = call, .to = to, .message = std::move(message), .deadline = deadline}));
   }
 
   void on_peer_answer(peer_call_number call, const peer_response* response)
@@ -105,7 +105,7 @@
     }
   }
 
-private:
+ private:
   static std::string kind_of(const store_operation& operation)
   {
     const bool reads = std::holds_alternative<store_list>(operation) ||
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/core/daemon_core.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "core/answer_places.h"
 #include "core/claim_service.h"
 #include "core/configuration.h"
@@ -14,6 +11,9 @@
 #include "core/placement.h"
 #include "core/request_table.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wisteriaflow::core {
 namespace {
 
@@ -30,13 +30,13 @@
 } // namespace
 
 class daemon_core::implementation {
-public:
+ public:
   implementation(daemon_core_options options, clock_reading now)
       : context_(std::move(options), now), members_(context_, make_listener()),
         config_(context_, members_, [this] { requests_.on_configuration_changed(); }),
-        claims_(context_, members_), endpoints_(context_),
-        placer_(context_, members_), places_(context_, members_),
-        requests_(context_, services()), operators_(context_, services(), requests_)
+        claims_(context_, members_), endpoints_(context_), placer_(context_, members_),
+        places_(context_, members_), requests_(context_, services()),
+        operators_(context_, services(), requests_)
   {
     members_.start();
     config_.start();
@@ -54,7 +54,7 @@
 
   [[nodiscard]] std::optional<mono_time> wake_at() { return context_.timers().next(); }
 
-private:
+ private:
   request_services services()
   {
     return {.members = members_,
@@ -240,7 +240,8 @@
 
 daemon_core::daemon_core(daemon_core_options options, clock_reading now)
     : implementation_(std::make_unique<implementation>(std::move(options), now))
-{}
+{
+}
 
 daemon_core::~daemon_core() = default;
 
@@ -249,6 +250,9 @@
   return implementation_->handle(std::move(e), now);
 }
 
-std::optional<mono_time> daemon_core::wake_at() const { return implementation_->wake_at(); }
+std::optional<mono_time> daemon_core::wake_at() const
+{
+  return implementation_->wake_at();
+}
 
 } // namespace wisteriaflow::core
--- a/src/core/endpoint_calls.cc
+++ b/src/core/endpoint_calls.cc
@@ -17,8 +17,7 @@
   return exchange;
 }
 
-void endpoint_calls::call(const http::socket_address& to, http::request message,
-                          mono_time deadline,
+void endpoint_calls::call(const http::socket_address& to, http::request message, mono_time deadline,
                           std::function<void(const std::optional<http::response>&)> done)
 {
   const auto whole = std::make_shared<http::response>();
--- a/src/core/endpoint_calls.h
+++ b/src/core/endpoint_calls.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ENDPOINT_CALLS_H_
 #define WISTERIAFLOW_SRC_CORE_ENDPOINT_CALLS_H_
 
+#include "core/core_context.h"
+
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "core/core_context.h"
-
 namespace wisteriaflow::core::internal {
 
 // Told about one exchange; after on_ended or on_failed nothing more comes.
@@ -22,7 +22,7 @@
 };
 
 class endpoint_calls {
-public:
+ public:
   explicit endpoint_calls(core_context& context) : context_(context) {}
 
   // Starts an exchange whose answer is passed on as it arrives.
@@ -41,7 +41,7 @@
   void on(const exchange_ended& e);
   void on(const exchange_failed& e);
 
-private:
+ private:
   core_context& context_;
   std::map<exchange_number, exchange_observer> open_;
   exchange_number last_ = 0;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -1,13 +1,13 @@
 #include "core/fleet.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "core/platform_documents.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/membership/subsets.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -96,7 +96,8 @@
       gossiper_(gossip_options_of(context.options()), view_, context.now()), endpoints_({}),
       prefixes_({}), configuration_(std::make_shared<objects::fleet_configuration>()),
       started_at_(context.now().mono), update_due_(context.now().mono)
-{}
+{
+}
 
 void fleet::start()
 {
@@ -153,17 +154,16 @@
       }
     });
   };
-  context_.call_store(store_get{std::string(registrations), name},
-                      [this, write](const store_answer& answer) {
-                        if (answer.status == store_status::ok) {
-                          write(answer.objects.front().version);
-                        } else if (answer.status == store_status::not_found) {
-                          write(0);
-                        } else {
-                          context_.timers().at(context_.jittered(registration_retry),
-                                               [this] { register_self(); });
-                        }
-                      });
+  context_.call_store(
+      store_get{std::string(registrations), name}, [this, write](const store_answer& answer) {
+        if (answer.status == store_status::ok) {
+          write(answer.objects.front().version);
+        } else if (answer.status == store_status::not_found) {
+          write(0);
+        } else {
+          context_.timers().at(context_.jittered(registration_retry), [this] { register_self(); });
+        }
+      });
 }
 
 // Often while alone; seldom later, to heal islands that have forgotten each other.
@@ -233,7 +233,7 @@
   hello.message.view_version = view_.version();
   hello.message.view_hash = view_.hash();
   hello.message.view_buckets = {view_.buckets().begin(), view_.buckets().end()};
-  hello.message.configuration_revision = gossiper_.highest_configuration().revision;
+  hello.message.configuration_revision = configuration_->revision();
   send({std::move(hello)});
 }
 
@@ -247,9 +247,8 @@
     context_.counters().count("gossip_messages_total", {{"direction", "sent"}});
     peer_request message = m.message;
     m.message = {};
-    context_.call_peer(*to, std::move(message), [this, m](const peer_response* response) {
-      on_gossip_reply(m, response);
-    });
+    context_.call_peer(*to, std::move(message),
+                       [this, m](const peer_response* response) { on_gossip_reply(m, response); });
   }
 }
 
@@ -263,19 +262,17 @@
     }
     return;
   }
-  heard_peers_ = true;
   send(gossiper_.receive_reply(*reply, context_.now()));
-  note_configuration();
+  note_configuration(*reply);
   after_change();
 }
 
 membership::gossip_message fleet::on_gossip(const membership::gossip_message& message)
 {
-  heard_peers_ = true;
   context_.counters().count("gossip_messages_total", {{"direction", "received"}});
   auto response = gossiper_.receive(message, context_.now());
   send(std::move(response.pushes));
-  note_configuration();
+  note_configuration(message);
   after_change();
   return std::move(response.reply);
 }
@@ -287,12 +284,14 @@
   gossip_timer_ = context_.timers().at(gossiper_.next_due(), [this] { gossip_now(); });
 }
 
-void fleet::note_configuration()
+// What each peer says counts, not only a revision higher than the own: a daemon may serve once a
+// peer has confirmed that the store's list was not an old one.
+void fleet::note_configuration(const membership::gossip_message& message)
 {
-  const auto& highest = gossiper_.highest_configuration();
-  if (highest.revision > heard_revision_ || heard_revision_ == 0) {
-    heard_revision_ = highest.revision;
-    listener_.configuration_heard(highest);
+  if (message.configuration_revision > 0) {
+    listener_.configuration_heard({.revision = message.configuration_revision,
+                                   .floor = message.configuration_floor,
+                                   .holder = message.from});
   }
 }
 
@@ -418,8 +417,8 @@
   context_.counters().set("daemons_live", static_cast<double>(view_.live_daemons().size()));
 }
 
-std::vector<routing::endpoint_slot> fleet::candidates(
-    const std::function<bool(const objects::instance_description&)>& matches) const
+std::vector<routing::endpoint_slot>
+fleet::candidates(const std::function<bool(const objects::instance_description&)>& matches) const
 {
   std::vector<routing::endpoint_slot> out;
   for (const auto slot : endpoints_.slots()) {
@@ -441,8 +440,7 @@
 
 void fleet::connected(const endpoint_id& endpoint)
 {
-  view_.connect_succeeded({.kind = member_kind::endpoint, .id = endpoint.value()},
-                          context_.now());
+  view_.connect_succeeded({.kind = member_kind::endpoint, .id = endpoint.value()}, context_.now());
   if (const auto slot = endpoints_.find(endpoint)) {
     endpoints_.on_connected(*slot);
   }
@@ -452,8 +450,7 @@
 {
   for (const auto slot : endpoints_.slots()) {
     const auto& description = endpoints_.at(slot).description;
-    const auto* m =
-        view_.find({.kind = member_kind::endpoint, .id = description.id.value()});
+    const auto* m = view_.find({.kind = member_kind::endpoint, .id = description.id.value()});
     const auto to = parse_address(description.address);
     if (m == nullptr || m->attributes.role != "engine" || !to) {
       continue;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -4,6 +4,15 @@
 #ifndef WISTERIAFLOW_SRC_CORE_FLEET_H_
 #define WISTERIAFLOW_SRC_CORE_FLEET_H_
 
+#include "core/core_context.h"
+#include "wisteriaflow/membership/address_book.h"
+#include "wisteriaflow/membership/gossip.h"
+#include "wisteriaflow/membership/view.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,15 +23,6 @@
 
 #include <boost/json/value.hpp>
 
-#include "core/core_context.h"
-#include "wisteriaflow/membership/address_book.h"
-#include "wisteriaflow/membership/gossip.h"
-#include "wisteriaflow/membership/view.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-#include "wisteriaflow/routing/prefix_belief.h"
-
 namespace wisteriaflow::core::internal {
 
 // Told about changes that other services act on.
@@ -33,12 +33,12 @@
   std::function<void()> daemons_changed;
   // This daemon's own instance is to be given back.
   std::function<void(std::optional<wall_time> reclaim_at)> self_leaving;
-  // A peer has told its configuration's revision for the first time, or a higher one.
+  // A peer has told the highest configuration revision that it knows, and who has it.
   std::function<void(const membership::gossiper::known_configuration&)> configuration_heard;
 };
 
 class fleet {
-public:
+ public:
   fleet(core_context& context, fleet_listener listener);
 
   // Registers this daemon and begins to gossip. Call once.
@@ -63,15 +63,12 @@
   void connect_failed(const endpoint_id& endpoint);
   void connected(const endpoint_id& endpoint);
 
-  // Whether a peer has answered since the start.
-  [[nodiscard]] bool heard_peers() const { return heard_peers_; }
-
   [[nodiscard]] std::vector<daemon_id> live_daemon_ids() const;
 
-  // Where to reach a daemon that is not gone; nothing if it is unknown.
   // Whether a daemon is known to be gone, or has not been heard of in the time that takes to learn.
   [[nodiscard]] bool is_gone(const daemon_id& id) const;
 
+  // Where to reach a daemon; nothing if it is unknown.
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
@@ -86,7 +83,7 @@
   [[nodiscard]] routing::prefix_belief& prefixes() { return prefixes_; }
   [[nodiscard]] const routing::prefix_belief& prefixes() const { return prefixes_; }
 
-private:
+ private:
   void register_self();
   void list_daemons();
   void on_daemons_listed(const store_answer& answer);
@@ -96,7 +93,7 @@
   void on_gossip_reply(const membership::outgoing_gossip& sent, const peer_response* response);
   void gossip_now();
   void after_change();
-  void note_configuration();
+  void note_configuration(const membership::gossip_message& message);
   void update_endpoints();
   std::set<endpoint_id> reached() const;
   void announce_leaving_endpoints();
@@ -113,12 +110,10 @@
   std::vector<objects::instance_description> described_;
   std::set<endpoint_id> announced_; // endpoints whose leaving the listener was told
   std::uint64_t seen_version_ = 0;
-  std::uint64_t heard_revision_ = 0;
   timer_number gossip_timer_ = 0;
   mono_time started_at_;
   mono_time update_due_;
   bool update_scheduled_ = false;
-  bool heard_peers_ = false;
   bool leaving_ = false;
 };
 
--- a/src/core/operator_service.cc
+++ b/src/core/operator_service.cc
@@ -1,5 +1,8 @@
 #include "core/operator_service.h"
 
+#include "core/http_parts.h"
+#include "wisteriaflow/objects/errors.h"
+
 #include <string>
 #include <utility>
 
@@ -7,9 +10,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "core/http_parts.h"
-#include "wisteriaflow/objects/errors.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -51,7 +51,8 @@
                                    request_table& requests)
     : context_(context), services_(services), requests_(requests),
       book_({.kept_for = context.options().address_validity})
-{}
+{
+}
 
 http::response operator_service::health() const
 {
@@ -143,8 +144,7 @@
     }
     r.service = service;
     r.first_token_target = context_.options().first_token_target;
-    return json_response(status_ok,
-                         json::serialize(services_.placer.explain(configuration, r)));
+    return json_response(status_ok, json::serialize(services_.placer.explain(configuration, r)));
   }
   const workspace_id workspace(query_value(target, "workspace"));
   if (configuration.find_workspace(workspace) == nullptr) {
@@ -182,8 +182,8 @@
   const auto answer = book_.addresses_for(query, live, context_.now().wall);
   json::array addresses;
   for (const auto& address : answer.addresses) {
-    addresses.push_back(json::object{{"address", address.address},
-                                     {"availability_zone", address.zone.value()}});
+    addresses.push_back(
+        json::object{{"address", address.address}, {"availability_zone", address.zone.value()}});
   }
   return json_response(status_ok, json::serialize(json::object{
                                       {"addresses", std::move(addresses)},
--- a/src/core/operator_service.h
+++ b/src/core/operator_service.h
@@ -14,7 +14,7 @@
 namespace wisteriaflow::core::internal {
 
 class operator_service {
-public:
+ public:
   operator_service(core_context& context, request_services services, request_table& requests);
 
   // GET /healthz: the core answers.
@@ -36,7 +36,7 @@
   [[nodiscard]] http::response addresses(const http::target_parts& target,
                                          const http::request& message) const;
 
-private:
+ private:
   core_context& context_;
   request_services services_;
   request_table& requests_;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -1,13 +1,13 @@
 #include "core/placement.h"
 
+#include "wisteriaflow/http/errors.h"
+
 #include <algorithm>
 #include <utility>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include "wisteriaflow/http/errors.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -88,8 +88,8 @@
           .deadline = r.deadline};
 }
 
-placement_result placement::place(const objects::fleet_configuration& configuration,
-                                  const route& r, const std::set<endpoint_id>& excluded)
+placement_result placement::place(const objects::fleet_configuration& configuration, const route& r,
+                                  const std::set<endpoint_id>& excluded)
 {
   std::vector<routing::endpoint_slot> excluded_slots;
   for (const auto& id : excluded) {
@@ -103,8 +103,8 @@
   auto request = view_of(r);
   request.excluded = excluded_slots;
   const auto now = context_.now().mono;
-  const auto made = routing::choose_endpoint(view, request, candidates(configuration, r), now,
-                                             context_.random());
+  const auto made =
+      routing::choose_endpoint(view, request, candidates(configuration, r), now, context_.random());
   if (const auto* none = std::get_if<routing::no_endpoint>(&made)) {
     return not_placed{.reason = none->reason,
                       .retry_at = none->retry_at.value_or(now + no_candidate_retry)};
@@ -137,20 +137,20 @@
   const auto now = context_.now().mono;
   auto random = context_.random(); // a copy: explaining must not change what is chosen next
   boost::json::array lines;
-  for (const auto& line : routing::explain_choice(view, view_of(r), candidates(configuration, r),
-                                                  now, random)) {
+  for (const auto& line :
+       routing::explain_choice(view, view_of(r), candidates(configuration, r), now, random)) {
     const auto& state = fleet_.endpoints().at(line.slot);
-    lines.push_back(boost::json::object{
-        {"endpoint", state.description.id.value()},
-        {"availability_zone", state.description.availability_zone.value()},
-        {"verdict", routing::to_string(line.result)},
-        {"first_token_seconds", line.parts.first_token()},
-        {"queue_seconds", line.parts.queue},
-        {"prefill_seconds", line.parts.prefill},
-        {"network_seconds", line.parts.network},
-        {"cached_tokens", line.parts.cached_tokens},
-        {"cost", line.cost},
-        {"score", line.score}});
+    lines.push_back(
+        boost::json::object{{"endpoint", state.description.id.value()},
+                            {"availability_zone", state.description.availability_zone.value()},
+                            {"verdict", routing::to_string(line.result)},
+                            {"first_token_seconds", line.parts.first_token()},
+                            {"queue_seconds", line.parts.queue},
+                            {"prefill_seconds", line.parts.prefill},
+                            {"network_seconds", line.parts.network},
+                            {"cached_tokens", line.parts.cached_tokens},
+                            {"cost", line.cost},
+                            {"score", line.score}});
   }
   return boost::json::object{{"intent", r.intent},
                              {"service", r.service},
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -3,6 +3,11 @@
 #ifndef WISTERIAFLOW_SRC_CORE_PLACEMENT_H_
 #define WISTERIAFLOW_SRC_CORE_PLACEMENT_H_
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,11 +17,6 @@
 
 #include <boost/json/value.hpp>
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-
 namespace wisteriaflow::core::internal {
 
 // Where a request may go, fixed when it is admitted.
@@ -53,13 +53,12 @@
 using placement_result = std::variant<placed, not_placed>;
 
 class placement {
-public:
+ public:
   placement(core_context& context, fleet& members);
 
   // The route of a request under the configuration in force; nothing if no intent selects it.
-  [[nodiscard]] std::optional<route>
-  route_for(const objects::fleet_configuration& configuration,
-            const objects::request_description& request) const;
+  [[nodiscard]] std::optional<route> route_for(const objects::fleet_configuration& configuration,
+                                               const objects::request_description& request) const;
 
   // Chooses an endpoint outside of `excluded`.
   [[nodiscard]] placement_result place(const objects::fleet_configuration& configuration,
@@ -73,7 +72,7 @@
   [[nodiscard]] boost::json::value explain(const objects::fleet_configuration& configuration,
                                            const route& r);
 
-private:
+ private:
   [[nodiscard]] std::vector<routing::endpoint_slot>
   candidates(const objects::fleet_configuration& configuration, const route& r) const;
   [[nodiscard]] routing::routing_options options_for(const route& r) const;
--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -33,7 +33,8 @@
 membership::member read_instance(const json::object& o)
 {
   membership::member m;
-  m.key = {.kind = membership::member_kind::endpoint, .id = json::value_to<std::string>(o.at("id"))};
+  m.key = {.kind = membership::member_kind::endpoint,
+           .id = json::value_to<std::string>(o.at("id"))};
   m.state = text_at(o, "state") == "leaving" ? membership::member_state::leaving
                                              : membership::member_state::live;
   m.attributes_revision = 1;
--- a/src/core/platform_documents.h
+++ b/src/core/platform_documents.h
@@ -4,6 +4,11 @@
 #ifndef WISTERIAFLOW_SRC_CORE_PLATFORM_DOCUMENTS_H_
 #define WISTERIAFLOW_SRC_CORE_PLATFORM_DOCUMENTS_H_
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -12,11 +17,6 @@
 
 #include <boost/json/value.hpp>
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-
 namespace wisteriaflow::core::internal {
 
 // The instance list.
--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -1,9 +1,5 @@
 #include "core/request_table.h"
 
-#include <algorithm>
-#include <charconv>
-#include <utility>
-
 #include "core/http_parts.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/claims/errors.h"
@@ -12,6 +8,10 @@
 #include "wisteriaflow/requests/errors.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -89,11 +89,11 @@
 
 request_table::request_table(core_context& context, request_services services)
     : context_(context), services_(services),
-      admission_(admission_options_of(context.options()),
-                 {.self = context.options().self}),
+      admission_(admission_options_of(context.options()), {.self = context.options().self}),
       retries_({.fraction = context.options().retry_budget}),
       answers_({.max_bytes = context.options().answer_memory_bytes})
-{}
+{
+}
 
 requests::call_limits request_table::limits() const
 {
@@ -132,8 +132,8 @@
       draining_ ? requests::refusal_reason::draining : requests::refusal_reason::no_endpoint;
   const auto message = draining_ ? "this daemon is leaving: ask another address"
                                  : "this daemon does not know the configuration yet";
-  send_outcome(call, requests::refused_not_run{
-                         reason, context_.now().wall + draining_retry, message});
+  send_outcome(call,
+               requests::refused_not_run{reason, context_.now().wall + draining_retry, message});
   return true;
 }
 
@@ -177,7 +177,8 @@
     return;
   }
   const auto& methods = declared->idempotent_methods;
-  const bool idempotent = std::find(methods.begin(), methods.end(), message.method) != methods.end();
+  const bool idempotent =
+      std::find(methods.begin(), methods.end(), message.method) != methods.end();
   if (http::find_header(message.fields, "Wisteriaflow-Idempotent").empty()) {
     message.fields.push_back(
         {.name = "Wisteriaflow-Idempotent", .value = idempotent ? "true" : "false"});
@@ -256,8 +257,8 @@
   admission::admission_request out;
   out.workspace = r.headers.workspace;
   out.tokens = r.where.prompt_tokens + r.where.output_tokens;
-  out.priority = r.where.batch ? admission::request_priority::batch
-                               : admission::request_priority::interactive;
+  out.priority =
+      r.where.batch ? admission::request_priority::batch : admission::request_priority::interactive;
   out.deadline = r.headers.deadline;
   out.utilisation = services_.placer.utilisation(*services_.config.current(), r.where);
   return out;
@@ -420,8 +421,8 @@
   look_elsewhere(call, wanted, context_.now().mono + readiness_wait);
 }
 
-// A daemon that has just started knows neither its peers nor what they keep: saying that there is no
-// answer would be wrong, so the caller waits until it does.
+// A daemon that has just started knows neither its peers nor what they keep: saying that there is
+// no answer would be wrong, so the caller waits until it does.
 void request_table::look_elsewhere(call_number call, const requests::answer_key& wanted,
                                    mono_time deadline)
 {
@@ -479,8 +480,7 @@
   admission::workspace_amounts shares;
   for (const auto& w : services_.config.current()->workspaces()) {
     auto& amounts = shares[w.id()];
-    amounts[admission::share_unit::requests_per_second] =
-        w.requests_per_second.value_or(unlimited);
+    amounts[admission::share_unit::requests_per_second] = w.requests_per_second.value_or(unlimited);
     amounts[admission::share_unit::tokens_per_second] = w.tokens_per_second.value_or(unlimited);
     amounts[admission::share_unit::tokens_in_flight] =
         w.max_tokens_in_flight ? static_cast<double>(*w.max_tokens_in_flight) : unlimited;
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -8,15 +8,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 #define WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 
-#include <cstdint>
-#include <deque>
-#include <functional>
-#include <map>
-#include <memory>
-#include <optional>
-#include <string>
-#include <vector>
-
 #include "core/active_request.h"
 #include "core/answer_places.h"
 #include "core/claim_service.h"
@@ -29,6 +20,15 @@
 #include "wisteriaflow/admission/retry.h"
 #include "wisteriaflow/requests/answer_store.h"
 
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace wisteriaflow::core::internal {
 
 // The services that requests use.
@@ -49,7 +49,7 @@
 [[nodiscard]] service_target split_service_target(std::string_view target);
 
 class request_table {
-public:
+ public:
   request_table(core_context& context, request_services services);
 
   // A caller's POST /v1/completions.
@@ -87,7 +87,7 @@
   // Feeds the shares with the fleet's demand. Called about twice a second.
   void refresh_shares();
 
-private:
+ private:
   using request_ptr = std::unique_ptr<active_request>;
 
   // request_table.cc
@@ -132,8 +132,10 @@
   void import_then_start(active_request& r, const requests::start_attempt& a, const placed& where);
   [[nodiscard]] http::request message_for(const active_request& r,
                                           const requests::start_attempt& a) const;
-  void on_attempt_head(const std::string& id, requests::attempt_number n, const http::response& head);
-  void on_attempt_bytes(const std::string& id, requests::attempt_number n, const std::string& bytes);
+  void on_attempt_head(const std::string& id, requests::attempt_number n,
+                       const http::response& head);
+  void on_attempt_bytes(const std::string& id, requests::attempt_number n,
+                        const std::string& bytes);
   void on_attempt_ended(const std::string& id, requests::attempt_number n);
   void on_attempt_failed(const std::string& id, requests::attempt_number n,
                          exchange_failure failure);
@@ -161,9 +163,9 @@
   admission::retry_budget retries_;
   requests::answer_store answers_;
   std::map<std::string, request_ptr> active_;
-  std::map<call_number, std::string> calls_;           // the request that a call waits for
-  std::map<std::uint64_t, std::string> by_nonce_;      // requests in flight by claim
-  std::map<std::uint64_t, request_status> ended_;      // ended claims that peers may ask about
+  std::map<call_number, std::string> calls_;      // the request that a call waits for
+  std::map<std::uint64_t, std::string> by_nonce_; // requests in flight by claim
+  std::map<std::uint64_t, request_status> ended_; // ended claims that peers may ask about
   std::multimap<wall_time, std::uint64_t> ended_until_;
   std::deque<std::pair<std::string, requests::request_event>> events_; // to be fed
   bool feeding_ = false;
--- a/src/core/request_table_actions.cc
+++ b/src/core/request_table_actions.cc
@@ -1,5 +1,11 @@
 // What a request's life asks for, carried out.
 
+#include "core/http_parts.h"
+#include "core/request_table.h"
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/request_key.h"
+#include "wisteriaflow/requests/completion_render.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,12 +14,6 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
-#include "core/http_parts.h"
-#include "core/request_table.h"
-#include "wisteriaflow/claims/errors.h"
-#include "wisteriaflow/claims/request_key.h"
-#include "wisteriaflow/requests/completion_render.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -21,7 +21,10 @@
 constexpr std::chrono::milliseconds claim_retry{1'000};
 constexpr std::chrono::milliseconds budget_retry{1'000};
 
-std::string caller_address_text(const daemon_core_options& o) { return to_string(o.caller_address); }
+std::string caller_address_text(const daemon_core_options& o)
+{
+  return to_string(o.caller_address);
+}
 
 } // namespace
 
@@ -52,8 +55,7 @@
 {
   using requests::duplicate_state;
   context_.counters().observe(
-      "claim_seconds",
-      std::chrono::duration<double>(context_.now().mono - r.received_at).count());
+      "claim_seconds", std::chrono::duration<double>(context_.now().mono - r.received_at).count());
   if (const auto* granted = std::get_if<claims::dispatch_claimed>(&outcome)) {
     feed(r, requests::claim_granted{granted->nonce});
     return;
@@ -136,8 +138,8 @@
     return;
   }
   http::request message{.method = "POST", .target = "/kv/export"};
-  message.body = boost::json::serialize(
-      boost::json::object{{"request_id", r.engine_request_id(a.attempt)}});
+  message.body =
+      boost::json::serialize(boost::json::object{{"request_id", r.engine_request_id(a.attempt)}});
   message.fields.push_back({.name = "Content-Type", .value = "application/json"});
   const auto deadline = context_.now().mono + context_.options().platform_call_timeout;
   services_.endpoints.call(
@@ -155,9 +157,8 @@
           return;
         }
         const auto* tokens = o->if_contains("tokens");
-        const auto n = tokens != nullptr && tokens->is_number()
-                           ? tokens->to_number<std::uint64_t>()
-                           : moving->life.tokens().size();
+        const auto n = tokens != nullptr && tokens->is_number() ? tokens->to_number<std::uint64_t>()
+                                                                : moving->life.tokens().size();
         feed(*moving,
              requests::kv_exported{.attempt = attempt,
                                    .handle = boost::json::value_to<std::string>(o->at("handle")),
@@ -174,17 +175,22 @@
 // Streamed calls get their tokens from send_tokens, which knows what each one has.
 void request_table::act(active_request& /*r*/, const requests::send_token& /*a*/) {}
 
-void request_table::act(active_request& r, const requests::send_body& a) { r.answer.body = a.bytes; }
+void request_table::act(active_request& r, const requests::send_body& a)
+{
+  r.answer.body = a.bytes;
+}
 
-void request_table::act(active_request& r, const requests::keep_answer& a) { r.keep_until = a.until; }
+void request_table::act(active_request& r, const requests::keep_answer& a)
+{
+  r.keep_until = a.until;
+}
 
 void request_table::act(active_request& r, const requests::redirect& a)
 {
   for (auto& c : r.calls) {
     calls_.erase(c.call);
     if (a.address.empty()) {
-      send_outcome(c.call,
-                   requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
+      send_outcome(c.call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
       continue;
     }
     const auto location = "http://" + a.address + "/v1/answers/" + r.key.key;
@@ -226,11 +232,11 @@
 void request_table::answer_call(active_request& r, attached_call& c, const requests::finish& end)
 {
   const bool answered = std::holds_alternative<requests::answered>(end.result);
-  const bool is_stream = c.streamed && (c.head_sent || (answered && r.generation() &&
-                                                        r.answer.status == 200));
+  const bool is_stream =
+      c.streamed && (c.head_sent || (answered && r.generation() && r.answer.status == 200));
   if (!is_stream) {
-    context_.emit(caller_action(
-        respond{.call = c.call, .whole = to_response(whole_response_of(r, end))}));
+    context_.emit(
+        caller_action(respond{.call = c.call, .whole = to_response(whole_response_of(r, end))}));
     return;
   }
   if (!c.head_sent) {
@@ -299,8 +305,8 @@
     end_attempt(r);
   }
   if (r.admitted) {
-    const auto used = static_cast<double>(r.where.prompt_tokens) +
-                      static_cast<double>(r.life.tokens().size());
+    const auto used =
+        static_cast<double>(r.where.prompt_tokens) + static_cast<double>(r.life.tokens().size());
     admission_.finish(*r.admitted, used, context_.now().mono);
   }
   by_nonce_.erase(r.claim_nonce);
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -1,15 +1,15 @@
 // Exchanges of requests with endpoints.
 
+#include "core/http_parts.h"
+#include "core/request_table.h"
+#include "wisteriaflow/requests/errors.h"
+
 #include <algorithm>
 #include <utility>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "core/http_parts.h"
-#include "core/request_table.h"
-#include "wisteriaflow/requests/errors.h"
-
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -20,10 +20,12 @@
 // Header fields of a caller that are its connection's own, or the daemon's.
 bool is_passed_on(const std::string& name)
 {
-  static const std::vector<std::string> kept_back = {
-      "connection", "content-length", "expect",     "host",
-      "keep-alive", "te",             "trailer",    "transfer-encoding",
-      "upgrade",    "idempotency-key", "request-id"};
+  static const std::vector<std::string> kept_back = {"connection", "content-length",
+                                                     "expect",     "host",
+                                                     "keep-alive", "te",
+                                                     "trailer",    "transfer-encoding",
+                                                     "upgrade",    "idempotency-key",
+                                                     "request-id"};
   std::string lower = name;
   std::transform(lower.begin(), lower.end(), lower.begin(),
                  [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
@@ -117,26 +119,25 @@
   const auto from = services_.members.endpoint_address_of(a.transfer->from);
   http::request message{.method = "POST", .target = "/kv/import"};
   message.fields.push_back({.name = "Content-Type", .value = "application/json"});
-  message.body = boost::json::serialize(
-      boost::json::object{{"handle", a.transfer->handle}, {"from", from}});
+  message.body =
+      boost::json::serialize(boost::json::object{{"handle", a.transfer->handle}, {"from", from}});
   const auto deadline = context_.now().mono + context_.options().platform_call_timeout;
-  services_.endpoints.call(where.address, std::move(message), deadline,
-                           [this, id = r.id, a, where](const std::optional<http::response>& whole) {
-                             auto* moving = find(id);
-                             if (moving == nullptr || moving->life.endpoint() != where.endpoint) {
-                               return;
-                             }
-                             const bool imported = whole && whole->status == status_ok;
-                             context_.counters().count(
-                                 "kv_imports_total", {{"result", imported ? "ok" : "failed"}});
-                             if (imported || moving->options.idempotent) {
-                               start_exchange_for(*moving, a, where);
-                               return;
-                             }
-                             feed(*moving, requests::attempt_failed{
-                                               .attempt = a.attempt,
+  services_.endpoints.call(
+      where.address, std::move(message), deadline,
+      [this, id = r.id, a, where](const std::optional<http::response>& whole) {
+        auto* moving = find(id);
+        if (moving == nullptr || moving->life.endpoint() != where.endpoint) {
+          return;
+        }
+        const bool imported = whole && whole->status == status_ok;
+        context_.counters().count("kv_imports_total", {{"result", imported ? "ok" : "failed"}});
+        if (imported || moving->options.idempotent) {
+          start_exchange_for(*moving, a, where);
+          return;
+        }
+        feed(*moving, requests::attempt_failed{.attempt = a.attempt,
                                                .kind = requests::failure_kind::broken});
-                           });
+      });
 }
 
 active_request* request_table::running(const std::string& id, requests::attempt_number n)
@@ -156,9 +157,8 @@
   r->running->status = head.status;
   r->running->fields = end_to_end(head.fields);
   if (!r->generation() || head.status == status_ok) {
-    feed(*r, requests::attempt_head{.attempt = n,
-                                    .status = head.status,
-                                    .fields = to_fields(r->running->fields)});
+    feed(*r, requests::attempt_head{
+                 .attempt = n, .status = head.status, .fields = to_fields(r->running->fields)});
   }
 }
 
@@ -295,9 +295,8 @@
         if (cancelled == nullptr || !confirm) {
           return;
         }
-        const bool stopped =
-            whole && (whole->status == status_ok || whole->status == status_not_found ||
-                      whole->status == 204);
+        const bool stopped = whole && (whole->status == status_ok ||
+                                       whole->status == status_not_found || whole->status == 204);
         if (!stopped) {
           feed(*cancelled, requests::cancel_failed{n});
           return;
@@ -335,7 +334,8 @@
   if (slot) {
     const auto& state = services_.members.endpoints().at(*slot);
     out.decode_rate = state.decode_rate.sampled() ? state.decode_rate.value() : default_decode_rate;
-    out.prefill_rate = state.prefill_rate.sampled() ? state.prefill_rate.value() : default_prefill_rate;
+    out.prefill_rate =
+        state.prefill_rate.sampled() ? state.prefill_rate.value() : default_prefill_rate;
   }
   return out;
 }
--- a/src/core/request_table_peers.cc
+++ b/src/core/request_table_peers.cc
@@ -1,8 +1,5 @@
 // Requests and answers that go to peers when this daemon leaves, or come from them.
 
-#include <algorithm>
-#include <utility>
-
 #include "core/http_parts.h"
 #include "core/request_table.h"
 #include "wisteriaflow/claims/errors.h"
@@ -10,6 +7,9 @@
 #include "wisteriaflow/requests/errors.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -53,8 +53,8 @@
   return daemons[draw(context_.random())];
 }
 
-handed_over_request
-request_table::handed_over(const active_request& r, const requests::handed_over_state& state) const
+handed_over_request request_table::handed_over(const active_request& r,
+                                               const requests::handed_over_state& state) const
 {
   handed_over_request out;
   out.from = context_.options().self;
@@ -78,8 +78,7 @@
 void request_table::offer(const std::string& id, const handed_over_request& handed, int tries_left)
 {
   const auto successor = choose_successor();
-  const auto to =
-      successor ? services_.members.peer_address_of(*successor) : std::nullopt;
+  const auto to = successor ? services_.members.peer_address_of(*successor) : std::nullopt;
   auto* r = find(id);
   if (r == nullptr) {
     return;
@@ -90,37 +89,40 @@
   }
   const auto ask = std::make_shared<std::function<void(int)>>();
   *ask = [this, id, handed, tries_left, to, weak = std::weak_ptr(ask)](int asks_left) {
-    context_.call_peer(*to, handed, [this, id, handed, tries_left, asks_left,
-                                     again = weak.lock()](const peer_response* response) {
-      auto* waiting = find(id);
-      if (waiting == nullptr) {
-        return;
-      }
-      const auto* reply = response == nullptr ? nullptr : std::get_if<hand_over_reply>(response);
-      if (reply == nullptr && asks_left > 0) {
-        (*again)(asks_left - 1);
-        return;
-      }
-      if (reply != nullptr && reply->accepted) {
-        context_.counters().count("handovers_total", {{"result", "accepted"}});
-        if (waiting->claim_nonce != 0) {
-          ended_.insert_or_assign(waiting->claim_nonce,
-                                  request_status{.state = request_state::in_flight,
-                                                 .caller_address = reply->caller_address});
-        }
-        feed(*waiting, requests::handover_accepted{reply->caller_address});
-        return;
-      }
-      context_.counters().count("handovers_total", {{"result", "refused"}});
-      if (reply == nullptr) {
-        // The silent peer may have it: only an idempotent request may go on here.
-        feed(*waiting, waiting->options.idempotent
-                           ? requests::request_event(requests::handover_refused{})
-                           : requests::request_event(requests::deadline_passed{}));
-        return;
-      }
-      offer(id, handed, tries_left - 1);
-    });
+    context_.call_peer(
+        *to, handed,
+        [this, id, handed, tries_left, asks_left,
+         again = weak.lock()](const peer_response* response) {
+          auto* waiting = find(id);
+          if (waiting == nullptr) {
+            return;
+          }
+          const auto* reply =
+              response == nullptr ? nullptr : std::get_if<hand_over_reply>(response);
+          if (reply == nullptr && asks_left > 0) {
+            (*again)(asks_left - 1);
+            return;
+          }
+          if (reply != nullptr && reply->accepted) {
+            context_.counters().count("handovers_total", {{"result", "accepted"}});
+            if (waiting->claim_nonce != 0) {
+              ended_.insert_or_assign(waiting->claim_nonce,
+                                      request_status{.state = request_state::in_flight,
+                                                     .caller_address = reply->caller_address});
+            }
+            feed(*waiting, requests::handover_accepted{reply->caller_address});
+            return;
+          }
+          context_.counters().count("handovers_total", {{"result", "refused"}});
+          if (reply == nullptr) {
+            // The silent peer may have it: only an idempotent request may go on here.
+            feed(*waiting, waiting->options.idempotent
+                               ? requests::request_event(requests::handover_refused{})
+                               : requests::request_event(requests::deadline_passed{}));
+            return;
+          }
+          offer(id, handed, tries_left - 1);
+        });
   };
   (*ask)(handover_tries);
 }
@@ -216,8 +218,7 @@
     std::optional<requests::completion_request> completion;
     requests::call_headers headers;
     if (generation) {
-      completion =
-          requests::parse_completion_request(fields, handed.message.body, now, limits());
+      completion = requests::parse_completion_request(fields, handed.message.body, now, limits());
       headers = completion->headers;
     } else {
       headers = requests::parse_call_headers(fields, now, limits());
@@ -246,8 +247,7 @@
           .workspace = headers.workspace,
           .labels = objects::label_set({headers.labels.begin(), headers.labels.end()}),
           .model = completion->model};
-      const auto found =
-          services_.placer.route_for(*services_.config.current(), description);
+      const auto found = services_.placer.route_for(*services_.config.current(), description);
       if (!found) {
         return nullptr;
       }
@@ -270,8 +270,7 @@
 {
   if (query.nonce == 0) {
     const auto place = services_.places.kept_place(query.key);
-    const auto state =
-        place.empty() ? request_state::outcome_unknown : request_state::in_flight;
+    const auto state = place.empty() ? request_state::outcome_unknown : request_state::in_flight;
     return {.state = state, .caller_address = place};
   }
   const auto ended = ended_.find(query.nonce);
--- /dev/null
+++ b/test/core/readiness_test.cc
@@ -0,0 +1,101 @@
+// When a daemon may serve: once it knows that its configuration is not an old one.
+
+#include "wisteriaflow/core/daemon_core.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::core {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A core without peers of its own accord; what it is told comes from the test.
+class ReadinessTest : public testing::Test {
+ protected:
+  ReadinessTest() : core_(make_options(), now_) {}
+
+  static daemon_core_options make_options()
+  {
+    daemon_core_options out;
+    out.self = daemon_id("d1");
+    out.caller_address = {.port = 1};
+    out.peer_address = {.port = 2};
+    return out;
+  }
+
+  // Passes `e` on and returns the status of the response it causes, if any.
+  std::optional<int> handle(event e)
+  {
+    std::optional<int> status;
+    for (const auto& a : core_.handle(std::move(e), now_)) {
+      if (const auto* to_caller = std::get_if<caller_action>(&a)) {
+        if (const auto* whole = std::get_if<respond>(to_caller)) {
+          status = whole->whole.status;
+        }
+      }
+    }
+    return status;
+  }
+
+  void pass(milliseconds time)
+  {
+    now_.mono += time;
+    now_.wall += time;
+    handle(ticked{});
+  }
+
+  int readiness()
+  {
+    return handle(call_received{.call = 1, .message = {.target = "/readyz"}}).value_or(0);
+  }
+
+  void hear_peer(std::uint64_t revision)
+  {
+    membership::gossip_message message;
+    message.from = daemon_id("d2");
+    message.configuration_revision = revision;
+    handle(peer_asked{.reply = 1, .message = message});
+  }
+
+  clock_reading now_{.mono = mono_time(std::chrono::hours(1)), .wall = from_unix_ms(1'000'000)};
+  daemon_core core_;
+};
+
+TEST_F(ReadinessTest, IsNotGivenByTheStoresListAlone)
+{
+  handle(declarations_listed{.version = 5});
+  EXPECT_EQ(readiness(), 503);
+}
+
+TEST_F(ReadinessTest, ComesWithAPeerAtTheSameRevision)
+{
+  handle(declarations_listed{.version = 5});
+  hear_peer(5);
+  EXPECT_EQ(readiness(), 200);
+}
+
+TEST_F(ReadinessTest, WaitsForTheHigherRevisionOfAPeer)
+{
+  handle(declarations_listed{.version = 5});
+  hear_peer(6);
+  EXPECT_EQ(readiness(), 503) << "the store's list was older than what a peer has in force";
+  handle(declarations_listed{.version = 6});
+  EXPECT_EQ(readiness(), 200);
+}
+
+TEST_F(ReadinessTest, ComesWhenNoPeerNamesARevision)
+{
+  handle(declarations_listed{.version = 5});
+  hear_peer(0);
+  pass(milliseconds(10'000));
+  EXPECT_EQ(readiness(), 200);
+}
+
+} // namespace
+} // namespace wisteriaflow::core
