Take a peer's equal revision for the configuration's floor

Cause: a daemon that had listed the store before it heard a peer took the peer's revision for news only when it was higher than its own. With equal ones it never learned the floor, nor did it take the peers for silent, so that it stayed unready for good (seen in 4 of 14 starts of three daemons on a busy machine). A peer's revision now counts whether higher or not, and a daemon takes the store's list for the floor once no peer has named a revision for three seconds.

Ruled out: to take the first peer contact for a floor of zero; two daemons that start with a stale list would confirm each other.

--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -8,7 +8,7 @@
 namespace wisteriaflow::core::internal {
 namespace {
 
-// A daemon that hears no peer this long takes the store's own list for the floor.
+// A daemon that hears no revision of a peer this long takes the store's own list for the floor.
 constexpr std::chrono::milliseconds peers_silent_after{3'000};
 constexpr std::chrono::milliseconds floor_check{200};
 // A change is written to the audit trail by the daemon that ranks first for it; others follow, so
@@ -59,7 +59,7 @@
   if (ready()) {
     return;
   }
-  if (!fleet_.heard_peers() && context_.now().mono >= silent_at_) {
+  if (!fleet_.heard_peer_revision() && context_.now().mono >= silent_at_) {
     store_.on_peers_silent();
     after({});
   }
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -259,7 +259,7 @@
     }
     return;
   }
-  heard_peers_ = true;
+  note_peer_revision(*reply);
   send(gossiper_.receive_reply(*reply, context_.now()));
   note_configuration();
   after_change();
@@ -267,7 +267,7 @@
 
 membership::gossip_message fleet::on_gossip(const membership::gossip_message& message)
 {
-  heard_peers_ = true;
+  note_peer_revision(message);
   context_.counters().count("gossip_messages_total", {{"direction", "received"}});
   auto response = gossiper_.receive(message, context_.now());
   send(std::move(response.pushes));
@@ -283,6 +283,15 @@
   gossip_timer_ = context_.timers().at(gossiper_.next_due(), [this] { gossip_now(); });
 }
 
+// Also a revision that is known here already: that a peer knows no higher one is news as well.
+void fleet::note_peer_revision(const membership::gossip_message& message)
+{
+  if (message.configuration_revision > peer_revision_) {
+    peer_revision_ = message.configuration_revision;
+    listener_.configuration_heard({.revision = peer_revision_, .holder = message.from});
+  }
+}
+
 void fleet::note_configuration()
 {
   const auto& highest = gossiper_.highest_configuration();
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -63,15 +63,15 @@
   void connect_failed(const endpoint_id& endpoint);
   void connected(const endpoint_id& endpoint);
 
-  // Whether a peer has answered since the start.
-  [[nodiscard]] bool heard_peers() const { return heard_peers_; }
+  // Whether a peer has named a configuration revision since the start.
+  [[nodiscard]] bool heard_peer_revision() const { return peer_revision_ != 0; }
 
   [[nodiscard]] std::vector<daemon_id> live_daemon_ids() const;
 
-  // Where to reach a daemon that is not gone; nothing if it is unknown.
   // Whether a daemon is known to be gone, or has not been heard of in the time that takes to learn.
   [[nodiscard]] bool is_gone(const daemon_id& id) const;
 
+  // Where to reach a daemon that is not gone; nothing if it is unknown.
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
@@ -92,6 +92,7 @@
   void on_gossip_reply(const membership::outgoing_gossip& sent, const peer_response* response);
   void gossip_now();
   void after_change();
+  void note_peer_revision(const membership::gossip_message& message);
   void note_configuration();
   void update_endpoints();
   std::set<endpoint_id> reached() const;
@@ -112,7 +113,7 @@
   mono_time started_at_;
   mono_time update_due_;
   bool update_scheduled_ = false;
-  bool heard_peers_ = false;
+  std::uint64_t peer_revision_ = 0; // the highest that a peer has named
   bool leaving_ = false;
 };
 
