--- a/bench/policy_bench_fleet.h
+++ b/bench/policy_bench_fleet.h
@@ -35,12 +35,15 @@
 // What happens during a run.
 struct condition {
   std::string name;
+  double load = 1;         // times the deployment's usual traffic
   double report_lag = 0.5; // s; reports are made once a second
   double event_loss = 0;   // part of the cache events
-  bool burst = false;      // one workspace sends six times its traffic for a minute
+  double cache = 1;        // times the engines' usual cache
+  int daemons = 0;         // in place of the deployment's, unless 0
+  bool burst = false;      // one workspace sends ten times its traffic for a minute
   bool zone_loss = false;
   bool second_wave = false;
-  bool nightly = false; // one workspace sends batch work at twice the whole interactive rate
+  bool nightly = false; // one more workspace sends batch reports, three for each conversation
 };
 
 // Parts of the policy that a run can switch off, and those under trial.
@@ -48,7 +51,6 @@
   std::string name;
   policy kind = policy::wisteriaflow;
   routing::routing_rules rules;
-  bool correct_by_answers = true;
   bool cache_events = true;
   bool limits = true; // shares of the workspaces
   bool lend = true;
@@ -66,6 +68,7 @@
   int given_up = 0;    // requests refused six times; they count as missing the target
   int hedged = 0;
   double within_target = 0;
+  double within_deadline = 0;
   double worst_workspace = 0; // the same for the workspace that fares worst (not one that bursts)
   double p50 = 0, p95 = 0, p99 = 0; // s to the first token, from the first try
   double service_p50 = 0;           // ms, of plain service calls
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -229,6 +229,10 @@
   hello.peer_address = to_string(to);
   hello.message.from = context_.options().self;
   hello.message.members.push_back(view_.self());
+  // By these the peer sees what is unknown here, so that its reply brings it.
+  hello.message.view_version = view_.version();
+  hello.message.view_hash = view_.hash();
+  hello.message.view_buckets = {view_.buckets().begin(), view_.buckets().end()};
   hello.message.configuration_revision = gossiper_.highest_configuration().revision;
   send({std::move(hello)});
 }
@@ -400,7 +404,9 @@
   const auto wanted = reached();
   for (const auto& id : wanted) {
     const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
-    endpoints_.upsert(describe_endpoint(*m));
+    const auto slot = endpoints_.upsert(describe_endpoint(*m));
+    described_.resize(std::max<std::size_t>(described_.size(), slot + 1));
+    described_[slot] = describe(*m);
   }
   std::vector<endpoint_id> unwanted;
   for (const auto slot : endpoints_.slots()) {
@@ -427,8 +433,7 @@
   std::vector<routing::endpoint_slot> out;
   for (const auto slot : endpoints_.slots()) {
     const auto& id = endpoints_.at(slot).description.id;
-    const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
-    if (m != nullptr && view_.is_routable(id) && matches(describe(*m))) {
+    if (view_.is_routable(id) && matches(described_[slot])) {
       out.push_back(slot);
     }
   }
@@ -512,6 +517,12 @@
   return m == nullptr ? std::nullopt : parse_address(m->attributes.peer_address);
 }
 
+std::string fleet::endpoint_address_of(const endpoint_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+  return m == nullptr ? std::string() : m->attributes.address;
+}
+
 std::string fleet::caller_address_of(const daemon_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -75,6 +75,10 @@
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
+  // The address of an endpoint, also of one that leaves or is not reached from here; empty if it is
+  // unknown.
+  [[nodiscard]] std::string endpoint_address_of(const endpoint_id& id) const;
+
   [[nodiscard]] const membership::membership_view& view() const { return view_; }
   [[nodiscard]] membership::gossiper& gossip() { return gossiper_; }
   [[nodiscard]] routing::endpoint_table& endpoints() { return endpoints_; }
@@ -106,6 +110,8 @@
   routing::endpoint_table endpoints_;
   routing::prefix_belief prefixes_;
   std::shared_ptr<const objects::fleet_configuration> configuration_;
+  // What selectors see of each reached endpoint, by slot: made once, looked at with every request.
+  std::vector<objects::instance_description> described_;
   std::set<endpoint_id> announced_; // endpoints whose leaving the listener was told
   std::uint64_t seen_version_ = 0;
   std::uint64_t heard_revision_ = 0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -122,6 +122,12 @@
   }
 }
 
+double placement::utilisation(const objects::fleet_configuration& configuration,
+                              const route& r) const
+{
+  return fleet_.endpoints().utilisation(candidates(configuration, r));
+}
+
 boost::json::value placement::explain(const objects::fleet_configuration& configuration,
                                       const route& r)
 {
@@ -142,7 +148,6 @@
         {"queue_seconds", line.parts.queue},
         {"prefill_seconds", line.parts.prefill},
         {"network_seconds", line.parts.network},
-        {"reclaim_risk_seconds", line.parts.reclaim_risk},
         {"cached_tokens", line.parts.cached_tokens},
         {"cost", line.cost},
         {"score", line.score}});
