--- /dev/null
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -0,0 +1,124 @@
+// wisteriaflow: serves language models, and plain services beside them, on cheap reclaimable
+// instances without callers noticing.
+//
+// The library decides; it does not talk. Everything that matters (what becomes of a request, who
+// may run it, where it goes, whether it is let in, which members are there, which configuration is
+// in force) is pure code: typed events and the current time go in, typed actions come out. No
+// socket, thread or clock is touched, so the same code runs in the daemon, in tests, in benches and
+// in a program of your own.
+//
+//   #include "wisteriaflow/wisteriaflow.h"
+//   // target_link_libraries(my_program PRIVATE wisteriaflow_core)
+//
+//   using namespace wisteriaflow;
+//   requests::request_life life({.request_id = "r1", .model = "phrasebook", .streamed = true});
+//   for (const auto& action : life.handle(requests::admission_granted{}, now)) {
+//     std::visit(carry_out, action);  // start_attempt{1}: choose an endpoint, send the request
+//   }
+//
+// The packages, each in a folder and a namespace of its own:
+//
+//   base        ids, clocks, hashes, the root of the exceptions
+//   objects     labels, selectors, declared objects, the fleet's configuration, audit records
+//   requests    the life of a request, its outcomes, the callers' interface
+//   claims      at most one run for each key of a non-idempotent request (the inner protocol)
+//   membership  who is there and who leaves; gossip, subsets, addresses
+//   routing     which endpoint takes a request, and why
+//   admission   shares of workspaces, refusals with a time to come back, retry budgets
+//   core        all of these joined: one daemon's decisions
+//
+// What talks is the daemon: `daemon::daemon` (link wisteriaflow_daemon) carries events and actions
+// between the core and HTTP, gRPC and the platform. The headers of the shells themselves (http,
+// platform, peer) bring Boost.Asio with them and are not included here.
+//
+// Errors are exceptions derived from `wisteriaflow::error`, a family for each package. No type here
+// is safe to share between threads unless it says so; values that are immutable may be shared.
+//
+// samples/ shows the parts from simple to full; docs/PRIMER.md starts at the beginning.
+
+#ifndef WISTERIAFLOW_WISTERIAFLOW_H_
+#define WISTERIAFLOW_WISTERIAFLOW_H_
+
+// base
+#include "wisteriaflow/base/errors.h"
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
+// objects
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/codec.h"
+#include "wisteriaflow/objects/configuration_store.h"
+#include "wisteriaflow/objects/declared_object.h"
+#include "wisteriaflow/objects/errors.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/objects/label_set.h"
+#include "wisteriaflow/objects/references.h"
+#include "wisteriaflow/objects/selector.h"
+
+// requests
+#include "wisteriaflow/requests/answer_store.h"
+#include "wisteriaflow/requests/call_headers.h"
+#include "wisteriaflow/requests/completion_render.h"
+#include "wisteriaflow/requests/completion_request.h"
+#include "wisteriaflow/requests/errors.h"
+#include "wisteriaflow/requests/move_choice.h"
+#include "wisteriaflow/requests/outcome.h"
+#include "wisteriaflow/requests/request_actions.h"
+#include "wisteriaflow/requests/request_events.h"
+#include "wisteriaflow/requests/request_life.h"
+#include "wisteriaflow/requests/sse_parser.h"
+#include "wisteriaflow/requests/stream_assembler.h"
+
+// claims
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/claims/claim_asker.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/owner_events.h"
+#include "wisteriaflow/claims/request_key.h"
+#include "wisteriaflow/claims/shard_map.h"
+#include "wisteriaflow/claims/shard_tail.h"
+#include "wisteriaflow/claims/tail_codec.h"
+
+// membership
+#include "wisteriaflow/membership/address_book.h"
+#include "wisteriaflow/membership/gossip.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/membership/messages.h"
+#include "wisteriaflow/membership/subsets.h"
+#include "wisteriaflow/membership/usage_ledger.h"
+#include "wisteriaflow/membership/view.h"
+
+// routing
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/errors.h"
+#include "wisteriaflow/routing/ewma.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
+// admission
+#include "wisteriaflow/admission/admission_control.h"
+#include "wisteriaflow/admission/max_min_fair.h"
+#include "wisteriaflow/admission/rate_limit.h"
+#include "wisteriaflow/admission/retry.h"
+#include "wisteriaflow/admission/workspace_limiter.h"
+
+// core
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/daemon_core.h"
+#include "wisteriaflow/core/events.h"
+#include "wisteriaflow/core/metrics.h"
+#include "wisteriaflow/core/peer_messages.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/core/timer_queue.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/message.h"
+
+// daemon
+#include "wisteriaflow/daemon/daemon.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/daemon/version.h"
+
+#endif // WISTERIAFLOW_WISTERIAFLOW_H_
