--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -95,7 +95,7 @@
       view_(view_options_of(context.options(), context.now()), context.now()),
       gossiper_(gossip_options_of(context.options()), view_, context.now()), endpoints_({}),
       prefixes_({}), configuration_(std::make_shared<objects::fleet_configuration>()),
-      update_due_(context.now().mono)
+      started_at_(context.now().mono), update_due_(context.now().mono)
 {}
 
 void fleet::start()
@@ -229,6 +229,10 @@
   hello.peer_address = to_string(to);
   hello.message.from = context_.options().self;
   hello.message.members.push_back(view_.self());
+  // By these the peer sees what is unknown here, so that its reply brings it.
+  hello.message.view_version = view_.version();
+  hello.message.view_hash = view_.hash();
+  hello.message.view_buckets = {view_.buckets().begin(), view_.buckets().end()};
   hello.message.configuration_revision = gossiper_.highest_configuration().revision;
   send({std::move(hello)});
 }
@@ -489,12 +493,27 @@
   return out;
 }
 
+bool fleet::is_gone(const daemon_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
+  if (m == nullptr) {
+    return context_.now().mono >= started_at_ + context_.options().gone_after;
+  }
+  return m->state == member_state::gone;
+}
+
 std::optional<http::socket_address> fleet::peer_address_of(const daemon_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
   return m == nullptr ? std::nullopt : parse_address(m->attributes.peer_address);
 }
 
+std::string fleet::endpoint_address_of(const endpoint_id& id) const
+{
+  const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
+  return m == nullptr ? std::string() : m->attributes.address;
+}
+
 std::string fleet::caller_address_of(const daemon_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::daemon, .id = id.value()});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -69,9 +69,16 @@
   [[nodiscard]] std::vector<daemon_id> live_daemon_ids() const;
 
   // Where to reach a daemon that is not gone; nothing if it is unknown.
+  // Whether a daemon is known to be gone, or has not been heard of in the time that takes to learn.
+  [[nodiscard]] bool is_gone(const daemon_id& id) const;
+
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
+  // The address of an endpoint, also of one that leaves or is not reached from here; empty if it is
+  // unknown.
+  [[nodiscard]] std::string endpoint_address_of(const endpoint_id& id) const;
+
   [[nodiscard]] const membership::membership_view& view() const { return view_; }
   [[nodiscard]] membership::gossiper& gossip() { return gossiper_; }
   [[nodiscard]] routing::endpoint_table& endpoints() { return endpoints_; }
@@ -108,6 +115,7 @@
   std::uint64_t seen_version_ = 0;
   std::uint64_t heard_revision_ = 0;
   timer_number gossip_timer_ = 0;
+  mono_time started_at_;
   mono_time update_due_;
   bool update_scheduled_ = false;
   bool heard_peers_ = false;
