Let the lease's holder plan capacity and carry the plan out

Every daemon with [capacity] enabled contends for the lease; the holder fetches prices, plans, keeps the launches' tokens in the lease's object before the cloud API is asked, and gives load orders with its fencing number. The cloud API knows no fencing numbers, so it counts as an endpoint that ignores them. GET /operator/v1/capacity tells why each instance is there; explain and the fleet view repeat it where the lease is held.

--- a/include/wisteriaflow/capacity/planner.h
+++ b/include/wisteriaflow/capacity/planner.h
@@ -136,6 +136,9 @@
   std::vector<planner_action> plan(const plan_input& input, clock_reading now);
 
   void on_launch_answered(const std::string& token, const launch_answer& answer, clock_reading now);
+  // The cloud API did not take the release: the next plan decides anew.
+  void on_release_failed(const instance_id& id) { released_.erase(id); }
+
   void on_load_answered(const instance_id& endpoint, const model_load& load, bool loaded);
 
   // Launches that do not serve yet, to be kept in the store.
--- a/include/wisteriaflow/core/actions.h
+++ b/include/wisteriaflow/core/actions.h
@@ -89,7 +89,17 @@
   mono_time deadline;
 };
 
-using platform_action = std::variant<call_store>;
+// Number that ties a cloud API's answer to its call.
+using cloud_call_number = std::uint64_t;
+
+// Calls the cloud API.
+struct call_cloud {
+  cloud_call_number call = 0;
+  http::request message;
+  mono_time deadline;
+};
+
+using platform_action = std::variant<call_store, call_cloud>;
 
 // Towards other daemons.
 
--- a/include/wisteriaflow/core/daemon_core.h
+++ b/include/wisteriaflow/core/daemon_core.h
@@ -20,6 +20,7 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/planner.h"
 #include "wisteriaflow/claims/claim.h"
 #include "wisteriaflow/core/actions.h"
 #include "wisteriaflow/core/events.h"
@@ -27,6 +28,17 @@
 
 namespace wisteriaflow::core {
 
+// The capacity duty: instances are started and released by the daemon that holds its lease.
+struct capacity_options {
+  bool enabled = false;
+  std::chrono::milliseconds plan_period{5'000};
+  std::chrono::milliseconds lease_duration{10'000};
+  std::chrono::milliseconds lease_renew_period{3'000};
+  std::chrono::milliseconds order_timeout{5'000};
+  std::chrono::milliseconds clock_skew{1'000};
+  capacity::planner_options planner;
+};
+
 // What a core needs to know of its daemon. Defaults are those of the settings.
 struct daemon_core_options {
   daemon_id self;
@@ -62,6 +74,8 @@
   double retry_budget = 0.1; // of fresh requests
 
   std::chrono::milliseconds drain_grace{20'000};
+
+  capacity_options capacity;
 };
 
 // One daemon's decisions. Not thread-safe: one thread owns it.
--- a/include/wisteriaflow/core/events.h
+++ b/include/wisteriaflow/core/events.h
@@ -81,6 +81,13 @@
   boost::json::value document;
 };
 
+// The cloud API's answer; after `reached` false the call may have taken effect.
+struct cloud_answer {
+  cloud_call_number call = 0;
+  bool reached = false;
+  http::response whole;
+};
+
 // From peers.
 
 // `bytes` is the message's size on the wire, without framing.
@@ -110,7 +117,7 @@
 using event =
     std::variant<call_received, caller_closed, exchange_head, exchange_bytes, exchange_ended,
                  exchange_failed, load_reported, store_answer, declarations_listed,
-                 declaration_changed, instances_listed, notices_received, peer_asked,
+                 declaration_changed, instances_listed, notices_received, cloud_answer, peer_asked,
                  peer_answered, peer_failed, drain_requested, ticked>;
 
 } // namespace wisteriaflow::core
--- a/include/wisteriaflow/daemon/platform_side.h
+++ b/include/wisteriaflow/daemon/platform_side.h
@@ -30,6 +30,9 @@
   }
 
  private:
+  void take(core::call_store a);
+  void take(core::call_cloud a);
+  boost::asio::awaitable<void> run_cloud_call(core::call_cloud a);
   boost::asio::awaitable<void> run_store_call(core::call_store a);
   boost::asio::awaitable<core::store_answer> perform(const core::call_store& a);
   boost::asio::awaitable<void> watch_declarations();
--- a/include/wisteriaflow/daemon/settings.h
+++ b/include/wisteriaflow/daemon/settings.h
@@ -85,6 +85,24 @@
   std::chrono::milliseconds first_token_target{};
   std::int64_t retry_budget_percent = 0;
 
+  // [capacity]
+  std::string capacity_enabled;
+  std::chrono::milliseconds capacity_plan_period{};
+  std::chrono::milliseconds capacity_lease_duration{};
+  std::chrono::milliseconds capacity_lease_renew_period{};
+  std::chrono::milliseconds capacity_order_timeout{};
+  std::chrono::milliseconds capacity_clock_skew{};
+  std::int64_t capacity_utilisation_percent = 0;
+  std::int64_t capacity_service_requests_per_second = 0;
+  std::int64_t capacity_weight_store_bytes_per_second = 0;
+  std::chrono::milliseconds capacity_launch_time{};
+  std::chrono::milliseconds capacity_launch_timeout{};
+  std::chrono::milliseconds capacity_launch_backoff{};
+  std::chrono::milliseconds capacity_launch_backoff_limit{};
+  std::chrono::milliseconds capacity_reclaim_backoff{};
+  std::chrono::milliseconds capacity_payback_horizon{};
+  std::chrono::milliseconds capacity_release_after{};
+
   // [drain]
   std::chrono::milliseconds drain_grace{};
 
--- /dev/null
+++ b/src/core/capacity_inputs.h
@@ -0,0 +1,47 @@
+// What the capacity planner is told, gathered from the fleet and the configuration.
+
+#ifndef WISTERIAFLOW_SRC_CORE_CAPACITY_INPUTS_H_
+#define WISTERIAFLOW_SRC_CORE_CAPACITY_INPUTS_H_
+
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/capacity/inputs.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wisteriaflow::core::internal {
+
+// The instance list as the planner needs it.
+struct listed_instances {
+  std::vector<membership::member> endpoints;
+  std::map<std::string, std::string> launched_with; // tokens by instance id
+};
+
+class capacity_inputs {
+ public:
+  capacity_inputs(core_context& context, fleet& members) : context_(context), fleet_(members) {}
+
+  // The pools with their instances and demand. An instance belongs to the pool that it was started
+  // for, else to the first one by name that takes it.
+  [[nodiscard]] std::vector<capacity::pool_input>
+  pools(const objects::fleet_configuration& configuration, const listed_instances& listed);
+
+ private:
+  [[nodiscard]] capacity::pool_instance instance_of(const membership::member& m,
+                                                    const listed_instances& listed) const;
+  void add_usage(const objects::fleet_configuration& configuration,
+                 std::vector<capacity::pool_input>& pools);
+  void raise_to_occupancy(capacity::pool_input& pool) const;
+  [[nodiscard]] double prefill_part() const;
+
+  core_context& context_;
+  fleet& fleet_;
+};
+
+} // namespace wisteriaflow::core::internal
+
+#endif // WISTERIAFLOW_SRC_CORE_CAPACITY_INPUTS_H_
--- a/src/core/core_context.h
+++ b/src/core/core_context.h
@@ -25,6 +25,7 @@
 class core_context {
 public:
   using store_callback = std::function<void(const store_answer&)>;
+  using cloud_callback = std::function<void(const http::response*)>;
   // Null if the peer did not answer.
   using peer_callback = std::function<void(const peer_response*)>;
 
@@ -85,6 +86,25 @@
     }
   }
 
+  // `done` gets null if there was no answer.
+  void call_cloud(http::request message, cloud_callback done)
+  {
+    const auto call = ++last_call_;
+    cloud_calls_.emplace(call, std::move(done));
+    emit(platform_action(
+        core::call_cloud{.call = call,
+                         .message = std::move(message),
+                         .deadline = now_.mono + options_.platform_call_timeout}));
+  }
+
+  void on_cloud_answer(const cloud_answer& answer)
+  {
+    auto node = cloud_calls_.extract(answer.call);
+    if (!node.empty()) {
+      node.mapped()(answer.reached ? &answer.whole : nullptr);
+    }
+  }
+
   void call_peer(const http::socket_address& to, peer_request message, peer_callback done)
   {
     // The shell answers by the deadline; the timer covers an answer lost on a full ring.
@@ -120,6 +140,7 @@
   timer_queue timers_;
   std::vector<action> actions_;
   std::map<store_call_number, store_callback> store_calls_;
+  std::map<cloud_call_number, cloud_callback> cloud_calls_;
   std::map<peer_call_number, peer_callback> peer_calls_;
   std::uint64_t last_call_ = 0;
 };
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/answer_places.h"
+#include "core/capacity_service.h"
 #include "core/claim_service.h"
 #include "core/configuration.h"
 #include "core/core_context.h"
@@ -36,11 +37,13 @@
         config_(context_, members_, [this] { requests_.on_configuration_changed(); }),
         claims_(context_, members_), endpoints_(context_),
         placer_(context_, members_), places_(context_, members_),
-        requests_(context_, services()), operators_(context_, services(), requests_)
+        requests_(context_, services()), capacity_(context_, members_, config_, endpoints_),
+        operators_(context_, services(), requests_, capacity_)
   {
     members_.start();
     config_.start();
     claims_.start();
+    capacity_.start();
     context_.every(shares_interval, [this] { requests_.refresh_shares(); });
   }
 
@@ -96,6 +99,7 @@
                  {{"in_flight", std::to_string(requests_.in_flight())}});
     members_.leave(reclaim_at);
     claims_.leave();
+    capacity_.leave();
     requests_.drain(hand_over_at);
     exit_after_ = now.mono + linger;
     check_exit();
@@ -144,6 +148,8 @@
       send(call, operators_.metrics());
     } else if (target.path == "/operator/v1/fleet") {
       send(call, operators_.fleet_view());
+    } else if (target.path == "/operator/v1/capacity") {
+      send(call, operators_.capacity_view());
     } else if (target.path == "/operator/v1/explain") {
       send(call, operators_.explain(target));
     } else {
@@ -176,7 +182,12 @@
   void on(const declarations_listed& e) { config_.on_listed(e); }
   void on(const declaration_changed& e) { config_.on_changed(e); }
 
-  void on(const instances_listed& e) { members_.on_instances(e.document); }
+  void on(const instances_listed& e)
+  {
+    members_.on_instances(e.document);
+    capacity_.on_instances(e.document);
+  }
+  void on(const cloud_answer& e) { context_.on_cloud_answer(e); }
   void on(const notices_received& e) { members_.on_notices(e.document); }
 
   void on(const peer_asked& e)
@@ -233,6 +244,7 @@
   placement placer_;
   answer_places places_;
   request_table requests_;
+  capacity_service capacity_;
   operator_service operators_;
   bool draining_ = false;
   mono_time exit_after_;
--- a/src/core/operator_service.cc
+++ b/src/core/operator_service.cc
@@ -48,8 +48,8 @@
 } // namespace
 
 operator_service::operator_service(core_context& context, request_services services,
-                                   request_table& requests)
-    : context_(context), services_(services), requests_(requests),
+                                   request_table& requests, capacity_service& capacity)
+    : context_(context), services_(services), requests_(requests), capacity_(capacity),
       book_({.kept_for = context.options().address_validity})
 {}
 
@@ -106,6 +106,10 @@
     line["role"] = m->attributes.role;
     line["reclaimable"] = m->attributes.reclaimable;
     line["reached_from_here"] = slot.has_value();
+    const auto reason = capacity_.reason_for(key.id);
+    if (!reason.empty()) {
+      line["capacity"] = reason;
+    }
     line["unreachable"] = view.is_unreachable(endpoint_id(key.id));
     if (slot) {
       const auto& state = services_.members.endpoints().at(*slot);
@@ -131,6 +135,27 @@
   return json_response(status_ok, json::serialize(body));
 }
 
+http::response operator_service::capacity_view() const
+{
+  return json_response(status_ok, json::serialize(capacity_.report()));
+}
+
+// The choice, and why each candidate is there at all where this daemon holds the capacity lease.
+json::value operator_service::explain_route(const objects::fleet_configuration& configuration,
+                                            const route& r)
+{
+  auto out = services_.placer.explain(configuration, r);
+  for (auto& line : out.at("candidates").as_array()) {
+    auto& candidate = line.as_object();
+    const auto reason = capacity_.reason_for(std::string(candidate.at("endpoint").as_string()));
+    if (!reason.empty()) {
+      candidate["capacity"] = reason;
+    }
+  }
+  out.as_object()["capacity_lease_holder"] = capacity_.report().at("lease_holder");
+  return out;
+}
+
 http::response operator_service::explain(const http::target_parts& target)
 {
   const auto& configuration = *services_.config.current();
@@ -143,8 +168,7 @@
     }
     r.service = service;
     r.first_token_target = context_.options().first_token_target;
-    return json_response(status_ok,
-                         json::serialize(services_.placer.explain(configuration, r)));
+    return json_response(status_ok, json::serialize(explain_route(configuration, r)));
   }
   const workspace_id workspace(query_value(target, "workspace"));
   if (configuration.find_workspace(workspace) == nullptr) {
@@ -162,8 +186,7 @@
                             "no routing intent selects such a request");
     }
     found->deadline = r.deadline;
-    return json_response(status_ok,
-                         json::serialize(services_.placer.explain(configuration, *found)));
+    return json_response(status_ok, json::serialize(explain_route(configuration, *found)));
   } catch (const objects::objects_error& e) {
     return error_response(status_bad_request, "labels", e.what());
   }
--- a/src/core/operator_service.h
+++ b/src/core/operator_service.h
@@ -3,6 +3,9 @@
 #ifndef WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 
+#include <boost/json/value.hpp>
+
+#include "core/capacity_service.h"
 #include "core/claim_service.h"
 #include "core/configuration.h"
 #include "core/core_context.h"
@@ -15,7 +18,8 @@
 
 class operator_service {
 public:
-  operator_service(core_context& context, request_services services, request_table& requests);
+  operator_service(core_context& context, request_services services, request_table& requests,
+                   capacity_service& capacity);
 
   // GET /healthz: the core answers.
   [[nodiscard]] http::response health() const;
@@ -29,6 +33,9 @@
   // GET /operator/v1/fleet
   [[nodiscard]] http::response fleet_view() const;
 
+  // GET /operator/v1/capacity
+  [[nodiscard]] http::response capacity_view() const;
+
   // GET /operator/v1/explain?workspace=&labels=&model=&service=
   [[nodiscard]] http::response explain(const http::target_parts& target);
 
@@ -37,9 +44,13 @@
                                          const http::request& message) const;
 
 private:
+  [[nodiscard]] boost::json::value explain_route(const objects::fleet_configuration& configuration,
+                                                 const route& r);
+
   core_context& context_;
   request_services services_;
   request_table& requests_;
+  capacity_service& capacity_;
   membership::address_book book_;
 };
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -45,6 +45,29 @@
   return out;
 }
 
+core::capacity_options capacity_options_of(const settings& s)
+{
+  core::capacity_options out;
+  out.enabled = s.capacity_enabled == "true";
+  out.plan_period = s.capacity_plan_period;
+  out.lease_duration = s.capacity_lease_duration;
+  out.lease_renew_period = s.capacity_lease_renew_period;
+  out.order_timeout = s.capacity_order_timeout;
+  out.clock_skew = s.capacity_clock_skew;
+  auto& p = out.planner;
+  p.utilisation_at_target = static_cast<double>(s.capacity_utilisation_percent) / 100;
+  p.service_requests_per_second = static_cast<double>(s.capacity_service_requests_per_second);
+  p.launch_time = s.capacity_launch_time;
+  p.launch_timeout = s.capacity_launch_timeout;
+  p.payback_horizon = s.capacity_payback_horizon;
+  p.release_after = s.capacity_release_after;
+  p.backoff.first = s.capacity_launch_backoff;
+  p.backoff.most = s.capacity_launch_backoff_limit;
+  p.backoff.after_reclaim = s.capacity_reclaim_backoff;
+  p.loads.bytes_per_second = static_cast<double>(s.capacity_weight_store_bytes_per_second);
+  return out;
+}
+
 core::daemon_core_options core_options_of(const settings& s, const http::socket_address& callers,
                                           const http::socket_address& peers)
 {
@@ -80,6 +103,8 @@
   out.first_token_target = s.first_token_target;
   out.retry_budget = static_cast<double>(s.retry_budget_percent) / 100;
   out.drain_grace = s.drain_grace;
+  out.capacity = capacity_options_of(s);
+  out.capacity.planner.backoff.seed = out.seed;
   return out;
 }
 
--- a/src/daemon/platform_side.cc
+++ b/src/daemon/platform_side.cc
@@ -79,9 +79,7 @@
     : settings_(s),
       thread_(std::move(core),
               [this](core::platform_action a) {
-                auto call = std::get<core::call_store>(std::move(a));
-                boost::asio::co_spawn(thread_.context(), run_store_call(std::move(call)),
-                                      boost::asio::detached);
+                std::visit([this](auto& one) { take(std::move(one)); }, a);
               }),
       client_(thread_.context()), store_(client_, http::parse_socket_address(s.object_api)),
       random_(hash64_of(s.daemon_id, static_cast<std::uint64_t>(s.seed)))
@@ -99,6 +97,29 @@
   thread_.start();
 }
 
+void platform_side::take(core::call_store a)
+{
+  boost::asio::co_spawn(thread_.context(), run_store_call(std::move(a)), boost::asio::detached);
+}
+
+void platform_side::take(core::call_cloud a)
+{
+  boost::asio::co_spawn(thread_.context(), run_cloud_call(std::move(a)), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> platform_side::run_cloud_call(core::call_cloud a)
+{
+  core::cloud_answer answer{.call = a.call};
+  try {
+    const auto to = http::parse_socket_address(settings_.cloud_api);
+    answer.whole = co_await client_.call(to, std::move(a.message), a.deadline);
+    answer.reached = true;
+  } catch (const http::http_error&) {
+    answer.reached = false;
+  }
+  thread_.post_event(std::move(answer));
+}
+
 boost::asio::awaitable<void> platform_side::run_store_call(core::call_store a)
 {
   auto answer = co_await perform(a);
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -122,6 +122,34 @@
       {"routing", "first_token_target_ms", "540",
        period_rule{&s::first_token_target, 1, 10 * minute}},
       {"routing", "retry_budget_percent", "10", integer_rule{&s::retry_budget_percent, 0, 100}},
+      {"capacity", "enabled", "false",
+       choice_rule{&s::capacity_enabled, {"true", "false"}}},
+      {"capacity", "plan_period_ms", "5000", period_rule{&s::capacity_plan_period, 100, hour}},
+      {"capacity", "lease_duration_ms", "10000",
+       period_rule{&s::capacity_lease_duration, second, hour}},
+      {"capacity", "lease_renew_period_ms", "3000",
+       period_rule{&s::capacity_lease_renew_period, 100, hour}},
+      {"capacity", "order_timeout_ms", "5000",
+       period_rule{&s::capacity_order_timeout, 100, 10 * minute}},
+      {"capacity", "clock_skew_ms", "1000", period_rule{&s::capacity_clock_skew, 0, minute}},
+      {"capacity", "utilisation_percent", "80",
+       integer_rule{&s::capacity_utilisation_percent, 1, 100}},
+      {"capacity", "service_requests_per_second", "50",
+       integer_rule{&s::capacity_service_requests_per_second, 1, 1'000'000}},
+      {"capacity", "weight_store_bytes_per_second", "1000000000",
+       integer_rule{&s::capacity_weight_store_bytes_per_second, kilobyte, INT64_MAX}},
+      {"capacity", "launch_time_ms", "60000", period_rule{&s::capacity_launch_time, 0, hour}},
+      {"capacity", "launch_timeout_ms", "900000",
+       period_rule{&s::capacity_launch_timeout, second, 24 * hour}},
+      {"capacity", "launch_backoff_ms", "5000", period_rule{&s::capacity_launch_backoff, 0, hour}},
+      {"capacity", "launch_backoff_limit_ms", "300000",
+       period_rule{&s::capacity_launch_backoff_limit, 0, 24 * hour}},
+      {"capacity", "reclaim_backoff_ms", "120000",
+       period_rule{&s::capacity_reclaim_backoff, 0, 24 * hour}},
+      {"capacity", "payback_horizon_ms", "3600000",
+       period_rule{&s::capacity_payback_horizon, minute, 240 * hour}},
+      {"capacity", "release_after_ms", "600000",
+       period_rule{&s::capacity_release_after, second, 24 * hour}},
       {"drain", "grace_ms", "20000", period_rule{&s::drain_grace, 0, hour}},
       {"log", "level", "info",
        choice_rule{&s::log_level, {"trace", "debug", "info", "warn", "error"}}},
@@ -290,6 +318,15 @@
                          std::to_string(s.gone_after.count()) +
                          "': allowed: more than suspect_after_ms");
   }
+  if (s.capacity_lease_renew_period * 2 > s.capacity_lease_duration) {
+    throw settings_error(name + ": section [capacity], key 'lease_renew_period_ms' = '" +
+                         std::to_string(s.capacity_lease_renew_period.count()) +
+                         "': allowed: at most half of lease_duration_ms");
+  }
+  if (s.capacity_enabled == "true" && s.cloud_api.empty()) {
+    throw settings_error(name + ": section [capacity], key 'enabled' = 'true': allowed: false, or "
+                                "cloud_api set in section [platform]");
+  }
   if (s.max_timeout < s.default_timeout) {
     throw settings_error(name + ": section [requests], key 'max_timeout_ms' = '" +
                          std::to_string(s.max_timeout.count()) +
