--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -25,6 +25,7 @@
 //   membership  who is there and who leaves; gossip, subsets, addresses
 //   routing     which endpoint takes a request, and why
 //   admission   shares of workspaces, refusals with a time to come back, retry budgets
+//   capacity    the cheapest mix of instances; the lease under which one daemon plans it
 //   core        all of these joined: one daemon's decisions
 //
 // What talks is the daemon: `daemon::daemon` (link wisteriaflow_daemon) carries events and actions
@@ -105,6 +106,17 @@
 #include "wisteriaflow/admission/retry.h"
 #include "wisteriaflow/admission/workspace_limiter.h"
 
+// capacity
+#include "wisteriaflow/capacity/demand_window.h"
+#include "wisteriaflow/capacity/errors.h"
+#include "wisteriaflow/capacity/inputs.h"
+#include "wisteriaflow/capacity/launch_backoff.h"
+#include "wisteriaflow/capacity/launch_ledger.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+#include "wisteriaflow/capacity/load_queue.h"
+#include "wisteriaflow/capacity/mix.h"
+#include "wisteriaflow/capacity/planner.h"
+
 // core
 #include "wisteriaflow/core/actions.h"
 #include "wisteriaflow/core/daemon_core.h"
