Send a caller only to a place that answers; tell a late reclaim time

Cause 1: a repeat of a key whose executor was killed was sent (303) to the executor's address, which its keepers still named: the caller got no answer. A place now counts only while its daemon is neither gone nor silent. Cause 2: an endpoint that the instance list showed leaving before its notice was read was announced once, without its reclaim time, which was then taken for 5 s: a stream stayed past the reclaim. The time is told when it becomes known. Cause 3: notices with an empty or mistyped instance_id made a nameless member, or threw out of the duty's thread. They are left out.

--- a/src/core/answer_places.cc
+++ b/src/core/answer_places.cc
@@ -68,8 +68,7 @@
   std::erase_if(own_, [now](const auto& item) { return item.second.keep_until < now; });
   const auto own = to_string(context_.options().caller_address);
   for (auto& [key, answer] : own_) {
-    const place_note note{
-        .key = key, .caller_address = own, .keep_until = answer.keep_until};
+    const place_note note{.key = key, .caller_address = own, .keep_until = answer.keep_until};
     auto keepers = keepers_of(key);
     for (const auto& keeper : keepers) {
       if (std::find(answer.told.begin(), answer.told.end(), keeper) == answer.told.end()) {
@@ -101,12 +100,19 @@
   return it == places_.end() ? std::string() : it->second.caller_address;
 }
 
+// Sending a caller to a daemon that is gone would cost it its own deadline to learn nothing.
+bool answer_places::is_useful(const std::string& place) const
+{
+  const auto own = to_string(context_.options().caller_address);
+  return !place.empty() && place != own && fleet_.answers_callers_at(place);
+}
+
 void answer_places::find(const requests::answer_key& key,
                          std::function<void(const std::string&)> done)
 {
   const auto hash = place_key_of(key);
   const auto kept = kept_place(hash);
-  if (!kept.empty() && kept != to_string(context_.options().caller_address)) {
+  if (is_useful(kept)) {
     done(kept);
     return;
   }
@@ -132,8 +138,7 @@
   const request_query query{.key = key, .nonce = 0};
   context_.call_peer(*to, query, [this, key, keepers, done](const peer_response* response) {
     const auto* status = response == nullptr ? nullptr : std::get_if<request_status>(response);
-    const auto own = to_string(context_.options().caller_address);
-    if (status != nullptr && !status->caller_address.empty() && status->caller_address != own) {
+    if (status != nullptr && is_useful(status->caller_address)) {
       done(status->caller_address);
     } else {
       ask(key, keepers, done);
--- a/src/core/answer_places.h
+++ b/src/core/answer_places.h
@@ -51,6 +51,7 @@
     std::vector<daemon_id> told;
   };
 
+  [[nodiscard]] bool is_useful(const std::string& place) const;
   [[nodiscard]] std::vector<daemon_id> keepers_of(const hash128& key) const;
   void tell(const daemon_id& keeper, const place_note& note);
   void ask(const hash128& key, std::vector<daemon_id> keepers,
--- a/src/core/core_context.h
+++ b/src/core/core_context.h
@@ -91,10 +91,9 @@
   {
     const auto call = ++last_call_;
     cloud_calls_.emplace(call, std::move(done));
-    emit(platform_action(
-        core::call_cloud{.call = call,
-                         .message = std::move(message),
-                         .deadline = now_.mono + options_.platform_call_timeout}));
+    emit(platform_action(core::call_cloud{.call = call,
+                                          .message = std::move(message),
+                                          .deadline = now_.mono + options_.platform_call_timeout}));
   }
 
   void on_cloud_answer(const cloud_answer& answer)
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -346,15 +346,22 @@
   }
 }
 
+// The instance list may say that an endpoint leaves before the notice says when: the time is told
+// as soon as it is known, since it decides whether what runs there can stay.
 void fleet::announce_leaving_endpoints()
 {
   for (const auto slot : endpoints_.slots()) {
     const auto& id = endpoints_.at(slot).description.id;
     const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
-    const bool leaves = m == nullptr || m->state != member_state::live;
-    if (leaves && announced_.insert(id).second) {
+    if (m != nullptr && m->state == member_state::live) {
+      continue;
+    }
+    const auto reclaim_at = m == nullptr ? std::nullopt : m->reclaim_at;
+    const auto [it, is_new] = announced_.emplace(id, reclaim_at);
+    if (is_new || it->second != reclaim_at) {
+      it->second = reclaim_at;
       endpoints_.on_leaving(slot);
-      listener_.endpoint_leaving(id, m == nullptr ? std::nullopt : m->reclaim_at);
+      listener_.endpoint_leaving(id, reclaim_at);
     }
   }
 }
@@ -505,6 +512,17 @@
   return m == nullptr ? std::nullopt : parse_address(m->attributes.peer_address);
 }
 
+bool fleet::answers_callers_at(const std::string& address) const
+{
+  const auto& changes = view_.changes();
+  return std::any_of(changes.begin(), changes.end(), [&](const auto& change) {
+    const auto& key = change.second;
+    const auto* m = view_.find(key);
+    return key.kind == member_kind::daemon && m != nullptr && m->attributes.address == address &&
+           m->state != member_state::gone && !view_.is_suspected(daemon_id(key.id));
+  });
+}
+
 std::string fleet::endpoint_address_of(const endpoint_id& id) const
 {
   const auto* m = view_.find({.kind = member_kind::endpoint, .id = id.value()});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,6 +73,9 @@
   [[nodiscard]] std::optional<http::socket_address> peer_address_of(const daemon_id& id) const;
   [[nodiscard]] std::string caller_address_of(const daemon_id& id) const;
 
+  // Whether a daemon that is neither gone nor silent answers callers at `address`.
+  [[nodiscard]] bool answers_callers_at(const std::string& address) const;
+
   // The address of an endpoint, also of one that leaves or is not reached from here; empty if it is
   // unknown.
   [[nodiscard]] std::string endpoint_address_of(const endpoint_id& id) const;
@@ -108,7 +112,8 @@
   std::shared_ptr<const objects::fleet_configuration> configuration_;
   // What selectors see of each reached endpoint, by slot: made once, looked at with every request.
   std::vector<objects::instance_description> described_;
-  std::set<endpoint_id> announced_; // endpoints whose leaving the listener was told
+  // Endpoints whose leaving the listener was told, with the reclaim time told.
+  std::map<endpoint_id, std::optional<wall_time>> announced_;
   std::uint64_t seen_version_ = 0;
   timer_number gossip_timer_ = 0;
   mono_time started_at_;
--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -89,12 +89,16 @@
     return out;
   }
   for (const auto& item : notices->get_array()) {
-    const auto* o = item.if_object();
-    if (o == nullptr || !o->contains("instance_id")) {
-      continue;
+    try {
+      const auto& o = item.as_object();
+      auto instance = json::value_to<std::string>(o.at("instance_id"));
+      if (!instance.empty()) {
+        out.push_back({.instance = std::move(instance),
+                       .reclaim_at = from_unix_ms(number_at(o, "reclaim_at_unix_ms"))});
+      }
+    } catch (const std::exception&) {
+      continue; // left out, as it says nothing that could be acted on
     }
-    out.push_back({.instance = text_at(*o, "instance_id"),
-                   .reclaim_at = from_unix_ms(number_at(*o, "reclaim_at_unix_ms"))});
   }
   return out;
 }
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -141,7 +141,7 @@
                          exchange_failure failure);
   [[nodiscard]] active_request* running(const std::string& id, requests::attempt_number n);
   void note_first_token(active_request& r);
-  void note_usage(active_request& r, const requests::token_usage& usage);
+  void note_usage(const requests::token_usage& usage);
   void end_attempt(active_request& r);
   void cancel_at_engine(active_request& r, const running_attempt& run, bool confirm);
   [[nodiscard]] requests::move_estimate estimate_move(const active_request& r,
--- a/src/core/request_table_actions.cc
+++ b/src/core/request_table_actions.cc
@@ -82,8 +82,8 @@
   // by an executor that is gone: then the key's keepers know where it is.
   services_.places.find(r.key, [this, id = r.id](const std::string& address) {
     if (auto* waiting = find(id)) {
-      const auto state = address.empty() ? duplicate_state::outcome_unknown
-                                         : duplicate_state::in_flight_elsewhere;
+      const auto state =
+          address.empty() ? duplicate_state::outcome_unknown : duplicate_state::in_flight_elsewhere;
       feed(*waiting, requests::claim_duplicate{state, address});
     }
   });
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -217,7 +217,7 @@
   }
 }
 
-void request_table::note_usage(active_request& r, const requests::token_usage& usage)
+void request_table::note_usage(const requests::token_usage& usage)
 {
   auto& counters = context_.counters();
   counters.count("prompt_tokens_total", {}, static_cast<double>(usage.prompt_tokens));
@@ -253,7 +253,7 @@
     return;
   }
   if (run.end_seen) {
-    note_usage(*r, run.end.usage);
+    note_usage(run.end.usage);
   }
   end_attempt(*r);
   feed(*r, requests::attempt_finished{.attempt = n,
--- a/src/daemon/caller_side.cc
+++ b/src/daemon/caller_side.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/daemon/caller_side.h"
 
+#include "wisteriaflow/http/errors.h"
+
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "wisteriaflow/http/errors.h"
-
 namespace wisteriaflow::daemon {
 namespace {
 
@@ -67,7 +67,8 @@
               [this](http::request message, http::response_writer& writer) {
                 return serve(std::move(message), writer);
               })
-{}
+{
+}
 
 boost::asio::awaitable<void> caller_side::serve(http::request message,
                                                 http::response_writer& writer)
@@ -107,8 +108,7 @@
     if (box.waiting.empty()) {
       boost::system::error_code ec;
       box.signal.expires_at(mono_time::max());
-      co_await box.signal.async_wait(
-          boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+      co_await box.signal.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
       continue;
     }
     auto next = std::move(box.waiting.front());
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,13 +1,5 @@
 #include "wisteriaflow/daemon/daemon.h"
 
-#include <algorithm>
-#include <atomic>
-#include <chrono>
-#include <sstream>
-#include <thread>
-#include <utility>
-#include <vector>
-
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/core/daemon_core.h"
 #include "wisteriaflow/daemon/caller_side.h"
@@ -16,6 +8,14 @@
 #include "wisteriaflow/daemon/platform_side.h"
 #include "wisteriaflow/peer/peer_side.h"
 
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <sstream>
+#include <thread>
+#include <utility>
+#include <vector>
+
 namespace wisteriaflow::daemon {
 namespace {
 
@@ -129,7 +129,7 @@
 
 // Writes log lines on a thread of its own. A full ring drops the line.
 class log_side {
-public:
+ public:
   log_side() : ring_(log_ring_capacity), thread_([this] { run(); }) {}
   ~log_side()
   {
@@ -141,7 +141,7 @@
 
   void write(log_line line) { ring_.try_push(std::move(line)); }
 
-private:
+ private:
   void run()
   {
     for (bool open = true; open;) {
@@ -159,15 +159,17 @@
 } // namespace
 
 class daemon::implementation {
-public:
+ public:
   explicit implementation(const settings& s)
       : events_(std::make_shared<event_ring>(event_ring_capacity)), callers_(s, events_),
         endpoints_(events_), platform_(s, events_),
         peers_({.listen = http::parse_socket_address(s.peers_listen)}, events_),
         to_callers_(callers_.ring()), to_endpoints_(endpoints_.ring()),
         to_platform_(platform_.ring()), to_peers_(peers_.ring()),
-        core_(core_options_of(s, callers_.address(), peers_.address()), read_clocks()), id_(s.daemon_id)
-  {}
+        core_(core_options_of(s, callers_.address(), peers_.address()), read_clocks()),
+        id_(s.daemon_id)
+  {
+  }
 
   [[nodiscard]] http::socket_address caller_address() const { return callers_.address(); }
   [[nodiscard]] http::socket_address peer_address() const { return peers_.address(); }
@@ -195,7 +197,7 @@
     peers_.stop();
   }
 
-private:
+ private:
   void step()
   {
     auto wake = std::chrono::steady_clock::now() + (flushed_ ? longest_sleep : full_ring_sleep);
@@ -260,12 +262,24 @@
 
 daemon::~daemon() = default;
 
-http::socket_address daemon::caller_address() const { return implementation_->caller_address(); }
+http::socket_address daemon::caller_address() const
+{
+  return implementation_->caller_address();
+}
 
-http::socket_address daemon::peer_address() const { return implementation_->peer_address(); }
+http::socket_address daemon::peer_address() const
+{
+  return implementation_->peer_address();
+}
 
-void daemon::run() { implementation_->run(); }
+void daemon::run()
+{
+  implementation_->run();
+}
 
-void daemon::request_drain() { implementation_->request_drain(); }
+void daemon::request_drain()
+{
+  implementation_->request_drain();
+}
 
 } // namespace wisteriaflow::daemon
--- a/src/daemon/endpoint_side.cc
+++ b/src/daemon/endpoint_side.cc
@@ -1,5 +1,7 @@
 #include "wisteriaflow/daemon/endpoint_side.h"
 
+#include "wisteriaflow/http/errors.h"
+
 #include <string>
 #include <utility>
 
@@ -7,8 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
 
-#include "wisteriaflow/http/errors.h"
-
 namespace wisteriaflow::daemon {
 
 endpoint_side::endpoint_side(std::shared_ptr<event_ring> core)
@@ -17,7 +17,8 @@
                 std::visit([this](const auto& one) { take(one); }, a);
               }),
       client_(thread_.context())
-{}
+{
+}
 
 // Says what became of an exchange, unless the core has cancelled it meanwhile.
 void endpoint_side::report(core::exchange_number number, core::event e)
@@ -50,7 +51,10 @@
   boost::asio::co_spawn(thread_.context(), poll(a), boost::asio::detached);
 }
 
-void endpoint_side::take(const core::forget_address& a) { client_.forget(a.address); }
+void endpoint_side::take(const core::forget_address& a)
+{
+  client_.forget(a.address);
+}
 
 boost::asio::awaitable<void> endpoint_side::run(core::start_exchange a,
                                                 std::shared_ptr<http::exchange> handle)
--- a/src/daemon/platform_side.cc
+++ b/src/daemon/platform_side.cc
@@ -21,6 +21,20 @@
 constexpr unsigned backoff_doublings = 6;
 constexpr std::string_view declarations = "declarations";
 
+// The highest sequence number among notices; 0 for a document that cannot be read.
+std::int64_t last_sequence(const boost::json::value& document)
+{
+  std::int64_t out = 0;
+  try {
+    for (const auto& notice : document.at("notices").as_array()) {
+      out = std::max(out, notice.at("sequence").to_number<std::int64_t>());
+    }
+  } catch (const std::exception&) {
+    return out;
+  }
+  return out;
+}
+
 core::store_object store_object_of(platform::stored_object o)
 {
   return {.name = std::move(o.name), .version = o.version, .document = std::move(o.document)};
@@ -76,11 +90,10 @@
 } // namespace
 
 platform_side::platform_side(const settings& s, std::shared_ptr<event_ring> core)
-    : settings_(s),
-      thread_(std::move(core),
-              [this](core::platform_action a) {
-                std::visit([this](auto& one) { take(std::move(one)); }, a);
-              }),
+    : settings_(s), thread_(std::move(core),
+                            [this](core::platform_action a) {
+                              std::visit([this](auto& one) { take(std::move(one)); }, a);
+                            }),
       client_(thread_.context()), store_(client_, http::parse_socket_address(s.object_api)),
       random_(hash64_of(s.daemon_id, static_cast<std::uint64_t>(s.seed)))
 {
@@ -242,9 +255,7 @@
     const bool fetched =
         co_await fetch(from, "/notices?after=" + std::to_string(after), e.document);
     if (fetched) {
-      for (const auto& notice : e.document.at("notices").as_array()) {
-        after = std::max(after, notice.at("sequence").to_number<std::int64_t>());
-      }
+      after = std::max(after, last_sequence(e.document));
       thread_.post_event(std::move(e));
     }
     failures = fetched ? 0 : failures + 1;
