--- /dev/null
+++ b/test/system/configuration_test.cc
@@ -0,0 +1,129 @@
+// An accepted configuration comes into force on every daemon and never reverts.
+
+#include "system/fleet_fixture.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+namespace wisteriaflow::system_tests {
+namespace {
+
+namespace json = boost::json;
+
+class ConfigurationTest : public fleet_fixture {
+ protected:
+  static json::value workspace(const std::string& name)
+  {
+    return {{"kind", "Workspace"},
+            {"metadata", {{"name", name}, {"labels", {{"tier", "guest"}}}}},
+            {"spec", json::object()}};
+  }
+
+  static http::request request_of(const std::string& name)
+  {
+    auto out = completion({.max_tokens = 2});
+    for (auto& field : out.fields) {
+      field.value = field.name == "Wisteriaflow-Workspace" ? name : field.value;
+    }
+    return out;
+  }
+
+  // Whether `daemon` serves the workspace `name`: what it does, not what it says.
+  bool serves(const std::string& daemon, const std::string& name)
+  {
+    return call(f.address_of(daemon), request_of(name)).status == 200;
+  }
+
+  void expect_in_force_everywhere(const std::string& name)
+  {
+    for (const auto& d : f.daemons()) {
+      EXPECT_TRUE(eventually([&] { return serves(d, name); })) << d << " does not serve " << name;
+    }
+  }
+
+  // Asks for a while, as a reversion need not come at once.
+  void expect_stays_in_force(const std::string& name)
+  {
+    for (int i = 0; i < 30; ++i) {
+      for (const auto& d : f.daemons()) {
+        EXPECT_TRUE(serves(d, name)) << d << " reverted, round " << i;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  void restart(const std::string& id)
+  {
+    const auto zone = f.at(id).zone;
+    f.kill(id);
+    f.start_daemon(id, zone);
+  }
+};
+
+TEST_F(ConfigurationTest, ComesIntoForceOnEveryDaemon)
+{
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  expect_in_force_everywhere("hotel-2");
+  expect_stays_in_force("hotel-2");
+}
+
+TEST_F(ConfigurationTest, ARestartedDaemonTakesItFromPeersWhileTheStoreIsDown)
+{
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  expect_in_force_everywhere("hotel-2");
+  f.object_api_faults(R"({"outage":"refuse"})");
+  restart("d1");
+  expect_in_force_everywhere("hotel-2");
+  expect_stays_in_force("hotel-2");
+}
+
+TEST_F(ConfigurationTest, DoesNotRevertWhenReadsAreStale)
+{
+  f.object_api_faults(R"({"stale_for_ms":4000})");
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  expect_in_force_everywhere("hotel-2");
+  restart("d1");
+  // Until it is ready it may refuse, but must not say that there is no such workspace.
+  EXPECT_TRUE(eventually([&] {
+    const auto got = call(f.address_of("d1"), request_of("hotel-2"));
+    EXPECT_NE(got.status, 404) << "served an old configuration";
+    return got.status == 200;
+  }));
+  expect_stays_in_force("hotel-2");
+}
+
+TEST_F(ConfigurationTest, ComesIntoForceThoughWatchesLoseTheChange)
+{
+  f.object_api_faults(R"({"drop_events":1})");
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  expect_in_force_everywhere("hotel-2");
+  expect_stays_in_force("hotel-2");
+}
+
+TEST_F(ConfigurationTest, DoesNotRevertWhenADaemonWakesFromALongPause)
+{
+  f.signal("d1", SIGSTOP);
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  EXPECT_TRUE(eventually([&] { return serves("d2", "hotel-2"); }));
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  f.signal("d1", SIGCONT);
+  expect_in_force_everywhere("hotel-2");
+  expect_stays_in_force("hotel-2");
+}
+
+TEST_F(ConfigurationTest, OfTwoRacingOperatorsOneWinsEverywhereAndTheOtherIsTold)
+{
+  EXPECT_EQ(f.create("declarations", workspace("hotel-2")).status, 201);
+  auto mine = f.get_object("declarations", "hotel-2");
+  auto theirs = mine;
+  mine.at("metadata").as_object()["labels"] = {{"tier", "guest"}};
+  theirs.at("metadata").as_object()["labels"] = {{"tier", "staff"}};
+  EXPECT_EQ(f.replace("declarations", "hotel-2", mine).status, 200);
+  EXPECT_EQ(f.replace("declarations", "hotel-2", theirs).status, 409);
+  expect_in_force_everywhere("hotel-2"); // "staff" would be selected by no intent
+  expect_stays_in_force("hotel-2");
+}
+
+} // namespace
+} // namespace wisteriaflow::system_tests
--- /dev/null
+++ b/test/system/leaving_test.cc
@@ -0,0 +1,69 @@
+// An endpoint that is leaving gets no new work from two seconds after its notice.
+
+#include "system/fleet_fixture.h"
+
+#include <thread>
+#include <vector>
+
+namespace wisteriaflow::system_tests {
+namespace {
+
+constexpr std::int64_t allowed_ms = 2'000;
+constexpr int notice_ms = 20'000; // longer than the test
+constexpr std::chrono::seconds observed{4};
+
+class LeavingTest : public fleet_fixture {
+ protected:
+  // Gives short requests to the daemons in turn while `observed` passes, and expects that all are
+  // answered and that `engine` receives none from two seconds after the notice at `noticed_ms`.
+  void expect_no_new_work(const std::string& engine, std::int64_t noticed_ms,
+                          const std::vector<std::string>& daemons)
+  {
+    const auto end = std::chrono::steady_clock::now() + observed;
+    int n = 0;
+    while (std::chrono::steady_clock::now() < end) {
+      const completion_options options{.prompt = "q" + std::to_string(n), .max_tokens = 2};
+      const auto got =
+          follow_stream(f.address_of(daemons.at(n % daemons.size())), completion(options));
+      expect_whole(got, options);
+      ++n;
+    }
+    EXPECT_GT(n, 0);
+    EXPECT_EQ(f.received_since(engine, noticed_ms + allowed_ms), 0) << "of " << n << " requests";
+  }
+};
+
+TEST_F(LeavingTest, GetsNoNewWork)
+{
+  const auto noticed = unix_ms_now();
+  f.notice("engine-a", notice_ms);
+  expect_no_new_work("engine-a", noticed, f.daemons());
+}
+
+TEST_F(LeavingTest, GetsNoNewWorkWhileTheListLags)
+{
+  f.cloud_settings(R"({"list_lag_ms":30000})");
+  const auto noticed = unix_ms_now();
+  f.notice("engine-a", notice_ms);
+  expect_no_new_work("engine-a", noticed, f.daemons());
+}
+
+TEST_F(LeavingTest, GetsNoNewWorkWhileTheStoreIsDown)
+{
+  f.object_api_faults(R"({"outage":"hang"})");
+  const auto noticed = unix_ms_now();
+  f.notice("engine-a", notice_ms);
+  expect_no_new_work("engine-a", noticed, f.daemons());
+}
+
+TEST_F(LeavingTest, GetsNoNewWorkWhenADaemonThatWasToldDies)
+{
+  const auto noticed = unix_ms_now();
+  f.notice("engine-a", notice_ms);
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  f.kill("d1");
+  expect_no_new_work("engine-a", noticed, {"d2", "d3"});
+}
+
+} // namespace
+} // namespace wisteriaflow::system_tests
