membership: split by concern; drop late heartbeats; long news is spread on

Two faults met on the way. At 390 daemons heartbeats wait for room in messages, and a late counter of a dead daemon passed for a sign of life where earlier ones were missed: what waited 5 s is dropped. And an exchange with 32 records or more was taken for a newcomer's repair and not spread on; now only a reply to an ask for repair counts as that.

Tried and reverted: to end a wave's pushes once enough copies are heard or sent, and to slow them.

--- a/include/wisteriaflow/membership/gossip.h
+++ b/include/wisteriaflow/membership/gossip.h
@@ -17,6 +17,8 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/internal/heartbeat_board.h"
+#include "wisteriaflow/membership/internal/news_board.h"
 #include "wisteriaflow/membership/internal/repair_pacer.h"
 #include "wisteriaflow/membership/member.h"
 #include "wisteriaflow/membership/messages.h"
@@ -27,9 +29,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <random>
-#include <unordered_map>
 #include <vector>
 
 namespace wisteriaflow::membership {
@@ -106,41 +106,27 @@
   [[nodiscard]] usage_ledger& usage() { return usage_; }
 
  private:
-  // A changed record that is still being spread.
-  struct news {
-    int sends = 0;
-    int urgent_pushes = 0;
-  };
-  struct heartbeat_news {
-    std::uint64_t counter = 0;
-    int sends = 0;
-  };
-
   void absorb(const gossip_message& message, clock_reading now);
   void note_changes(bool spread, clock_reading now);
   void note_agreement(const gossip_message& message);
-  void note_heartbeat(std::uint64_t hash, std::uint64_t counter);
-  gossip_message message_to(const daemon_id& to, gossip_kind kind);
-  void add_news(gossip_message& message, bool urgent_only);
-  void add_heartbeats(gossip_message& message);
+  gossip_message message_to(const daemon_id& to, gossip_kind kind, clock_reading now);
+  void add_heartbeats(gossip_message& message, clock_reading now);
   void add_loads(gossip_message& message, const daemon_id& to) const;
   void add_repair(gossip_message& reply, const gossip_message& asked);
   std::vector<const member*> choose_peers(int n);
   std::vector<outgoing_gossip> urgent_pushes(clock_reading now);
   std::vector<outgoing_gossip> exchanges(clock_reading now);
   std::vector<outgoing_gossip> usage_messages(clock_reading now);
-  [[nodiscard]] bool has_urgent() const;
-  [[nodiscard]] int news_sends() const;
 
   gossip_options options_;
   membership_view& view_;
   std::mt19937_64 random_;
+  internal::news_board news_;
+  internal::heartbeat_board heartbeats_;
   usage_ledger usage_;
   internal::repair_pacer repair_;
   known_configuration own_configuration_;
   known_configuration highest_;
-  std::map<member_key, news> news_;
-  std::unordered_map<std::uint64_t, heartbeat_news> heartbeats_;
   std::map<daemon_id, std::uint64_t> seen_versions_;
   std::map<endpoint_id, endpoint_load> own_loads_;
   std::vector<endpoint_load> heard_loads_;
--- a/include/wisteriaflow/membership/view.h
+++ b/include/wisteriaflow/membership/view.h
@@ -146,6 +146,9 @@
   void mark_gone(entry& e, clock_reading now);
   void expire_daemon(entry& e, bool hears_majority, clock_reading now);
   void expire_leaving(entry& e, clock_reading now);
+  void expire(entry& e, bool hears_majority, clock_reading now);
+  void forget_old(clock_reading now);
+  [[nodiscard]] bool is_forgettable(const entry& e, clock_reading now) const;
   [[nodiscard]] bool hears_majority(clock_reading now) const;
   [[nodiscard]] bool is_self(const member_key& key) const;
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -33,14 +33,16 @@
 } // namespace
 
 gossiper::gossiper(gossip_options options, membership_view& view, clock_reading now)
-    : options_(std::move(options)), view_(view), random_(options_.seed), usage_(options_.usage),
-      repair_(options_.repair_delay, now.mono), urgent_due_(now.mono)
+    : options_(std::move(options)), view_(view), random_(options_.seed),
+      news_({.max_records = options_.max_news, .urgent_pushes = options_.urgent_pushes}, view_),
+      heartbeats_({.max_heartbeats = options_.max_heartbeats, .sends = options_.heartbeat_sends}),
+      usage_(options_.usage), repair_(options_.repair_delay, now.mono), urgent_due_(now.mono)
 {
   // Daemons that start together do not speak together.
   exchange_due_ = now.mono + std::chrono::milliseconds(random_() % options_.period.count());
   // What the view was started with is news to nobody but for this daemon itself.
   note_changes(false, now);
-  news_[view_.self().key] = {};
+  news_.add(view_.self());
 }
 
 void gossiper::set_configuration(std::uint64_t revision, std::uint64_t floor)
@@ -63,12 +65,6 @@
   view_.connect_failed({member_kind::daemon, to.value()}, now);
 }
 
-// Whom this many random sends by everybody miss, repair reaches. Urgent records are sent oftener.
-int gossiper::news_sends() const
-{
-  return 2 + static_cast<int>(std::log(1.0 + static_cast<double>(view_.size())));
-}
-
 void gossiper::note_changes(bool spread, clock_reading now)
 {
   if (view_.version() == noted_version_) {
@@ -79,33 +75,25 @@
   for (auto it = changes.upper_bound(noted_version_); it != changes.end(); ++it) {
     const member* m = view_.find(it->second);
     if (is_news(*m) && spread) {
-      news_[it->second] = {.urgent_pushes =
-                               m->state == member_state::leaving ? options_.urgent_pushes : 0};
+      news_.add(*m);
     } else {
-      news_.erase(it->second);
+      news_.remove(it->second);
     }
   }
   noted_version_ = view_.version();
 }
 
-void gossiper::note_heartbeat(std::uint64_t hash, std::uint64_t counter)
-{
-  auto& kept = heartbeats_[hash];
-  if (counter > kept.counter) {
-    kept = {.counter = counter};
-  }
-}
-
 void gossiper::absorb(const gossip_message& message, clock_reading now)
 {
   note_changes(true, now);
   for (const member& m : message.members) {
     view_.apply(m, now);
   }
-  note_changes(message.members.size() < bulk_repair || message.kind == gossip_kind::urgent, now);
-  for (const auto& [hash, counter] : message.heartbeats) {
-    if (view_.apply_heartbeat(hash, counter, now)) {
-      note_heartbeat(hash, counter);
+  const bool is_repair = message.covered_version != 0;
+  note_changes(!is_repair || message.members.size() < bulk_repair, now);
+  for (const auto& beat : message.heartbeats) {
+    if (view_.apply_heartbeat(beat.hash, beat.counter, now)) {
+      heartbeats_.add(beat, now.mono);
     }
   }
   if (message.configuration_revision > highest_.revision) {
@@ -125,7 +113,7 @@
   }
 }
 
-gossip_message gossiper::message_to(const daemon_id& to, gossip_kind kind)
+gossip_message gossiper::message_to(const daemon_id& to, gossip_kind kind, clock_reading now)
 {
   gossip_message message{.from = daemon_id{view_.self().key.id},
                          .kind = kind,
@@ -136,60 +124,20 @@
     message.view_hash = view_.hash();
     const auto seen = seen_versions_.find(to);
     message.seen_version = seen == seen_versions_.end() ? 0 : seen->second;
-    add_news(message, false);
-    add_heartbeats(message);
+    message.members = news_.take();
+    add_heartbeats(message, now);
     add_loads(message, to);
   }
   return message;
 }
 
-void gossiper::add_news(gossip_message& message, bool urgent_only)
-{
-  std::vector<std::pair<const member_key, news>*> picked;
-  for (auto& item : news_) {
-    if (!urgent_only || item.second.urgent_pushes > 0) {
-      picked.push_back(&item);
-    }
-  }
-  if (picked.size() > options_.max_news) {
-    std::ranges::nth_element(picked,
-                             picked.begin() + static_cast<std::ptrdiff_t>(options_.max_news), {},
-                             [](const auto* item) { return item->second.sends; });
-    picked.resize(options_.max_news);
-  }
-  for (auto* item : picked) {
-    const member* m = view_.find(item->first);
-    message.members.push_back(m->state == member_state::live ? *m : without_attributes(*m));
-    ++item->second.sends;
-  }
-  const int sends = news_sends();
-  std::erase_if(news_, [sends](const auto& item) {
-    return item.second.sends >= sends && item.second.urgent_pushes == 0;
-  });
-}
-
-void gossiper::add_heartbeats(gossip_message& message)
+void gossiper::add_heartbeats(gossip_message& message, clock_reading now)
 {
   const member& self = view_.self();
   message.heartbeats.push_back(
       {.hash = membership_view::heartbeat_hash_of(self), .counter = self.heartbeat});
-  std::vector<std::pair<const std::uint64_t, heartbeat_news>*> picked;
-  picked.reserve(heartbeats_.size());
-  for (auto& item : heartbeats_) {
-    picked.push_back(&item);
-  }
-  if (picked.size() > options_.max_heartbeats) {
-    std::ranges::nth_element(picked,
-                             picked.begin() + static_cast<std::ptrdiff_t>(options_.max_heartbeats),
-                             {}, [](const auto* item) { return item->second.sends; });
-    picked.resize(options_.max_heartbeats);
-  }
-  for (auto* item : picked) {
-    message.heartbeats.push_back({.hash = item->first, .counter = item->second.counter});
-    ++item->second.sends;
-  }
-  std::erase_if(heartbeats_,
-                [this](const auto& item) { return item.second.sends >= options_.heartbeat_sends; });
+  const auto heard = heartbeats_.take(now.mono);
+  message.heartbeats.insert(message.heartbeats.end(), heard.begin(), heard.end());
 }
 
 void gossiper::add_loads(gossip_message& message, const daemon_id& to) const
@@ -257,26 +205,15 @@
   return chosen;
 }
 
-bool gossiper::has_urgent() const
-{
-  return std::ranges::any_of(news_, [](const auto& item) { return item.second.urgent_pushes > 0; });
-}
-
 std::vector<outgoing_gossip> gossiper::urgent_pushes(clock_reading now)
 {
-  if (now.mono < urgent_due_ || !has_urgent()) {
+  if (now.mono < urgent_due_ || !news_.has_urgent()) {
     return {};
   }
-  gossip_message message = message_to({}, gossip_kind::urgent);
-  add_news(message, true);
-  bool again = false;
-  for (const member& m : message.members) {
-    auto& item = news_.at(m.key);
-    item.sends += options_.urgent_fanout - 1;
-    again = --item.urgent_pushes > 0 || again;
-  }
+  gossip_message message = message_to({}, gossip_kind::urgent, now);
+  message.members = news_.take_urgent(options_.urgent_fanout);
   // A fresh record may have come last; the next push is due soon enough for it.
-  urgent_due_ = now.mono + (again ? options_.urgent_gap : options_.urgent_batch);
+  urgent_due_ = now.mono + (news_.has_urgent() ? options_.urgent_gap : options_.urgent_batch);
   std::vector<outgoing_gossip> pushes;
   for (const member* peer : choose_peers(options_.urgent_fanout)) {
     pushes.push_back({.to = daemon_id{peer->key.id},
@@ -308,7 +245,7 @@
     const daemon_id to{peer->key.id};
     messages.push_back({.to = to,
                         .peer_address = peer->attributes.peer_address,
-                        .message = message_to(to, gossip_kind::exchange)});
+                        .message = message_to(to, gossip_kind::exchange, now)});
   }
   return messages;
 }
@@ -321,7 +258,7 @@
   std::vector<outgoing_gossip> messages;
   for (auto& reports : usage_.take_reports(view_.live_daemons(), now.mono)) {
     const member* owner = view_.find({member_kind::daemon, reports.to.value()});
-    auto message = message_to(reports.to, gossip_kind::usage);
+    auto message = message_to(reports.to, gossip_kind::usage, now);
     message.usage = std::move(reports.usage);
     messages.push_back({.to = reports.to,
                         .peer_address = owner->attributes.peer_address,
@@ -342,7 +279,7 @@
 mono_time gossiper::next_due() const
 {
   const auto due = std::min(exchange_due_, usage_.report_due());
-  return has_urgent() ? std::min(due, urgent_due_) : due;
+  return news_.has_urgent() ? std::min(due, urgent_due_) : due;
 }
 
 gossip_response gossiper::receive(const gossip_message& message, clock_reading now)
@@ -350,7 +287,7 @@
   absorb(message, now);
   gossip_response response;
   response.pushes = urgent_pushes(now);
-  response.reply = message_to(message.from, message.kind);
+  response.reply = message_to(message.from, message.kind, now);
   // What the peer has just said need not be said back.
   std::erase_if(response.reply.members, [&](const member& m) {
     return std::ranges::any_of(message.members,
@@ -394,7 +331,7 @@
   const member* from = view_.find({member_kind::daemon, reply.from.value()});
   if (from != nullptr &&
       (was_bounded || (differs && repair_.note_difference(reply.from, now.mono)))) {
-    auto ask = message_to(reply.from, gossip_kind::exchange);
+    auto ask = message_to(reply.from, gossip_kind::exchange, now);
     ask.heartbeats.clear();
     ask.view_buckets = buckets_of(view_);
     messages.push_back({.to = reply.from,
--- /dev/null
+++ b/test/membership/news_board_test.cc
@@ -0,0 +1,67 @@
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/internal/news_board.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriaflow::membership::internal {
+namespace {
+
+// A board over a view that knows the live daemon "d2" and the leaving endpoint "e1".
+class news_board_test : public testing::Test {
+ protected:
+  news_board_test()
+  {
+    view.apply(daemon_member("d2"), at(0));
+    view.apply(with_state(endpoint_member("e1"), member_state::leaving), at(0));
+  }
+
+  void add(const member_key& key) { board.add(*view.find(key)); }
+
+  membership_view view = view_of("d1");
+  news_board board{{.max_records = 2, .urgent_pushes = 2}, view};
+};
+
+using NewsBoardTest = news_board_test; // NOLINT(readability-identifier-naming)
+
+TEST_F(NewsBoardTest, PushesALeavingMemberAsOftenAsAsked)
+{
+  add(endpoint_key("e1"));
+  EXPECT_EQ(board.take_urgent(4).size(), 1U);
+  EXPECT_EQ(board.take_urgent(4).size(), 1U);
+  EXPECT_FALSE(board.has_urgent());
+}
+
+TEST_F(NewsBoardTest, ALiveMemberIsNotUrgent)
+{
+  add(daemon_key("d2"));
+  EXPECT_FALSE(board.has_urgent());
+  EXPECT_EQ(board.take().size(), 1U);
+}
+
+TEST_F(NewsBoardTest, ALeavingMemberTravelsWithoutItsAttributes)
+{
+  add(endpoint_key("e1"));
+  const auto records = board.take();
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0].attributes_revision, 0U);
+}
+
+TEST_F(NewsBoardTest, EndsNewsThatWasSentOftenEnough)
+{
+  add(daemon_key("d2"));
+  int sends = 0;
+  while (!board.take().empty()) {
+    ++sends;
+  }
+  EXPECT_EQ(sends, 3);
+}
+
+TEST_F(NewsBoardTest, ARemovedMemberIsNoLongerUrgent)
+{
+  add(endpoint_key("e1"));
+  board.remove(endpoint_key("e1"));
+  EXPECT_FALSE(board.has_urgent());
+}
+
+} // namespace
+} // namespace wisteriaflow::membership::internal
