--- a/include/wisteriaflow/capacity/planner.h
+++ b/include/wisteriaflow/capacity/planner.h
@@ -45,7 +45,7 @@
   // From the cloud API's answer until an instance takes orders; the load's time comes on top.
   std::chrono::milliseconds launch_time{60'000};
   // A cheaper instance is started only if it pays for its own start within this time.
-  std::chrono::milliseconds payback_horizon{3'600'000};
+  std::chrono::milliseconds payback_horizon{600'000};
   // Demand that has fallen releases instances after this time.
   std::chrono::milliseconds release_after{600'000};
   // An instance that does not serve this long after its launch is released.
@@ -132,6 +132,9 @@
   // Begins as the lease's new holder.
   void take_over(std::uint64_t fencing_number, std::vector<launch_record> launches);
 
+  // Learns of reclaims while another daemon plans, so that a new holder knows where they struck.
+  void observe(const std::vector<pool_input>& pools, mono_time now);
+
   // What is to be done now. Call every few seconds, with fresh inputs.
   std::vector<planner_action> plan(const plan_input& input, clock_reading now);
 
@@ -149,12 +152,12 @@
   [[nodiscard]] const std::vector<pool_report>& reports() const { return reports_; }
 
  private:
-  void settle_listed(const plan_input& input);
+  void settle_listed(const plan_input& input, mono_time now);
   void note_reclaims(const pool_input& in, mono_time now);
   void ask_again(clock_reading now);
   void plan_pool(const plan_input& input, const pool_input& in, clock_reading now);
   void launch_new(const pool_input& in, const internal::pool_view& view, clock_reading now);
-  void release_surplus(const pool_input& in, internal::pool_view& view);
+  void release_surplus(const pool_input& in, internal::pool_view& view, mono_time now);
   void give_up_late(const pool_input& in, clock_reading now);
   void order_loads(const pool_input& in, const internal::pool_view& view, mono_time now);
   void explain(const pool_input& in, const internal::pool_view& view, mono_time now);
@@ -171,7 +174,8 @@
   std::map<std::string, demand_window> windows_;  // by pool
   std::set<std::string> seen_;                    // tokens of launches that were listed
   std::set<instance_id> reclaimed_;               // whose reclaim has been noted
-  std::set<instance_id> released_;                // by this duty; the list may still show them
+  // Released by this duty, and until when a lagging list may still show them.
+  std::map<instance_id, mono_time> released_;
   std::vector<planner_action> actions_;
   std::vector<instance_reason> reasons_;
   std::vector<pool_report> reports_;
--- a/src/capacity/mix.cc
+++ b/src/capacity/mix.cc
@@ -18,8 +18,10 @@
 // Moves of the local search that are accepted at most, so that a plan's time is bounded.
 constexpr int move_limit = 400;
 constexpr int kick_limit = 20;
-// On larger problems an instance is a small part, and single moves come near enough.
-constexpr std::size_t kicked_columns = 40;
+// Up to so many columns every start is kicked; up to so many more the best one. On larger problems
+// an instance is a small part, and single moves come near enough.
+constexpr std::size_t all_kicked_columns = 12;
+constexpr std::size_t best_kicked_columns = 40;
 
 // Counts under construction, with the sums that the requirements look at.
 class mix_search {
@@ -262,6 +264,7 @@
   if (problem.columns.empty()) {
     return {.meets_requirements = problem.required <= 0 && problem.min_instances <= 0};
   }
+  const auto columns = problem.columns.size();
   mix_search best_search(problem);
   const auto order = zones_by_price(problem, best_search);
   const search_room every_zone{.zones = {order.begin(), order.end()}};
@@ -273,13 +276,16 @@
     mix_search search(problem);
     construct(problem, room, search);
     descend(problem, std::nullopt, search);
-    if (problem.columns.size() <= kicked_columns) {
+    if (columns <= all_kicked_columns) {
       kick(problem, every_zone, search);
     }
     if (is_better(search, best_search)) {
       best_search.take_from(search);
     }
   }
+  if (columns > all_kicked_columns && columns <= best_kicked_columns) {
+    kick(problem, every_zone, best_search);
+  }
   return {.counts = best_search.counts(),
           .price_per_hour = best_search.price(),
           .meets_requirements = best_search.shortfall() == 0};
--- a/src/capacity/planner.cc
+++ b/src/capacity/planner.cc
@@ -19,6 +19,9 @@
   return out;
 }
 
+// The instance list shows a change after this time at the latest.
+constexpr std::chrono::minutes list_lag{10};
+
 std::string cause_of(const mix_column& column, const mix_problem& problem)
 {
   return "cheapest mix: " + to_string(column.key) + " at " + to_text(column.price_per_hour) +
@@ -47,7 +50,7 @@
   actions_.clear();
   reasons_.clear();
   reports_.clear();
-  settle_listed(input);
+  settle_listed(input, now.mono);
   for (const auto& in : input.pools) {
     note_reclaims(in, now.mono);
   }
@@ -61,7 +64,7 @@
 }
 
 // A launch is settled when its instance is listed and has its models, or has gone again.
-void planner::settle_listed(const plan_input& input)
+void planner::settle_listed(const plan_input& input, mono_time now)
 {
   std::map<std::string, std::pair<const pool_instance*, const pool_input*>> by_token;
   std::set<instance_id> listed;
@@ -74,7 +77,9 @@
     }
   }
   loads_.keep_only(listed);
-  std::erase_if(released_, [&](const instance_id& id) { return !listed.contains(id); });
+  std::erase_if(released_, [&](const auto& each) {
+    return each.second <= now && !listed.contains(each.first);
+  });
   std::erase_if(reclaimed_, [&](const instance_id& id) { return !listed.contains(id); });
   std::erase_if(launches_, [&](launch_record& record) {
     const auto it = by_token.find(record.token);
@@ -92,6 +97,18 @@
   });
 }
 
+void planner::observe(const std::vector<pool_input>& pools, mono_time now)
+{
+  std::set<instance_id> listed;
+  for (const auto& in : pools) {
+    note_reclaims(in, now);
+    for (const auto& instance : in.instances) {
+      listed.insert(instance.id);
+    }
+  }
+  std::erase_if(reclaimed_, [&](const instance_id& id) { return !listed.contains(id); });
+}
+
 // Whatever starts beside an instance that is being reclaimed would soon follow it.
 void planner::note_reclaims(const pool_input& in, mono_time now)
 {
@@ -146,7 +163,7 @@
   view.solve(input.offers,
              [&](const offer_key& key) { return backoff_.may_launch(key, now.mono); });
   launch_new(in, view, now);
-  release_surplus(in, view);
+  release_surplus(in, view, now.mono);
   give_up_late(in, now);
   order_loads(in, view, now.mono);
   explain(in, view, now.mono);
@@ -171,10 +188,10 @@
   }
 }
 
-void planner::release_surplus(const pool_input& in, internal::pool_view& view)
+void planner::release_surplus(const pool_input& in, internal::pool_view& view, mono_time now)
 {
   for (const auto* instance : view.take_releasable()) {
-    released_.insert(instance->id);
+    released_[instance->id] = now + list_lag;
     std::erase_if(launches_, [&](const launch_record& record) {
       return record.token == instance->launched_with;
     });
@@ -193,7 +210,7 @@
     const bool late =
         record.pool == in.pool.metadata.name && !record.id.empty() && record.give_up_at <= now.wall;
     if (late) {
-      released_.insert(record.id);
+      released_[record.id] = now.mono + list_lag;
       seen_.erase(record.token);
       actions_.emplace_back(release{
           .id = record.id, .pool = record.pool, .cause = "did not serve in time after its launch"});
--- a/src/core/capacity_documents.cc
+++ b/src/core/capacity_documents.cc
@@ -59,7 +59,8 @@
 {
   try {
     std::vector<capacity::offer> out;
-    for (const auto& item : json::parse(json::string_view(body)).at("prices").as_array()) {
+    const auto document = json::parse(json::string_view(body));
+    for (const auto& item : document.at("prices").as_array()) {
       out.push_back(read_offer(item));
     }
     return out;
--- a/src/core/capacity_inputs.cc
+++ b/src/core/capacity_inputs.cc
@@ -8,9 +8,6 @@
 namespace wisteriaflow::core::internal {
 namespace {
 
-// The part of all tokens that are computed for prompts, until it is measured.
-constexpr double usual_prefill_part = 0.5;
-
 void add_model(const objects::fleet_configuration& configuration, capacity::pool_input& in)
 {
   for (const auto& version : configuration.model_versions()) {
@@ -62,9 +59,8 @@
       in->instances.push_back(instance_of(m, listed));
     }
   }
-  add_usage(configuration, out);
   for (auto& in : out) {
-    raise_to_occupancy(in);
+    measure_demand(in);
   }
   return out;
 }
@@ -85,57 +81,28 @@
           .launched_with = token == listed.launched_with.end() ? std::string() : token->second};
 }
 
-double capacity_inputs::prefill_part() const
-{
-  const auto& counters = context_.counters();
-  const double prompt =
-      counters.value("prompt_tokens_total") - counters.value("cached_tokens_total");
-  const double all = prompt + counters.value("completion_tokens_total");
-  return all <= 0 ? usual_prefill_part : std::clamp(prompt / all, 0.0, 1.0);
-}
-
-// A workspace's use, as gossiped, goes to the pool of the first intent that selects it.
-void capacity_inputs::add_usage(const objects::fleet_configuration& configuration,
-                                std::vector<capacity::pool_input>& pools)
+// How busy the endpoints are that this daemon reaches, the others taken to be as busy. The usage
+// that daemons gossip does not serve here: a daemon hears only of workspaces that it serves itself.
+// What waits counts too, so that demand over the capacity shows.
+void capacity_inputs::measure_demand(capacity::pool_input& in) const
 {
-  const double prefill = prefill_part();
-  for (const auto& workspace : configuration.workspaces()) {
-    const auto usage = fleet_.gossip().usage().fleet_usage(workspace.id(), context_.now().mono);
-    const auto intents = configuration.matching_intents({.workspace = workspace.id()});
-    if (!usage || intents.empty()) {
-      continue;
-    }
-    for (auto& in : pools) {
-      if (in.pool.metadata.name == intents.front()->pool) {
-        in.demand.requests += usage->requests_per_second;
-        in.demand.prefill_tokens += usage->tokens_per_second * prefill;
-        in.demand.decode_tokens += usage->tokens_per_second * (1 - prefill);
-      }
-    }
-  }
-}
-
-// This daemon hears nothing of workspaces that it does not serve; how busy the endpoints are that
-// it reaches shows the rest. The others are taken to be as busy.
-void capacity_inputs::raise_to_occupancy(capacity::pool_input& in) const
-{
-  double busy = 0;
+  const auto& defaults = context_.options().capacity.planner.default_rates;
+  double decoded = 0;
   int reached = 0;
   for (const auto& instance : in.instances) {
     const auto slot = fleet_.endpoints().find(endpoint_id(instance.id.value()));
-    const auto rates = in.rates.find(instance.key.instance_class);
-    if (!slot || rates == in.rates.end()) {
+    if (!slot) {
       continue;
     }
+    const auto rates = in.rates.find(instance.key.instance_class);
     const auto& state = fleet_.endpoints().at(*slot);
     const double places = std::max(state.report.max_running, 1);
-    busy += (state.running_now() + state.waiting_now()) / places *
-            rates->second.decode_tokens_per_second;
+    const double busy = (state.running_now() + state.waiting_now()) / places;
+    decoded += busy * (rates == in.rates.end() ? defaults : rates->second).decode_tokens_per_second;
     ++reached;
   }
   if (reached > 0) {
-    const double seen = busy * static_cast<double>(in.instances.size()) / reached;
-    in.demand.decode_tokens = std::max(in.demand.decode_tokens, seen);
+    in.demand.decode_tokens = decoded * static_cast<double>(in.instances.size()) / reached;
   }
 }
 
--- a/src/core/capacity_inputs.h
+++ b/src/core/capacity_inputs.h
@@ -33,10 +33,7 @@
  private:
   [[nodiscard]] capacity::pool_instance instance_of(const membership::member& m,
                                                     const listed_instances& listed) const;
-  void add_usage(const objects::fleet_configuration& configuration,
-                 std::vector<capacity::pool_input>& pools);
-  void raise_to_occupancy(capacity::pool_input& pool) const;
-  [[nodiscard]] double prefill_part() const;
+  void measure_demand(capacity::pool_input& in) const;
 
   core_context& context_;
   fleet& fleet_;
--- a/src/core/capacity_service.cc
+++ b/src/core/capacity_service.cc
@@ -74,6 +74,10 @@
   listed_.endpoints = read_instance_list(document).endpoints;
   listed_.launched_with = read_launch_tokens(document);
   listed_once_ = true;
+  const bool observes = context_.options().capacity.enabled && config_.ready();
+  if (observes && !lease_.holds(context_.now().mono)) {
+    planner_.observe(inputs_.pools(*config_.current(), listed_), context_.now().mono);
+  }
 }
 
 void capacity_service::feed_lease(const capacity::lease_event& e)
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -146,7 +146,7 @@
        period_rule{&s::capacity_launch_backoff_limit, 0, 24 * hour}},
       {"capacity", "reclaim_backoff_ms", "120000",
        period_rule{&s::capacity_reclaim_backoff, 0, 24 * hour}},
-      {"capacity", "payback_horizon_ms", "3600000",
+      {"capacity", "payback_horizon_ms", "600000",
        period_rule{&s::capacity_payback_horizon, minute, 240 * hour}},
       {"capacity", "release_after_ms", "600000",
        period_rule{&s::capacity_release_after, second, 24 * hour}},
