--- a/test/daemon/settings_test.cc
+++ b/test/daemon/settings_test.cc
@@ -36,8 +36,9 @@
 TEST(SettingsTest, ErrorNamesFileSectionKeyValueAndRange)
 {
   const auto message = error_of(std::string(least) + "[claims]\nshards=0\n");
-  EXPECT_EQ(message,
-            "test.ini: section [claims], key 'shards' = '0': allowed: a whole number from 1 to 999");
+  EXPECT_EQ(
+      message,
+      "test.ini: section [claims], key 'shards' = '0': allowed: a whole number from 1 to 999");
 }
 
 TEST(SettingsTest, RejectsAnUnknownKey)
@@ -70,5 +71,18 @@
   EXPECT_NE(message.find("more than suspect_after_ms"), std::string::npos) << message;
 }
 
+TEST(SettingsTest, CapacityNeedsACloudApi)
+{
+  const auto message = error_of(std::string(least) + "[capacity]\nenabled=true\n");
+  EXPECT_NE(message.find("cloud_api set in section [platform]"), std::string::npos) << message;
+}
+
+TEST(SettingsTest, ALeaseIsRenewedWellWithinItsDuration)
+{
+  const auto message = error_of(std::string(least) +
+                                "[capacity]\nlease_duration_ms=1000\nlease_renew_period_ms=600\n");
+  EXPECT_NE(message.find("at most half of lease_duration_ms"), std::string::npos) << message;
+}
+
 } // namespace
 } // namespace wisteriaflow::daemon
