Keep an idle pool of two or more instances in two zones

Without demand nothing asked for a second zone: in a run on loopback both of two idle instances were started in the cheapest one, and its loss took the pool to nothing.

--- a/src/capacity/pool_view.cc
+++ b/src/capacity/pool_view.cc
@@ -41,7 +41,9 @@
 {
   const bool idle = demand.requests <= 0 && demand.prefill_tokens <= 0 && demand.decode_tokens <= 0;
   problem_.required = idle ? 0 : 1 + in.pool.headroom;
-  problem_.required_after_zone_loss = idle || !options.zone_headroom ? 0 : 1;
+  // An idle pool of two or more keeps one instance after the loss of a zone: its weight is 1.
+  const bool outlives_a_zone = options.zone_headroom && (!idle || in.pool.min_instances > 1);
+  problem_.required_after_zone_loss = outlives_a_zone ? 1 : 0;
   problem_.min_instances = in.pool.min_instances;
   problem_.max_instances = in.pool.max_instances;
   problem_.max_reclaimable_share = in.pool.max_reclaimable_share;
--- a/test/capacity/planner_test.cc
+++ b/test/capacity/planner_test.cc
@@ -221,6 +221,28 @@
   EXPECT_EQ(released.at(0).id, instance_id("stuck"));
 }
 
+TEST_F(PlannerTest, KeepsAnIdlePoolInTwoZones)
+{
+  input_.pools.at(0).demand = {};
+  input_.pools.at(0).pool.min_instances = 2;
+  const auto wanted = launches(0s);
+  ASSERT_EQ(wanted.size(), 2U);
+  EXPECT_NE(wanted.at(0).key.zone, wanted.at(1).key.zone);
+}
+
+TEST_F(PlannerTest, KnowsReclaimsThatItObservedBeforeItTookOver)
+{
+  planner successor{planner_options{}};
+  input_.pools.at(0).instances.push_back(
+      {.id = instance_id("i"), .key = key_of("a", true), .leaving = true});
+  successor.observe(input_.pools, at(0s).mono);
+  instances().clear();
+  successor.take_over(8, {});
+  for (const auto& l : all_of_type<launch>(successor.plan(input_, at(10s)))) {
+    EXPECT_NE(l.key, key_of("a", true));
+  }
+}
+
 TEST_F(PlannerTest, LeavesAPoolWithoutRoomAlone)
 {
   input_.pools.at(0).pool.max_instances = 0;
