--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/core/daemon_core.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "core/answer_places.h"
 #include "core/capacity_service.h"
 #include "core/claim_service.h"
@@ -15,6 +12,9 @@
 #include "core/placement.h"
 #include "core/request_table.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wisteriaflow::core {
 namespace {
 
@@ -31,13 +31,13 @@
 } // namespace
 
 class daemon_core::implementation {
-public:
+ public:
   implementation(daemon_core_options options, clock_reading now)
       : context_(std::move(options), now), members_(context_, make_listener()),
         config_(context_, members_, [this] { requests_.on_configuration_changed(); }),
-        claims_(context_, members_), endpoints_(context_),
-        placer_(context_, members_), places_(context_, members_),
-        requests_(context_, services()), capacity_(context_, members_, config_, endpoints_),
+        claims_(context_, members_), endpoints_(context_), placer_(context_, members_),
+        places_(context_, members_), requests_(context_, services()),
+        capacity_(context_, members_, config_, endpoints_),
         operators_(context_, services(), requests_, capacity_)
   {
     members_.start();
@@ -57,7 +57,7 @@
 
   [[nodiscard]] std::optional<mono_time> wake_at() { return context_.timers().next(); }
 
-private:
+ private:
   request_services services()
   {
     return {.members = members_,
@@ -75,7 +75,11 @@
                 [this](const endpoint_id& id, std::optional<wall_time> reclaim_at) {
                   requests_.on_endpoint_leaving(id, reclaim_at);
                 },
-            .daemons_changed = [this] { claims_.update_ownership(); },
+            .daemons_changed =
+                [this] {
+                  claims_.update_ownership();
+                  places_.on_daemons_changed();
+                },
             .self_leaving = [this](std::optional<wall_time> reclaim_at) { leave(reclaim_at); },
             .configuration_heard =
                 [this](const membership::gossiper::known_configuration& highest) {
@@ -252,7 +256,8 @@
 
 daemon_core::daemon_core(daemon_core_options options, clock_reading now)
     : implementation_(std::make_unique<implementation>(std::move(options), now))
-{}
+{
+}
 
 daemon_core::~daemon_core() = default;
 
@@ -261,6 +266,9 @@
   return implementation_->handle(std::move(e), now);
 }
 
-std::optional<mono_time> daemon_core::wake_at() const { return implementation_->wake_at(); }
+std::optional<mono_time> daemon_core::wake_at() const
+{
+  return implementation_->wake_at();
+}
 
 } // namespace wisteriaflow::core
--- a/src/core/operator_service.h
+++ b/src/core/operator_service.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 
-#include <boost/json/value.hpp>
-
 #include "core/capacity_service.h"
 #include "core/claim_service.h"
 #include "core/configuration.h"
@@ -14,10 +12,12 @@
 #include "core/request_table.h"
 #include "wisteriaflow/membership/address_book.h"
 
+#include <boost/json/value.hpp>
+
 namespace wisteriaflow::core::internal {
 
 class operator_service {
-public:
+ public:
   operator_service(core_context& context, request_services services, request_table& requests,
                    capacity_service& capacity);
 
@@ -43,7 +43,7 @@
   [[nodiscard]] http::response addresses(const http::target_parts& target,
                                          const http::request& message) const;
 
-private:
+ private:
   [[nodiscard]] boost::json::value explain_route(const objects::fleet_configuration& configuration,
                                                  const route& r);
 
--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -1,9 +1,5 @@
 #include "core/request_table.h"
 
-#include <algorithm>
-#include <charconv>
-#include <utility>
-
 #include "core/http_parts.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/claims/errors.h"
@@ -12,6 +8,10 @@
 #include "wisteriaflow/requests/errors.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 namespace wisteriaflow::core::internal {
 namespace {
 
@@ -20,6 +20,8 @@
 constexpr int status_see_other = 303;
 constexpr int bytes_per_token = 4; // of English text, for estimates
 constexpr std::chrono::milliseconds draining_retry{1'000};
+constexpr std::chrono::milliseconds readiness_wait{5'000};
+constexpr std::chrono::milliseconds readiness_check{100};
 constexpr double unlimited = 1e12; // a share that never binds
 
 admission::admission_options admission_options_of(const daemon_core_options& o)
@@ -87,11 +89,11 @@
 
 request_table::request_table(core_context& context, request_services services)
     : context_(context), services_(services),
-      admission_(admission_options_of(context.options()),
-                 {.self = context.options().self}),
+      admission_(admission_options_of(context.options()), {.self = context.options().self}),
       retries_({.fraction = context.options().retry_budget}),
       answers_({.max_bytes = context.options().answer_memory_bytes})
-{}
+{
+}
 
 requests::call_limits request_table::limits() const
 {
@@ -130,8 +132,8 @@
       draining_ ? requests::refusal_reason::draining : requests::refusal_reason::no_endpoint;
   const auto message = draining_ ? "this daemon is leaving: ask another address"
                                  : "this daemon does not know the configuration yet";
-  send_outcome(call, requests::refused_not_run{
-                         reason, context_.now().wall + draining_retry, message});
+  send_outcome(call,
+               requests::refused_not_run{reason, context_.now().wall + draining_retry, message});
   return true;
 }
 
@@ -175,7 +177,8 @@
     return;
   }
   const auto& methods = declared->idempotent_methods;
-  const bool idempotent = std::find(methods.begin(), methods.end(), message.method) != methods.end();
+  const bool idempotent =
+      std::find(methods.begin(), methods.end(), message.method) != methods.end();
   if (http::find_header(message.fields, "Wisteriaflow-Idempotent").empty()) {
     message.fields.push_back(
         {.name = "Wisteriaflow-Idempotent", .value = idempotent ? "true" : "false"});
@@ -254,10 +257,10 @@
   admission::admission_request out;
   out.workspace = r.headers.workspace;
   out.tokens = r.where.prompt_tokens + r.where.output_tokens;
-  out.priority = r.where.batch ? admission::request_priority::batch
-                               : admission::request_priority::interactive;
+  out.priority =
+      r.where.batch ? admission::request_priority::batch : admission::request_priority::interactive;
   out.deadline = r.headers.deadline;
-  out.utilisation = services_.members.endpoints().utilisation();
+  out.utilisation = services_.placer.utilisation(*services_.config.current(), r.where);
   return out;
 }
 
@@ -287,7 +290,8 @@
     return;
   }
   r.admitted = std::get<admission::admitted>(decided);
-  if (r.options.keyed) {
+  // What must be claimed first may be running elsewhere, and its place must not be overwritten.
+  if (r.options.keyed && r.options.idempotent) {
     services_.places.announce(r.key, to_string(context_.options().caller_address));
   }
   feed(r, requests::admission_granted{});
@@ -415,18 +419,47 @@
     join(run->request_id, {.call = call, .streamed = streamed, .next_offset = from});
     return;
   }
-  services_.places.find(wanted, [this, call, key](const std::string& address) {
-    if (address.empty()) {
-      send_outcome(call, requests::invalid{status_not_found, "no answer is kept for this key"});
-      return;
-    }
-    http::response moved{.status = status_see_other};
-    moved.fields.push_back(
-        {.name = "Location", .value = "http://" + address + "/v1/answers/" + key});
-    context_.emit(caller_action(respond{.call = call, .whole = std::move(moved)}));
+  look_elsewhere(call, wanted, context_.now().mono + readiness_wait);
+}
+
+// A daemon that has just started knows neither its peers nor what they keep: saying that there is
+// no answer would be wrong, so the caller waits until it does.
+void request_table::look_elsewhere(call_number call, const requests::answer_key& wanted,
+                                   mono_time deadline)
+{
+  ++looking_;
+  if (services_.config.ready()) {
+    services_.places.find(wanted, [this, call, wanted](const std::string& address) {
+      --looking_;
+      send_place(call, wanted, address);
+    });
+    return;
+  }
+  const auto now = context_.now().mono;
+  if (now >= deadline) {
+    --looking_;
+    send_outcome(call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
+    return;
+  }
+  context_.timers().at(now + readiness_check, [this, call, wanted, deadline] {
+    --looking_;
+    look_elsewhere(call, wanted, deadline);
   });
 }
 
+void request_table::send_place(call_number call, const requests::answer_key& wanted,
+                               const std::string& address)
+{
+  if (address.empty()) {
+    send_outcome(call, requests::invalid{status_not_found, "no answer is kept for this key"});
+    return;
+  }
+  http::response moved{.status = status_see_other};
+  moved.fields.push_back(
+      {.name = "Location", .value = "http://" + address + "/v1/answers/" + wanted.key});
+  context_.emit(caller_action(respond{.call = call, .whole = std::move(moved)}));
+}
+
 void request_table::on_caller_closed(call_number call)
 {
   auto node = calls_.extract(call);
@@ -448,8 +481,7 @@
   admission::workspace_amounts shares;
   for (const auto& w : services_.config.current()->workspaces()) {
     auto& amounts = shares[w.id()];
-    amounts[admission::share_unit::requests_per_second] =
-        w.requests_per_second.value_or(unlimited);
+    amounts[admission::share_unit::requests_per_second] = w.requests_per_second.value_or(unlimited);
     amounts[admission::share_unit::tokens_per_second] = w.tokens_per_second.value_or(unlimited);
     amounts[admission::share_unit::tokens_in_flight] =
         w.max_tokens_in_flight ? static_cast<double>(*w.max_tokens_in_flight) : unlimited;
