--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -19,6 +19,7 @@
 ABSL_FLAG(int, seeds, 5, "days for each line, seeds 1, 2, ...");
 ABSL_FLAG(double, price_ratio, 0.3, "mean price of a reclaimable instance against on-demand");
 ABSL_FLAG(double, payback_minutes, 0, "payback horizon; 0: the planner's default");
+ABSL_FLAG(bool, second_wave, true, "whether a second zone is struck 30 s after the first one");
 ABSL_FLAG(std::string, only, "", "only the lines whose name holds this text");
 ABSL_FLAG(std::string, json, "", "file for the results as JSON");
 
@@ -93,7 +94,8 @@
       add(sum, run_day({.seed = static_cast<std::uint64_t>(seed),
                         .runners = runners,
                         .price_ratio = absl::GetFlag(FLAGS_price_ratio),
-                        .max_reclaimable_share = t.max_reclaimable_share},
+                        .max_reclaimable_share = t.max_reclaimable_share,
+                        .second_wave = absl::GetFlag(FLAGS_second_wave)},
                        t.who, rules));
     }
     const double n = seeds;
--- a/bench/capacity_bench_world.cc
+++ b/bench/capacity_bench_world.cc
@@ -162,8 +162,8 @@
     std::uniform_real_distribution<double> draw(0, 1);
     for (auto& [id, i] : instances_) {
       const bool in_first_wave = now_ == zone_loss_at && i.seen.key.zone.value() == "0";
-      const bool in_second_wave =
-          now_ == second_wave_at && i.seen.key.zone.value() == "1" && i.seen.key.reclaimable;
+      const bool in_second_wave = options_.second_wave && now_ == second_wave_at &&
+                                  i.seen.key.zone.value() == "1" && i.seen.key.reclaimable;
       if (in_first_wave || in_second_wave || (i.seen.key.reclaimable && draw(chance_) < hazard)) {
         give_notice(i);
       }
--- a/bench/capacity_bench_world.h
+++ b/bench/capacity_bench_world.h
@@ -27,6 +27,7 @@
   std::chrono::seconds launch_time{60};
   double reclaims_per_hour = 1.0 / 12; // of one reclaimable instance, besides the waves
   double lost_answers = 0.02;          // of launches
+  bool second_wave = true; // 30 s after the zone's loss, of another zone's reclaimable instances
 };
 
 // Who is in charge.
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -71,6 +71,15 @@
 #include "wisteriaflow/requests/stream_assembler.h"
 
 // claims
+#include "wisteriaflow/capacity/demand_window.h"
+#include "wisteriaflow/capacity/errors.h"
+#include "wisteriaflow/capacity/inputs.h"
+#include "wisteriaflow/capacity/launch_backoff.h"
+#include "wisteriaflow/capacity/launch_ledger.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+#include "wisteriaflow/capacity/load_queue.h"
+#include "wisteriaflow/capacity/mix.h"
+#include "wisteriaflow/capacity/planner.h"
 #include "wisteriaflow/claims/claim.h"
 #include "wisteriaflow/claims/claim_asker.h"
 #include "wisteriaflow/claims/claim_shard_owner.h"
--- a/src/capacity/pool_view.cc
+++ b/src/capacity/pool_view.cc
@@ -69,7 +69,8 @@
     load = demand_.requests / options_.service_requests_per_second;
   } else {
     const auto it = in_.rates.find(instance_class);
-    load = engine_load(demand_, it == in_.rates.end() ? options_.default_rates : it->second);
+    const bool declared = it != in_.rates.end() && it->second.decode_tokens_per_second > 0;
+    load = engine_load(demand_, declared ? it->second : options_.default_rates);
   }
   return load <= 0 ? 1 : options_.utilisation_at_target / load;
 }
