--- a/include/wisteriaflow/membership/view.h
+++ b/include/wisteriaflow/membership/view.h
@@ -107,7 +107,7 @@
   [[nodiscard]] std::uint64_t hash() const;
 
   // The hash by parts: a member counts in the bucket `bucket_of` its key.
-  using bucket_hashes = std::array<std::uint32_t, 128>;
+  using bucket_hashes = std::array<std::uint32_t, 512>;
   [[nodiscard]] const bucket_hashes& buckets() const { return buckets_; }
   [[nodiscard]] static std::size_t bucket_of(const member_key& key);
 
@@ -146,6 +146,9 @@
   void mark_gone(entry& e, clock_reading now);
   void expire_daemon(entry& e, bool hears_majority, clock_reading now);
   void expire_leaving(entry& e, clock_reading now);
+  void expire(entry& e, bool hears_majority, clock_reading now);
+  void forget_old(clock_reading now);
+  [[nodiscard]] bool is_forgettable(const entry& e, clock_reading now) const;
   [[nodiscard]] bool hears_majority(clock_reading now) const;
   [[nodiscard]] bool is_self(const member_key& key) const;
 
--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -33,7 +33,8 @@
 membership::member read_instance(const json::object& o)
 {
   membership::member m;
-  m.key = {.kind = membership::member_kind::endpoint, .id = json::value_to<std::string>(o.at("id"))};
+  m.key = {.kind = membership::member_kind::endpoint,
+           .id = json::value_to<std::string>(o.at("id"))};
   m.state = text_at(o, "state") == "leaving" ? membership::member_state::leaving
                                              : membership::member_state::live;
   m.attributes_revision = 1;
@@ -90,10 +91,13 @@
   for (const auto& item : notices->get_array()) {
     try {
       const auto& o = item.as_object();
-      out.push_back({.instance = json::value_to<std::string>(o.at("instance_id")),
-                     .reclaim_at = from_unix_ms(number_at(o, "reclaim_at_unix_ms"))});
+      auto instance = json::value_to<std::string>(o.at("instance_id"));
+      if (!instance.empty()) {
+        out.push_back({.instance = std::move(instance),
+                       .reclaim_at = from_unix_ms(number_at(o, "reclaim_at_unix_ms"))});
+      }
     } catch (const std::exception&) {
-      // What cannot be read names no instance that could be told to leave.
+      continue; // left out, as it says nothing that could be acted on
     }
   }
   return out;
--- a/test/core/core_fleet_outside.cc
+++ b/test/core/core_fleet_outside.cc
@@ -37,7 +37,7 @@
 // A version 7 UUID made at `at`.
 std::string key_made_at(wall_time at, std::size_t n)
 {
-  std::array<char, 40> buf{};
+  std::array<char, 64> buf{};
   const auto ms = static_cast<unsigned long long>(to_unix_ms(at));
   std::snprintf(buf.data(), buf.size(), "%08llx-%04llx-7000-8000-%012zx", ms >> 16U, ms & 0xffffU,
                 n);
@@ -366,6 +366,8 @@
       to.imported.insert(std::string(body.at("handle").as_string()));
     }
     answer(e, reached ? status_ok : 404, "{}");
+  } else if (to.is_engine) {
+    answer(e, status_ok, "{}"); // an order
   } else {
     run_service(e, message);
   }
