Read engines' cache events

Cause: routing's belief in prefixes was fed only by what this daemon sent. Blocks are now 16 words, hashed as the contract says, and the events are polled with the load reports. Replaced: tests of blocks by bytes by tests of blocks by words, two more of them. Not run: the policy bench with word blocks (it makes its own block hashes).

--- a/bench/policy_bench_scale.cc
+++ b/bench/policy_bench_scale.cc
@@ -101,7 +101,10 @@
 
 boost::json::object measure_hashing()
 {
-  const std::string prompt(prompt_blocks * routing::prefix_block_bytes, 'p');
+  std::string prompt;
+  for (std::size_t i = 0; i < prompt_blocks * routing::prefix_block_words; ++i) {
+    prompt += "prompt ";
+  }
   const model_id model("m");
   std::uint64_t sum = 0;
   const auto from = std::chrono::steady_clock::now();
--- a/include/wisteriaflow/core/actions.h
+++ b/include/wisteriaflow/core/actions.h
@@ -5,17 +5,17 @@
 #ifndef WISTERIAFLOW_CORE_ACTIONS_H_
 #define WISTERIAFLOW_CORE_ACTIONS_H_
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/core/peer_messages.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/http/message.h"
+
 #include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/core/peer_messages.h"
-#include "wisteriaflow/core/store.h"
-#include "wisteriaflow/http/message.h"
-
 namespace wisteriaflow::core {
 
 // Number of a caller's call within this process.
@@ -74,12 +74,21 @@
   mono_time deadline;
 };
 
+// Asks an engine for its cache events after a sequence number.
+struct poll_cache_events {
+  std::string endpoint;
+  http::socket_address to;
+  std::uint64_t after = 0;
+  mono_time deadline;
+};
+
 // Closes idle connections, as when an endpoint leaves.
 struct forget_address {
   http::socket_address address;
 };
 
-using endpoint_action = std::variant<start_exchange, cancel_exchange, poll_load, forget_address>;
+using endpoint_action =
+    std::variant<start_exchange, cancel_exchange, poll_load, poll_cache_events, forget_address>;
 
 // Towards the platform.
 
--- a/include/wisteriaflow/core/events.h
+++ b/include/wisteriaflow/core/events.h
@@ -3,6 +3,11 @@
 #ifndef WISTERIAFLOW_CORE_EVENTS_H_
 #define WISTERIAFLOW_CORE_EVENTS_H_
 
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/peer_messages.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/http/message.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -11,11 +16,6 @@
 
 #include <boost/json/value.hpp>
 
-#include "wisteriaflow/core/actions.h"
-#include "wisteriaflow/core/peer_messages.h"
-#include "wisteriaflow/core/store.h"
-#include "wisteriaflow/http/message.h"
-
 namespace wisteriaflow::core {
 
 // From callers.
@@ -61,6 +61,12 @@
   boost::json::value report;
 };
 
+// What entered and left an engine's cache: late, and perhaps with gaps.
+struct cache_events_reported {
+  std::string endpoint;
+  boost::json::value report;
+};
+
 // From the platform.
 
 struct declarations_listed {
@@ -116,9 +122,9 @@
 
 using event =
     std::variant<call_received, caller_closed, exchange_head, exchange_bytes, exchange_ended,
-                 exchange_failed, load_reported, store_answer, declarations_listed,
-                 declaration_changed, instances_listed, notices_received, cloud_answer, peer_asked,
-                 peer_answered, peer_failed, drain_requested, ticked>;
+                 exchange_failed, load_reported, cache_events_reported, store_answer,
+                 declarations_listed, declaration_changed, instances_listed, notices_received,
+                 cloud_answer, peer_asked, peer_answered, peer_failed, drain_requested, ticked>;
 
 } // namespace wisteriaflow::core
 
--- a/include/wisteriaflow/daemon/endpoint_side.h
+++ b/include/wisteriaflow/daemon/endpoint_side.h
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
 
 namespace wisteriaflow::daemon {
 
@@ -30,6 +31,7 @@
   void take(const core::start_exchange& a);
   void take(const core::cancel_exchange& a);
   void take(const core::poll_load& a);
+  void take(const core::poll_cache_events& a);
   void take(const core::forget_address& a);
 
   boost::asio::awaitable<void> run(core::start_exchange a, std::shared_ptr<http::exchange> handle);
@@ -37,6 +39,9 @@
   boost::asio::awaitable<void> run_streamed(core::start_exchange a,
                                             std::shared_ptr<http::exchange> handle);
   boost::asio::awaitable<void> poll(core::poll_load a);
+  boost::asio::awaitable<void> poll(core::poll_cache_events a);
+  boost::asio::awaitable<bool> fetch(http::socket_address from, std::string target,
+                                     mono_time deadline, boost::json::value& out);
   void report(core::exchange_number number, core::event e);
 
   duty_thread<core::endpoint_action> thread_;
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -181,6 +181,7 @@
   void on(const exchange_ended& e) { endpoints_.on(e); }
   void on(const exchange_failed& e) { endpoints_.on(e); }
   void on(const load_reported& e) { members_.on_load(e); }
+  void on(const cache_events_reported& e) { members_.on_cache_events(e); }
   void on(const store_answer& e) { context_.on_store_answer(e); }
 
   void on(const declarations_listed& e) { config_.on_listed(e); }
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -419,6 +419,7 @@
     prefixes_.forget(*endpoints_.find(id));
     endpoints_.remove(id);
     announced_.erase(id);
+    cache_events_seen_.erase(id);
   }
   context_.counters().set("endpoints_reached", static_cast<double>(endpoints_.slots().size()));
   context_.counters().set("daemons_live", static_cast<double>(view_.live_daemons().size()));
@@ -455,6 +456,7 @@
 
 void fleet::poll_loads()
 {
+  const auto deadline = context_.now().mono + context_.options().load_period;
   for (const auto slot : endpoints_.slots()) {
     const auto& description = endpoints_.at(slot).description;
     const auto* m = view_.find({.kind = member_kind::endpoint, .id = description.id.value()});
@@ -463,9 +465,11 @@
       continue;
     }
     context_.emit(endpoint_action(
-        poll_load{.endpoint = description.id.value(),
-                  .to = *to,
-                  .deadline = context_.now().mono + context_.options().load_period}));
+        poll_load{.endpoint = description.id.value(), .to = *to, .deadline = deadline}));
+    context_.emit(endpoint_action(poll_cache_events{.endpoint = description.id.value(),
+                                                    .to = *to,
+                                                    .after = cache_events_seen_[description.id],
+                                                    .deadline = deadline}));
   }
 }
 
@@ -486,6 +490,21 @@
   }
 }
 
+void fleet::on_cache_events(const cache_events_reported& report)
+{
+  const endpoint_id id(report.endpoint);
+  const auto slot = endpoints_.find(id);
+  if (!slot) {
+    return;
+  }
+  auto& seen = cache_events_seen_[id];
+  for (const auto& e : read_cache_events(report.report)) {
+    seen = std::max(seen, e.sequence);
+    prefixes_.on_event(*slot, e, context_.now().mono);
+    context_.counters().count("cache_events_total");
+  }
+}
+
 std::vector<daemon_id> fleet::live_daemon_ids() const
 {
   std::vector<daemon_id> out;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -51,6 +51,7 @@
   void on_instances(const boost::json::value& document);
   void on_notices(const boost::json::value& document);
   void on_load(const load_reported& report);
+  void on_cache_events(const cache_events_reported& report);
   [[nodiscard]] membership::gossip_message on_gossip(const membership::gossip_message& message);
 
   // The configuration in force decides which endpoints are reached.
@@ -112,6 +113,7 @@
   std::shared_ptr<const objects::fleet_configuration> configuration_;
   // What selectors see of each reached endpoint, by slot: made once, looked at with every request.
   std::vector<objects::instance_description> described_;
+  std::map<endpoint_id, std::uint64_t> cache_events_seen_; // the last sequence number
   // Endpoints whose leaving the listener was told, with the reclaim time told.
   std::map<endpoint_id, std::optional<wall_time>> announced_;
   std::uint64_t seen_version_ = 0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds no_candidate_retry{1'000};
 constexpr double latency_preference = 0.3;
 constexpr double cost_preference = 1.0;
+// Of a block of 16 words, by the same estimate as for a whole prompt: 4 bytes a token, 6 a word.
+constexpr int tokens_per_block = 24;
 
 double seconds_until(mono_time t, mono_time now)
 {
@@ -75,6 +77,7 @@
   routing::routing_options out;
   out.availability_zone = context_.options().zone;
   out.price_preference = r.prefers_cost ? cost_preference : latency_preference;
+  out.tokens_per_block = tokens_per_block;
   return out;
 }
 
--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr int hash_base = 16; // of the names of prefix hashes
+
 std::string text_at(const json::object& o, std::string_view key)
 {
   const auto* value = o.if_contains(key);
@@ -121,6 +123,30 @@
   }
 }
 
+std::vector<routing::cache_event> read_cache_events(const json::value& document)
+{
+  std::vector<routing::cache_event> out;
+  const auto* root = document.if_object();
+  const auto* events = root == nullptr ? nullptr : root->if_contains("events");
+  if (events == nullptr || !events->is_array()) {
+    return out;
+  }
+  for (const auto& item : events->get_array()) {
+    try {
+      const auto& o = item.as_object();
+      const auto name = json::value_to<std::string>(o.at("prefix_hash"));
+      const bool evicted = text_at(o, "kind") == "evicted";
+      out.push_back({.sequence = static_cast<std::uint64_t>(number_at(o, "sequence")),
+                     .prefix_hash = std::stoull(name, nullptr, hash_base),
+                     .kind = evicted ? routing::cache_event::kind::evicted
+                                     : routing::cache_event::kind::stored});
+    } catch (const std::exception&) {
+      continue; // a belief does without it
+    }
+  }
+  return out;
+}
+
 std::optional<membership::member> read_registration(const json::value& document)
 {
   try {
--- a/src/core/platform_documents.h
+++ b/src/core/platform_documents.h
@@ -8,6 +8,7 @@
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/membership/member.h"
 #include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +41,10 @@
 [[nodiscard]] std::optional<routing::load_report> read_load(const boost::json::value& document,
                                                             clock_reading now);
 
+// An engine's cache events; those that cannot be read are left out.
+[[nodiscard]] std::vector<routing::cache_event>
+read_cache_events(const boost::json::value& document);
+
 // A daemon's own registration in the object API.
 [[nodiscard]] std::optional<membership::member>
 read_registration(const boost::json::value& document);
--- a/src/daemon/endpoint_side.cc
+++ b/src/daemon/endpoint_side.cc
@@ -51,6 +51,11 @@
   boost::asio::co_spawn(thread_.context(), poll(a), boost::asio::detached);
 }
 
+void endpoint_side::take(const core::poll_cache_events& a)
+{
+  boost::asio::co_spawn(thread_.context(), poll(a), boost::asio::detached);
+}
+
 void endpoint_side::take(const core::forget_address& a)
 {
   client_.forget(a.address);
@@ -114,17 +119,34 @@
 boost::asio::awaitable<void> endpoint_side::poll(core::poll_load a)
 {
   core::load_reported result{.endpoint = a.endpoint};
+  result.reached = co_await fetch(a.to, "/load", a.deadline, result.report);
+  thread_.post_event(std::move(result));
+}
+
+boost::asio::awaitable<void> endpoint_side::poll(core::poll_cache_events a)
+{
+  core::cache_events_reported result{.endpoint = a.endpoint};
+  auto target = "/cache-events?after=" + std::to_string(a.after);
+  const bool fetched = co_await fetch(a.to, std::move(target), a.deadline, result.report);
+  if (fetched) {
+    thread_.post_event(std::move(result));
+  }
+}
+
+// Gets a JSON document; false if there is none.
+boost::asio::awaitable<bool> endpoint_side::fetch(http::socket_address from, std::string target,
+                                                  mono_time deadline, boost::json::value& out)
+{
   try {
     http::request message;
-    message.target = "/load";
-    const auto whole = co_await client_.call(a.to, std::move(message), a.deadline);
+    message.target = std::move(target);
+    const auto whole = co_await client_.call(from, std::move(message), deadline);
     boost::json::error_code ec;
-    result.report = boost::json::parse(whole.body, ec);
-    result.reached = !ec && whole.status == 200;
+    out = boost::json::parse(whole.body, ec);
+    co_return !ec && whole.status == 200;
   } catch (const http::http_error&) {
-    result.reached = false;
+    co_return false;
   }
-  thread_.post_event(std::move(result));
 }
 
 } // namespace wisteriaflow::daemon
--- a/src/routing/prefix_blocks.cc
+++ b/src/routing/prefix_blocks.cc
@@ -2,19 +2,41 @@
 
 #include "wisteriaflow/base/hash.h"
 
-#include <algorithm>
-
 namespace wisteriaflow::routing {
+namespace {
+
+constexpr std::string_view white_space = " \t\n\v\f\r";
+
+// Takes the next word off `text`; empty if there is none.
+std::string_view take_word(std::string_view& text)
+{
+  const auto first = text.find_first_not_of(white_space);
+  if (first == std::string_view::npos) {
+    text = {};
+    return {};
+  }
+  text.remove_prefix(first);
+  const auto word = text.substr(0, text.find_first_of(white_space));
+  text.remove_prefix(word.size());
+  return word;
+}
+
+} // namespace
 
 std::vector<std::uint64_t> prefix_block_hashes(const model_id& model, std::string_view prompt)
 {
-  const std::size_t n = std::min(prompt.size() / prefix_block_bytes, max_prefix_blocks);
   std::vector<std::uint64_t> hashes;
-  hashes.reserve(n);
   std::uint64_t previous = hash64_of(model.value());
-  for (std::size_t i = 0; i < n; ++i) {
-    previous = hash64_of(prompt.substr(i * prefix_block_bytes, prefix_block_bytes), previous);
-    hashes.push_back(previous);
+  std::size_t words = 0;
+  for (auto word = take_word(prompt); !word.empty(); word = take_word(prompt)) {
+    previous = hash64_of(word, previous);
+    ++words;
+    if (words % prefix_block_words == 0) {
+      hashes.push_back(previous);
+    }
+    if (hashes.size() == max_prefix_blocks) {
+      break;
+    }
   }
   return hashes;
 }
--- a/test/routing/choose_endpoint_test.cc
+++ b/test/routing/choose_endpoint_test.cc
@@ -36,14 +36,23 @@
     return choose_endpoint(view(), request, table_.slots(), start, rng_);
   }
 
+  // Sixteen whole blocks.
+  static std::string make_prompt()
+  {
+    std::string out;
+    for (std::size_t i = 0; i < 16 * prefix_block_words; ++i) {
+      out += "x ";
+    }
+    return out;
+  }
+
   routing_view view() const { return {table_, belief_, options_}; }
 
   endpoint_table table_{{}};
   prefix_belief belief_{{}};
   routing_options options_{.availability_zone = availability_zone("z1")};
   std::mt19937_64 rng_{7};
-  std::vector<std::uint64_t> blocks_ =
-      prefix_block_hashes(model_id("m"), std::string(16 * prefix_block_bytes, 'x'));
+  std::vector<std::uint64_t> blocks_ = prefix_block_hashes(model_id("m"), make_prompt());
   request_view request_{.blocks = blocks_,
                         .prompt_tokens = 1024,
                         .expected_output_tokens = 100,
--- a/test/routing/prefix_belief_test.cc
+++ b/test/routing/prefix_belief_test.cc
@@ -1,6 +1,7 @@
 #include "wisteriaflow/routing/prefix_belief.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
+#include <algorithm>
 #include <array>
 
 #include <gtest/gtest.h>
@@ -78,19 +79,43 @@
   EXPECT_EQ(matched(belief, 2, start), 3U);
 }
 
+// `n` words, each of them `word`.
+std::string words(std::size_t n, const std::string& word)
+{
+  std::string out;
+  for (std::size_t i = 0; i < n; ++i) {
+    out += word + " ";
+  }
+  return out;
+}
+
 TEST(PrefixBlocksTest, SharesTheHashesOfASharedPrefixOnly)
 {
-  const std::string shared(2 * prefix_block_bytes, 's');
-  const auto a = prefix_block_hashes(model_id("m"), shared + std::string(prefix_block_bytes, 'a'));
-  const auto b = prefix_block_hashes(model_id("m"), shared + std::string(prefix_block_bytes, 'b'));
+  const auto shared = words(2 * prefix_block_words, "s");
+  const auto a = prefix_block_hashes(model_id("m"), shared + words(prefix_block_words, "a"));
+  const auto b = prefix_block_hashes(model_id("m"), shared + words(prefix_block_words, "b"));
   ASSERT_EQ(a.size(), 3U);
   EXPECT_EQ(a[1], b[1]);
   EXPECT_NE(a[2], b[2]);
 }
 
+TEST(PrefixBlocksTest, HasNoHashOfABlockThatIsNotFull)
+{
+  EXPECT_EQ(prefix_block_hashes(model_id("m"), words(prefix_block_words - 1, "s")).size(), 0U);
+}
+
+TEST(PrefixBlocksTest, DoesNotDependOnTheKindOfWhiteSpace)
+{
+  const auto spaced = words(prefix_block_words, "s");
+  auto broken = spaced;
+  std::replace(broken.begin(), broken.end(), ' ', '\n');
+  EXPECT_EQ(prefix_block_hashes(model_id("m"), spaced),
+            prefix_block_hashes(model_id("m"), "  " + broken));
+}
+
 TEST(PrefixBlocksTest, DifferByModel)
 {
-  const std::string prompt(prefix_block_bytes, 's');
+  const auto prompt = words(prefix_block_words, "s");
   EXPECT_NE(prefix_block_hashes(model_id("m"), prompt), prefix_block_hashes(model_id("n"), prompt));
 }
 
