Let a starting daemon fetch what a watch did not bring

Cause: a daemon that restarted while reads were stale got the newest change from its watch, but not those between its list and the floor. Its revision was then the floor itself, so that it asked no peer, and it was not ready until its next list: at the end of a watch, 30 s. Until it is ready it now asks peers for everything.

--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -105,23 +105,26 @@
 
 void configuration::catch_up()
 {
-  if (heard_.revision > store_.revision()) {
-    fetch_from(heard_.holder);
+  // A watch may have brought the highest revision without those before it, so that until this
+  // daemon is ready the revision alone does not tell that nothing is missing.
+  const auto known = ready() ? store_.revision() : 0;
+  if (heard_.revision > known) {
+    fetch(known);
   }
 }
 
 // A peer knows more: its answer does not wait for the store, which may be down.
-void configuration::fetch_from(const daemon_id& holder)
+void configuration::fetch(std::uint64_t known)
 {
   if (fetching_) {
     return;
   }
-  const auto to = fleet_.is_gone(holder) ? any_peer() : fleet_.peer_address_of(holder);
+  const bool any = ask_any_ || fleet_.is_gone(heard_.holder);
+  const auto to = any ? any_peer() : fleet_.peer_address_of(heard_.holder);
   if (!to) {
     return;
   }
   fetching_ = true;
-  const auto known = store_.revision();
   context_.call_peer(*to, configuration_query{.known_revision = known},
                      [this, known](const peer_response* response) {
                        fetching_ = false;
@@ -129,6 +132,8 @@
                            response == nullptr
                                ? nullptr
                                : std::get_if<objects::configuration_snapshot>(response);
+                       // Who named the revision may only have heard of it.
+                       ask_any_ = snapshot == nullptr || snapshot->revision < heard_.revision;
                        // A peer that knows no more than was asked after sends no objects: that
                        // none are there must not be taken for their deletion.
                        if (snapshot != nullptr && snapshot->revision > known) {
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -47,7 +47,7 @@
   void audit_change(const objects::configuration_change& change);
   void write_audit(const boost::json::value& document, unsigned tries_left);
   void catch_up();
-  void fetch_from(const daemon_id& holder);
+  void fetch(std::uint64_t known);
   [[nodiscard]] std::optional<http::socket_address> any_peer() const;
   void check_floor();
 
@@ -58,6 +58,7 @@
   mono_time silent_at_;
   membership::gossiper::known_configuration heard_; // the highest that a peer has named
   bool fetching_ = false;
+  bool ask_any_ = false; // the one that named it could not give it
 };
 
 } // namespace wisteriaflow::core::internal
--- a/test/system/fleet.cc
+++ b/test/system/fleet.cc
@@ -42,7 +42,7 @@
          "\n[callers]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nseeds = " + seeds +
          "\n[platform]\nobject_api = " + store + "\ninstance_list = " + cloud +
          "\ncloud_api = " + cloud +
-         "\ncall_timeout_ms = 500\nrelist_ms = 2000\ninstance_list_period_ms = 200\nnotice_period_ms = 200\n"
+         "\ncall_timeout_ms = 500\nwatch_ms = 2000\nrelist_ms = 1000\ninstance_list_period_ms = 200\nnotice_period_ms = 200\n"
          "[gossip]\nperiod_ms = 100\nsuspect_after_ms = 1000\ngone_after_ms = 2500\n"
          "[claims]\nflush_interval_ms = 20\n[routing]\nload_period_ms = 300\n"
          "[drain]\ngrace_ms = 300\n";
