--- a/test/system/caller.cc
+++ b/test/system/caller.cc
@@ -82,8 +82,8 @@
       out_.done = true;
     } else if (const auto id = field_of(event, "id"); !id.empty()) {
       out_.in_order = out_.in_order && std::stoull(id) == out_.tokens;
-      out_.text += json::value_to<std::string>(
-          json::parse(data).at("choices").as_array().at(0).at("text"));
+      out_.text +=
+          json::value_to<std::string>(json::parse(data).at("choices").as_array().at(0).at("text"));
       ++out_.tokens;
       if (seen_ != nullptr) {
         ++*seen_;
--- a/test/system/drain_test.cc
+++ b/test/system/drain_test.cc
@@ -36,9 +36,8 @@
 {
   auto options = long_answer("where is the pool");
   options.stream = false;
-  auto answer = std::async(std::launch::async, [&] {
-    return call_following(f.address_of("d1"), completion(options));
-  });
+  auto answer = std::async(std::launch::async,
+                           [&] { return call_following(f.address_of("d1"), completion(options)); });
   EXPECT_TRUE(eventually([&] { return !busy_engine().empty(); }));
   drain("d1");
   const auto got = answer.get();
--- a/test/system/fleet.cc
+++ b/test/system/fleet.cc
@@ -42,7 +42,8 @@
          "\n[callers]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nseeds = " + seeds +
          "\n[platform]\nobject_api = " + store + "\ninstance_list = " + cloud +
          "\ncloud_api = " + cloud +
-         "\ncall_timeout_ms = 500\nwatch_ms = 2000\nrelist_ms = 1000\ninstance_list_period_ms = 200\nnotice_period_ms = 200\n"
+         "\ncall_timeout_ms = 500\nwatch_ms = 2000\nrelist_ms = 1000\ninstance_list_period_ms = "
+         "200\nnotice_period_ms = 200\n"
          "[gossip]\nperiod_ms = 100\nsuspect_after_ms = 1000\ngone_after_ms = 2500\n"
          "[claims]\nflush_interval_ms = 20\n[routing]\nload_period_ms = 300\n"
          "[drain]\ngrace_ms = 300\n";
@@ -195,6 +196,13 @@
   return at(id);
 }
 
+std::unique_ptr<process> fleet::replace_daemon(const std::string& id)
+{
+  auto former = std::move(at(id).running);
+  start_daemon(id, at(id).zone);
+  return former;
+}
+
 void fleet::declare()
 {
   const auto all = declarations();
@@ -284,16 +292,38 @@
   return got.whole && !ec ? out : json::value(json::object());
 }
 
-std::int64_t fleet::runs_of(const std::string& key)
+void fleet::keep_runs_of(const std::string& id)
+{
+  for (const auto& [key, n] : runs_at(id)) {
+    kept_runs_[key] += n;
+  }
+  std::erase(endpoints_, id);
+}
+
+std::map<std::string, std::int64_t> fleet::all_runs()
 {
-  std::int64_t n = 0;
+  auto out = kept_runs_;
   for (const auto& id : endpoints_) {
-    const auto stats = stats_of(id);
-    const auto* runs = stats.as_object().if_contains("runs");
-    const auto* count = runs == nullptr ? nullptr : runs->as_object().if_contains(key);
-    n += count == nullptr ? 0 : count->to_number<std::int64_t>();
+    for (const auto& [key, n] : runs_at(id)) {
+      out[key] += n;
+    }
   }
-  return n;
+  return out;
+}
+
+std::map<std::string, std::int64_t> fleet::runs_at(const std::string& id)
+{
+  const auto stats = stats_of(id);
+  const auto* runs = stats.as_object().if_contains("runs");
+  return runs == nullptr ? std::map<std::string, std::int64_t>()
+                         : json::value_to<std::map<std::string, std::int64_t>>(*runs);
+}
+
+std::int64_t fleet::runs_of(const std::string& key)
+{
+  const auto all = all_runs();
+  const auto it = all.find(key);
+  return it == all.end() ? 0 : it->second;
 }
 
 std::int64_t fleet::received_since(const std::string& id, std::int64_t since_ms)
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -79,7 +79,16 @@
   [[nodiscard]] node& at(const std::string& id) { return *nodes_.at(id); }
   [[nodiscard]] const std::string& address_of(const std::string& id) { return at(id).address; }
 
-  // Kills a program and forgets it.
+  // Starts a daemon again under its id while the former process still drains; returns that one.
+  std::unique_ptr<process> replace_daemon(const std::string& id);
+
+  // Adds an endpoint's run counts to those of endpoints that are gone, and asks it no more.
+  void keep_runs_of(const std::string& id);
+
+  // Runs by key, of all endpoints that run or were kept.
+  [[nodiscard]] std::map<std::string, std::int64_t> all_runs();
+
+  // Kills a program.
   void kill(const std::string& id) { at(id).running->kill(); }
   void signal(const std::string& id, int number) { at(id).running->signal(number); }
 
@@ -106,15 +115,14 @@
   // A metric of a daemon by its name, with its labels; -1 if there is none.
   [[nodiscard]] double metric(const std::string& id, const std::string& name);
 
-  // The daemon that prefers to own the shard of nothing in particular: all that run, by id.
+  // The ids of all daemons, in the order of their first start.
   [[nodiscard]] std::vector<std::string> daemons() const;
 
-  [[nodiscard]] const std::string& directory() const { return directory_; }
-
  private:
   node& start(const std::string& id, const std::string& zone,
               const std::vector<std::string>& arguments);
   void list_instance(const node& n, const std::string& role);
+  [[nodiscard]] std::map<std::string, std::int64_t> runs_at(const std::string& id);
   boost::json::value stats_of(const std::string& id);
   void post(const std::string& address, const std::string& target, const std::string& body);
 
@@ -122,6 +130,7 @@
   std::map<std::string, std::unique_ptr<node>> nodes_;
   std::vector<std::string> daemons_;
   std::vector<std::string> endpoints_;
+  std::map<std::string, std::int64_t> kept_runs_;
   std::map<std::string, std::string> peers_; // gRPC addresses of daemons, by id
 };
 
--- a/test/system/non_idempotent_test.cc
+++ b/test/system/non_idempotent_test.cc
@@ -130,8 +130,8 @@
   f.kill("d3");
   for (int i = 0; i < 16; ++i) {
     const auto key = make_key();
-    const bool served = eventually(
-        [&] { return send_delivery("d1", key).get().outcome() == "answered"; });
+    const bool served =
+        eventually([&] { return send_delivery("d1", key).get().outcome() == "answered"; });
     EXPECT_TRUE(served) << key;
     EXPECT_EQ(f.runs_of(key), 1) << key;
   }
--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -2,17 +2,18 @@
 
 #include "system/eventually.h"
 
-#include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
 
+#include <spawn.h>
+
 namespace wisteriaflow::system_tests {
 namespace {
 
