--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -47,7 +47,7 @@
   void audit_change(const objects::configuration_change& change);
   void write_audit(const boost::json::value& document, unsigned tries_left);
   void catch_up();
-  void fetch_from(const daemon_id& holder);
+  void fetch(std::uint64_t known);
   [[nodiscard]] std::optional<http::socket_address> any_peer() const;
   void check_floor();
 
@@ -59,6 +59,7 @@
   membership::gossiper::known_configuration heard_; // the highest that a peer has named
   bool fetching_ = false;
   bool floor_named_ = false; // by a peer
+  bool ask_any_ = false; // the one that named it could not give it
 };
 
 } // namespace wisteriaflow::core::internal
