--- a/bench/capacity_bench_world.cc
+++ b/bench/capacity_bench_world.cc
@@ -148,6 +148,11 @@
     return {.mono = mono_time(24h + now_), .wall = wall_time(400'000h + now_)};
   }
 
+  [[nodiscard]] double step_hours() const
+  {
+    return std::chrono::duration<double, std::ratio<3'600>>(options_.step).count();
+  }
+
   void give_notice(simulated_instance& i)
   {
     if (!i.seen.leaving) {
@@ -158,7 +163,7 @@
 
   void reclaim()
   {
-    const double hazard = options_.reclaims_per_hour * options_.step.count() / seconds_per_hour;
+    const double hazard = options_.reclaims_per_hour * step_hours();
     std::uniform_real_distribution<double> draw(0, 1);
     for (auto& [id, i] : instances_) {
       const bool in_first_wave = now_ == zone_loss_at && i.seen.key.zone.value() == "0";
@@ -296,7 +301,8 @@
   void measure()
   {
     double capacity = 0;
-    const double hours = options_.step.count() / seconds_per_hour;
+    const double hours = step_hours();
+    const double seconds = hours * seconds_per_hour;
     for (const auto& [id, i] : instances_) {
       const double size = i.seen.key.instance_class == classes[1].name ? classes[1].size : 1;
       capacity += i.loaded ? size * decode_rate * utilisation : 0;
@@ -308,10 +314,10 @@
       return;
     }
     const double served = std::min(capacity, demand());
-    result_.served += served * options_.step.count();
-    result_.demanded += demand() * options_.step.count();
+    result_.served += served * seconds;
+    result_.demanded += demand() * seconds;
     if (served < demand()) {
-      result_.short_minutes += options_.step.count() / 60.0;
+      result_.short_minutes += hours * 60;
     }
     if (now_ >= zone_loss_at && now_ < zone_loss_at + 30min) {
       result_.worst_after_loss = std::min(result_.worst_after_loss, served / demand());
--- a/include/wisteriaflow/capacity/planner.h
+++ b/include/wisteriaflow/capacity/planner.h
@@ -127,7 +127,7 @@
 
 class planner {
  public:
-  explicit planner(planner_options options);
+  explicit planner(const planner_options& options);
 
   // Begins as the lease's new holder.
   void take_over(std::uint64_t fencing_number, std::vector<launch_record> launches);
--- a/src/capacity/planner.cc
+++ b/src/capacity/planner.cc
@@ -32,8 +32,8 @@
 
 } // namespace
 
-planner::planner(planner_options options)
-    : options_(std::move(options)), backoff_(backoff_options_of(options_)), loads_(options_.loads)
+planner::planner(const planner_options& options)
+    : options_(options), backoff_(backoff_options_of(options_)), loads_(options_.loads)
 {
 }
 
