--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -88,6 +88,15 @@
   void refresh_shares();
 
  private:
+  // A caller who comes back for an answer.
+  struct answer_wish {
+    requests::answer_key key;
+    bool streamed = false;
+    std::uint64_t from = 0; // the first token that it has not had
+    mono_time ready_by;     // until then a daemon that is not ready keeps it waiting
+    mono_time found_by;     // until then a key that nobody knows is asked for again
+  };
+
   using request_ptr = std::unique_ptr<active_request>;
 
   // request_table.cc
@@ -99,7 +108,9 @@
   void join(const std::string& id, attached_call call);
   void send_kept(call_number call, const requests::kept_answer& answer, bool streamed,
                  std::uint64_t from);
-  void look_elsewhere(call_number call, const requests::answer_key& wanted, mono_time deadline);
+  void look_up(call_number call, const answer_wish& wish);
+  void look_elsewhere(call_number call, const answer_wish& wish);
+  void look_up_later(call_number call, const answer_wish& wish);
   void send_place(call_number call, const requests::answer_key& wanted, const std::string& address);
   void feed(active_request& r, requests::request_event event);
   void close(active_request& r);
@@ -141,9 +152,12 @@
                          exchange_failure failure);
   [[nodiscard]] active_request* running(const std::string& id, requests::attempt_number n);
   void note_first_token(active_request& r);
-  void note_usage(active_request& r, const requests::token_usage& usage);
+  void note_usage(const requests::token_usage& usage);
   void end_attempt(active_request& r);
   void cancel_at_engine(active_request& r, const running_attempt& run, bool confirm);
+  [[nodiscard]] std::vector<std::string> requests_at(const endpoint_id& endpoint) const;
+  void consider_moves(const endpoint_id& endpoint, std::optional<wall_time> reclaim_at);
+  [[nodiscard]] std::optional<double> own_decode_rate(const active_request& r) const;
   [[nodiscard]] requests::move_estimate estimate_move(const active_request& r,
                                                       std::optional<wall_time> reclaim_at) const;
 
