core: wait for a claim while its shard moves before 404

Cause: a drained owner gives its shard up, and a claim that waits for the next owner took more than the second for which a fetch of its key was repeated: the caller who came back got 404 for a request in flight.

The fetch is now repeated for three seconds. A key that nobody knows costs its caller that long; the place of a key could be told before its claim only at the price of overwriting the place of the daemon that runs it.

--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -21,7 +21,7 @@
 constexpr int bytes_per_token = 4; // of English text, for estimates
 constexpr std::chrono::milliseconds draining_retry{1'000};
 constexpr std::chrono::milliseconds readiness_wait{5'000};
-constexpr std::chrono::milliseconds place_wait{1'000}; // some times what a claim takes
+constexpr std::chrono::milliseconds place_wait{3'000}; // longer than a claim while its shard moves
 constexpr std::chrono::milliseconds place_check{200};
 constexpr double unlimited = 1e12; // a share that never binds
 
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -391,9 +391,8 @@
                                           .estimate = estimate_move(*r, reclaim_at)});
     }
   }
-  context_.timers().at(context_.now().mono + move_check, [this, endpoint, reclaim_at] {
-    consider_moves(endpoint, reclaim_at);
-  });
+  context_.timers().at(context_.now().mono + move_check,
+                       [this, endpoint, reclaim_at] { consider_moves(endpoint, reclaim_at); });
 }
 
 } // namespace wisteriaflow::core::internal
