--- a/test/system/drain_test.cc
+++ b/test/system/drain_test.cc
@@ -106,6 +106,20 @@
   EXPECT_EQ(f.runs_of(key), 1);
 }
 
+TEST_F(DrainTest, ALeavingDaemonDoesNotCallAKeyNotRunThatRanElsewhere)
+{
+  const auto key = make_key();
+  EXPECT_EQ(send_delivery("d1", key).get().outcome(), "answered");
+  const auto stream = start_stream("d2", long_answer("keeps d2 busy"));
+  f.signal("d2", SIGTERM);
+  EXPECT_TRUE(
+      eventually([&] { return call(f.address_of("d2"), {.target = "/readyz"}).status == 503; }));
+  const auto got = send_delivery("d2", key).get();
+  EXPECT_NE(got.outcome(), "refused-not-run") << got.body;
+  EXPECT_EQ(f.runs_of(key), 1);
+  stream->answer.wait();
+}
+
 TEST_F(DrainTest, ReclaimNoticeDrainsADaemon)
 {
   const auto options = long_answer("a third towel, please");
--- a/test/system/fleet.cc
+++ b/test/system/fleet.cc
@@ -223,8 +223,10 @@
     });
     if (!ready) {
       const auto seen = call(address_of(id), {.target = "/operator/v1/fleet"}).body;
-      throw std::runtime_error(id + " did not become ready, sees " + seen + "\n" +
-                               at(id).running->output());
+      std::string what = id;
+      what += " did not become ready, sees " + seen;
+      what += "\n" + at(id).running->output();
+      throw std::runtime_error(what);
     }
   }
 }
--- a/test/system/soak_main.cc
+++ b/test/system/soak_main.cc
@@ -51,6 +51,7 @@
 
 struct delivered_key {
   std::string last_outcome;
+  std::string history; // each reply, with its time, daemon and message
 };
 
 class soak {
@@ -295,16 +296,19 @@
       const auto tries = 1 + random() % 3;
       for (std::uint64_t i = 0; i < tries; ++i) {
         const auto [id, address] = draw_daemon(random);
-        note_delivery(key, call_following(address, delivery(key, path)));
+        note_delivery(key, id, call_following(address, delivery(key, path)));
       }
     }
   }
 
-  void note_delivery(const std::string& key, const reply& got)
+  void note_delivery(const std::string& key, const std::string& daemon, const reply& got)
   {
     const lock held(mutex_);
     const auto outcome = got.outcome();
-    keys_[key].last_outcome = outcome;
+    auto& noted = keys_[key];
+    noted.last_outcome = outcome;
+    noted.history += "\n  " + std::to_string(unix_ms_now()) + " " + daemon + " " +
+                     std::to_string(got.status) + " " + outcome + " " + got.body;
     counts_.refused += outcome == "refused-not-run" ? 1 : 0;
     counts_.answered += outcome == "answered" ? 1 : 0;
     counts_.unknown += outcome == "outcome-unknown" ? 1 : 0;
@@ -352,7 +356,7 @@
       const auto it = keys_.find(key);
       if (it != keys_.end() && it->second.last_outcome == "refused-not-run") {
         ++counts_.refused_but_ran;
-        std::cout << "refused as not run, but ran: " << key << std::endl;
+        std::cout << "refused as not run, but ran: " << key << it->second.history << std::endl;
       }
     }
   }
