--- a/src/core/platform_documents.cc
+++ b/src/core/platform_documents.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr int hash_base = 16; // of the names of prefix hashes
+
 std::string text_at(const json::object& o, std::string_view key)
 {
   const auto* value = o.if_contains(key);
@@ -33,7 +35,8 @@
 membership::member read_instance(const json::object& o)
 {
   membership::member m;
-  m.key = {.kind = membership::member_kind::endpoint, .id = json::value_to<std::string>(o.at("id"))};
+  m.key = {.kind = membership::member_kind::endpoint,
+           .id = json::value_to<std::string>(o.at("id"))};
   m.state = text_at(o, "state") == "leaving" ? membership::member_state::leaving
                                              : membership::member_state::live;
   m.attributes_revision = 1;
@@ -88,12 +91,16 @@
     return out;
   }
   for (const auto& item : notices->get_array()) {
-    const auto* o = item.if_object();
-    if (o == nullptr || !o->contains("instance_id")) {
-      continue;
+    try {
+      const auto& o = item.as_object();
+      auto instance = json::value_to<std::string>(o.at("instance_id"));
+      if (!instance.empty()) {
+        out.push_back({.instance = std::move(instance),
+                       .reclaim_at = from_unix_ms(number_at(o, "reclaim_at_unix_ms"))});
+      }
+    } catch (const std::exception&) {
+      continue; // left out, as it says nothing that could be acted on
     }
-    out.push_back({.instance = text_at(*o, "instance_id"),
-                   .reclaim_at = from_unix_ms(number_at(*o, "reclaim_at_unix_ms"))});
   }
   return out;
 }
@@ -116,6 +123,30 @@
   }
 }
 
+std::vector<routing::cache_event> read_cache_events(const json::value& document)
+{
+  std::vector<routing::cache_event> out;
+  const auto* root = document.if_object();
+  const auto* events = root == nullptr ? nullptr : root->if_contains("events");
+  if (events == nullptr || !events->is_array()) {
+    return out;
+  }
+  for (const auto& item : events->get_array()) {
+    try {
+      const auto& o = item.as_object();
+      const auto name = json::value_to<std::string>(o.at("prefix_hash"));
+      const bool evicted = text_at(o, "kind") == "evicted";
+      out.push_back({.sequence = static_cast<std::uint64_t>(number_at(o, "sequence")),
+                     .prefix_hash = std::stoull(name, nullptr, hash_base),
+                     .kind = evicted ? routing::cache_event::kind::evicted
+                                     : routing::cache_event::kind::stored});
+    } catch (const std::exception&) {
+      continue; // a belief does without it
+    }
+  }
+  return out;
+}
+
 std::optional<membership::member> read_registration(const json::value& document)
 {
   try {
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -8,15 +8,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 #define WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 
-#include <cstdint>
-#include <deque>
-#include <functional>
-#include <map>
-#include <memory>
-#include <optional>
-#include <string>
-#include <vector>
-
 #include "core/active_request.h"
 #include "core/answer_places.h"
 #include "core/claim_service.h"
@@ -29,6 +20,15 @@
 #include "wisteriaflow/admission/retry.h"
 #include "wisteriaflow/requests/answer_store.h"
 
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace wisteriaflow::core::internal {
 
 // The services that requests use.
@@ -49,7 +49,7 @@
 [[nodiscard]] service_target split_service_target(std::string_view target);
 
 class request_table {
-public:
+ public:
   request_table(core_context& context, request_services services);
 
   // A caller's POST /v1/completions.
@@ -87,7 +87,16 @@
   // Feeds the shares with the fleet's demand. Called about twice a second.
   void refresh_shares();
 
-private:
+ private:
+  // A caller who comes back for an answer.
+  struct answer_wish {
+    requests::answer_key key;
+    bool streamed = false;
+    std::uint64_t from = 0; // the first token that it has not had
+    mono_time ready_by;     // until then a daemon that is not ready keeps it waiting
+    mono_time found_by;     // until then a key that nobody knows is asked for again
+  };
+
   using request_ptr = std::unique_ptr<active_request>;
 
   // request_table.cc
@@ -99,7 +108,9 @@
   void join(const std::string& id, attached_call call);
   void send_kept(call_number call, const requests::kept_answer& answer, bool streamed,
                  std::uint64_t from);
-  void look_elsewhere(call_number call, const requests::answer_key& wanted, mono_time deadline);
+  void look_up(call_number call, const answer_wish& wish);
+  void look_elsewhere(call_number call, const answer_wish& wish);
+  void look_up_later(call_number call, const answer_wish& wish);
   void send_place(call_number call, const requests::answer_key& wanted, const std::string& address);
   void feed(active_request& r, requests::request_event event);
   void close(active_request& r);
@@ -132,16 +143,21 @@
   void import_then_start(active_request& r, const requests::start_attempt& a, const placed& where);
   [[nodiscard]] http::request message_for(const active_request& r,
                                           const requests::start_attempt& a) const;
-  void on_attempt_head(const std::string& id, requests::attempt_number n, const http::response& head);
-  void on_attempt_bytes(const std::string& id, requests::attempt_number n, const std::string& bytes);
+  void on_attempt_head(const std::string& id, requests::attempt_number n,
+                       const http::response& head);
+  void on_attempt_bytes(const std::string& id, requests::attempt_number n,
+                        const std::string& bytes);
   void on_attempt_ended(const std::string& id, requests::attempt_number n);
   void on_attempt_failed(const std::string& id, requests::attempt_number n,
                          exchange_failure failure);
   [[nodiscard]] active_request* running(const std::string& id, requests::attempt_number n);
   void note_first_token(active_request& r);
-  void note_usage(active_request& r, const requests::token_usage& usage);
+  void note_usage(const requests::token_usage& usage);
   void end_attempt(active_request& r);
   void cancel_at_engine(active_request& r, const running_attempt& run, bool confirm);
+  [[nodiscard]] std::vector<std::string> requests_at(const endpoint_id& endpoint) const;
+  void consider_moves(const endpoint_id& endpoint, std::optional<wall_time> reclaim_at);
+  [[nodiscard]] std::optional<double> own_decode_rate(const active_request& r) const;
   [[nodiscard]] requests::move_estimate estimate_move(const active_request& r,
                                                       std::optional<wall_time> reclaim_at) const;
 
@@ -153,6 +169,7 @@
   [[nodiscard]] handed_over_request handed_over(const active_request& r,
                                                 const requests::handed_over_state& state) const;
   void keep_handed_over(const handed_over_request& handed);
+  void send_claiming_to_answer(const requests::answer_key& key);
   request_ptr rebuild(const handed_over_request& handed);
 
   core_context& context_;
@@ -161,9 +178,9 @@
   admission::retry_budget retries_;
   requests::answer_store answers_;
   std::map<std::string, request_ptr> active_;
-  std::map<call_number, std::string> calls_;           // the request that a call waits for
-  std::map<std::uint64_t, std::string> by_nonce_;      // requests in flight by claim
-  std::map<std::uint64_t, request_status> ended_;      // ended claims that peers may ask about
+  std::map<call_number, std::string> calls_;      // the request that a call waits for
+  std::map<std::uint64_t, std::string> by_nonce_; // requests in flight by claim
+  std::map<std::uint64_t, request_status> ended_; // ended claims that peers may ask about
   std::multimap<wall_time, std::uint64_t> ended_until_;
   std::deque<std::pair<std::string, requests::request_event>> events_; // to be fed
   bool feeding_ = false;
--- a/src/daemon/endpoint_side.cc
+++ b/src/daemon/endpoint_side.cc
@@ -1,5 +1,7 @@
 #include "wisteriaflow/daemon/endpoint_side.h"
 
+#include "wisteriaflow/http/errors.h"
+
 #include <string>
 #include <utility>
 
@@ -7,8 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
 
-#include "wisteriaflow/http/errors.h"
-
 namespace wisteriaflow::daemon {
 
 endpoint_side::endpoint_side(std::shared_ptr<event_ring> core)
@@ -17,7 +17,8 @@
                 std::visit([this](const auto& one) { take(one); }, a);
               }),
       client_(thread_.context())
-{}
+{
+}
 
 // Says what became of an exchange, unless the core has cancelled it meanwhile.
 void endpoint_side::report(core::exchange_number number, core::event e)
@@ -50,7 +51,15 @@
   boost::asio::co_spawn(thread_.context(), poll(a), boost::asio::detached);
 }
 
-void endpoint_side::take(const core::forget_address& a) { client_.forget(a.address); }
+void endpoint_side::take(const core::poll_cache_events& a)
+{
+  boost::asio::co_spawn(thread_.context(), poll(a), boost::asio::detached);
+}
+
+void endpoint_side::take(const core::forget_address& a)
+{
+  client_.forget(a.address);
+}
 
 boost::asio::awaitable<void> endpoint_side::run(core::start_exchange a,
                                                 std::shared_ptr<http::exchange> handle)
@@ -110,17 +119,34 @@
 boost::asio::awaitable<void> endpoint_side::poll(core::poll_load a)
 {
   core::load_reported result{.endpoint = a.endpoint};
+  result.reached = co_await fetch(a.to, "/load", a.deadline, result.report);
+  thread_.post_event(std::move(result));
+}
+
+boost::asio::awaitable<void> endpoint_side::poll(core::poll_cache_events a)
+{
+  core::cache_events_reported result{.endpoint = a.endpoint};
+  auto target = "/cache-events?after=" + std::to_string(a.after);
+  const bool fetched = co_await fetch(a.to, std::move(target), a.deadline, result.report);
+  if (fetched) {
+    thread_.post_event(std::move(result));
+  }
+}
+
+// Gets a JSON document; false if there is none.
+boost::asio::awaitable<bool> endpoint_side::fetch(http::socket_address from, std::string target,
+                                                  mono_time deadline, boost::json::value& out)
+{
   try {
     http::request message;
-    message.target = "/load";
-    const auto whole = co_await client_.call(a.to, std::move(message), a.deadline);
+    message.target = std::move(target);
+    const auto whole = co_await client_.call(from, std::move(message), deadline);
     boost::json::error_code ec;
-    result.report = boost::json::parse(whole.body, ec);
-    result.reached = !ec && whole.status == 200;
+    out = boost::json::parse(whole.body, ec);
+    co_return !ec && whole.status == 200;
   } catch (const http::http_error&) {
-    result.reached = false;
+    co_return false;
   }
-  thread_.post_event(std::move(result));
 }
 
 } // namespace wisteriaflow::daemon
