--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -22,7 +22,7 @@
   disown "$started_pid"
   fleet_pids+=("$started_pid")
   for _ in $(seq 1 200); do
-    started_line=$(grep -m1 -E "$pattern" "$fleet_dir/$name.log" || true)
+    started_line=$(grep -m1 -E "$pattern" "$fleet_dir/$name.log" 2>/dev/null || true)
     [ -n "$started_line" ] && return 0
     kill -0 "$started_pid" 2>/dev/null || break
     sleep 0.05
