--- a/include/wisteriaflow/core/daemon_core.h
+++ b/include/wisteriaflow/core/daemon_core.h
@@ -10,14 +10,6 @@
 #ifndef WISTERIAFLOW_CORE_DAEMON_CORE_H_
 #define WISTERIAFLOW_CORE_DAEMON_CORE_H_
 
-#include <chrono>
-#include <cstddef>
-#include <cstdint>
-#include <memory>
-#include <optional>
-#include <string>
-#include <vector>
-
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/capacity/planner.h"
@@ -26,6 +18,14 @@
 #include "wisteriaflow/core/events.h"
 #include "wisteriaflow/http/message.h"
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace wisteriaflow::core {
 
 // The capacity duty: instances are started and released by the daemon that holds its lease.
@@ -80,7 +80,7 @@
 
 // One daemon's decisions. Not thread-safe: one thread owns it.
 class daemon_core {
-public:
+ public:
   daemon_core(daemon_core_options options, clock_reading now);
   ~daemon_core();
   daemon_core(const daemon_core&) = delete;
@@ -92,7 +92,7 @@
   // When the next ticked{} is due, if no other event comes first.
   [[nodiscard]] std::optional<mono_time> wake_at() const;
 
-private:
+ private:
   class implementation;
   std::unique_ptr<implementation> implementation_;
 };
--- a/include/wisteriaflow/core/metrics.h
+++ b/include/wisteriaflow/core/metrics.h
@@ -25,7 +25,7 @@
 // All metrics of a daemon. The number of series is bounded: a series over the bound is counted
 // under `series_dropped_total` instead, so that labels from callers cannot fill the memory.
 class metrics {
-public:
+ public:
   static constexpr std::size_t series_limit = 512;
 
   metrics();
@@ -48,7 +48,7 @@
   // The text exposition format, version 0.0.4, series in a stable order.
   [[nodiscard]] std::string render() const;
 
-private:
+ private:
   struct state;
   std::unique_ptr<state> state_;
 };
--- a/include/wisteriaflow/core/peer_messages.h
+++ b/include/wisteriaflow/core/peer_messages.h
@@ -3,11 +3,6 @@
 #ifndef WISTERIAFLOW_CORE_PEER_MESSAGES_H_
 #define WISTERIAFLOW_CORE_PEER_MESSAGES_H_
 
-#include <cstdint>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
@@ -17,6 +12,11 @@
 #include "wisteriaflow/objects/configuration_store.h"
 #include "wisteriaflow/requests/request_actions.h"
 
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace wisteriaflow::core {
 
 // Number of a call to a peer, of this process.
@@ -95,8 +95,9 @@
 // Each request has one response type, in the same place of the two variants.
 using peer_request = std::variant<membership::gossip_message, claims::claim_request, request_query,
                                   handed_over_request, configuration_query, place_note>;
-using peer_response = std::variant<membership::gossip_message, claims::claim_reply, request_status,
-                                   hand_over_reply, objects::configuration_snapshot, place_note_reply>;
+using peer_response =
+    std::variant<membership::gossip_message, claims::claim_reply, request_status, hand_over_reply,
+                 objects::configuration_snapshot, place_note_reply>;
 
 } // namespace wisteriaflow::core
 
--- a/include/wisteriaflow/core/store.h
+++ b/include/wisteriaflow/core/store.h
@@ -3,6 +3,8 @@
 #ifndef WISTERIAFLOW_CORE_STORE_H_
 #define WISTERIAFLOW_CORE_STORE_H_
 
+#include "wisteriaflow/base/time.h"
+
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -10,8 +12,6 @@
 
 #include <boost/json/value.hpp>
 
-#include "wisteriaflow/base/time.h"
-
 namespace wisteriaflow::core {
 
 // Number that ties an answer to its call.
--- a/include/wisteriaflow/core/timer_queue.h
+++ b/include/wisteriaflow/core/timer_queue.h
@@ -7,14 +7,14 @@
 #ifndef WISTERIAFLOW_CORE_TIMER_QUEUE_H_
 #define WISTERIAFLOW_CORE_TIMER_QUEUE_H_
 
+#include "wisteriaflow/base/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <utility>
 
-#include "wisteriaflow/base/time.h"
-
 namespace wisteriaflow::core {
 
 // Names one scheduled call, for cancelling it. 0 names none.
@@ -22,7 +22,7 @@
 
 // Calls functions at deadlines, in order of deadline and then of scheduling.
 class timer_queue {
-public:
+ public:
   // Schedules `run` for `deadline`.
   timer_number at(mono_time deadline, std::function<void()> run)
   {
@@ -64,7 +64,7 @@
     return waiting_.begin()->first.first;
   }
 
-private:
+ private:
   using key = std::pair<mono_time, timer_number>;
 
   std::map<key, std::function<void()>> waiting_;
--- a/include/wisteriaflow/peer/peer_side.h
+++ b/include/wisteriaflow/peer/peer_side.h
@@ -3,18 +3,18 @@
 #ifndef WISTERIAFLOW_PEER_PEER_SIDE_H_
 #define WISTERIAFLOW_PEER_PEER_SIDE_H_
 
-#include <memory>
-#include <string>
-
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/daemon/event_sink.h"
 #include "wisteriaflow/http/message.h"
 
+#include <memory>
+#include <string>
+
 namespace wisteriaflow::peer {
 
 // The peers' address cannot be listened on.
 class peer_error : public error {
-public:
+ public:
   using error::error;
 };
 
@@ -26,7 +26,7 @@
 
 // Serves peers and calls them.
 class peer_side {
-public:
+ public:
   // Listens at once. Throws peer_error if it cannot.
   peer_side(peer_side_options options, std::shared_ptr<daemon::event_ring> core);
   ~peer_side();
@@ -41,7 +41,7 @@
   [[nodiscard]] http::socket_address address() const;
   [[nodiscard]] std::shared_ptr<daemon::bounded_ring<core::peer_action>> ring() const;
 
-private:
+ private:
   class implementation;
   std::unique_ptr<implementation> implementation_;
 };
--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -38,10 +38,10 @@
   int believed_tokens = 0;
   std::optional<mono_time> first_token_at;
   std::size_t tokens_before = 0; // that the answer had when this attempt's first one came
-  int status = 0;           // of the endpoint's answer; 0 before its head
-  std::string error_body;   // of an answer that is no stream
-  http::headers fields;     // of the answer
-  requests::engine_end end; // as told by the engine
+  int status = 0;                // of the endpoint's answer; 0 before its head
+  std::string error_body;        // of an answer that is no stream
+  http::headers fields;          // of the answer
+  requests::engine_end end;      // as told by the engine
   bool end_seen = false;
 };
 
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -59,7 +59,7 @@
   membership::gossiper::known_configuration heard_; // the highest that a peer has named
   bool fetching_ = false;
   bool floor_named_ = false; // by a peer
-  bool ask_any_ = false; // the one that named it could not give it
+  bool ask_any_ = false;     // the one that named it could not give it
 };
 
 } // namespace wisteriaflow::core::internal
--- a/src/peer/peer_codec.cc
+++ b/src/peer/peer_codec.cc
@@ -158,8 +158,8 @@
 membership::member decode_member(const v1::Member& in)
 {
   membership::member out;
-  out.key = {.kind = in.kind() == v1::MEMBER_KIND_DAEMON ? member_kind::daemon
-                                                         : member_kind::endpoint,
+  out.key = {.kind =
+                 in.kind() == v1::MEMBER_KIND_DAEMON ? member_kind::daemon : member_kind::endpoint,
              .id = in.id()};
   out.incarnation = in.incarnation();
   out.state = decode_state(in.state());
@@ -491,7 +491,10 @@
 
 void encode(const core::peer_response& /*in*/, v1::PlaceNoteReply& /*out*/) {}
 
-core::place_note_reply decode(const v1::PlaceNoteReply& /*in*/) { return {}; }
+core::place_note_reply decode(const v1::PlaceNoteReply& /*in*/)
+{
+  return {};
+}
 
 void encode(const core::peer_response& in, v1::GossipMessage& out)
 {
--- a/src/peer/peer_side.cc
+++ b/src/peer/peer_side.cc
@@ -1,5 +1,9 @@
 #include "wisteriaflow/peer/peer_side.h"
 
+#include "peer.grpc.pb.h"
+#include "peer/peer_codec.h"
+#include "wisteriaflow/daemon/bounded_ring.h"
+
 #include <chrono>
 #include <list>
 #include <map>
@@ -10,10 +14,6 @@
 #include <grpcpp/grpcpp.h>
 #include <grpcpp/resource_quota.h>
 
-#include "peer.grpc.pb.h"
-#include "peer/peer_codec.h"
-#include "wisteriaflow/daemon/bounded_ring.h"
-
 namespace wisteriaflow::peer {
 namespace {
 
@@ -36,7 +36,7 @@
 
 // The calls that wait, shared by gRPC's threads and the duty's own.
 class waiting_calls {
-public:
+ public:
   core::peer_reply_number add(waiting_call call)
   {
     const std::scoped_lock lock(mutex_);
@@ -63,7 +63,7 @@
     return std::exchange(calls_, {});
   }
 
-private:
+ private:
   std::mutex mutex_;
   std::map<core::peer_reply_number, waiting_call> calls_;
   core::peer_reply_number last_ = 0;
@@ -71,10 +71,11 @@
 
 // Turns each call into an event for the core.
 class service final : public v1::Peer::CallbackService {
-public:
+ public:
   service(std::shared_ptr<daemon::event_ring> core, waiting_calls& waiting)
       : core_(std::move(core)), waiting_(waiting)
-  {}
+  {
+  }
 
   grpc::ServerUnaryReactor* Gossip(grpc::CallbackServerContext* context,
                                    const v1::GossipMessage* in, v1::GossipMessage* out) override
@@ -104,13 +105,13 @@
   {
     return ask(context, *in, out);
   }
-  grpc::ServerUnaryReactor* NotePlace(grpc::CallbackServerContext* context,
-                                      const v1::PlaceNote* in, v1::PlaceNoteReply* out) override
+  grpc::ServerUnaryReactor* NotePlace(grpc::CallbackServerContext* context, const v1::PlaceNote* in,
+                                      v1::PlaceNoteReply* out) override
   {
     return ask(context, *in, out);
   }
 
-private:
+ private:
   template <typename In, typename Out>
   grpc::ServerUnaryReactor* ask(grpc::CallbackServerContext* context, const In& in, Out* out)
   {
@@ -131,7 +132,7 @@
 
 // Channels to other daemons, the least recently used closed first.
 class channel_cache {
-public:
+ public:
   explicit channel_cache(std::size_t limit) : limit_(limit) {}
 
   std::shared_ptr<v1::Peer::Stub> stub_for(const std::string& address)
@@ -150,7 +151,7 @@
     return order_.front().second;
   }
 
-private:
+ private:
   using entry = std::pair<std::string, std::shared_ptr<v1::Peer::Stub>>;
 
   static std::shared_ptr<v1::Peer::Stub> make_stub(const std::string& address)
@@ -174,12 +175,12 @@
 } // namespace
 
 class peer_side::implementation {
-public:
+ public:
   implementation(peer_side_options options, std::shared_ptr<daemon::event_ring> core)
       : options_(std::move(options)), core_(std::move(core)), service_(core_, waiting_),
         channels_(options_.channel_limit),
-        ring_(std::make_shared<daemon::bounded_ring<core::peer_action>>(
-            daemon::action_ring_capacity))
+        ring_(
+            std::make_shared<daemon::bounded_ring<core::peer_action>>(daemon::action_ring_capacity))
   {
     grpc::ServerBuilder builder;
     grpc::ResourceQuota quota("peers");
@@ -225,7 +226,7 @@
   [[nodiscard]] const http::socket_address& address() const { return address_; }
   [[nodiscard]] auto ring() const { return ring_; }
 
-private:
+ private:
   void run()
   {
     while (!ring_->closed()) {
@@ -266,9 +267,9 @@
   void send(const core::send_to_peer& a, const core::request_query& message,
             const std::shared_ptr<v1::Peer::Stub>& stub)
   {
-    call<v1::RequestQuery, v1::RequestStatus>(
-        a, message, stub,
-        [](auto* s, auto... arguments) { s->async()->QueryRequest(arguments...); });
+    call<v1::RequestQuery, v1::RequestStatus>(a, message, stub, [](auto* s, auto... arguments) {
+      s->async()->QueryRequest(arguments...);
+    });
   }
   void send(const core::send_to_peer& a, const core::handed_over_request& message,
             const std::shared_ptr<v1::Peer::Stub>& stub)
@@ -308,9 +309,8 @@
     const auto done = [state, number = a.call, ring = core_](const grpc::Status& status) {
       core::event e = core::peer_failed{.call = number};
       if (status.ok()) {
-        e = core::peer_answered{.call = number,
-                                .message = decode(state->reply),
-                                .bytes = state->reply.ByteSizeLong()};
+        e = core::peer_answered{
+            .call = number, .message = decode(state->reply), .bytes = state->reply.ByteSizeLong()};
       }
       // A lost answer is what the core must bear anyway: its own deadline for the call passes.
       ring->try_push(std::move(e));
@@ -332,15 +332,25 @@
 
 peer_side::peer_side(peer_side_options options, std::shared_ptr<daemon::event_ring> core)
     : implementation_(std::make_unique<implementation>(std::move(options), std::move(core)))
-{}
+{
+}
 
 peer_side::~peer_side() = default;
 
-void peer_side::start() { implementation_->start(); }
+void peer_side::start()
+{
+  implementation_->start();
+}
 
-void peer_side::stop() { implementation_->stop(); }
+void peer_side::stop()
+{
+  implementation_->stop();
+}
 
-http::socket_address peer_side::address() const { return implementation_->address(); }
+http::socket_address peer_side::address() const
+{
+  return implementation_->address();
+}
 
 std::shared_ptr<daemon::bounded_ring<core::peer_action>> peer_side::ring() const
 {
