--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -1,5 +1,6 @@
 // One daemon's knowledge of the fleet, and what it does to keep it: membership, gossip, its own
-// registration, the endpoints it reaches, and their loads.
+// registration, the endpoints it reaches, and their loads. Implementation files: fleet.cc (members and
+// gossip), fleet_endpoints.cc (endpoints).
 
 #ifndef WISTERIAFLOW_SRC_CORE_FLEET_H_
 #define WISTERIAFLOW_SRC_CORE_FLEET_H_
