Soak: declare nothing while the store may hang

Cause: the declaration held up the faults' own thread for its 120 s limit, so that a paused daemon was never woken and its stream was counted as cut: a fault of the program, seen in a stopped daemon.

--- a/test/system/soak_main.cc
+++ b/test/system/soak_main.cc
@@ -224,8 +224,12 @@
           [this] { set_store(R"({"outage":"none","lose_answer_probability":0.0,"delay_ms":0})"); });
   }
 
+  // Not while the store may hang: the operator's call would hold up the faults' later steps.
   void declare_workspace()
   {
+    if (store_faults_ > 0) {
+      return;
+    }
     const auto name = "hotel-" + std::to_string(++last_workspace_);
     const lock held(mutex_);
     const auto made = fleet_.create(
@@ -372,6 +376,7 @@
   std::multimap<clock::time_point, std::function<void()>> due_;
   std::map<std::string, delivered_key> keys_;
   counts counts_;
+  int store_faults_ = 0; // under way
   int last_engine_ = 0;
   int last_workspace_ = 1;
 };
