--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -3,9 +3,6 @@
 //
 //   build/capacity_bench --seeds=5 --json=capacity.json
 
-#include "capacity_bench_world.h"
-#include "wisteriaflow/capacity/mix.h"
-
 #include <cstdio>
 #include <fstream>
 #include <functional>
@@ -16,6 +13,9 @@
 #include <absl/flags/parse.h>
 #include <boost/json.hpp>
 
+#include "capacity_bench_world.h"
+#include "wisteriaflow/capacity/mix.h"
+
 ABSL_FLAG(int, seeds, 5, "days for each line, seeds 1, 2, ...");
 ABSL_FLAG(double, price_ratio, 0.3, "mean price of a reclaimable instance against on-demand");
 ABSL_FLAG(double, payback_minutes, 0, "payback horizon; 0: the planner's default");
--- a/bench/capacity_bench_world.h
+++ b/bench/capacity_bench_world.h
@@ -4,8 +4,6 @@
 #ifndef WISTERIAFLOW_BENCH_CAPACITY_BENCH_WORLD_H_
 #define WISTERIAFLOW_BENCH_CAPACITY_BENCH_WORLD_H_
 
-#include "wisteriaflow/capacity/planner.h"
-
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -13,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/capacity/planner.h"
+
 namespace wisteriaflow::capacity {
 
 // What is simulated. Times are of the day.
--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -2,10 +2,6 @@
 // shards. Time is simulated and the store answers after a fixed delay, so the figures but the
 // processor time are the same in each run. Prints a table and, with --json, the same as JSON.
 
-#include "claims/fake_claim_store.h"
-#include "wisteriaflow/claims/claim_shard_owner.h"
-#include "wisteriaflow/claims/shard_map.h"
-
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -19,6 +15,10 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "claims/fake_claim_store.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+#include "wisteriaflow/claims/shard_map.h"
+
 ABSL_FLAG(double, claims_per_second, 540, "claims a second over all shards");
 ABSL_FLAG(std::uint32_t, shards, 16, "shards of the key space");
 ABSL_FLAG(std::uint32_t, flush_ms, 100, "least time between two updates of a shard, ms");
--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -3,8 +3,6 @@
 //
 //   build/membership_bench --measure=steady,leave,zone,silent,subsets --events=5 --json=out.json
 
-#include "membership_bench_fleet.h"
-
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
@@ -22,6 +20,8 @@
 #include <boost/json.hpp>
 #include <malloc.h>
 
+#include "membership_bench_fleet.h"
+
 ABSL_FLAG(std::vector<std::string>, measure,
           std::vector<std::string>({"subsets", "steady", "leave", "zone", "silent"}),
           "what is measured");
--- a/bench/membership_bench_fleet.cc
+++ b/bench/membership_bench_fleet.cc
@@ -1,8 +1,5 @@
 #include "membership_bench_fleet.h"
 
-#include "peer/peer_codec.h"
-#include "wisteriaflow/membership/subsets.h"
-
 #include <algorithm>
 #include <chrono>
 #include <functional>
@@ -12,6 +9,9 @@
 #include <string>
 #include <utility>
 
+#include "peer/peer_codec.h"
+#include "wisteriaflow/membership/subsets.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/bench/membership_bench_fleet.h
+++ b/bench/membership_bench_fleet.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_BENCH_MEMBERSHIP_BENCH_FLEET_H_
 #define WISTERIAFLOW_BENCH_MEMBERSHIP_BENCH_FLEET_H_
 
-#include "wisteriaflow/membership/gossip.h"
-#include "wisteriaflow/membership/view.h"
-
 #include <array>
 #include <cstdint>
 #include <map>
@@ -14,6 +11,9 @@
 #include <set>
 #include <vector>
 
+#include "wisteriaflow/membership/gossip.h"
+#include "wisteriaflow/membership/view.h"
+
 namespace wisteriaflow::membership {
 
 struct fleet_options {
--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -5,9 +5,6 @@
 // bench/run-path.sh starts what it needs. Prints a table and one line of JSON. Direct and routed
 // calls alternate, so that the machine's other load weighs on both.
 
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <unistd.h>
 
 #include <algorithm>
@@ -28,6 +25,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/errors.h"
+
 ABSL_FLAG(std::string, daemon, "", "callers' address of the daemon");
 ABSL_FLAG(int, daemon_pid, 0, "process id of the daemon");
 ABSL_FLAG(std::string, engine, "", "address of the fake engine");
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -4,9 +4,6 @@
 //
 //   policy_bench --json=policy.json
 
-#include "policy_bench_fleet.h"
-#include "policy_bench_scale.h"
-
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -17,6 +14,9 @@
 #include <absl/flags/parse.h>
 #include <boost/json.hpp>
 
+#include "policy_bench_fleet.h"
+#include "policy_bench_scale.h"
+
 ABSL_FLAG(std::string, json, "", "file to write every figure to");
 ABSL_FLAG(std::string, deployment, "", "run only this deployment (authority, association)");
 ABSL_FLAG(std::string, condition, "", "run only this condition (a comma-separated list)");
--- a/bench/policy_bench_engine.h
+++ b/bench/policy_bench_engine.h
@@ -4,10 +4,6 @@
 #ifndef WISTERIAFLOW_BENCH_POLICY_BENCH_ENGINE_H_
 #define WISTERIAFLOW_BENCH_POLICY_BENCH_ENGINE_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-#include "wisteriaflow/routing/prefix_belief.h"
-
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -17,6 +13,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
 namespace wisteriaflow::bench {
 
 inline constexpr int block_tokens = 64;
--- a/bench/policy_bench_figures.h
+++ b/bench/policy_bench_figures.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_BENCH_POLICY_BENCH_FIGURES_H_
 #define WISTERIAFLOW_BENCH_POLICY_BENCH_FIGURES_H_
 
-#include "policy_bench_fleet.h"
-#include "policy_bench_workload.h"
-
 #include <limits>
 #include <span>
 
+#include "policy_bench_fleet.h"
+#include "policy_bench_workload.h"
+
 namespace wisteriaflow::bench {
 
 inline constexpr double never = std::numeric_limits<double>::infinity();
--- a/bench/policy_bench_fleet.cc
+++ b/bench/policy_bench_fleet.cc
@@ -1,10 +1,5 @@
 #include "policy_bench_fleet.h"
 
-#include "policy_bench_figures.h"
-#include "policy_bench_plain.h"
-#include "policy_bench_workload.h"
-#include "wisteriaflow/admission/retry.h"
-
 #include <algorithm>
 #include <memory>
 #include <optional>
@@ -14,6 +9,11 @@
 #include <unordered_set>
 #include <utility>
 
+#include "policy_bench_figures.h"
+#include "policy_bench_plain.h"
+#include "policy_bench_workload.h"
+#include "wisteriaflow/admission/retry.h"
+
 namespace wisteriaflow::bench {
 namespace {
 
--- a/bench/policy_bench_fleet.h
+++ b/bench/policy_bench_fleet.h
@@ -5,14 +5,14 @@
 #ifndef WISTERIAFLOW_BENCH_POLICY_BENCH_FLEET_H_
 #define WISTERIAFLOW_BENCH_POLICY_BENCH_FLEET_H_
 
-#include "policy_bench_engine.h"
-#include "wisteriaflow/admission/admission_control.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "policy_bench_engine.h"
+#include "wisteriaflow/admission/admission_control.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+
 namespace wisteriaflow::bench {
 
 enum class policy { wisteriaflow, random, round_robin, least_loaded, prefix_affinity };
--- a/bench/policy_bench_plain.cc
+++ b/bench/policy_bench_plain.cc
@@ -1,10 +1,10 @@
 #include "policy_bench_plain.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <vector>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::bench {
 namespace {
 
--- a/bench/policy_bench_plain.h
+++ b/bench/policy_bench_plain.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_BENCH_POLICY_BENCH_PLAIN_H_
 #define WISTERIAFLOW_BENCH_POLICY_BENCH_PLAIN_H_
 
-#include "policy_bench_fleet.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <random>
 #include <span>
 
+#include "policy_bench_fleet.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+
 namespace wisteriaflow::bench {
 
 // Picks one of `live`, which is not empty. `turn` counts the picks of round robin. Prefix affinity
--- a/bench/policy_bench_scale.cc
+++ b/bench/policy_bench_scale.cc
@@ -1,10 +1,5 @@
 #include "policy_bench_scale.h"
 
-#include "policy_bench_engine.h"
-#include "wisteriaflow/admission/admission_control.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-#include "wisteriaflow/routing/prefix_blocks.h"
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -12,6 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "policy_bench_engine.h"
+#include "wisteriaflow/admission/admission_control.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
 namespace wisteriaflow::bench {
 namespace {
 
--- a/bench/policy_bench_workload.h
+++ b/bench/policy_bench_workload.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_BENCH_POLICY_BENCH_WORKLOAD_H_
 #define WISTERIAFLOW_BENCH_POLICY_BENCH_WORKLOAD_H_
 
-#include "policy_bench_fleet.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
+#include "policy_bench_fleet.h"
+
 namespace wisteriaflow::bench {
 
 inline constexpr mono_time start{std::chrono::seconds(1000)};
--- a/include/wisteriaflow/admission/admission_control.h
+++ b/include/wisteriaflow/admission/admission_control.h
@@ -5,10 +5,6 @@
 #ifndef WISTERIAFLOW_ADMISSION_ADMISSION_CONTROL_H_
 #define WISTERIAFLOW_ADMISSION_ADMISSION_CONTROL_H_
 
-#include "wisteriaflow/admission/workspace_limiter.h"
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <map>
 #include <optional>
@@ -16,6 +12,10 @@
 #include <string_view>
 #include <variant>
 
+#include "wisteriaflow/admission/workspace_limiter.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::admission {
 
 enum class request_priority { interactive, batch };
--- a/include/wisteriaflow/admission/retry.h
+++ b/include/wisteriaflow/admission/retry.h
@@ -3,11 +3,11 @@
 #ifndef WISTERIAFLOW_ADMISSION_RETRY_H_
 #define WISTERIAFLOW_ADMISSION_RETRY_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <random>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::admission {
 
 struct retry_budget_options {
--- a/include/wisteriaflow/admission/workspace_limiter.h
+++ b/include/wisteriaflow/admission/workspace_limiter.h
@@ -14,10 +14,6 @@
 #ifndef WISTERIAFLOW_ADMISSION_WORKSPACE_LIMITER_H_
 #define WISTERIAFLOW_ADMISSION_WORKSPACE_LIMITER_H_
 
-#include "wisteriaflow/admission/rate_limit.h"
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -26,6 +22,10 @@
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/admission/rate_limit.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::admission {
 
 // What a share is measured in.
--- a/include/wisteriaflow/capacity/demand_window.h
+++ b/include/wisteriaflow/capacity/demand_window.h
@@ -4,13 +4,13 @@
 #ifndef WISTERIAFLOW_CAPACITY_DEMAND_WINDOW_H_
 #define WISTERIAFLOW_CAPACITY_DEMAND_WINDOW_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/inputs.h"
-
 #include <chrono>
 #include <cstddef>
 #include <deque>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/inputs.h"
+
 namespace wisteriaflow::capacity {
 
 // Keeps at most `slots` maxima, each of an equal part of the window.
--- a/include/wisteriaflow/capacity/inputs.h
+++ b/include/wisteriaflow/capacity/inputs.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_CAPACITY_INPUTS_H_
 #define WISTERIAFLOW_CAPACITY_INPUTS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/objects/declared_object.h"
-
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/objects/declared_object.h"
+
 namespace wisteriaflow::capacity {
 
 // One kind of instance that the cloud API offers.
--- a/include/wisteriaflow/capacity/launch_backoff.h
+++ b/include/wisteriaflow/capacity/launch_backoff.h
@@ -4,14 +4,14 @@
 #ifndef WISTERIAFLOW_CAPACITY_LAUNCH_BACKOFF_H_
 #define WISTERIAFLOW_CAPACITY_LAUNCH_BACKOFF_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/inputs.h"
-
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <random>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/inputs.h"
+
 namespace wisteriaflow::capacity {
 
 struct launch_backoff_options {
--- a/include/wisteriaflow/capacity/launch_ledger.h
+++ b/include/wisteriaflow/capacity/launch_ledger.h
@@ -7,10 +7,6 @@
 #ifndef WISTERIAFLOW_CAPACITY_LAUNCH_LEDGER_H_
 #define WISTERIAFLOW_CAPACITY_LAUNCH_LEDGER_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/inputs.h"
-
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,6 +14,10 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/inputs.h"
+
 namespace wisteriaflow::capacity {
 
 // One launch on its way.
--- a/include/wisteriaflow/capacity/lease_holder.h
+++ b/include/wisteriaflow/capacity/lease_holder.h
@@ -20,9 +20,6 @@
 #ifndef WISTERIAFLOW_CAPACITY_LEASE_HOLDER_H_
 #define WISTERIAFLOW_CAPACITY_LEASE_HOLDER_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -34,6 +31,9 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::capacity {
 
 inline constexpr std::string_view leases_plural = "leases";
--- a/include/wisteriaflow/capacity/load_queue.h
+++ b/include/wisteriaflow/capacity/load_queue.h
@@ -3,16 +3,16 @@
 #ifndef WISTERIAFLOW_CAPACITY_LOAD_QUEUE_H_
 #define WISTERIAFLOW_CAPACITY_LOAD_QUEUE_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/inputs.h"
-
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/inputs.h"
+
 namespace wisteriaflow::capacity {
 
 struct load_queue_options {
--- a/include/wisteriaflow/capacity/mix.h
+++ b/include/wisteriaflow/capacity/mix.h
@@ -8,12 +8,12 @@
 #ifndef WISTERIAFLOW_CAPACITY_MIX_H_
 #define WISTERIAFLOW_CAPACITY_MIX_H_
 
-#include "wisteriaflow/capacity/inputs.h"
-
 #include <cstdint>
 #include <limits>
 #include <vector>
 
+#include "wisteriaflow/capacity/inputs.h"
+
 namespace wisteriaflow::capacity {
 
 // One way to get instances. Two columns may have the same key: those that run already, and new
--- a/include/wisteriaflow/capacity/planner.h
+++ b/include/wisteriaflow/capacity/planner.h
@@ -12,14 +12,6 @@
 #ifndef WISTERIAFLOW_CAPACITY_PLANNER_H_
 #define WISTERIAFLOW_CAPACITY_PLANNER_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/demand_window.h"
-#include "wisteriaflow/capacity/inputs.h"
-#include "wisteriaflow/capacity/launch_backoff.h"
-#include "wisteriaflow/capacity/launch_ledger.h"
-#include "wisteriaflow/capacity/load_queue.h"
-#include "wisteriaflow/capacity/mix.h"
-
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -28,6 +20,14 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/demand_window.h"
+#include "wisteriaflow/capacity/inputs.h"
+#include "wisteriaflow/capacity/launch_backoff.h"
+#include "wisteriaflow/capacity/launch_ledger.h"
+#include "wisteriaflow/capacity/load_queue.h"
+#include "wisteriaflow/capacity/mix.h"
+
 namespace wisteriaflow::capacity {
 
 namespace internal {
--- a/include/wisteriaflow/claims/claim.h
+++ b/include/wisteriaflow/claims/claim.h
@@ -4,15 +4,15 @@
 #ifndef WISTERIAFLOW_CLAIMS_CLAIM_H_
 #define WISTERIAFLOW_CLAIMS_CLAIM_H_
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::claims {
 
 // Settings of the package. Durations are settings only; what is stored are points in time.
--- a/include/wisteriaflow/claims/claim_asker.h
+++ b/include/wisteriaflow/claims/claim_asker.h
@@ -11,15 +11,15 @@
 #ifndef WISTERIAFLOW_CLAIMS_CLAIM_ASKER_H_
 #define WISTERIAFLOW_CLAIMS_CLAIM_ASKER_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/claims/claim.h"
-
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/claims/claim.h"
+
 namespace wisteriaflow::claims {
 
 // What another executor says of a request; mirrors RequestState of the peer protocol.
--- a/include/wisteriaflow/claims/claim_shard_owner.h
+++ b/include/wisteriaflow/claims/claim_shard_owner.h
@@ -13,14 +13,14 @@
 #ifndef WISTERIAFLOW_CLAIMS_CLAIM_SHARD_OWNER_H_
 #define WISTERIAFLOW_CLAIMS_CLAIM_SHARD_OWNER_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/claims/owner_events.h"
-
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/claims/owner_events.h"
+
 namespace wisteriaflow::claims {
 
 struct owner_options {
--- a/include/wisteriaflow/claims/owner_events.h
+++ b/include/wisteriaflow/claims/owner_events.h
@@ -13,13 +13,13 @@
 #ifndef WISTERIAFLOW_CLAIMS_OWNER_EVENTS_H_
 #define WISTERIAFLOW_CLAIMS_OWNER_EVENTS_H_
 
-#include "wisteriaflow/claims/claim.h"
-#include "wisteriaflow/claims/shard_tail.h"
-
 #include <cstdint>
 #include <optional>
 #include <variant>
 
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/claims/shard_tail.h"
+
 namespace wisteriaflow::claims {
 
 struct read_tail {
--- a/include/wisteriaflow/claims/request_key.h
+++ b/include/wisteriaflow/claims/request_key.h
@@ -7,15 +7,15 @@
 #ifndef WISTERIAFLOW_CLAIMS_REQUEST_KEY_H_
 #define WISTERIAFLOW_CLAIMS_REQUEST_KEY_H_
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <compare>
 #include <string>
 #include <string_view>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::claims {
 
 // How far a caller's clock may run ahead of ours before its keys are refused.
--- a/include/wisteriaflow/claims/shard_map.h
+++ b/include/wisteriaflow/claims/shard_map.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_CLAIMS_SHARD_MAP_H_
 #define WISTERIAFLOW_CLAIMS_SHARD_MAP_H_
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/base/ids.h"
-
 #include <cstdint>
 #include <optional>
 #include <span>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+
 namespace wisteriaflow::claims {
 
 // The shard of `key` among `shards` (at least 1).
--- a/include/wisteriaflow/claims/shard_tail.h
+++ b/include/wisteriaflow/claims/shard_tail.h
@@ -7,15 +7,15 @@
 #ifndef WISTERIAFLOW_CLAIMS_SHARD_TAIL_H_
 #define WISTERIAFLOW_CLAIMS_SHARD_TAIL_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/claims/claim.h"
-
 #include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/claims/claim.h"
+
 namespace wisteriaflow::claims {
 
 // Names one segment of a shard. The epoch in it keeps a former owner's segments apart from those
--- a/include/wisteriaflow/claims/tail_codec.h
+++ b/include/wisteriaflow/claims/tail_codec.h
@@ -4,10 +4,10 @@
 #ifndef WISTERIAFLOW_CLAIMS_TAIL_CODEC_H_
 #define WISTERIAFLOW_CLAIMS_TAIL_CODEC_H_
 
-#include "wisteriaflow/claims/shard_tail.h"
-
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/claims/shard_tail.h"
+
 namespace wisteriaflow::claims {
 
 [[nodiscard]] boost::json::value encode_tail(const shard_tail& tail);
--- a/include/wisteriaflow/core/actions.h
+++ b/include/wisteriaflow/core/actions.h
@@ -5,17 +5,17 @@
 #ifndef WISTERIAFLOW_CORE_ACTIONS_H_
 #define WISTERIAFLOW_CORE_ACTIONS_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/core/peer_messages.h"
-#include "wisteriaflow/core/store.h"
-#include "wisteriaflow/http/message.h"
-
 #include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/core/peer_messages.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::core {
 
 // Number of a caller's call within this process.
--- a/include/wisteriaflow/core/daemon_core.h
+++ b/include/wisteriaflow/core/daemon_core.h
@@ -10,14 +10,6 @@
 #ifndef WISTERIAFLOW_CORE_DAEMON_CORE_H_
 #define WISTERIAFLOW_CORE_DAEMON_CORE_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/capacity/planner.h"
-#include "wisteriaflow/claims/claim.h"
-#include "wisteriaflow/core/actions.h"
-#include "wisteriaflow/core/events.h"
-#include "wisteriaflow/http/message.h"
-
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -26,6 +18,14 @@
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/capacity/planner.h"
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/events.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::core {
 
 // The capacity duty: instances are started and released by the daemon that holds its lease.
--- a/include/wisteriaflow/core/events.h
+++ b/include/wisteriaflow/core/events.h
@@ -3,11 +3,6 @@
 #ifndef WISTERIAFLOW_CORE_EVENTS_H_
 #define WISTERIAFLOW_CORE_EVENTS_H_
 
-#include "wisteriaflow/core/actions.h"
-#include "wisteriaflow/core/peer_messages.h"
-#include "wisteriaflow/core/store.h"
-#include "wisteriaflow/http/message.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -16,6 +11,11 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/peer_messages.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::core {
 
 // From callers.
--- a/include/wisteriaflow/core/peer_messages.h
+++ b/include/wisteriaflow/core/peer_messages.h
@@ -3,6 +3,11 @@
 #ifndef WISTERIAFLOW_CORE_PEER_MESSAGES_H_
 #define WISTERIAFLOW_CORE_PEER_MESSAGES_H_
 
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
@@ -12,11 +17,6 @@
 #include "wisteriaflow/objects/configuration_store.h"
 #include "wisteriaflow/requests/request_actions.h"
 
-#include <cstdint>
-#include <string>
-#include <variant>
-#include <vector>
-
 namespace wisteriaflow::core {
 
 // Number of a call to a peer, of this process.
--- a/include/wisteriaflow/core/store.h
+++ b/include/wisteriaflow/core/store.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_CORE_STORE_H_
 #define WISTERIAFLOW_CORE_STORE_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -12,6 +10,8 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::core {
 
 // Number that ties an answer to its call.
--- a/include/wisteriaflow/core/timer_queue.h
+++ b/include/wisteriaflow/core/timer_queue.h
@@ -7,14 +7,14 @@
 #ifndef WISTERIAFLOW_CORE_TIMER_QUEUE_H_
 #define WISTERIAFLOW_CORE_TIMER_QUEUE_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <utility>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::core {
 
 // Names one scheduled call, for cancelling it. 0 names none.
--- a/include/wisteriaflow/daemon/bounded_ring.h
+++ b/include/wisteriaflow/daemon/bounded_ring.h
@@ -8,8 +8,6 @@
 #ifndef WISTERIAFLOW_DAEMON_BOUNDED_RING_H_
 #define WISTERIAFLOW_DAEMON_BOUNDED_RING_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <condition_variable>
 #include <cstddef>
 #include <functional>
@@ -19,6 +17,8 @@
 
 #include <boost/circular_buffer.hpp>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::daemon {
 
 // A queue of at most `capacity` messages of type `T`.
--- a/include/wisteriaflow/daemon/caller_side.h
+++ b/include/wisteriaflow/daemon/caller_side.h
@@ -3,10 +3,6 @@
 #ifndef WISTERIAFLOW_DAEMON_CALLER_SIDE_H_
 #define WISTERIAFLOW_DAEMON_CALLER_SIDE_H_
 
-#include "wisteriaflow/daemon/duty_thread.h"
-#include "wisteriaflow/daemon/settings.h"
-#include "wisteriaflow/http/server.h"
-
 #include <deque>
 #include <map>
 #include <memory>
@@ -14,6 +10,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/http/server.h"
+
 namespace wisteriaflow::daemon {
 
 // Serves callers. Everything that is decided about a call is decided by the core.
--- a/include/wisteriaflow/daemon/daemon.h
+++ b/include/wisteriaflow/daemon/daemon.h
@@ -3,11 +3,11 @@
 #ifndef WISTERIAFLOW_DAEMON_DAEMON_H_
 #define WISTERIAFLOW_DAEMON_DAEMON_H_
 
+#include <memory>
+
 #include "wisteriaflow/daemon/settings.h"
 #include "wisteriaflow/http/message.h"
 
-#include <memory>
-
 namespace wisteriaflow::daemon {
 
 // Runs until it is told to drain and has drained.
--- a/include/wisteriaflow/daemon/duty_thread.h
+++ b/include/wisteriaflow/daemon/duty_thread.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_DAEMON_DUTY_THREAD_H_
 #define WISTERIAFLOW_DAEMON_DUTY_THREAD_H_
 
-#include "wisteriaflow/daemon/event_sink.h"
-#include "wisteriaflow/daemon/ring_port.h"
-
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -17,6 +14,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "wisteriaflow/daemon/event_sink.h"
+#include "wisteriaflow/daemon/ring_port.h"
+
 namespace wisteriaflow::daemon {
 
 // Runs an io_context on a thread of its own. Actions pushed into its ring are handed to `on_action`
--- a/include/wisteriaflow/daemon/endpoint_side.h
+++ b/include/wisteriaflow/daemon/endpoint_side.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_DAEMON_ENDPOINT_SIDE_H_
 #define WISTERIAFLOW_DAEMON_ENDPOINT_SIDE_H_
 
-#include "wisteriaflow/daemon/duty_thread.h"
-#include "wisteriaflow/http/client.h"
-
 #include <map>
 #include <memory>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/http/client.h"
+
 namespace wisteriaflow::daemon {
 
 // Runs exchanges with endpoints. An exchange ends with exactly one of ended and failed, or with
--- a/include/wisteriaflow/daemon/event_sink.h
+++ b/include/wisteriaflow/daemon/event_sink.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_DAEMON_EVENT_SINK_H_
 #define WISTERIAFLOW_DAEMON_EVENT_SINK_H_
 
+#include <memory>
+
 #include "wisteriaflow/core/actions.h"
 #include "wisteriaflow/core/events.h"
 #include "wisteriaflow/daemon/bounded_ring.h"
 
-#include <memory>
-
 namespace wisteriaflow::daemon {
 
 // Towards the core, from every duty.
--- a/include/wisteriaflow/daemon/platform_side.h
+++ b/include/wisteriaflow/daemon/platform_side.h
@@ -4,16 +4,16 @@
 #ifndef WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
 #define WISTERIAFLOW_DAEMON_PLATFORM_SIDE_H_
 
-#include "wisteriaflow/daemon/duty_thread.h"
-#include "wisteriaflow/daemon/settings.h"
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/platform/object_api.h"
-
 #include <memory>
 #include <random>
 
 #include <boost/asio/awaitable.hpp>
 
+#include "wisteriaflow/daemon/duty_thread.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/platform/object_api.h"
+
 namespace wisteriaflow::daemon {
 
 // Calls the platform. Each loop backs off with full jitter while its service fails, so that a
--- a/include/wisteriaflow/daemon/ring_port.h
+++ b/include/wisteriaflow/daemon/ring_port.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_DAEMON_RING_PORT_H_
 #define WISTERIAFLOW_DAEMON_RING_PORT_H_
 
-#include "wisteriaflow/daemon/bounded_ring.h"
-
 #include <deque>
 #include <memory>
 #include <utility>
 
+#include "wisteriaflow/daemon/bounded_ring.h"
+
 namespace wisteriaflow::daemon {
 
 // Keeps messages in order while the ring is full, and passes them on at the next flush. What can
--- a/include/wisteriaflow/daemon/settings.h
+++ b/include/wisteriaflow/daemon/settings.h
@@ -8,14 +8,14 @@
 #ifndef WISTERIAFLOW_DAEMON_SETTINGS_H_
 #define WISTERIAFLOW_DAEMON_SETTINGS_H_
 
-#include "wisteriaflow/base/errors.h"
-
 #include <chrono>
 #include <cstdint>
 #include <iosfwd>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/errors.h"
+
 namespace wisteriaflow::daemon {
 
 // A settings file that cannot be used. The message names file, section, key, value and what is
--- a/include/wisteriaflow/http/client.h
+++ b/include/wisteriaflow/http/client.h
@@ -4,9 +4,6 @@
 #ifndef WISTERIAFLOW_HTTP_CLIENT_H_
 #define WISTERIAFLOW_HTTP_CLIENT_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/message.h"
-
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -16,6 +13,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::http {
 
 // Limits of a client.
--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -14,8 +14,6 @@
 #ifndef WISTERIAFLOW_HTTP_SERVER_H_
 #define WISTERIAFLOW_HTTP_SERVER_H_
 
-#include "wisteriaflow/http/message.h"
-
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -25,6 +23,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::http {
 
 // Sends one response. Belongs to the connection that received the request; every member is called
--- a/include/wisteriaflow/membership/address_book.h
+++ b/include/wisteriaflow/membership/address_book.h
@@ -11,16 +11,16 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_ADDRESS_BOOK_H_
 #define WISTERIAFLOW_MEMBERSHIP_ADDRESS_BOOK_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-
 #include <chrono>
 #include <cstddef>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+
 namespace wisteriaflow::membership {
 
 struct address_book_options {
--- a/include/wisteriaflow/membership/gossip.h
+++ b/include/wisteriaflow/membership/gossip.h
@@ -15,6 +15,13 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_GOSSIP_H_
 #define WISTERIAFLOW_MEMBERSHIP_GOSSIP_H_
 
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/membership/internal/heartbeat_board.h"
@@ -25,13 +32,6 @@
 #include "wisteriaflow/membership/usage_ledger.h"
 #include "wisteriaflow/membership/view.h"
 
-#include <chrono>
-#include <cstdint>
-#include <functional>
-#include <map>
-#include <random>
-#include <vector>
-
 namespace wisteriaflow::membership {
 
 struct gossip_options {
--- a/include/wisteriaflow/membership/internal/heartbeat_board.h
+++ b/include/wisteriaflow/membership/internal/heartbeat_board.h
@@ -6,15 +6,15 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_INTERNAL_HEARTBEAT_BOARD_H_
 #define WISTERIAFLOW_MEMBERSHIP_INTERNAL_HEARTBEAT_BOARD_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/messages.h"
-
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/messages.h"
+
 namespace wisteriaflow::membership::internal {
 
 struct heartbeat_board_options {
--- a/include/wisteriaflow/membership/internal/news_board.h
+++ b/include/wisteriaflow/membership/internal/news_board.h
@@ -6,13 +6,13 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_INTERNAL_NEWS_BOARD_H_
 #define WISTERIAFLOW_MEMBERSHIP_INTERNAL_NEWS_BOARD_H_
 
-#include "wisteriaflow/membership/member.h"
-#include "wisteriaflow/membership/view.h"
-
 #include <cstddef>
 #include <map>
 #include <vector>
 
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/membership/view.h"
+
 namespace wisteriaflow::membership::internal {
 
 struct news_board_options {
--- a/include/wisteriaflow/membership/internal/repair_pacer.h
+++ b/include/wisteriaflow/membership/internal/repair_pacer.h
@@ -7,12 +7,12 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_INTERNAL_REPAIR_PACER_H_
 #define WISTERIAFLOW_MEMBERSHIP_INTERNAL_REPAIR_PACER_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <chrono>
 #include <optional>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::membership::internal {
 
 class repair_pacer {
--- a/include/wisteriaflow/membership/member.h
+++ b/include/wisteriaflow/membership/member.h
@@ -6,15 +6,15 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_MEMBER_H_
 #define WISTERIAFLOW_MEMBERSHIP_MEMBER_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::membership {
 
 enum class member_kind : std::uint8_t { daemon, endpoint };
--- a/include/wisteriaflow/membership/messages.h
+++ b/include/wisteriaflow/membership/messages.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_MESSAGES_H_
 #define WISTERIAFLOW_MEMBERSHIP_MESSAGES_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+
 namespace wisteriaflow::membership {
 
 // A heartbeat in compact form; see membership_view::apply_heartbeat.
--- a/include/wisteriaflow/membership/subsets.h
+++ b/include/wisteriaflow/membership/subsets.h
@@ -9,13 +9,13 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_SUBSETS_H_
 #define WISTERIAFLOW_MEMBERSHIP_SUBSETS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/membership/member.h"
-
 #include <cstddef>
 #include <span>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/membership/member.h"
+
 namespace wisteriaflow::membership {
 
 struct subset_options {
--- a/include/wisteriaflow/membership/usage_ledger.h
+++ b/include/wisteriaflow/membership/usage_ledger.h
@@ -11,11 +11,6 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_USAGE_LEDGER_H_
 #define WISTERIAFLOW_MEMBERSHIP_USAGE_LEDGER_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-#include "wisteriaflow/membership/messages.h"
-
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -24,6 +19,11 @@
 #include <span>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/membership/messages.h"
+
 namespace wisteriaflow::membership {
 
 struct usage_ledger_options {
--- a/include/wisteriaflow/membership/view.h
+++ b/include/wisteriaflow/membership/view.h
@@ -13,10 +13,6 @@
 #ifndef WISTERIAFLOW_MEMBERSHIP_VIEW_H_
 #define WISTERIAFLOW_MEMBERSHIP_VIEW_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -28,6 +24,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+
 namespace wisteriaflow::membership {
 
 struct view_options {
--- a/include/wisteriaflow/objects/audit_record.h
+++ b/include/wisteriaflow/objects/audit_record.h
@@ -6,14 +6,14 @@
 #ifndef WISTERIAFLOW_OBJECTS_AUDIT_RECORD_H_
 #define WISTERIAFLOW_OBJECTS_AUDIT_RECORD_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::objects {
 
 // The object API's resource that holds the audit trail, and the kind of its objects.
--- a/include/wisteriaflow/objects/codec.h
+++ b/include/wisteriaflow/objects/codec.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_OBJECTS_CODEC_H_
 #define WISTERIAFLOW_OBJECTS_CODEC_H_
 
-#include "wisteriaflow/objects/declared_object.h"
-#include "wisteriaflow/objects/errors.h"
-
 #include <string>
 #include <variant>
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/objects/declared_object.h"
+#include "wisteriaflow/objects/errors.h"
+
 namespace wisteriaflow::objects {
 
 // An object of a kind or schema that this version does not know. It is kept, not read, so that it
--- a/include/wisteriaflow/objects/configuration_store.h
+++ b/include/wisteriaflow/objects/configuration_store.h
@@ -7,9 +7,6 @@
 #ifndef WISTERIAFLOW_OBJECTS_CONFIGURATION_STORE_H_
 #define WISTERIAFLOW_OBJECTS_CONFIGURATION_STORE_H_
 
-#include "wisteriaflow/objects/codec.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -20,6 +17,9 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/objects/codec.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+
 namespace wisteriaflow::objects {
 
 class reference_index;
--- a/include/wisteriaflow/objects/declared_object.h
+++ b/include/wisteriaflow/objects/declared_object.h
@@ -6,10 +6,6 @@
 #ifndef WISTERIAFLOW_OBJECTS_DECLARED_OBJECT_H_
 #define WISTERIAFLOW_OBJECTS_DECLARED_OBJECT_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/objects/label_set.h"
-#include "wisteriaflow/objects/selector.h"
-
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +14,10 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/objects/label_set.h"
+#include "wisteriaflow/objects/selector.h"
+
 namespace wisteriaflow::objects {
 
 // The object API's resource that holds every declared object.
--- a/include/wisteriaflow/objects/errors.h
+++ b/include/wisteriaflow/objects/errors.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_OBJECTS_ERRORS_H_
 #define WISTERIAFLOW_OBJECTS_ERRORS_H_
 
-#include "wisteriaflow/base/errors.h"
-
 #include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/base/errors.h"
+
 namespace wisteriaflow::objects {
 
 // Base of the package's errors.
--- a/include/wisteriaflow/objects/fleet_configuration.h
+++ b/include/wisteriaflow/objects/fleet_configuration.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_OBJECTS_FLEET_CONFIGURATION_H_
 #define WISTERIAFLOW_OBJECTS_FLEET_CONFIGURATION_H_
 
-#include "wisteriaflow/objects/codec.h"
-#include "wisteriaflow/objects/declared_object.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -15,6 +12,9 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/objects/codec.h"
+#include "wisteriaflow/objects/declared_object.h"
+
 namespace wisteriaflow::objects {
 
 // A label that every workspace has without declaring it: its own name, so that a selector can name
--- a/include/wisteriaflow/objects/references.h
+++ b/include/wisteriaflow/objects/references.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_OBJECTS_REFERENCES_H_
 #define WISTERIAFLOW_OBJECTS_REFERENCES_H_
 
-#include "wisteriaflow/objects/declared_object.h"
-#include "wisteriaflow/objects/errors.h"
-
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_set>
 
+#include "wisteriaflow/objects/declared_object.h"
+#include "wisteriaflow/objects/errors.h"
+
 namespace wisteriaflow::objects {
 
 // Collects what may be referred to. Add objects in the order model versions, pools, the rest: each
--- a/include/wisteriaflow/objects/selector.h
+++ b/include/wisteriaflow/objects/selector.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_OBJECTS_SELECTOR_H_
 #define WISTERIAFLOW_OBJECTS_SELECTOR_H_
 
-#include "wisteriaflow/objects/label_set.h"
-
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/objects/label_set.h"
+
 namespace wisteriaflow::objects {
 
 // How a requirement looks at a label. Equality is `in` with one value.
--- a/include/wisteriaflow/peer/peer_side.h
+++ b/include/wisteriaflow/peer/peer_side.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_PEER_PEER_SIDE_H_
 #define WISTERIAFLOW_PEER_PEER_SIDE_H_
 
+#include <memory>
+#include <string>
+
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/daemon/event_sink.h"
 #include "wisteriaflow/http/message.h"
 
-#include <memory>
-#include <string>
-
 namespace wisteriaflow::peer {
 
 // The peers' address cannot be listened on.
--- a/include/wisteriaflow/platform/label_edits.h
+++ b/include/wisteriaflow/platform/label_edits.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_PLATFORM_LABEL_EDITS_H_
 #define WISTERIAFLOW_PLATFORM_LABEL_EDITS_H_
 
-#include "wisteriaflow/objects/label_set.h"
-
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/objects/label_set.h"
+
 namespace wisteriaflow::platform {
 
 // Sets a label, or removes it.
--- a/include/wisteriaflow/platform/object_api.h
+++ b/include/wisteriaflow/platform/object_api.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_PLATFORM_OBJECT_API_H_
 #define WISTERIAFLOW_PLATFORM_OBJECT_API_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/client.h"
-
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -15,6 +12,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/client.h"
+
 namespace wisteriaflow::platform {
 
 // One object as the API holds it. `document` is the whole JSON, metadata and all.
--- a/include/wisteriaflow/platform/operator_commands.h
+++ b/include/wisteriaflow/platform/operator_commands.h
@@ -8,13 +8,6 @@
 #ifndef WISTERIAFLOW_PLATFORM_OPERATOR_COMMANDS_H_
 #define WISTERIAFLOW_PLATFORM_OPERATOR_COMMANDS_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/platform/errors.h"
-#include "wisteriaflow/platform/label_edits.h"
-#include "wisteriaflow/platform/object_api.h"
-#include "wisteriaflow/platform/settled_writes.h"
-
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +17,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/platform/errors.h"
+#include "wisteriaflow/platform/label_edits.h"
+#include "wisteriaflow/platform/object_api.h"
+#include "wisteriaflow/platform/settled_writes.h"
+
 namespace wisteriaflow::platform {
 
 // Who makes changes, and why; kept in annotations and so in the audit trail.
--- a/include/wisteriaflow/platform/operator_queries.h
+++ b/include/wisteriaflow/platform/operator_queries.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_PLATFORM_OPERATOR_QUERIES_H_
 #define WISTERIAFLOW_PLATFORM_OPERATOR_QUERIES_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/platform/errors.h"
-
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/platform/errors.h"
+
 namespace wisteriaflow::platform {
 
 // The request whose routing is to be explained.
--- a/include/wisteriaflow/platform/settled_writes.h
+++ b/include/wisteriaflow/platform/settled_writes.h
@@ -8,9 +8,6 @@
 #ifndef WISTERIAFLOW_PLATFORM_SETTLED_WRITES_H_
 #define WISTERIAFLOW_PLATFORM_SETTLED_WRITES_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/platform/object_api.h"
-
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -21,6 +18,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/platform/object_api.h"
+
 namespace wisteriaflow::platform {
 
 // Times of settled writes.
--- a/include/wisteriaflow/requests/answer_store.h
+++ b/include/wisteriaflow/requests/answer_store.h
@@ -6,12 +6,6 @@
 #ifndef WISTERIAFLOW_REQUESTS_ANSWER_STORE_H_
 #define WISTERIAFLOW_REQUESTS_ANSWER_STORE_H_
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/requests/outcome.h"
-#include "wisteriaflow/requests/request_events.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -21,6 +15,12 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/requests/outcome.h"
+#include "wisteriaflow/requests/request_events.h"
+
 namespace wisteriaflow::requests {
 
 // What names an answer. Keys of different workspaces never meet.
--- a/include/wisteriaflow/requests/call_headers.h
+++ b/include/wisteriaflow/requests/call_headers.h
@@ -3,10 +3,6 @@
 #ifndef WISTERIAFLOW_REQUESTS_CALL_HEADERS_H_
 #define WISTERIAFLOW_REQUESTS_CALL_HEADERS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/requests/outcome.h"
-
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -15,6 +11,10 @@
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/requests/outcome.h"
+
 namespace wisteriaflow::requests {
 
 // Limits on what callers may ask for.
--- a/include/wisteriaflow/requests/completion_render.h
+++ b/include/wisteriaflow/requests/completion_render.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_REQUESTS_COMPLETION_RENDER_H_
 #define WISTERIAFLOW_REQUESTS_COMPLETION_RENDER_H_
 
-#include "wisteriaflow/requests/outcome.h"
-#include "wisteriaflow/requests/request_events.h"
-
 #include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "wisteriaflow/requests/outcome.h"
+#include "wisteriaflow/requests/request_events.h"
+
 namespace wisteriaflow::requests {
 
 // The event of one token. Its id is the offset, for `Last-Event-ID`.
--- a/include/wisteriaflow/requests/completion_request.h
+++ b/include/wisteriaflow/requests/completion_request.h
@@ -3,17 +3,17 @@
 #ifndef WISTERIAFLOW_REQUESTS_COMPLETION_REQUEST_H_
 #define WISTERIAFLOW_REQUESTS_COMPLETION_REQUEST_H_
 
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/requests/call_headers.h"
 #include "wisteriaflow/requests/outcome.h"
 
-#include <cstdint>
-#include <string>
-#include <string_view>
-#include <vector>
-
 namespace wisteriaflow::requests {
 
 struct completion_request {
--- a/include/wisteriaflow/requests/errors.h
+++ b/include/wisteriaflow/requests/errors.h
@@ -3,11 +3,11 @@
 #ifndef WISTERIAFLOW_REQUESTS_ERRORS_H_
 #define WISTERIAFLOW_REQUESTS_ERRORS_H_
 
+#include <string>
+
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/requests/outcome.h"
 
-#include <string>
-
 namespace wisteriaflow::requests {
 
 // Base of this package's errors.
--- a/include/wisteriaflow/requests/move_choice.h
+++ b/include/wisteriaflow/requests/move_choice.h
@@ -3,10 +3,10 @@
 #ifndef WISTERIAFLOW_REQUESTS_MOVE_CHOICE_H_
 #define WISTERIAFLOW_REQUESTS_MOVE_CHOICE_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <cstdint>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::requests {
 
 // What is known when the notice arrives. Rates are measured, in tokens per second; a rate of 0
--- a/include/wisteriaflow/requests/outcome.h
+++ b/include/wisteriaflow/requests/outcome.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_REQUESTS_OUTCOME_H_
 #define WISTERIAFLOW_REQUESTS_OUTCOME_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::requests {
 
 // One header field of a response.
--- a/include/wisteriaflow/requests/request_actions.h
+++ b/include/wisteriaflow/requests/request_actions.h
@@ -3,11 +3,6 @@
 #ifndef WISTERIAFLOW_REQUESTS_REQUEST_ACTIONS_H_
 #define WISTERIAFLOW_REQUESTS_REQUEST_ACTIONS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/requests/outcome.h"
-#include "wisteriaflow/requests/request_events.h"
-
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -15,6 +10,11 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/requests/outcome.h"
+#include "wisteriaflow/requests/request_events.h"
+
 namespace wisteriaflow::requests {
 
 // An exported KV cache: the run that it continues has been cancelled.
--- a/include/wisteriaflow/requests/request_events.h
+++ b/include/wisteriaflow/requests/request_events.h
@@ -5,17 +5,17 @@
 #ifndef WISTERIAFLOW_REQUESTS_REQUEST_EVENTS_H_
 #define WISTERIAFLOW_REQUESTS_REQUEST_EVENTS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/requests/move_choice.h"
-#include "wisteriaflow/requests/outcome.h"
-
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/requests/move_choice.h"
+#include "wisteriaflow/requests/outcome.h"
+
 namespace wisteriaflow::requests {
 
 // The number of an attempt, from 1; 0 stands for none.
--- a/include/wisteriaflow/requests/request_life.h
+++ b/include/wisteriaflow/requests/request_life.h
@@ -8,16 +8,16 @@
 #ifndef WISTERIAFLOW_REQUESTS_REQUEST_LIFE_H_
 #define WISTERIAFLOW_REQUESTS_REQUEST_LIFE_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/requests/request_actions.h"
-#include "wisteriaflow/requests/request_events.h"
-
 #include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/requests/request_actions.h"
+#include "wisteriaflow/requests/request_events.h"
+
 namespace wisteriaflow::requests {
 
 // How a request is to be treated.
--- a/include/wisteriaflow/requests/sse_parser.h
+++ b/include/wisteriaflow/requests/sse_parser.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_REQUESTS_SSE_PARSER_H_
 #define WISTERIAFLOW_REQUESTS_SSE_PARSER_H_
 
-#include "wisteriaflow/requests/request_events.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -12,6 +10,8 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/requests/request_events.h"
+
 namespace wisteriaflow::requests {
 
 // One token, numbered over the whole answer.
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -13,11 +13,6 @@
 #ifndef WISTERIAFLOW_ROUTING_CHOOSE_ENDPOINT_H_
 #define WISTERIAFLOW_ROUTING_CHOOSE_ENDPOINT_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-#include "wisteriaflow/routing/prefix_belief.h"
-
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -27,6 +22,11 @@
 #include <variant>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
 namespace wisteriaflow::routing {
 
 // Each rule of the policy, so that a bench can switch one off and show what it brings.
--- a/include/wisteriaflow/routing/endpoint_table.h
+++ b/include/wisteriaflow/routing/endpoint_table.h
@@ -13,10 +13,6 @@
 #ifndef WISTERIAFLOW_ROUTING_ENDPOINT_TABLE_H_
 #define WISTERIAFLOW_ROUTING_ENDPOINT_TABLE_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/routing/ewma.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -26,6 +22,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/routing/ewma.h"
+
 namespace wisteriaflow::routing {
 
 // Index of an endpoint in an `endpoint_table`.
--- a/include/wisteriaflow/routing/prefix_belief.h
+++ b/include/wisteriaflow/routing/prefix_belief.h
@@ -6,9 +6,6 @@
 #ifndef WISTERIAFLOW_ROUTING_PREFIX_BELIEF_H_
 #define WISTERIAFLOW_ROUTING_PREFIX_BELIEF_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +14,9 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+
 namespace wisteriaflow::routing {
 
 // An engine's notice that a block entered or left its cache.
--- a/include/wisteriaflow/routing/prefix_blocks.h
+++ b/include/wisteriaflow/routing/prefix_blocks.h
@@ -4,13 +4,13 @@
 #ifndef WISTERIAFLOW_ROUTING_PREFIX_BLOCKS_H_
 #define WISTERIAFLOW_ROUTING_PREFIX_BLOCKS_H_
 
-#include "wisteriaflow/base/ids.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/base/ids.h"
+
 namespace wisteriaflow::routing {
 
 // Length of a block in words of prompt, which are parted by white space.
--- a/samples/01_selectors.cc
+++ b/samples/01_selectors.cc
@@ -3,11 +3,11 @@
 // Parses a selector, matches it against the labels of two workspaces, and shows what a malformed
 // selector says.
 
-#include "wisteriaflow/wisteriaflow.h"
-
 #include <cstdlib>
 #include <iostream>
 
+#include "wisteriaflow/wisteriaflow.h"
+
 namespace {
 
 namespace objects = wisteriaflow::objects;
--- a/samples/02_configuration.cc
+++ b/samples/02_configuration.cc
@@ -3,8 +3,6 @@
 // Builds a fleet_configuration from JSON documents as an operator writes them, asks it which
 // routing intent a request follows, and shows the faults of a configuration that is not valid.
 
-#include "wisteriaflow/wisteriaflow.h"
-
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
@@ -14,6 +12,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 
+#include "wisteriaflow/wisteriaflow.h"
+
 namespace {
 
 namespace objects = wisteriaflow::objects;
--- a/samples/03_choose_endpoint.cc
+++ b/samples/03_choose_endpoint.cc
@@ -3,8 +3,6 @@
 // Three endpoints: a cheap reclaimable one with a queue, a dear idle one in the same availability
 // zone, and an idle one in another zone. The choice names one; the explanation has a line for each.
 
-#include "wisteriaflow/wisteriaflow.h"
-
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
@@ -13,6 +11,8 @@
 #include <string>
 #include <variant>
 
+#include "wisteriaflow/wisteriaflow.h"
+
 namespace {
 
 namespace routing = wisteriaflow::routing;
--- a/samples/04_request_life.cc
+++ b/samples/04_request_life.cc
@@ -3,13 +3,13 @@
 // Events go in, actions come out; nothing here opens a socket. The first endpoint breaks after two
 // tokens, the request goes on elsewhere, and a late chunk of the first attempt changes nothing.
 
-#include "wisteriaflow/wisteriaflow.h"
-
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <variant>
 
+#include "wisteriaflow/wisteriaflow.h"
+
 namespace {
 
 namespace requests = wisteriaflow::requests;
--- a/src/admission/workspace_limiter.cc
+++ b/src/admission/workspace_limiter.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/admission/workspace_limiter.h"
 
-#include "wisteriaflow/admission/max_min_fair.h"
-
 #include <algorithm>
 #include <cmath>
 #include <numeric>
 #include <utility>
 
+#include "wisteriaflow/admission/max_min_fair.h"
+
 namespace wisteriaflow::admission {
 namespace {
 
--- a/src/capacity/launch_ledger.cc
+++ b/src/capacity/launch_ledger.cc
@@ -1,13 +1,13 @@
 #include "wisteriaflow/capacity/launch_ledger.h"
 
-#include "wisteriaflow/capacity/errors.h"
-
 #include <exception>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/capacity/errors.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/src/capacity/lease_core.h
+++ b/src/capacity/lease_core.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_SRC_CAPACITY_LEASE_CORE_H_
 #define WISTERIAFLOW_SRC_CAPACITY_LEASE_CORE_H_
 
-#include "wisteriaflow/capacity/lease_holder.h"
-
 #include <cstdint>
 #include <optional>
 #include <random>
 #include <vector>
 
+#include "wisteriaflow/capacity/lease_holder.h"
+
 namespace wisteriaflow::capacity::internal {
 
 class lease_core {
--- a/src/capacity/lease_holder.cc
+++ b/src/capacity/lease_holder.cc
@@ -1,7 +1,5 @@
 #include "wisteriaflow/capacity/lease_holder.h"
 
-#include "capacity/lease_core.h"
-
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -11,6 +9,8 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "capacity/lease_core.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/src/capacity/lease_record.cc
+++ b/src/capacity/lease_record.cc
@@ -1,11 +1,11 @@
-#include "wisteriaflow/capacity/errors.h"
-#include "wisteriaflow/capacity/lease_holder.h"
-
 #include <exception>
 
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/capacity/errors.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+
 namespace wisteriaflow::capacity {
 
 namespace json = boost::json;
--- a/src/capacity/planner.cc
+++ b/src/capacity/planner.cc
@@ -1,11 +1,11 @@
 #include "wisteriaflow/capacity/planner.h"
 
-#include "capacity/pool_view.h"
-
 #include <algorithm>
 #include <set>
 #include <utility>
 
+#include "capacity/pool_view.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/src/capacity/pool_view.h
+++ b/src/capacity/pool_view.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_SRC_CAPACITY_POOL_VIEW_H_
 #define WISTERIAFLOW_SRC_CAPACITY_POOL_VIEW_H_
 
-#include "wisteriaflow/capacity/planner.h"
-
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/capacity/planner.h"
+
 namespace wisteriaflow::capacity {
 
 // A number with two digits after the point, for causes.
--- a/src/claims/asker_core.h
+++ b/src/claims/asker_core.h
@@ -4,12 +4,12 @@
 #ifndef WISTERIAFLOW_CLAIMS_ASKER_CORE_H_
 #define WISTERIAFLOW_CLAIMS_ASKER_CORE_H_
 
-#include "wisteriaflow/claims/claim_asker.h"
-
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/claims/claim_asker.h"
+
 namespace wisteriaflow::claims::internal {
 
 // Hints of owners that are followed one after the other without a pause.
--- a/src/claims/claim_asker.cc
+++ b/src/claims/claim_asker.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/claims/claim_asker.h"
 
-#include "claims/asker_core.h"
-#include "claims/msm_functors.h"
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -12,6 +9,9 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "claims/asker_core.h"
+#include "claims/msm_functors.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/src/claims/owner_core.h
+++ b/src/claims/owner_core.h
@@ -4,16 +4,16 @@
 #ifndef WISTERIAFLOW_CLAIMS_OWNER_CORE_H_
 #define WISTERIAFLOW_CLAIMS_OWNER_CORE_H_
 
-#include "claims/pending_claims.h"
-#include "claims/shard_contents.h"
-#include "wisteriaflow/claims/claim_shard_owner.h"
-
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <vector>
 
+#include "claims/pending_claims.h"
+#include "claims/shard_contents.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+
 namespace wisteriaflow::claims::internal {
 
 class owner_core {
--- a/src/claims/pending_claims.h
+++ b/src/claims/pending_claims.h
@@ -4,14 +4,14 @@
 #ifndef WISTERIAFLOW_CLAIMS_PENDING_CLAIMS_H_
 #define WISTERIAFLOW_CLAIMS_PENDING_CLAIMS_H_
 
-#include "wisteriaflow/claims/claim.h"
-#include "wisteriaflow/claims/owner_events.h"
-
 #include <algorithm>
 #include <cstdint>
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/claims/owner_events.h"
+
 namespace wisteriaflow::claims::internal {
 
 // A claim on its way, and everyone who has asked for it.
--- a/src/claims/request_key.cc
+++ b/src/claims/request_key.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/claims/request_key.h"
 
-#include "wisteriaflow/claims/errors.h"
-
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
 
+#include "wisteriaflow/claims/errors.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/src/claims/shard_contents.h
+++ b/src/claims/shard_contents.h
@@ -4,9 +4,6 @@
 #ifndef WISTERIAFLOW_CLAIMS_SHARD_CONTENTS_H_
 #define WISTERIAFLOW_CLAIMS_SHARD_CONTENTS_H_
 
-#include "wisteriaflow/claims/claim.h"
-#include "wisteriaflow/claims/shard_tail.h"
-
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +11,9 @@
 #include <span>
 #include <vector>
 
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/claims/shard_tail.h"
+
 namespace wisteriaflow::claims::internal {
 
 class shard_contents {
--- a/src/claims/tail_codec.cc
+++ b/src/claims/tail_codec.cc
@@ -1,7 +1,5 @@
 #include "wisteriaflow/claims/tail_codec.h"
 
-#include "wisteriaflow/claims/errors.h"
-
 #include <algorithm>
 #include <array>
 #include <cstddef>
@@ -14,6 +12,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/claims/errors.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -3,6 +3,12 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ACTIVE_REQUEST_H_
 #define WISTERIAFLOW_SRC_CORE_ACTIVE_REQUEST_H_
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "core/core_context.h"
 #include "core/placement.h"
 #include "wisteriaflow/admission/admission_control.h"
@@ -11,12 +17,6 @@
 #include "wisteriaflow/requests/request_life.h"
 #include "wisteriaflow/requests/sse_parser.h"
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <utility>
-#include <vector>
-
 namespace wisteriaflow::core::internal {
 
 // A caller's call that waits for a request's answer.
--- a/src/core/answer_places.h
+++ b/src/core/answer_places.h
@@ -6,15 +6,15 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ANSWER_PLACES_H_
 #define WISTERIAFLOW_SRC_CORE_ANSWER_PLACES_H_
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/requests/answer_store.h"
-
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/requests/answer_store.h"
+
 namespace wisteriaflow::core::internal {
 
 // Stable name of an answer among all daemons.
--- a/src/core/capacity_documents.h
+++ b/src/core/capacity_documents.h
@@ -3,10 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CAPACITY_DOCUMENTS_H_
 #define WISTERIAFLOW_SRC_CORE_CAPACITY_DOCUMENTS_H_
 
-#include "wisteriaflow/capacity/planner.h"
-#include "wisteriaflow/http/message.h"
-#include "wisteriaflow/objects/declared_object.h"
-
 #include <map>
 #include <optional>
 #include <string>
@@ -16,6 +12,10 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/capacity/planner.h"
+#include "wisteriaflow/http/message.h"
+#include "wisteriaflow/objects/declared_object.h"
+
 namespace wisteriaflow::core::internal {
 
 // A label that launched instances carry: the pool that they were started for.
--- a/src/core/capacity_inputs.cc
+++ b/src/core/capacity_inputs.cc
@@ -1,10 +1,10 @@
 #include "core/capacity_inputs.h"
 
-#include "core/capacity_documents.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "core/capacity_documents.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/capacity_inputs.h
+++ b/src/core/capacity_inputs.h
@@ -3,16 +3,16 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CAPACITY_INPUTS_H_
 #define WISTERIAFLOW_SRC_CORE_CAPACITY_INPUTS_H_
 
+#include <map>
+#include <string>
+#include <vector>
+
 #include "core/core_context.h"
 #include "core/fleet.h"
 #include "wisteriaflow/capacity/inputs.h"
 #include "wisteriaflow/membership/member.h"
 #include "wisteriaflow/objects/fleet_configuration.h"
 
-#include <map>
-#include <string>
-#include <vector>
-
 namespace wisteriaflow::core::internal {
 
 // The instance list as the planner needs it.
--- a/src/core/capacity_service.cc
+++ b/src/core/capacity_service.cc
@@ -1,10 +1,5 @@
 #include "core/capacity_service.h"
 
-#include "core/capacity_documents.h"
-#include "core/platform_documents.h"
-#include "wisteriaflow/capacity/errors.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <algorithm>
 #include <chrono>
 #include <optional>
@@ -12,6 +7,11 @@
 
 #include <boost/json/array.hpp>
 
+#include "core/capacity_documents.h"
+#include "core/platform_documents.h"
+#include "wisteriaflow/capacity/errors.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/capacity_service.h
+++ b/src/core/capacity_service.h
@@ -4,6 +4,13 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CAPACITY_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_CAPACITY_SERVICE_H_
 
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
 #include "core/capacity_inputs.h"
 #include "core/configuration.h"
 #include "core/core_context.h"
@@ -12,13 +19,6 @@
 #include "wisteriaflow/capacity/lease_holder.h"
 #include "wisteriaflow/capacity/planner.h"
 
-#include <cstdint>
-#include <string>
-#include <vector>
-
-#include <boost/json/object.hpp>
-#include <boost/json/value.hpp>
-
 namespace wisteriaflow::core::internal {
 
 class capacity_service {
--- a/src/core/claim_documents.cc
+++ b/src/core/claim_documents.cc
@@ -1,14 +1,14 @@
 #include "core/claim_documents.h"
 
-#include "wisteriaflow/claims/errors.h"
-#include "wisteriaflow/claims/shard_tail.h"
-#include "wisteriaflow/claims/tail_codec.h"
-
 #include <string>
 #include <utility>
 
 #include <boost/json/object.hpp>
 
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/shard_tail.h"
+#include "wisteriaflow/claims/tail_codec.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/claim_documents.h
+++ b/src/core/claim_documents.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CLAIM_DOCUMENTS_H_
 #define WISTERIAFLOW_SRC_CORE_CLAIM_DOCUMENTS_H_
 
-#include "wisteriaflow/claims/owner_events.h"
-#include "wisteriaflow/core/store.h"
-
 #include <cstdint>
 #include <optional>
 
+#include "wisteriaflow/claims/owner_events.h"
+#include "wisteriaflow/core/store.h"
+
 namespace wisteriaflow::core::internal {
 
 // The object API call for one operation on a shard.
--- a/src/core/claim_service.cc
+++ b/src/core/claim_service.cc
@@ -1,12 +1,12 @@
 #include "core/claim_service.h"
 
-#include "core/claim_documents.h"
-#include "wisteriaflow/claims/shard_map.h"
-
 #include <algorithm>
 #include <optional>
 #include <utility>
 
+#include "core/claim_documents.h"
+#include "wisteriaflow/claims/shard_map.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/claim_service.h
+++ b/src/core/claim_service.h
@@ -3,18 +3,18 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CLAIM_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_CLAIM_SERVICE_H_
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/claims/claim.h"
-#include "wisteriaflow/claims/claim_asker.h"
-#include "wisteriaflow/claims/claim_shard_owner.h"
-
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <variant>
 #include <vector>
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/claims/claim.h"
+#include "wisteriaflow/claims/claim_asker.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+
 namespace wisteriaflow::core::internal {
 
 // How a claim ended for the request that asked.
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -1,10 +1,10 @@
 #include "core/configuration.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -4,16 +4,16 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CONFIGURATION_H_
 #define WISTERIAFLOW_SRC_CORE_CONFIGURATION_H_
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/objects/configuration_store.h"
-
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/configuration_store.h"
+
 namespace wisteriaflow::core::internal {
 
 class configuration {
--- a/src/core/core_context.h
+++ b/src/core/core_context.h
@@ -3,13 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_CORE_CONTEXT_H_
 #define WISTERIAFLOW_SRC_CORE_CORE_CONTEXT_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/core/actions.h"
-#include "wisteriaflow/core/daemon_core.h"
-#include "wisteriaflow/core/events.h"
-#include "wisteriaflow/core/metrics.h"
-#include "wisteriaflow/core/timer_queue.h"
-
 #include <chrono>
 #include <functional>
 #include <map>
@@ -18,6 +11,13 @@
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/core/actions.h"
+#include "wisteriaflow/core/daemon_core.h"
+#include "wisteriaflow/core/events.h"
+#include "wisteriaflow/core/metrics.h"
+#include "wisteriaflow/core/timer_queue.h"
+
 namespace wisteriaflow::core::internal {
 
 // Shared by all services of one core. Calls to the store and to peers are continued by callbacks,
--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -1,5 +1,8 @@
 #include "wisteriaflow/core/daemon_core.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "core/answer_places.h"
 #include "core/capacity_service.h"
 #include "core/claim_service.h"
@@ -12,9 +15,6 @@
 #include "core/placement.h"
 #include "core/request_table.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace wisteriaflow::core {
 namespace {
 
--- a/src/core/endpoint_calls.h
+++ b/src/core/endpoint_calls.h
@@ -3,14 +3,14 @@
 #ifndef WISTERIAFLOW_SRC_CORE_ENDPOINT_CALLS_H_
 #define WISTERIAFLOW_SRC_CORE_ENDPOINT_CALLS_H_
 
-#include "core/core_context.h"
-
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <utility>
 
+#include "core/core_context.h"
+
 namespace wisteriaflow::core::internal {
 
 // Told about one exchange; after on_ended or on_failed nothing more comes.
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -1,12 +1,12 @@
 #include "core/fleet.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "core/fleet_addresses.h"
 #include "core/platform_documents.h"
 #include "wisteriaflow/base/hash.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -1,19 +1,10 @@
 // One daemon's knowledge of the fleet, and what it does to keep it: membership, gossip, its own
-// registration, the endpoints it reaches, and their loads. Implementation files: fleet.cc (members and
-// gossip), fleet_endpoints.cc (endpoints).
+// registration, the endpoints it reaches, and their loads. Implementation files: fleet.cc (members
+// and gossip), fleet_endpoints.cc (endpoints).
 
 #ifndef WISTERIAFLOW_SRC_CORE_FLEET_H_
 #define WISTERIAFLOW_SRC_CORE_FLEET_H_
 
-#include "core/core_context.h"
-#include "wisteriaflow/membership/address_book.h"
-#include "wisteriaflow/membership/gossip.h"
-#include "wisteriaflow/membership/view.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-#include "wisteriaflow/routing/prefix_belief.h"
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -25,6 +16,15 @@
 
 #include <boost/json/value.hpp>
 
+#include "core/core_context.h"
+#include "wisteriaflow/membership/address_book.h"
+#include "wisteriaflow/membership/gossip.h"
+#include "wisteriaflow/membership/view.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
 namespace wisteriaflow::core::internal {
 
 // Told about changes that other services act on.
--- a/src/core/fleet_addresses.h
+++ b/src/core/fleet_addresses.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_SRC_CORE_FLEET_ADDRESSES_H_
 #define WISTERIAFLOW_SRC_CORE_FLEET_ADDRESSES_H_
 
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/http/message.h"
-
 #include <optional>
 #include <string>
 
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::core::internal {
 
 // The address that `text` stands for; nothing if it is none, as in a record of a newer daemon.
--- a/src/core/fleet_endpoints.cc
+++ b/src/core/fleet_endpoints.cc
@@ -1,14 +1,14 @@
 // The endpoints that a daemon reaches: its subset of them, their loads and caches, and their
 // leaving.
 
+#include <algorithm>
+#include <utility>
+
 #include "core/fleet.h"
 #include "core/fleet_addresses.h"
 #include "core/platform_documents.h"
 #include "wisteriaflow/membership/subsets.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/http_parts.h
+++ b/src/core/http_parts.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_SRC_CORE_HTTP_PARTS_H_
 #define WISTERIAFLOW_SRC_CORE_HTTP_PARTS_H_
 
-#include "wisteriaflow/http/message.h"
-#include "wisteriaflow/requests/outcome.h"
-
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/http/message.h"
+#include "wisteriaflow/requests/outcome.h"
+
 namespace wisteriaflow::core::internal {
 
 inline std::vector<requests::header_field> to_fields(const http::headers& in)
--- a/src/core/operator_service.cc
+++ b/src/core/operator_service.cc
@@ -1,8 +1,5 @@
 #include "core/operator_service.h"
 
-#include "core/http_parts.h"
-#include "wisteriaflow/objects/errors.h"
-
 #include <string>
 #include <utility>
 
@@ -10,6 +7,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "core/http_parts.h"
+#include "wisteriaflow/objects/errors.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/operator_service.h
+++ b/src/core/operator_service.h
@@ -3,6 +3,8 @@
 #ifndef WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 #define WISTERIAFLOW_SRC_CORE_OPERATOR_SERVICE_H_
 
+#include <boost/json/value.hpp>
+
 #include "core/capacity_service.h"
 #include "core/claim_service.h"
 #include "core/configuration.h"
@@ -12,8 +14,6 @@
 #include "core/request_table.h"
 #include "wisteriaflow/membership/address_book.h"
 
-#include <boost/json/value.hpp>
-
 namespace wisteriaflow::core::internal {
 
 class operator_service {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -1,13 +1,13 @@
 #include "core/placement.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <algorithm>
 #include <utility>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -3,11 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_PLACEMENT_H_
 #define WISTERIAFLOW_SRC_CORE_PLACEMENT_H_
 
-#include "core/core_context.h"
-#include "core/fleet.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-#include "wisteriaflow/routing/choose_endpoint.h"
-
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -17,6 +12,11 @@
 
 #include <boost/json/value.hpp>
 
+#include "core/core_context.h"
+#include "core/fleet.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+
 namespace wisteriaflow::core::internal {
 
 // Where a request may go, fixed when it is admitted.
--- a/src/core/platform_documents.h
+++ b/src/core/platform_documents.h
@@ -4,12 +4,6 @@
 #ifndef WISTERIAFLOW_SRC_CORE_PLATFORM_DOCUMENTS_H_
 #define WISTERIAFLOW_SRC_CORE_PLATFORM_DOCUMENTS_H_
 
-#include "wisteriaflow/base/ids.h"
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-#include "wisteriaflow/routing/endpoint_table.h"
-#include "wisteriaflow/routing/prefix_belief.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -18,6 +12,12 @@
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
 namespace wisteriaflow::core::internal {
 
 // The instance list.
--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -1,5 +1,9 @@
 #include "core/request_table.h"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 #include "core/http_parts.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/claims/errors.h"
@@ -8,10 +12,6 @@
 #include "wisteriaflow/requests/errors.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
-#include <algorithm>
-#include <charconv>
-#include <utility>
-
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -8,6 +8,15 @@
 #ifndef WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 #define WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "core/active_request.h"
 #include "core/answer_places.h"
 #include "core/claim_service.h"
@@ -20,15 +29,6 @@
 #include "wisteriaflow/admission/retry.h"
 #include "wisteriaflow/requests/answer_store.h"
 
-#include <cstdint>
-#include <deque>
-#include <functional>
-#include <map>
-#include <memory>
-#include <optional>
-#include <string>
-#include <vector>
-
 namespace wisteriaflow::core::internal {
 
 // The services that requests use.
--- a/src/core/request_table_actions.cc
+++ b/src/core/request_table_actions.cc
@@ -1,11 +1,5 @@
 // What a request's life asks for, carried out.
 
-#include "core/http_parts.h"
-#include "core/request_table.h"
-#include "wisteriaflow/claims/errors.h"
-#include "wisteriaflow/claims/request_key.h"
-#include "wisteriaflow/requests/completion_render.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +8,12 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "core/http_parts.h"
+#include "core/request_table.h"
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/request_key.h"
+#include "wisteriaflow/requests/completion_render.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/request_table_attempts.cc
+++ b/src/core/request_table_attempts.cc
@@ -1,15 +1,15 @@
 // Exchanges of requests with endpoints.
 
-#include "core/http_parts.h"
-#include "core/request_table.h"
-#include "wisteriaflow/requests/errors.h"
-
 #include <algorithm>
 #include <utility>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "core/http_parts.h"
+#include "core/request_table.h"
+#include "wisteriaflow/requests/errors.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/core/request_table_peers.cc
+++ b/src/core/request_table_peers.cc
@@ -1,5 +1,8 @@
 // Requests and answers that go to peers when this daemon leaves, or come from them.
 
+#include <algorithm>
+#include <utility>
+
 #include "core/http_parts.h"
 #include "core/request_table.h"
 #include "wisteriaflow/claims/errors.h"
@@ -7,9 +10,6 @@
 #include "wisteriaflow/requests/errors.h"
 #include "wisteriaflow/routing/prefix_blocks.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/src/daemon/caller_side.cc
+++ b/src/daemon/caller_side.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/daemon/caller_side.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::daemon {
 namespace {
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,13 +1,5 @@
 #include "wisteriaflow/daemon/daemon.h"
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/core/daemon_core.h"
-#include "wisteriaflow/daemon/caller_side.h"
-#include "wisteriaflow/daemon/endpoint_side.h"
-#include "wisteriaflow/daemon/log.h"
-#include "wisteriaflow/daemon/platform_side.h"
-#include "wisteriaflow/peer/peer_side.h"
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -16,6 +8,14 @@
 #include <utility>
 #include <vector>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/core/daemon_core.h"
+#include "wisteriaflow/daemon/caller_side.h"
+#include "wisteriaflow/daemon/endpoint_side.h"
+#include "wisteriaflow/daemon/log.h"
+#include "wisteriaflow/daemon/platform_side.h"
+#include "wisteriaflow/peer/peer_side.h"
+
 namespace wisteriaflow::daemon {
 namespace {
 
--- a/src/daemon/endpoint_side.cc
+++ b/src/daemon/endpoint_side.cc
@@ -1,7 +1,5 @@
 #include "wisteriaflow/daemon/endpoint_side.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <string>
 #include <utility>
 
@@ -9,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::daemon {
 
 endpoint_side::endpoint_side(std::shared_ptr<event_ring> core)
--- a/src/daemon/platform_side.cc
+++ b/src/daemon/platform_side.cc
@@ -1,9 +1,5 @@
 #include "wisteriaflow/daemon/platform_side.h"
 
-#include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/platform/errors.h"
-
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -13,6 +9,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/platform/errors.h"
+
 namespace wisteriaflow::daemon {
 namespace {
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/daemon/settings.h"
 
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/http/message.h"
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -15,6 +12,9 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::daemon {
 namespace {
 
--- a/src/http/beast_message.cc
+++ b/src/http/beast_message.cc
@@ -1,13 +1,13 @@
 #include "beast_message.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <algorithm>
 #include <array>
 #include <string>
 
 #include <boost/beast/core/string.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::http::internal {
 namespace {
 
--- a/src/http/beast_message.h
+++ b/src/http/beast_message.h
@@ -4,12 +4,12 @@
 #ifndef WISTERIAFLOW_SRC_HTTP_BEAST_MESSAGE_H_
 #define WISTERIAFLOW_SRC_HTTP_BEAST_MESSAGE_H_
 
-#include "wisteriaflow/http/message.h"
-
 #include <string_view>
 
 #include <boost/beast/http/fields.hpp>
 
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::http::internal {
 
 // Copies `from` into `to`, leaving out the fields that describe one connection or the framing:
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/http/client.h"
 
-#include "beast_message.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <array>
 #include <map>
 #include <optional>
@@ -17,6 +14,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "beast_message.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::http {
 namespace {
 
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -1,8 +1,5 @@
 #include "connection.h"
 
-#include "beast_message.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <array>
 #include <chrono>
 #include <exception>
@@ -17,6 +14,9 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include "beast_message.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::http::internal {
 namespace {
 
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -4,8 +4,6 @@
 #ifndef WISTERIAFLOW_SRC_HTTP_CONNECTION_H_
 #define WISTERIAFLOW_SRC_HTTP_CONNECTION_H_
 
-#include "wisteriaflow/http/server.h"
-
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -17,6 +15,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "wisteriaflow/http/server.h"
+
 namespace wisteriaflow::http::internal {
 
 class connection;
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/http/message.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <charconv>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::http {
 namespace {
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/http/server.h"
 
-#include "connection.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <utility>
 #include <vector>
 
@@ -13,6 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "connection.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::http {
 namespace {
 
--- a/src/membership/address_book.cc
+++ b/src/membership/address_book.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/membership/address_book.h"
 
-#include "membership/score.h"
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
 
+#include "membership/score.h"
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/src/membership/member.cc
+++ b/src/membership/member.cc
@@ -1,13 +1,13 @@
 #include "wisteriaflow/membership/member.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <array>
 #include <bit>
 #include <string_view>
 #include <tuple>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/src/membership/subsets.cc
+++ b/src/membership/subsets.cc
@@ -1,11 +1,11 @@
 #include "wisteriaflow/membership/subsets.h"
 
-#include "membership/score.h"
-
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
 
+#include "membership/score.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/src/membership/usage_ledger.cc
+++ b/src/membership/usage_ledger.cc
@@ -1,10 +1,10 @@
 #include "wisteriaflow/membership/usage_ledger.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/src/membership/view.cc
+++ b/src/membership/view.cc
@@ -1,10 +1,10 @@
 #include "wisteriaflow/membership/view.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::membership {
 
 membership_view::membership_view(view_options options, clock_reading now)
--- a/src/membership/view_list.cc
+++ b/src/membership/view_list.cc
@@ -1,9 +1,9 @@
 // How a view joins what the instance list shows.
 
-#include "wisteriaflow/membership/view.h"
-
 #include <set>
 
+#include "wisteriaflow/membership/view.h"
+
 namespace wisteriaflow::membership {
 
 // What the list says of a member, as a record that joins with what is known of it.
--- a/src/objects/audit_record.cc
+++ b/src/objects/audit_record.cc
@@ -1,13 +1,13 @@
 #include "wisteriaflow/objects/audit_record.h"
 
-#include "objects/field_reader.h"
-#include "objects/metadata_codec.h"
-#include "wisteriaflow/objects/codec.h"
-
 #include <limits>
 
 #include <boost/json/object.hpp>
 
+#include "objects/field_reader.h"
+#include "objects/metadata_codec.h"
+#include "wisteriaflow/objects/codec.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/codec.cc
+++ b/src/objects/codec.cc
@@ -1,11 +1,11 @@
 #include "wisteriaflow/objects/codec.h"
 
-#include "objects/field_reader.h"
-#include "objects/metadata_codec.h"
-
 #include <algorithm>
 #include <limits>
 
+#include "objects/field_reader.h"
+#include "objects/metadata_codec.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/configuration_store.cc
+++ b/src/objects/configuration_store.cc
@@ -1,13 +1,13 @@
 #include "wisteriaflow/objects/configuration_store.h"
 
-#include "objects/metadata_codec.h"
-#include "wisteriaflow/objects/references.h"
-
 #include <algorithm>
 #include <set>
 
 #include <boost/json/object.hpp>
 
+#include "objects/metadata_codec.h"
+#include "wisteriaflow/objects/references.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/encode.cc
+++ b/src/objects/encode.cc
@@ -1,10 +1,10 @@
 // The canonical writer of declared objects.
 
-#include "wisteriaflow/objects/codec.h"
-
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include "wisteriaflow/objects/codec.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/field_reader.h
+++ b/src/objects/field_reader.h
@@ -4,10 +4,6 @@
 #ifndef WISTERIAFLOW_SRC_OBJECTS_FIELD_READER_H_
 #define WISTERIAFLOW_SRC_OBJECTS_FIELD_READER_H_
 
-#include "wisteriaflow/objects/errors.h"
-#include "wisteriaflow/objects/label_set.h"
-#include "wisteriaflow/objects/selector.h"
-
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +13,10 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/objects/errors.h"
+#include "wisteriaflow/objects/label_set.h"
+#include "wisteriaflow/objects/selector.h"
+
 namespace wisteriaflow::objects::internal {
 
 // Whose fields are read, for error messages.
--- a/src/objects/fleet_configuration.cc
+++ b/src/objects/fleet_configuration.cc
@@ -1,10 +1,10 @@
 #include "wisteriaflow/objects/fleet_configuration.h"
 
-#include "wisteriaflow/objects/references.h"
-
 #include <algorithm>
 #include <set>
 
+#include "wisteriaflow/objects/references.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/metadata_codec.cc
+++ b/src/objects/metadata_codec.cc
@@ -2,12 +2,12 @@
 
 #include "objects/metadata_codec.h"
 
-#include "objects/field_reader.h"
-#include "wisteriaflow/objects/codec.h"
-
 #include <algorithm>
 #include <charconv>
 
+#include "objects/field_reader.h"
+#include "wisteriaflow/objects/codec.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/rfc3339.cc
+++ b/src/objects/rfc3339.cc
@@ -1,11 +1,11 @@
 // Times as RFC 3339 text with milliseconds, in UTC.
 
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/objects/errors.h"
-
 #include <chrono>
 #include <cstdio>
 
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/errors.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/objects/selector.cc
+++ b/src/objects/selector.cc
@@ -1,9 +1,9 @@
 #include "wisteriaflow/objects/selector.h"
 
-#include "wisteriaflow/objects/errors.h"
-
 #include <algorithm>
 
+#include "wisteriaflow/objects/errors.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/src/peer/peer_side.cc
+++ b/src/peer/peer_side.cc
@@ -1,9 +1,5 @@
 #include "wisteriaflow/peer/peer_side.h"
 
-#include "peer.grpc.pb.h"
-#include "peer/peer_codec.h"
-#include "wisteriaflow/daemon/bounded_ring.h"
-
 #include <chrono>
 #include <list>
 #include <map>
@@ -14,6 +10,10 @@
 #include <grpcpp/grpcpp.h>
 #include <grpcpp/resource_quota.h>
 
+#include "peer.grpc.pb.h"
+#include "peer/peer_codec.h"
+#include "wisteriaflow/daemon/bounded_ring.h"
+
 namespace wisteriaflow::peer {
 namespace {
 
--- a/src/platform/object_api.cc
+++ b/src/platform/object_api.cc
@@ -1,9 +1,5 @@
 #include "wisteriaflow/platform/object_api.h"
 
-#include "platform/percent_encoding.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/platform/errors.h"
-
 #include <algorithm>
 #include <charconv>
 #include <chrono>
@@ -13,6 +9,10 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "platform/percent_encoding.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/platform/errors.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/src/platform/operator_commands.cc
+++ b/src/platform/operator_commands.cc
@@ -1,14 +1,14 @@
 #include "wisteriaflow/platform/operator_commands.h"
 
-#include "platform/operator_input.h"
-#include "wisteriaflow/objects/codec.h"
-#include "wisteriaflow/objects/references.h"
-
 #include <algorithm>
 #include <map>
 #include <tuple>
 #include <utility>
 
+#include "platform/operator_input.h"
+#include "wisteriaflow/objects/codec.h"
+#include "wisteriaflow/objects/references.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/src/platform/operator_input.cc
+++ b/src/platform/operator_input.cc
@@ -1,11 +1,5 @@
 #include "platform/operator_input.h"
 
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/objects/codec.h"
-#include "wisteriaflow/objects/fleet_configuration.h"
-#include "wisteriaflow/platform/errors.h"
-#include "wisteriaflow/platform/operator_commands.h"
-
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -14,6 +8,12 @@
 #include <boost/json/object.hpp>
 #include <boost/json/stream_parser.hpp>
 
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/codec.h"
+#include "wisteriaflow/objects/fleet_configuration.h"
+#include "wisteriaflow/platform/errors.h"
+#include "wisteriaflow/platform/operator_commands.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/src/platform/operator_input.h
+++ b/src/platform/operator_input.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_SRC_PLATFORM_OPERATOR_INPUT_H_
 #define WISTERIAFLOW_SRC_PLATFORM_OPERATOR_INPUT_H_
 
-#include "wisteriaflow/objects/declared_object.h"
-#include "wisteriaflow/objects/errors.h"
-#include "wisteriaflow/platform/label_edits.h"
-
 #include <string>
 #include <vector>
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/objects/declared_object.h"
+#include "wisteriaflow/objects/errors.h"
+#include "wisteriaflow/platform/label_edits.h"
+
 namespace wisteriaflow::platform::internal {
 
 // The faults of `documents` as one configuration.
--- a/src/platform/operator_queries.cc
+++ b/src/platform/operator_queries.cc
@@ -1,12 +1,12 @@
 #include "wisteriaflow/platform/operator_queries.h"
 
-#include "platform/percent_encoding.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <utility>
 
 #include <boost/json/parse.hpp>
 
+#include "platform/percent_encoding.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/src/platform/settled_writes.cc
+++ b/src/platform/settled_writes.cc
@@ -1,8 +1,5 @@
 #include "wisteriaflow/platform/settled_writes.h"
 
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/platform/errors.h"
-
 #include <algorithm>
 #include <cstdio>
 #include <utility>
@@ -12,6 +9,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/platform/errors.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/src/requests/call_headers.cc
+++ b/src/requests/call_headers.cc
@@ -1,7 +1,5 @@
 #include "wisteriaflow/requests/call_headers.h"
 
-#include "wisteriaflow/requests/errors.h"
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -9,6 +7,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "wisteriaflow/requests/errors.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/src/requests/completion_request.cc
+++ b/src/requests/completion_request.cc
@@ -1,9 +1,9 @@
 #include "wisteriaflow/requests/completion_request.h"
 
-#include "wisteriaflow/requests/errors.h"
-
 #include <boost/json.hpp>
 
+#include "wisteriaflow/requests/errors.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/src/requests/life_context.cc
+++ b/src/requests/life_context.cc
@@ -1,9 +1,9 @@
 #include "life_context.h"
 
-#include "wisteriaflow/requests/completion_render.h"
-
 #include <utility>
 
+#include "wisteriaflow/requests/completion_render.h"
+
 namespace wisteriaflow::requests::internal {
 namespace {
 
--- a/src/requests/life_context.h
+++ b/src/requests/life_context.h
@@ -6,15 +6,15 @@
 #ifndef WISTERIAFLOW_REQUESTS_LIFE_CONTEXT_H_
 #define WISTERIAFLOW_REQUESTS_LIFE_CONTEXT_H_
 
-#include "wisteriaflow/requests/request_life.h"
-#include "wisteriaflow/requests/stream_assembler.h"
-
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/requests/request_life.h"
+#include "wisteriaflow/requests/stream_assembler.h"
+
 namespace wisteriaflow::requests::internal {
 
 class life_context {
--- a/src/requests/life_driver.h
+++ b/src/requests/life_driver.h
@@ -5,11 +5,11 @@
 #ifndef WISTERIAFLOW_REQUESTS_LIFE_DRIVER_H_
 #define WISTERIAFLOW_REQUESTS_LIFE_DRIVER_H_
 
+#include <utility>
+
 #include "life_context.h"
 #include "life_machine.h"
 
-#include <utility>
-
 namespace wisteriaflow::requests::internal {
 
 class life_driver {
--- a/src/requests/life_machine.h
+++ b/src/requests/life_machine.h
@@ -7,14 +7,14 @@
 #ifndef WISTERIAFLOW_REQUESTS_LIFE_MACHINE_H_
 #define WISTERIAFLOW_REQUESTS_LIFE_MACHINE_H_
 
-#include "life_context.h"
-
 #include <utility>
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "life_context.h"
+
 namespace wisteriaflow::requests::internal {
 
 // Steps.
--- a/src/requests/request_life.cc
+++ b/src/requests/request_life.cc
@@ -1,9 +1,9 @@
 #include "wisteriaflow/requests/request_life.h"
 
-#include "life_driver.h"
-
 #include <utility>
 
+#include "life_driver.h"
+
 namespace wisteriaflow::requests {
 
 class request_life::machine : public internal::life_driver {
--- a/src/requests/sse_parser.cc
+++ b/src/requests/sse_parser.cc
@@ -1,11 +1,11 @@
 #include "wisteriaflow/requests/sse_parser.h"
 
-#include "wisteriaflow/requests/errors.h"
-
 #include <utility>
 
 #include <boost/json.hpp>
 
+#include "wisteriaflow/requests/errors.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/src/routing/endpoint_table.cc
+++ b/src/routing/endpoint_table.cc
@@ -1,10 +1,10 @@
 #include "wisteriaflow/routing/endpoint_table.h"
 
-#include "wisteriaflow/routing/errors.h"
-
 #include <algorithm>
 #include <cmath>
 
+#include "wisteriaflow/routing/errors.h"
+
 namespace wisteriaflow::routing {
 namespace {
 
--- a/src/tools/wisteriaflowctl.cc
+++ b/src/tools/wisteriaflowctl.cc
@@ -1,11 +1,6 @@
 // The operators' tool: reads and edits declared configuration in the platform's object API, and
 // asks daemons what they decide. Results go to standard output, errors to standard error.
 
-#include "tools/wisteriaflowctl_commands.h"
-#include "wisteriaflow/daemon/version.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/platform/errors.h"
-
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
@@ -17,6 +12,11 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include "tools/wisteriaflowctl_commands.h"
+#include "wisteriaflow/daemon/version.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/platform/errors.h"
+
 ABSL_FLAG(std::string, platform, "127.0.0.1:7000", "IP:PORT of the platform's object API");
 ABSL_FLAG(std::string, daemon, "127.0.0.1:8080", "IP:PORT of a daemon, for explain and fleet");
 ABSL_FLAG(std::string, file, "", "file of objects in JSON; - is standard input");
--- a/src/tools/wisteriaflowctl_commands.cc
+++ b/src/tools/wisteriaflowctl_commands.cc
@@ -1,8 +1,5 @@
 #include "tools/wisteriaflowctl_commands.h"
 
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/platform/object_api.h"
-
 #include <array>
 #include <exception>
 #include <fstream>
@@ -14,6 +11,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/platform/object_api.h"
+
 namespace wisteriaflow::tools {
 namespace {
 
--- a/src/tools/wisteriaflowctl_commands.h
+++ b/src/tools/wisteriaflowctl_commands.h
@@ -3,6 +3,12 @@
 #ifndef WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_COMMANDS_H_
 #define WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_COMMANDS_H_
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "tools/wisteriaflowctl_output.h"
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/base/time.h"
@@ -10,12 +16,6 @@
 #include "wisteriaflow/platform/operator_commands.h"
 #include "wisteriaflow/platform/operator_queries.h"
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <string_view>
-#include <vector>
-
 namespace wisteriaflow::tools {
 
 // The command line is not one that the tool knows.
--- a/src/tools/wisteriaflowctl_output.cc
+++ b/src/tools/wisteriaflowctl_output.cc
@@ -1,8 +1,5 @@
 #include "tools/wisteriaflowctl_output.h"
 
-#include "wisteriaflow/objects/audit_record.h"
-#include "wisteriaflow/objects/codec.h"
-
 #include <algorithm>
 #include <iomanip>
 #include <iostream>
@@ -12,6 +9,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "wisteriaflow/objects/audit_record.h"
+#include "wisteriaflow/objects/codec.h"
+
 namespace wisteriaflow::tools {
 namespace {
 
--- a/src/tools/wisteriaflowctl_output.h
+++ b/src/tools/wisteriaflowctl_output.h
@@ -3,13 +3,13 @@
 #ifndef WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_OUTPUT_H_
 #define WISTERIAFLOW_SRC_TOOLS_WISTERIAFLOWCTL_OUTPUT_H_
 
-#include "wisteriaflow/platform/operator_commands.h"
-
 #include <string>
 #include <vector>
 
 #include <boost/json/value.hpp>
 
+#include "wisteriaflow/platform/operator_commands.h"
+
 namespace wisteriaflow::tools {
 
 enum class output_format { json, table };
--- a/src/tools/wisteriaflowd.cc
+++ b/src/tools/wisteriaflowd.cc
@@ -6,12 +6,6 @@
 // Prints "callers IP:port peers IP:port" on standard output once it listens; logs are JSON lines
 // there, too. SIGTERM and SIGINT drain. Exit codes: 0 drained, 1 usage, 2 settings, 3 cannot start.
 
-#include "wisteriaflow/base/errors.h"
-#include "wisteriaflow/daemon/daemon.h"
-#include "wisteriaflow/daemon/log.h"
-#include "wisteriaflow/daemon/settings.h"
-#include "wisteriaflow/daemon/version.h"
-
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -23,6 +17,12 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include "wisteriaflow/base/errors.h"
+#include "wisteriaflow/daemon/daemon.h"
+#include "wisteriaflow/daemon/log.h"
+#include "wisteriaflow/daemon/settings.h"
+#include "wisteriaflow/daemon/version.h"
+
 ABSL_FLAG(std::string, config, "", "settings file (INI)");
 ABSL_FLAG(bool, validate, false, "check the settings file and exit");
 ABSL_FLAG(bool, describe_settings, false, "print every settings key with its default and exit");
--- a/test/admission/admission_control_test.cc
+++ b/test/admission/admission_control_test.cc
@@ -1,8 +1,8 @@
-#include "wisteriaflow/admission/admission_control.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "wisteriaflow/admission/admission_control.h"
+
 namespace wisteriaflow::admission {
 namespace {
 
--- a/test/admission/retry_test.cc
+++ b/test/admission/retry_test.cc
@@ -1,7 +1,7 @@
-#include "wisteriaflow/admission/retry.h"
-
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/admission/retry.h"
+
 namespace wisteriaflow::admission {
 namespace {
 
--- a/test/admission/workspace_limiter_test.cc
+++ b/test/admission/workspace_limiter_test.cc
@@ -1,7 +1,3 @@
-#include "wisteriaflow/admission/max_min_fair.h"
-#include "wisteriaflow/admission/rate_limit.h"
-#include "wisteriaflow/admission/workspace_limiter.h"
-
 #include <deque>
 #include <random>
 #include <string>
@@ -9,6 +5,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "wisteriaflow/admission/max_min_fair.h"
+#include "wisteriaflow/admission/rate_limit.h"
+#include "wisteriaflow/admission/workspace_limiter.h"
+
 namespace wisteriaflow::admission {
 namespace {
 
--- a/test/base/hash_test.cc
+++ b/test/base/hash_test.cc
@@ -1,10 +1,10 @@
-#include "wisteriaflow/base/hash.h"
-
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow {
 namespace {
 
--- a/test/capacity/fixtures.h
+++ b/test/capacity/fixtures.h
@@ -3,12 +3,12 @@
 #ifndef WISTERIAFLOW_TEST_CAPACITY_FIXTURES_H_
 #define WISTERIAFLOW_TEST_CAPACITY_FIXTURES_H_
 
-#include "wisteriaflow/capacity/planner.h"
-
 #include <chrono>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/capacity/planner.h"
+
 namespace wisteriaflow::capacity {
 
 inline constexpr mono_time start_mono{std::chrono::hours(1)};
--- a/test/capacity/lease_holder_test.cc
+++ b/test/capacity/lease_holder_test.cc
@@ -1,11 +1,11 @@
-#include "capacity/lease_world.h"
-#include "wisteriaflow/capacity/lease_holder.h"
-
 #include <algorithm>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "capacity/lease_world.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/test/capacity/lease_world.h
+++ b/test/capacity/lease_world.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_TEST_CAPACITY_LEASE_WORLD_H_
 #define WISTERIAFLOW_TEST_CAPACITY_LEASE_WORLD_H_
 
-#include "capacity/fixtures.h"
-#include "wisteriaflow/capacity/lease_holder.h"
-
 #include <deque>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "capacity/fixtures.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+
 namespace wisteriaflow::capacity {
 
 // What the store does with the next call.
--- a/test/capacity/mix_test.cc
+++ b/test/capacity/mix_test.cc
@@ -1,12 +1,12 @@
-#include "capacity/fixtures.h"
-#include "wisteriaflow/capacity/mix.h"
-
 #include <algorithm>
 #include <optional>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "capacity/fixtures.h"
+#include "wisteriaflow/capacity/mix.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/test/capacity/planner_test.cc
+++ b/test/capacity/planner_test.cc
@@ -1,10 +1,10 @@
-#include "capacity/fixtures.h"
-#include "wisteriaflow/capacity/planner.h"
-
 #include <set>
 
 #include <gtest/gtest.h>
 
+#include "capacity/fixtures.h"
+#include "wisteriaflow/capacity/planner.h"
+
 namespace wisteriaflow::capacity {
 namespace {
 
--- a/test/claims/claim_asker_test.cc
+++ b/test/claims/claim_asker_test.cc
@@ -1,7 +1,7 @@
-#include "wisteriaflow/claims/claim_asker.h"
-
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/claims/claim_asker.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/test/claims/claim_shard_owner_test.cc
+++ b/test/claims/claim_shard_owner_test.cc
@@ -1,12 +1,12 @@
-#include "claims/fake_claim_store.h"
-#include "wisteriaflow/claims/claim_shard_owner.h"
-#include "wisteriaflow/claims/shard_map.h"
-
 #include <array>
 #include <deque>
 
 #include <gtest/gtest.h>
 
+#include "claims/fake_claim_store.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+#include "wisteriaflow/claims/shard_map.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/test/claims/claims_property_test.cc
+++ b/test/claims/claims_property_test.cc
@@ -1,7 +1,5 @@
 // The real owners and askers under the actions of models/claims.pml, in random order.
 
-#include "claims/claims_world.h"
-
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -10,6 +8,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "claims/claims_world.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/test/claims/claims_world.h
+++ b/test/claims/claims_world.h
@@ -4,10 +4,6 @@
 #ifndef WISTERIAFLOW_TEST_CLAIMS_CLAIMS_WORLD_H_
 #define WISTERIAFLOW_TEST_CLAIMS_CLAIMS_WORLD_H_
 
-#include "claims/fake_claim_store.h"
-#include "wisteriaflow/claims/claim_asker.h"
-#include "wisteriaflow/claims/claim_shard_owner.h"
-
 #include <algorithm>
 #include <array>
 #include <map>
@@ -15,6 +11,10 @@
 #include <variant>
 #include <vector>
 
+#include "claims/fake_claim_store.h"
+#include "wisteriaflow/claims/claim_asker.h"
+#include "wisteriaflow/claims/claim_shard_owner.h"
+
 namespace wisteriaflow::claims {
 
 // What a step does; the same actions as in models/claims.pml.
--- a/test/claims/fake_claim_store.h
+++ b/test/claims/fake_claim_store.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_CLAIMS_FAKE_CLAIM_STORE_H_
 #define WISTERIAFLOW_TEST_CLAIMS_FAKE_CLAIM_STORE_H_
 
-#include "wisteriaflow/claims/owner_events.h"
-#include "wisteriaflow/claims/tail_codec.h"
-
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,6 +10,9 @@
 
 #include <boost/json/serialize.hpp>
 
+#include "wisteriaflow/claims/owner_events.h"
+#include "wisteriaflow/claims/tail_codec.h"
+
 namespace wisteriaflow::claims {
 
 class fake_claim_store {
--- a/test/claims/request_key_test.cc
+++ b/test/claims/request_key_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "wisteriaflow/claims/errors.h"
 #include "wisteriaflow/claims/request_key.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::claims {
 namespace {
 
--- a/test/claims/tail_codec_test.cc
+++ b/test/claims/tail_codec_test.cc
@@ -1,6 +1,3 @@
-#include "wisteriaflow/claims/errors.h"
-#include "wisteriaflow/claims/tail_codec.h"
-
 #include <string>
 
 #include <boost/json/parse.hpp>
@@ -8,6 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "wisteriaflow/claims/errors.h"
+#include "wisteriaflow/claims/tail_codec.h"
+
 namespace wisteriaflow::claims {
 namespace {
 
--- a/test/core/answer_places_test.cc
+++ b/test/core/answer_places_test.cc
@@ -1,7 +1,7 @@
-#include "core/answer_places.h"
-
 #include <gtest/gtest.h>
 
+#include "core/answer_places.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/test/core/capacity_service_test.cc
+++ b/test/core/capacity_service_test.cc
@@ -1,10 +1,10 @@
-#include "core/capacity_service.h"
-#include "core/capacity_world.h"
-
 #include <algorithm>
 
 #include <gtest/gtest.h>
 
+#include "core/capacity_service.h"
+#include "core/capacity_world.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/core/capacity_world.h
+++ b/test/core/capacity_world.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_CORE_CAPACITY_WORLD_H_
 #define WISTERIAFLOW_TEST_CORE_CAPACITY_WORLD_H_
 
-#include "wisteriaflow/core/daemon_core.h"
-
 #include <chrono>
 #include <deque>
 #include <map>
@@ -14,6 +12,8 @@
 
 #include <boost/json.hpp>
 
+#include "wisteriaflow/core/daemon_core.h"
+
 namespace wisteriaflow::core {
 
 class capacity_world {
--- a/test/core/core_fleet.h
+++ b/test/core/core_fleet.h
@@ -6,9 +6,6 @@
 #ifndef WISTERIAFLOW_TEST_CORE_CORE_FLEET_H_
 #define WISTERIAFLOW_TEST_CORE_CORE_FLEET_H_
 
-#include "core/stand_ins.h"
-#include "wisteriaflow/core/daemon_core.h"
-
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -21,6 +18,9 @@
 #include <utility>
 #include <vector>
 
+#include "core/stand_ins.h"
+#include "wisteriaflow/core/daemon_core.h"
+
 namespace wisteriaflow::core {
 
 struct core_fleet_options {
--- a/test/core/core_fleet_outside.cc
+++ b/test/core/core_fleet_outside.cc
@@ -1,13 +1,13 @@
 // Callers and endpoints of the fleet of cores.
 
-#include "core/core_fleet.h"
-
 #include <algorithm>
 #include <cstdio>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "core/core_fleet.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/core/daemon_core_property_test.cc
+++ b/test/core/daemon_core_property_test.cc
@@ -6,8 +6,6 @@
 //
 // A failing case is shrunk to a short script, which is printed together with what it broke.
 
-#include "core/core_fleet.h"
-
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -15,6 +13,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "core/core_fleet.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/core/metrics_test.cc
+++ b/test/core/metrics_test.cc
@@ -1,9 +1,9 @@
-#include "wisteriaflow/core/metrics.h"
-
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/core/metrics.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/core/platform_documents_test.cc
+++ b/test/core/platform_documents_test.cc
@@ -1,8 +1,8 @@
-#include "core/platform_documents.h"
-
 #include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
 
+#include "core/platform_documents.h"
+
 namespace wisteriaflow::core::internal {
 namespace {
 
--- a/test/core/readiness_test.cc
+++ b/test/core/readiness_test.cc
@@ -1,7 +1,5 @@
 // When a daemon may serve: once it knows that its configuration is not an old one.
 
-#include "wisteriaflow/core/daemon_core.h"
-
 #include <chrono>
 #include <optional>
 #include <string>
@@ -10,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/core/daemon_core.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/core/stand_ins.h
+++ b/test/core/stand_ins.h
@@ -3,10 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_CORE_STAND_INS_H_
 #define WISTERIAFLOW_TEST_CORE_STAND_INS_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/core/store.h"
-#include "wisteriaflow/http/message.h"
-
 #include <cstdint>
 #include <map>
 #include <set>
@@ -16,6 +12,10 @@
 
 #include <boost/json/object.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/core/store.h"
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::core {
 
 // Objects with versions and conditional updates. With `blind_writes` conditions are ignored: the
--- a/test/core/timer_queue_test.cc
+++ b/test/core/timer_queue_test.cc
@@ -1,9 +1,9 @@
-#include "wisteriaflow/core/timer_queue.h"
-
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/core/timer_queue.h"
+
 namespace wisteriaflow::core {
 namespace {
 
--- a/test/daemon/settings_test.cc
+++ b/test/daemon/settings_test.cc
@@ -1,10 +1,10 @@
-#include "wisteriaflow/daemon/settings.h"
-
 #include <sstream>
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/daemon/settings.h"
+
 namespace wisteriaflow::daemon {
 namespace {
 
--- a/test/fakes/engine_parts.cc
+++ b/test/fakes/engine_parts.cc
@@ -1,10 +1,10 @@
 #include "engine_parts.h"
 
-#include "wisteriaflow/base/hash.h"
-
 #include <iomanip>
 #include <sstream>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/engine_parts.h
+++ b/test/fakes/engine_parts.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_ENGINE_PARTS_H_
 #define WISTERIAFLOW_TEST_FAKES_ENGINE_PARTS_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -13,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::fakes {
 
 // Words in one block of the prefix cache.
--- a/test/fakes/fake_cloud_api.h
+++ b/test/fakes/fake_cloud_api.h
@@ -13,9 +13,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_FAKE_CLOUD_API_H_
 #define WISTERIAFLOW_TEST_FAKES_FAKE_CLOUD_API_H_
 
-#include "fakes/fake_server.h"
-#include "fakes/lagged.h"
-
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -25,6 +22,9 @@
 
 #include <boost/json/array.hpp>
 
+#include "fakes/fake_server.h"
+#include "fakes/lagged.h"
+
 namespace wisteriaflow::fakes {
 
 class fake_cloud_api final : public fake_server {
--- a/test/fakes/fake_cloud_api_main.cc
+++ b/test/fakes/fake_cloud_api_main.cc
@@ -1,11 +1,11 @@
 // Runs a fake_cloud_api, which serves the instance list too, as a program.
 
-#include "fakes/fake_cloud_api.h"
-#include "fakes/program.h"
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
+#include "fakes/fake_cloud_api.h"
+#include "fakes/program.h"
+
 ABSL_FLAG(std::uint16_t, port, 0, "port to listen on; 0 lets the kernel choose");
 
 int main(int argc, char** argv)
--- a/test/fakes/fake_model_engine.cc
+++ b/test/fakes/fake_model_engine.cc
@@ -1,7 +1,5 @@
 #include "fake_model_engine.h"
 
-#include "wisteriaflow/http/errors.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/fake_model_engine.h
+++ b/test/fakes/fake_model_engine.h
@@ -16,11 +16,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_FAKE_MODEL_ENGINE_H_
 #define WISTERIAFLOW_TEST_FAKES_FAKE_MODEL_ENGINE_H_
 
-#include "fakes/engine_parts.h"
-#include "fakes/fake_server.h"
-#include "fakes/lagged.h"
-#include "wisteriaflow/http/client.h"
-
 #include <cstdint>
 #include <list>
 #include <map>
@@ -32,6 +27,11 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "fakes/engine_parts.h"
+#include "fakes/fake_server.h"
+#include "fakes/lagged.h"
+#include "wisteriaflow/http/client.h"
+
 namespace wisteriaflow::fakes {
 
 struct model_engine_settings {
--- a/test/fakes/fake_model_engine_control.cc
+++ b/test/fakes/fake_model_engine_control.cc
@@ -1,8 +1,5 @@
 // The fake model engine's side besides completions: settings, load, cache events, KV and orders.
 
-#include "fake_model_engine.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +8,9 @@
 #include <boost/json/value_from.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "fake_model_engine.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/fake_model_engine_main.cc
+++ b/test/fakes/fake_model_engine_main.cc
@@ -1,11 +1,11 @@
 // Runs a fake_model_engine as a program.
 
-#include "fakes/fake_model_engine.h"
-#include "fakes/program.h"
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
+#include "fakes/fake_model_engine.h"
+#include "fakes/program.h"
+
 ABSL_FLAG(std::uint16_t, port, 0, "port to listen on; 0 lets the kernel choose");
 ABSL_FLAG(std::vector<std::string>, models, {}, "models loaded at first; empty: all");
 ABSL_FLAG(bool, checks_fencing, false, "whether orders with an old fencing number are refused");
--- a/test/fakes/fake_model_engine_test.cc
+++ b/test/fakes/fake_model_engine_test.cc
@@ -1,7 +1,3 @@
-#include "fakes/fake_model_engine.h"
-#include "fakes/run.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <optional>
 
 #include <boost/asio/detached.hpp>
@@ -9,6 +5,10 @@
 #include <boost/json/serialize.hpp>
 #include <gtest/gtest.h>
 
+#include "fakes/fake_model_engine.h"
+#include "fakes/run.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/fake_object_api.h
+++ b/test/fakes/fake_object_api.h
@@ -8,8 +8,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_FAKE_OBJECT_API_H_
 #define WISTERIAFLOW_TEST_FAKES_FAKE_OBJECT_API_H_
 
-#include "fakes/fake_server.h"
-
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -20,6 +18,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "fakes/fake_server.h"
+
 namespace wisteriaflow::fakes {
 
 // Faults that last until changed.
--- a/test/fakes/fake_object_api_test.cc
+++ b/test/fakes/fake_object_api_test.cc
@@ -1,11 +1,11 @@
-#include "fakes/fake_object_api.h"
-#include "fakes/run.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <gtest/gtest.h>
 
+#include "fakes/fake_object_api.h"
+#include "fakes/run.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/fake_plain_service.h
+++ b/test/fakes/fake_plain_service.h
@@ -6,12 +6,12 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_FAKE_PLAIN_SERVICE_H_
 #define WISTERIAFLOW_TEST_FAKES_FAKE_PLAIN_SERVICE_H_
 
-#include "fakes/fake_server.h"
-
 #include <cstdint>
 #include <map>
 #include <string>
 
+#include "fakes/fake_server.h"
+
 namespace wisteriaflow::fakes {
 
 struct plain_service_settings {
--- a/test/fakes/fake_plain_service_test.cc
+++ b/test/fakes/fake_plain_service_test.cc
@@ -1,10 +1,10 @@
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
 #include "fakes/fake_plain_service.h"
 #include "fakes/run.h"
 #include "wisteriaflow/http/errors.h"
 
-#include <boost/json/parse.hpp>
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::fakes {
 namespace {
 
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_FAKE_SERVER_H_
 #define WISTERIAFLOW_TEST_FAKES_FAKE_SERVER_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/server.h"
-
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -17,6 +14,9 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/server.h"
+
 namespace wisteriaflow::fakes {
 
 // A request, taken apart.
--- a/test/fakes/lagged.h
+++ b/test/fakes/lagged.h
@@ -3,11 +3,11 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_LAGGED_H_
 #define WISTERIAFLOW_TEST_FAKES_LAGGED_H_
 
-#include "wisteriaflow/base/time.h"
-
 #include <deque>
 #include <utility>
 
+#include "wisteriaflow/base/time.h"
+
 namespace wisteriaflow::fakes {
 
 // Keeps what a value was at each time, for as long as a lag may reach back.
--- a/test/fakes/program.h
+++ b/test/fakes/program.h
@@ -3,10 +3,10 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_PROGRAM_H_
 #define WISTERIAFLOW_TEST_FAKES_PROGRAM_H_
 
-#include "wisteriaflow/http/message.h"
-
 #include <boost/asio/io_context.hpp>
 
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::fakes {
 
 // Prints "listening ADDRESS" and runs `context` until SIGTERM or SIGINT.
--- a/test/fakes/run.h
+++ b/test/fakes/run.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_FAKES_RUN_H_
 #define WISTERIAFLOW_TEST_FAKES_RUN_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/client.h"
-
 #include <chrono>
 #include <exception>
 #include <functional>
@@ -15,6 +12,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/client.h"
+
 namespace wisteriaflow::fakes {
 
 // A deadline far enough off that only a fault reaches it.
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -1,8 +1,3 @@
-#include "fakes/run.h"
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/http/server.h"
-
 #include <optional>
 #include <string>
 
@@ -11,6 +6,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
+#include "fakes/run.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/server.h"
+
 namespace wisteriaflow::http {
 namespace {
 
--- a/test/http/message_test.cc
+++ b/test/http/message_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/message.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::http {
 namespace {
 
--- a/test/http/server_test.cc
+++ b/test/http/server_test.cc
@@ -1,7 +1,3 @@
-#include "fakes/run.h"
-#include "wisteriaflow/http/errors.h"
-#include "wisteriaflow/http/server.h"
-
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,6 +9,10 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "fakes/run.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/server.h"
+
 namespace wisteriaflow::http {
 namespace {
 
--- a/test/membership/address_book_test.cc
+++ b/test/membership/address_book_test.cc
@@ -1,6 +1,3 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/address_book.h"
-
 #include <map>
 #include <set>
 #include <string>
@@ -8,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/address_book.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/membership/fixtures.h
+++ b/test/membership/fixtures.h
@@ -3,15 +3,15 @@
 #ifndef WISTERIAFLOW_TEST_MEMBERSHIP_FIXTURES_H_
 #define WISTERIAFLOW_TEST_MEMBERSHIP_FIXTURES_H_
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/membership/member.h"
-#include "wisteriaflow/membership/view.h"
-
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/membership/member.h"
+#include "wisteriaflow/membership/view.h"
+
 namespace wisteriaflow::membership {
 
 // The clocks `ms` after the tests' epoch.
--- a/test/membership/gossip_test.cc
+++ b/test/membership/gossip_test.cc
@@ -1,6 +1,3 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/gossip.h"
-
 #include <algorithm>
 #include <deque>
 #include <memory>
@@ -11,6 +8,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/gossip.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/membership/member_test.cc
+++ b/test/membership/member_test.cc
@@ -1,11 +1,11 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/member.h"
-
 #include <utility>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/member.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/membership/news_board_test.cc
+++ b/test/membership/news_board_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "membership/fixtures.h"
 #include "wisteriaflow/membership/internal/news_board.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::membership::internal {
 namespace {
 
--- a/test/membership/repair_pacer_test.cc
+++ b/test/membership/repair_pacer_test.cc
@@ -1,10 +1,10 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/internal/repair_pacer.h"
-
 #include <chrono>
 
 #include <gtest/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/internal/repair_pacer.h"
+
 namespace wisteriaflow::membership::internal {
 namespace {
 
--- a/test/membership/subsets_test.cc
+++ b/test/membership/subsets_test.cc
@@ -1,6 +1,3 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/subsets.h"
-
 #include <algorithm>
 #include <map>
 #include <set>
@@ -9,6 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/subsets.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/membership/usage_ledger_test.cc
+++ b/test/membership/usage_ledger_test.cc
@@ -1,11 +1,11 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/usage_ledger.h"
-
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/usage_ledger.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/membership/view_test.cc
+++ b/test/membership/view_test.cc
@@ -1,12 +1,12 @@
-#include "membership/fixtures.h"
-#include "wisteriaflow/membership/view.h"
-
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "membership/fixtures.h"
+#include "wisteriaflow/membership/view.h"
+
 namespace wisteriaflow::membership {
 namespace {
 
--- a/test/objects/audit_record_test.cc
+++ b/test/objects/audit_record_test.cc
@@ -1,9 +1,9 @@
+#include <gtest/gtest.h>
+
 #include "objects/documents.h"
 #include "wisteriaflow/objects/audit_record.h"
 #include "wisteriaflow/objects/errors.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::objects {
 namespace {
 
--- a/test/objects/codec_test.cc
+++ b/test/objects/codec_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "objects/documents.h"
 #include "wisteriaflow/objects/codec.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::objects {
 namespace {
 
--- a/test/objects/configuration_store_test.cc
+++ b/test/objects/configuration_store_test.cc
@@ -1,12 +1,12 @@
-#include "objects/documents.h"
-#include "wisteriaflow/objects/configuration_store.h"
-
 #include <algorithm>
 #include <map>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "objects/documents.h"
+#include "wisteriaflow/objects/configuration_store.h"
+
 namespace wisteriaflow::objects {
 namespace {
 
--- a/test/objects/selector_test.cc
+++ b/test/objects/selector_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "wisteriaflow/objects/errors.h"
 #include "wisteriaflow/objects/selector.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::objects {
 namespace {
 
--- a/test/peer/peer_codec_test.cc
+++ b/test/peer/peer_codec_test.cc
@@ -1,9 +1,9 @@
-#include "peer/peer_codec.h"
-
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "peer/peer_codec.h"
+
 namespace wisteriaflow::peer {
 namespace {
 
--- a/test/platform/label_edits_test.cc
+++ b/test/platform/label_edits_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "wisteriaflow/platform/errors.h"
 #include "wisteriaflow/platform/label_edits.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::platform {
 namespace {
 
--- a/test/platform/object_api_test.cc
+++ b/test/platform/object_api_test.cc
@@ -1,9 +1,9 @@
+#include <vector>
+
 #include "platform/operator_fixture.h"
 #include "wisteriaflow/platform/errors.h"
 #include "wisteriaflow/platform/object_api.h"
 
-#include <vector>
-
 namespace wisteriaflow::platform {
 namespace {
 
--- a/test/platform/operator_commands_test.cc
+++ b/test/platform/operator_commands_test.cc
@@ -1,9 +1,9 @@
+#include <exception>
+
 #include "platform/operator_fixture.h"
 #include "wisteriaflow/objects/codec.h"
 #include "wisteriaflow/platform/operator_commands.h"
 
-#include <exception>
-
 namespace wisteriaflow::platform {
 namespace {
 
--- a/test/platform/operator_fixture.h
+++ b/test/platform/operator_fixture.h
@@ -3,11 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_PLATFORM_OPERATOR_FIXTURE_H_
 #define WISTERIAFLOW_TEST_PLATFORM_OPERATOR_FIXTURE_H_
 
-#include "fakes/fake_object_api.h"
-#include "fakes/run.h"
-#include "wisteriaflow/platform/object_api.h"
-#include "wisteriaflow/platform/operator_commands.h"
-
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +11,11 @@
 #include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
 
+#include "fakes/fake_object_api.h"
+#include "fakes/run.h"
+#include "wisteriaflow/platform/object_api.h"
+#include "wisteriaflow/platform/operator_commands.h"
+
 namespace wisteriaflow::platform {
 
 class object_api_fixture : public testing::Test {
--- a/test/platform/wisteriaflowctl_test.cc
+++ b/test/platform/wisteriaflowctl_test.cc
@@ -1,7 +1,5 @@
 // Runs the program itself: its exit codes and where its output goes.
 
-#include "platform/operator_fixture.h"
-
 #include <sys/wait.h>
 
 #include <array>
@@ -12,6 +10,8 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include "platform/operator_fixture.h"
+
 namespace wisteriaflow::platform {
 namespace {
 
--- a/test/requests/answer_store_test.cc
+++ b/test/requests/answer_store_test.cc
@@ -1,11 +1,11 @@
-#include "wisteriaflow/requests/answer_store.h"
-
 #include <chrono>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/requests/answer_store.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/test/requests/completion_request_test.cc
+++ b/test/requests/completion_request_test.cc
@@ -1,13 +1,13 @@
-#include "wisteriaflow/requests/completion_request.h"
-#include "wisteriaflow/requests/errors.h"
-#include "wisteriaflow/requests/outcome.h"
-
 #include <string>
 #include <vector>
 
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/requests/completion_request.h"
+#include "wisteriaflow/requests/errors.h"
+#include "wisteriaflow/requests/outcome.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/test/requests/life_world.h
+++ b/test/requests/life_world.h
@@ -4,9 +4,6 @@
 #ifndef WISTERIAFLOW_TEST_REQUESTS_LIFE_WORLD_H_
 #define WISTERIAFLOW_TEST_REQUESTS_LIFE_WORLD_H_
 
-#include "requests/life_truth.h"
-#include "wisteriaflow/requests/request_life.h"
-
 #include <algorithm>
 #include <cstdint>
 #include <map>
@@ -16,6 +13,9 @@
 
 #include <rapidcheck.h>
 
+#include "requests/life_truth.h"
+#include "wisteriaflow/requests/request_life.h"
+
 namespace wisteriaflow::requests {
 
 class world {
--- a/test/requests/request_life_property_test.cc
+++ b/test/requests/request_life_property_test.cc
@@ -1,14 +1,14 @@
 // Random events against a request's life: late, repeated and reordered chunks, failures, reclaims,
 // moves, drains, and callers that come and go.
 
-#include "requests/life_world.h"
-
 #include <cstdint>
 #include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "requests/life_world.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/test/requests/request_life_test.cc
+++ b/test/requests/request_life_test.cc
@@ -1,11 +1,11 @@
-#include "wisteriaflow/requests/request_life.h"
-
 #include <algorithm>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/requests/request_life.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/test/requests/stream_test.cc
+++ b/test/requests/stream_test.cc
@@ -1,9 +1,3 @@
-#include "wisteriaflow/requests/completion_render.h"
-#include "wisteriaflow/requests/errors.h"
-#include "wisteriaflow/requests/move_choice.h"
-#include "wisteriaflow/requests/sse_parser.h"
-#include "wisteriaflow/requests/stream_assembler.h"
-
 #include <string>
 #include <vector>
 
@@ -11,6 +5,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "wisteriaflow/requests/completion_render.h"
+#include "wisteriaflow/requests/errors.h"
+#include "wisteriaflow/requests/move_choice.h"
+#include "wisteriaflow/requests/sse_parser.h"
+#include "wisteriaflow/requests/stream_assembler.h"
+
 namespace wisteriaflow::requests {
 namespace {
 
--- a/test/routing/choose_endpoint_test.cc
+++ b/test/routing/choose_endpoint_test.cc
@@ -1,6 +1,3 @@
-#include "wisteriaflow/routing/choose_endpoint.h"
-#include "wisteriaflow/routing/prefix_blocks.h"
-
 #include <algorithm>
 #include <set>
 #include <string>
@@ -8,6 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
 namespace wisteriaflow::routing {
 namespace {
 
--- a/test/routing/endpoint_table_test.cc
+++ b/test/routing/endpoint_table_test.cc
@@ -1,8 +1,8 @@
+#include <gtest/gtest.h>
+
 #include "wisteriaflow/routing/endpoint_table.h"
 #include "wisteriaflow/routing/errors.h"
 
-#include <gtest/gtest.h>
-
 namespace wisteriaflow::routing {
 namespace {
 
--- a/test/routing/prefix_belief_test.cc
+++ b/test/routing/prefix_belief_test.cc
@@ -1,11 +1,11 @@
-#include "wisteriaflow/routing/prefix_belief.h"
-#include "wisteriaflow/routing/prefix_blocks.h"
-
 #include <algorithm>
 #include <array>
 
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/routing/prefix_belief.h"
+#include "wisteriaflow/routing/prefix_blocks.h"
+
 namespace wisteriaflow::routing {
 namespace {
 
--- a/test/system/caller.cc
+++ b/test/system/caller.cc
@@ -1,9 +1,5 @@
 #include "system/caller.h"
 
-#include "wisteriaflow/base/time.h"
-#include "wisteriaflow/http/client.h"
-#include "wisteriaflow/http/errors.h"
-
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -15,6 +11,10 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/errors.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/caller.h
+++ b/test/system/caller.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_SYSTEM_CALLER_H_
 #define WISTERIAFLOW_TEST_SYSTEM_CALLER_H_
 
-#include "wisteriaflow/http/message.h"
-
 #include <atomic>
 #include <cstddef>
 #include <functional>
@@ -12,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "wisteriaflow/http/message.h"
+
 namespace wisteriaflow::system_tests {
 
 // What came back of one HTTP exchange.
--- a/test/system/configuration_test.cc
+++ b/test/system/configuration_test.cc
@@ -1,11 +1,11 @@
 // An accepted configuration comes into force on every daemon and never reverts.
 
-#include "system/fleet_fixture.h"
-
 #include <algorithm>
 
 #include <boost/json.hpp>
 
+#include "system/fleet_fixture.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/drain_test.cc
+++ b/test/system/drain_test.cc
@@ -1,9 +1,9 @@
 // A daemon that leaves cuts off no request: callers go on at a peer by plain HTTP.
 
-#include "system/fleet_fixture.h"
-
 #include <vector>
 
+#include "system/fleet_fixture.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/fleet.cc
+++ b/test/system/fleet.cc
@@ -1,8 +1,5 @@
 #include "system/fleet.h"
 
-#include "fakes/engine_parts.h"
-#include "system/eventually.h"
-
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
@@ -12,6 +9,9 @@
 
 #include <boost/json.hpp>
 
+#include "fakes/engine_parts.h"
+#include "system/eventually.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/fleet.h
+++ b/test/system/fleet.h
@@ -10,9 +10,6 @@
 #ifndef WISTERIAFLOW_TEST_SYSTEM_FLEET_H_
 #define WISTERIAFLOW_TEST_SYSTEM_FLEET_H_
 
-#include "system/caller.h"
-#include "system/process.h"
-
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -21,6 +18,9 @@
 
 #include <boost/json/value.hpp>
 
+#include "system/caller.h"
+#include "system/process.h"
+
 namespace wisteriaflow::system_tests {
 
 // A running program of the fleet.
--- a/test/system/fleet_fixture.h
+++ b/test/system/fleet_fixture.h
@@ -3,9 +3,6 @@
 #ifndef WISTERIAFLOW_TEST_SYSTEM_FLEET_FIXTURE_H_
 #define WISTERIAFLOW_TEST_SYSTEM_FLEET_FIXTURE_H_
 
-#include "system/eventually.h"
-#include "system/fleet.h"
-
 #include <atomic>
 #include <csignal>
 #include <future>
@@ -13,6 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include "system/eventually.h"
+#include "system/fleet.h"
+
 namespace wisteriaflow::system_tests {
 
 class fleet_fixture : public testing::Test {
--- a/test/system/leaving_test.cc
+++ b/test/system/leaving_test.cc
@@ -1,10 +1,10 @@
 // An endpoint that is leaving gets no new work from two seconds after its notice.
 
-#include "system/fleet_fixture.h"
-
 #include <thread>
 #include <vector>
 
+#include "system/fleet_fixture.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/non_idempotent_test.cc
+++ b/test/system/non_idempotent_test.cc
@@ -1,10 +1,10 @@
 // A non-idempotent request runs at most once, and "not run" is never said of one that ran.
 
-#include "system/fleet_fixture.h"
-
 #include <thread>
 #include <vector>
 
+#include "system/fleet_fixture.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -1,7 +1,5 @@
 #include "system/process.h"
 
-#include "system/eventually.h"
-
 #include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -14,6 +12,8 @@
 
 #include <spawn.h>
 
+#include "system/eventually.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/reclaim_test.cc
+++ b/test/system/reclaim_test.cc
@@ -1,10 +1,10 @@
 // A request that was accepted survives the announced reclaim of its endpoint.
 
-#include "system/fleet_fixture.h"
-
 #include <thread>
 #include <vector>
 
+#include "system/fleet_fixture.h"
+
 namespace wisteriaflow::system_tests {
 namespace {
 
--- a/test/system/soak_main.cc
+++ b/test/system/soak_main.cc
@@ -5,9 +5,6 @@
 // Ends with 1 if a count that must be 0 is not. Runs of an engine that dies unannounced are read
 // just before: what it starts between the reading and its death is not counted.
 
-#include "system/eventually.h"
-#include "system/fleet.h"
-
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -20,6 +17,9 @@
 #include <absl/flags/parse.h>
 #include <boost/json.hpp>
 
+#include "system/eventually.h"
+#include "system/fleet.h"
+
 ABSL_FLAG(double, minutes, 1.0, "how long faults are made");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the faults and of the callers");
 
