Never call a key "not run" at a door without asking where it ran

Cause: a leaving daemon, one that had just started, and admission refused a repeat of a non-idempotent key before looking whether another daemon had run it. Now the key's keepers are asked first and the caller is sent to the answer; a daemon that does not know its peers yet says outcome unknown for a keyed call. Ruled out: claiming before admission, a store write for each refused request. Left: keepers are a hint; when both are gone the refusal can still be wrong. Before: DrainTest.ALeavingDaemonDoesNotCallAKeyNotRunThatRanElsewhere failed; after: the nine DrainTests pass.

--- a/src/core/active_request.h
+++ b/src/core/active_request.h
@@ -75,6 +75,7 @@
   std::optional<running_attempt> running;
   whole_response answer;
   std::optional<wall_time> keep_until;
+  std::string answer_place; // of a refused request's key that was run elsewhere
   std::uint64_t claim_nonce = 0;
   timer_number deadline_timer = 0;
   int retries = 0;
--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -123,24 +123,54 @@
 }
 
 // Refuses what cannot be looked at now: the daemon leaves, or does not know its configuration yet.
-bool request_table::refuse_early(call_number call)
+bool request_table::refuse_early(call_number call, const http::request& message)
 {
   const bool ready = services_.config.ready();
   if (!draining_ && ready) {
     return false;
   }
-  const auto reason =
-      draining_ ? requests::refusal_reason::draining : requests::refusal_reason::no_endpoint;
-  const auto message = draining_ ? "this daemon is leaving: ask another address"
-                                 : "this daemon does not know the configuration yet";
-  send_outcome(call,
-               requests::refused_not_run{reason, context_.now().wall + draining_retry, message});
+  const auto retry_at = context_.now().wall + draining_retry;
+  const requests::answer_key key{
+      .workspace =
+          workspace_id(std::string(http::find_header(message.fields, "Wisteriaflow-Workspace"))),
+      .key = std::string(http::find_header(message.fields, "Idempotency-Key"))};
+  if (ready) {
+    refuse_unless_placed(call, key,
+                         {requests::refusal_reason::draining, retry_at,
+                          "this daemon is leaving: ask another address"});
+  } else if (!key.key.empty()) {
+    // Another daemon may have run it, and this one cannot know.
+    send_outcome(call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
+  } else {
+    send_outcome(call,
+                 requests::refused_not_run{requests::refusal_reason::no_endpoint, retry_at,
+                                           "this daemon does not know the configuration yet"});
+  }
   return true;
 }
 
+// A key that was run elsewhere must not be called "not run" here: its caller is sent there.
+void request_table::refuse_unless_placed(call_number call, const requests::answer_key& key,
+                                         const requests::refused_not_run& refusal)
+{
+  if (key.key.empty()) {
+    send_outcome(call, refusal);
+    return;
+  }
+  ++looking_;
+  services_.places.find(key, [this, call, key, refusal](const std::string& address) {
+    --looking_;
+    if (address.empty()) {
+      send_outcome(call, refusal);
+    } else {
+      send_place(call, key, address);
+    }
+  });
+}
+
 void request_table::open_completion(call_number call, http::request message)
 {
-  if (refuse_early(call)) {
+  if (refuse_early(call, message)) {
     return;
   }
   try {
@@ -169,7 +199,7 @@
 void request_table::open_service_call(call_number call, http::request message,
                                       const std::string& service, std::string target)
 {
-  if (refuse_early(call)) {
+  if (refuse_early(call, message)) {
     return;
   }
   const auto* declared = services_.config.current()->find_service(service);
@@ -285,9 +315,9 @@
   if (const auto* refused = std::get_if<admission::refused>(&decided)) {
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(refused->retry_at -
                                                                             context_.now().mono);
-    feed(r, requests::admission_refused{.reason = reason_of(refused->reason),
-                                        .retry_at = context_.now().wall + wait,
-                                        .message = std::string(to_string(refused->reason))});
+    refuse(r, {.reason = reason_of(refused->reason),
+               .retry_at = context_.now().wall + wait,
+               .message = std::string(to_string(refused->reason))});
     return;
   }
   r.admitted = std::get<admission::admitted>(decided);
@@ -298,6 +328,23 @@
   feed(r, requests::admission_granted{});
 }
 
+// A key that must not run twice may have been run at another daemon: then its place is the answer.
+void request_table::refuse(active_request& r, const requests::admission_refused& refusal)
+{
+  if (r.options.idempotent) {
+    feed(r, refusal);
+    return;
+  }
+  ++looking_;
+  services_.places.find(r.key, [this, id = r.id, refusal](const std::string& address) {
+    --looking_;
+    if (auto* refused = find(id)) {
+      refused->answer_place = address;
+      feed(*refused, refusal);
+    }
+  });
+}
+
 void request_table::join(const std::string& id, attached_call call)
 {
   auto* r = find(id);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -101,7 +101,10 @@
 
   // request_table.cc
   [[nodiscard]] requests::call_limits limits() const;
-  bool refuse_early(call_number call);
+  bool refuse_early(call_number call, const http::request& message);
+  void refuse_unless_placed(call_number call, const requests::answer_key& key,
+                            const requests::refused_not_run& refusal);
+  void refuse(active_request& r, const requests::admission_refused& refusal);
   void open(call_number call, request_ptr fresh, bool streamed);
   void admit(active_request& r);
   [[nodiscard]] admission::admission_request admission_request_of(const active_request& r);
--- a/src/core/request_table_actions.cc
+++ b/src/core/request_table_actions.cc
@@ -240,6 +240,11 @@
 void request_table::answer_call(active_request& r, attached_call& c, const requests::finish& end)
 {
   const bool answered = std::holds_alternative<requests::answered>(end.result);
+  const bool refused = std::holds_alternative<requests::refused_not_run>(end.result);
+  if (refused && !r.answer_place.empty()) {
+    send_place(c.call, r.key, r.answer_place);
+    return;
+  }
   const bool is_stream =
       c.streamed && (c.head_sent || (answered && r.generation() && r.answer.status == 200));
   if (!is_stream) {
