Make the linter clean over the whole tree

Corrects what the claims' header says of `unavailable`: the nonce is never granted, though its entry may be kept.

--- a/include/wisteriaflow/claims/claim.h
+++ b/include/wisteriaflow/claims/claim.h
@@ -78,7 +78,7 @@
   body_mismatch, // the key was used with another body
   too_old,       // the key may have been forgotten: its outcome is unknown
   not_owner,     // ask `owner`, or whoever owns the shard by now if that is empty
-  unavailable,   // nothing is kept for this nonce, nor will be
+  unavailable,   // not granted, and never for this nonce, though its entry may still be kept
 };
 
 struct claim_reply {
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -274,6 +274,16 @@
 
 using key_name = std::pair<std::string, std::string>;
 
+// The message of an error: file, section, key, value and what is wrong with it.
+std::string fault_text(const std::string& file, const key_name& where, const std::string& value,
+                       const std::string& problem)
+{
+  std::string out = file;
+  out += ": section [" + where.first + "], key '" + where.second;
+  out += "' = '" + value + "': " + problem;
+  return out;
+}
+
 // The file's values by section and key; rejects keys that no definition names.
 std::map<key_name, std::string> read_values(std::istream& in, const std::string& name)
 {
@@ -286,8 +296,8 @@
   std::map<key_name, std::string> values;
   for (const auto& [section, keys] : tree) {
     if (keys.empty()) {
-      throw settings_error(name + ": key '" + section + "' = '" + keys.data() +
-                           "' stands outside any section; allowed: keys below [section] lines");
+      throw settings_error(fault_text(name, {"", section}, keys.data(),
+                                      "stands outside any section; allowed: keys below [section]"));
     }
     for (const auto& [key, value] : keys) {
       values[{section, key}] = value.data();
@@ -303,8 +313,8 @@
       return d.section == where.first && d.key == where.second;
     };
     if (std::none_of(definitions().begin(), definitions().end(), is_here)) {
-      throw settings_error(name + ": section [" + where.first + "], key '" + where.second +
-                           "' = '" + value + "': unknown key; docs/REFERENCE.md lists them");
+      throw settings_error(
+          fault_text(name, where, value, "unknown key; docs/REFERENCE.md lists them"));
     }
   }
 }
@@ -344,8 +354,8 @@
     const auto it = values.find({d.section, d.key});
     const auto& value = it == values.end() ? d.fallback : it->second;
     if (!std::visit(apply_rule{out, value}, d.allowed)) {
-      throw settings_error(name + ": section [" + d.section + "], key '" + d.key + "' = '" + value +
-                           "': allowed: " + std::visit(describe_rule{}, d.allowed));
+      const auto allowed = "allowed: " + std::visit(describe_rule{}, d.allowed);
+      throw settings_error(fault_text(name, {d.section, d.key}, value, allowed));
     }
   }
   check_together(out, name);
--- a/test/membership/address_book_test.cc
+++ b/test/membership/address_book_test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 class address_book_test : public testing::Test {
- protected:
+ public:
   address_book_test()
   {
     for (int i = 0; i < 40; ++i) {
--- a/test/membership/usage_ledger_test.cc
+++ b/test/membership/usage_ledger_test.cc
@@ -14,7 +14,7 @@
 const workspace_id banking{"banking"};
 
 class usage_ledger_test : public testing::Test {
- protected:
+ public:
   static constexpr int fleet_size = 20;
 
   usage_ledger_test()
--- a/test/membership/view_test.cc
+++ b/test/membership/view_test.cc
@@ -140,7 +140,7 @@
 
 // A view of three daemons besides itself, of which "d4" falls silent.
 class silent_daemon_test : public testing::Test {
- protected:
+ public:
   silent_daemon_test()
   {
     for (const auto* id : {"d2", "d3", "d4"}) {
--- a/test/system/fleet_fixture.h
+++ b/test/system/fleet_fixture.h
@@ -16,7 +16,7 @@
 namespace wisteriaflow::system_tests {
 
 class fleet_fixture : public testing::Test {
- protected:
+ public:
   void SetUp() override
   {
     f.start_engine({.id = "engine-a", .zone = "zone-a", .token_interval_ms = token_interval_ms});
--- a/test/system/non_idempotent_test.cc
+++ b/test/system/non_idempotent_test.cc
@@ -93,6 +93,7 @@
   std::this_thread::sleep_for(past_everything);
   f.object_api_faults(R"({"delay_ms":0})");
   std::vector<std::future<reply>> repeated;
+  repeated.reserve(keys.size());
   for (const auto& key : keys) {
     repeated.push_back(send_delivery("d2", key));
   }
--- a/test/system/soak_main.cc
+++ b/test/system/soak_main.cc
@@ -73,6 +73,7 @@
   counts run(clock::time_point end)
   {
     std::vector<std::thread> callers;
+    callers.reserve(stream_callers + delivery_callers);
     for (int i = 0; i < stream_callers; ++i) {
       callers.emplace_back([this, end, seed = random_()] { call_streams(end, seed); });
     }
@@ -246,7 +247,7 @@
   {
     const lock held(mutex_);
     const auto ids = fleet_.daemons();
-    const auto id = ids.at(random() % ids.size());
+    const auto& id = ids.at(random() % ids.size());
     return {id, fleet_.address_of(id)};
   }
 
