Let a keyed call wait for a starting daemon instead of a wrong refusal

A keyed call now waits up to five seconds for the configuration, then goes the ordinary way; only after that is it unknown.

--- a/src/core/request_table.cc
+++ b/src/core/request_table.cc
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds readiness_wait{5'000};
 constexpr std::chrono::milliseconds place_wait{3'000}; // longer than a claim while its shard moves
 constexpr std::chrono::milliseconds place_check{200};
+constexpr std::chrono::milliseconds readiness_check{100};
 constexpr double unlimited = 1e12; // a share that never binds
 
 admission::admission_options admission_options_of(const daemon_core_options& o)
@@ -122,13 +123,13 @@
   return it == active_.end() ? nullptr : it->second.get();
 }
 
-// Refuses what cannot be looked at now: the daemon leaves, or does not know its configuration yet.
-bool request_table::refuse_early(call_number call, const http::request& message)
+// Refuses, or puts off by `again`, what cannot be looked at now: the daemon leaves, or does not
+// know its configuration yet. A key may have been run elsewhere, which a daemon that has just
+// started cannot know: such a call waits until it does, for a bounded time.
+void request_table::refuse_early(call_number call, const http::request& message, mono_time ready_by,
+                                 std::function<void()> again)
 {
   const bool ready = services_.config.ready();
-  if (!draining_ && ready) {
-    return false;
-  }
   const auto retry_at = context_.now().wall + draining_retry;
   const requests::answer_key key{
       .workspace =
@@ -138,15 +139,19 @@
     refuse_unless_placed(call, key,
                          {requests::refusal_reason::draining, retry_at,
                           "this daemon is leaving: ask another address"});
+  } else if (!key.key.empty() && context_.now().mono < ready_by) {
+    ++looking_;
+    context_.timers().at(context_.now().mono + readiness_check, [this, again] {
+      --looking_;
+      again();
+    });
   } else if (!key.key.empty()) {
-    // Another daemon may have run it, and this one cannot know.
     send_outcome(call, requests::outcome_unknown{requests::unknown_reason::earlier_run_lost});
   } else {
     send_outcome(call,
                  requests::refused_not_run{requests::refusal_reason::no_endpoint, retry_at,
                                            "this daemon does not know the configuration yet"});
   }
-  return true;
 }
 
 // A key that was run elsewhere must not be called "not run" here: its caller is sent there.
@@ -170,7 +175,14 @@
 
 void request_table::open_completion(call_number call, http::request message)
 {
-  if (refuse_early(call, message)) {
+  open_completion(call, std::move(message), context_.now().mono + readiness_wait);
+}
+
+void request_table::open_completion(call_number call, http::request message, mono_time ready_by)
+{
+  if (!can_open()) {
+    refuse_early(call, message, ready_by,
+                 [this, call, message, ready_by] { open_completion(call, message, ready_by); });
     return;
   }
   try {
@@ -199,9 +211,20 @@
 void request_table::open_service_call(call_number call, http::request message,
                                       const std::string& service, std::string target)
 {
-  if (refuse_early(call, message)) {
+  open_service_call(call, std::move(message), {.service = service, .target = std::move(target)},
+                    context_.now().mono + readiness_wait);
+}
+
+void request_table::open_service_call(call_number call, http::request message, service_target where,
+                                      mono_time ready_by)
+{
+  if (!can_open()) {
+    refuse_early(call, message, ready_by, [this, call, message, where, ready_by] {
+      open_service_call(call, message, where, ready_by);
+    });
     return;
   }
+  const auto& [service, target] = where;
   const auto* declared = services_.config.current()->find_service(service);
   if (declared == nullptr) {
     send_outcome(call, requests::invalid{status_not_found, "no service named " + service});
@@ -228,7 +251,7 @@
     fresh->body_hash = hash128_of(message.method + " " + message.target + "\n" + message.body);
     fresh->headers = std::move(headers);
     fresh->message = std::move(message);
-    fresh->service_target = std::move(target);
+    fresh->service_target = target;
     fresh->where.service = service;
     open(call, std::move(fresh), false);
   } catch (const requests::invalid_request& e) {
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -101,7 +101,12 @@
 
   // request_table.cc
   [[nodiscard]] requests::call_limits limits() const;
-  bool refuse_early(call_number call, const http::request& message);
+  void open_completion(call_number call, http::request message, mono_time ready_by);
+  void open_service_call(call_number call, http::request message, service_target where,
+                         mono_time ready_by);
+  [[nodiscard]] bool can_open() const { return !draining_ && services_.config.ready(); }
+  void refuse_early(call_number call, const http::request& message, mono_time ready_by,
+                    std::function<void()> again);
   void refuse_unless_placed(call_number call, const requests::answer_key& key,
                             const requests::refused_not_run& refusal);
   void refuse(active_request& r, const requests::admission_refused& refusal);
