Give callers who come back a file of their own

The wait for a starting daemon's readiness stood to be written twice and is now one constant of the class. Behaviour is unchanged.

--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -2,12 +2,14 @@
 //
 // Each request's decisions are made by its request_life; this class carries the life's actions out
 // and feeds it with what happens. Implementation files: request_table.cc (opening, attaching,
-// ending), request_table_actions.cc (the life's actions), request_table_attempts.cc (exchanges
-// with endpoints), request_table_peers.cc (handover, queries of peers).
+// ending), request_table_answers.cc (callers who come back), request_table_actions.cc (the life's
+// actions), request_table_attempts.cc (exchanges with endpoints), request_table_peers.cc (handover,
+// queries of peers).
 
 #ifndef WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 #define WISTERIAFLOW_SRC_CORE_REQUEST_TABLE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -88,6 +90,9 @@
   void refresh_shares();
 
  private:
+  // How long a daemon that has just started keeps callers waiting until it is ready.
+  static constexpr std::chrono::milliseconds readiness_wait{5'000};
+
   // A caller who comes back for an answer.
   struct answer_wish {
     requests::answer_key key;
