--- /dev/null
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -0,0 +1,188 @@
+// The endpoints that one daemon may send opaque requests to, and the choice among them.
+//
+// Endpoints come from the store (lists and changes, each at a revision) and from peers, which pass
+// on that an endpoint leaves. What is known at a higher revision wins, so that a stale list brings
+// no leaving endpoint back.
+//
+//   endpoint_pool pool({.zone = here, .seed = 1});
+//   pool.replace_all(listed, revision, now);
+//   if (auto chosen = pool.choose({.service = "chat", .prompt = parts, .target = t}, now)) {
+//     pool.on_first_token(chosen->work, later);
+//     pool.on_finished(chosen->work, tokens, last);
+//   }
+
+#ifndef WISTERIAFLOW_GATEWAY_ENDPOINT_POOL_H_
+#define WISTERIAFLOW_GATEWAY_ENDPOINT_POOL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/call.h"
+#include "wisteriaflow/http/message.h"
+#include "wisteriaflow/routing/choose_endpoint.h"
+#include "wisteriaflow/routing/endpoint_table.h"
+#include "wisteriaflow/routing/prefix_belief.h"
+
+namespace wisteriaflow::gateway {
+
+// An endpoint as the store describes it.
+struct endpoint_record {
+  endpoint_id id;
+  std::uint64_t revision = 0; // of the store, at which this was true
+  std::string service;
+  http::socket_address address;
+  availability_zone zone;
+  std::uint32_t places = 1; // requests that it runs at once
+  bool leaving = false;
+  bool reclaimable = false;
+
+  friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
+};
+
+// An endpoint that leaves or is gone, as of a revision of the store.
+struct endpoint_departure {
+  endpoint_id id;
+  std::uint64_t revision = 0;
+
+  friend bool operator==(const endpoint_departure&, const endpoint_departure&) = default;
+};
+
+// Requests of one daemon at an endpoint.
+struct endpoint_work {
+  std::uint32_t waiting = 0; // no byte of an answer yet
+  std::uint32_t running = 0;
+
+  friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
+};
+
+using endpoint_work_map = std::map<endpoint_id, endpoint_work>;
+
+struct endpoint_pool_options {
+  availability_zone zone;
+  std::uint64_t seed = 0;
+  // Departures are passed on to peers for this long; well above the time that gossip takes.
+  std::chrono::milliseconds departure_told{10'000};
+  // A peer's work counts for this long after it was told.
+  std::chrono::milliseconds work_valid{2'500};
+  // After trouble with an endpoint it is left out this long, doubled for each further trouble.
+  std::chrono::milliseconds trouble_backoff{400};
+  std::chrono::milliseconds trouble_backoff_limit{3'000};
+};
+
+// What a choice needs to know.
+struct endpoint_wish {
+  std::string_view service;
+  std::span<const prompt_part> prompt;
+  std::optional<token_size> size;
+  mono_time target;
+  mono_time deadline;
+  std::span<const endpoint_id> excluded;
+};
+
+// The endpoint of one attempt. `work` is handed back as the attempt goes on.
+struct pooled_endpoint {
+  endpoint_id id;
+  http::socket_address address;
+  routing::sent_work work;
+};
+
+// Not thread-safe.
+class endpoint_pool {
+ public:
+  explicit endpoint_pool(endpoint_pool_options options);
+
+  // All endpoints as of `revision`. Those not listed are gone, unless removals are on hold.
+  void replace_all(std::span<const endpoint_record> listed, std::uint64_t revision, mono_time now);
+
+  // One endpoint's new description.
+  void apply(const endpoint_record& changed, mono_time now);
+
+  // The store has no entry any more.
+  void remove(const endpoint_departure& gone, mono_time now);
+
+  // A peer's word that an endpoint leaves.
+  void on_departure(const endpoint_departure& heard, mono_time now);
+
+  // Until `deadline`, an entry that vanishes may only have lapsed with the store and is kept; what
+  // is still missing then is gone.
+  void hold_removals_until(mono_time deadline) { hold_until_ = deadline; }
+
+  // Carries out removals whose hold has ended. Call a few times a second.
+  void tick(mono_time now);
+
+  // Whether any list was read.
+  [[nodiscard]] bool is_known() const { return listed_; }
+
+  // Endpoints of `service` that take new work.
+  [[nodiscard]] std::vector<const endpoint_record*> serving(std::string_view service) const;
+
+  [[nodiscard]] const std::map<endpoint_id, endpoint_record>& all() const { return records_; }
+
+  // Departures to pass on to peers.
+  [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now) const;
+
+  // The endpoint for one attempt, whose work is counted from now on; nothing if none takes it.
+  [[nodiscard]] std::optional<pooled_endpoint> choose(const endpoint_wish& wish, mono_time now);
+
+  // The attempt's first event or whole answer has come.
+  void on_first_token(routing::sent_work& work, mono_time now);
+
+  // The attempt is over, whatever became of it.
+  void on_finished(const routing::sent_work& work, std::uint64_t output_tokens, mono_time now);
+
+  // The endpoint failed the attempt in a way that points at itself: no connection, a cut, silence.
+  void on_trouble(const endpoint_id& id, mono_time now);
+  void on_success(const endpoint_id& id);
+
+  // Work of this daemon, for its peers, and what a peer told.
+  [[nodiscard]] endpoint_work_map own_work() const;
+  void on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now);
+
+  // Takes the peers' work into account. Call after news of it.
+  void refresh_loads(mono_time now);
+
+  // Requests of the whole fleet at the endpoints of `service`, as far as known.
+  [[nodiscard]] std::uint64_t fleet_work(std::string_view service, mono_time now) const;
+
+ private:
+  struct peer_work {
+    endpoint_work_map work;
+    mono_time valid_until;
+  };
+
+  void store(const endpoint_record& record);
+  void mark_departed(const endpoint_departure& d, mono_time now);
+  void erase(const endpoint_id& id);
+  [[nodiscard]] bool is_departed(const endpoint_record& record) const;
+  [[nodiscard]] endpoint_work total_work(const endpoint_id& id, mono_time now) const;
+
+  struct departure_entry {
+    std::uint64_t revision = 0;
+    mono_time told_until;
+  };
+
+  endpoint_pool_options options_;
+  routing::routing_options routing_;
+  std::map<endpoint_id, endpoint_record> records_;
+  std::map<endpoint_id, std::uint64_t> held_removals_; // with the revision of the removal
+  std::map<endpoint_id, departure_entry> departures_;
+  std::map<daemon_id, peer_work> peers_;
+  std::map<endpoint_id, endpoint_work> own_;
+  routing::endpoint_table table_;
+  routing::prefix_belief prefixes_;
+  std::mt19937_64 random_;
+  mono_time hold_until_;
+  bool listed_ = false;
+};
+
+} // namespace wisteriaflow::gateway
+
+#endif // WISTERIAFLOW_GATEWAY_ENDPOINT_POOL_H_
--- /dev/null
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -0,0 +1,61 @@
+// What one gateway daemon tells its peers, a few times a second, and how it travels: as JSON over
+// HTTP between the daemons' own ports.
+
+#ifndef WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
+#define WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wisteriaflow/base/errors.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/endpoint_pool.h"
+#include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/workspace_quota.h"
+#include "wisteriaflow/http/message.h"
+
+namespace wisteriaflow::gateway {
+
+// A message of a peer that cannot be read.
+class peer_report_error : public error {
+ public:
+  using error::error;
+};
+
+// A daemon as it describes itself.
+struct daemon_contact {
+  daemon_id id;
+  std::uint64_t incarnation = 0; // different in each process
+  http::socket_address peer_address;
+  http::socket_address caller_address;
+  availability_zone zone;
+  bool ready = false;   // may be given to callers
+  bool leaving = false; // is about to end
+
+  friend bool operator==(const daemon_contact&, const daemon_contact&) = default;
+};
+
+struct peer_report {
+  daemon_contact self;
+  std::uint64_t configuration_version = 0; // in force at the sender; 0: none
+  wall_time clock;                         // the sender's own, uncorrected
+  std::vector<daemon_contact> known;       // daemons that the sender hears
+  endpoint_work_map work;                  // the sender's own
+  std::vector<endpoint_departure> departures;
+  workspace_demand demand; // at the sender
+  std::vector<usage_row> usage;
+
+  friend bool operator==(const peer_report&, const peer_report&) = default;
+};
+
+[[nodiscard]] std::string encode_peer_report(const peer_report& report);
+
+// Throws peer_report_error.
+[[nodiscard]] peer_report decode_peer_report(std::string_view text);
+
+} // namespace wisteriaflow::gateway
+
+#endif // WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
--- /dev/null
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -0,0 +1,68 @@
+// The other gateway daemons, as heard from directly.
+//
+// A daemon is live while its own reports keep coming. What third parties say of it only tells where
+// it can be asked.
+
+#ifndef WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
+#define WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/peer_report.h"
+
+namespace wisteriaflow::gateway {
+
+struct peer_table_options {
+  daemon_id self;
+  http::socket_address self_address; // towards peers
+  // Four missed reports: fewer would take a peer behind a lossy link for dead.
+  std::chrono::milliseconds live_for{1'600};
+  // A silent peer may only be cut off and still admit requests; it is counted for this long.
+  std::chrono::milliseconds counted_for{12'000};
+  // A peer that was silent for so long is no longer asked.
+  std::chrono::milliseconds asked_for{60'000};
+};
+
+// Not thread-safe.
+class peer_table {
+ public:
+  explicit peer_table(peer_table_options options) : options_(std::move(options)) {}
+
+  // Addresses known beforehand; asked until a daemon there is known by name.
+  void add_address(const http::socket_address& address);
+
+  // A daemon's own report arrived.
+  void on_report(const peer_report& report, mono_time now);
+
+  // The daemon says that it ends, or is known to have ended.
+  [[nodiscard]] bool is_live(const daemon_id& peer, mono_time now) const;
+
+  // Contacts of live daemons.
+  [[nodiscard]] std::vector<daemon_contact> live(mono_time now) const;
+
+  // Daemons that may be admitting requests, this one included.
+  [[nodiscard]] std::size_t counted(mono_time now) const;
+
+  // Where to send reports.
+  [[nodiscard]] std::vector<http::socket_address> addresses_to_ask(mono_time now) const;
+
+ private:
+  struct entry {
+    daemon_contact contact;
+    mono_time heard_at;
+  };
+
+  peer_table_options options_;
+  std::map<daemon_id, entry> peers_;
+  std::set<http::socket_address> unnamed_;
+};
+
+} // namespace wisteriaflow::gateway
+
+#endif // WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
--- a/include/wisteriaflow/http/client.h
+++ b/include/wisteriaflow/http/client.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -23,12 +24,29 @@
   std::size_t idle_connections_per_address = 8;
   std::size_t body_limit = std::size_t{8} * 1024 * 1024; // bytes of a whole response
   std::chrono::milliseconds idle_timeout{20'000};        // shorter than servers keep a connection
+  // Opening a connection may take this long; 0: up to the call's deadline.
+  std::chrono::milliseconds connect_timeout{0};
+  // A connection is given up when what was sent stays unacknowledged for this long, as when the
+  // peer has lost power; 0: the kernel's own limit, minutes.
+  std::chrono::milliseconds unacknowledged_timeout{0};
+  // Sends a GET again when a reused connection turns out to be closed. Off, every such failure is
+  // reported, so that the caller can count what it sends.
+  bool repeat_stale_get = true;
+  // Reuses a connection only within half of the time that the server's Keep-Alive field states,
+  // and not at all without that field: servers that close early would break non-idempotent calls.
+  bool only_stated_keep_alive = false;
 };
 
 // Told about a streamed response as it arrives.
 struct stream_observer {
   std::function<void(const response& head)> on_head;
   std::function<void(std::string_view bytes)> on_bytes; // body bytes, chunk framing removed
+  // The same, but nothing more is read until it has returned, so that a slow reader downstream
+  // slows the sender instead of filling memory.
+  std::function<boost::asio::awaitable<void>(std::string_view bytes)> write_bytes;
+  // False: this answers an earlier request of the connection; it is skipped and the next response
+  // awaited. Unset: every response is taken.
+  std::function<bool(const response& head)> is_expected;
 };
 
 // A request in flight that can be cancelled from the client's io_context.
@@ -66,6 +84,9 @@
   boost::asio::awaitable<void> stream(socket_address to, request message, mono_time deadline,
                                       stream_observer observer, exchange* handle = nullptr);
 
+  // Connections opened so far.
+  [[nodiscard]] std::uint64_t connections_opened() const;
+
   // Closes the idle connections to `to`, as when an endpoint leaves.
   void forget(const socket_address& to);
 
--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -81,6 +81,10 @@
   // Requests received whose response is not finished.
   [[nodiscard]] std::size_t open_requests() const;
 
+  // From now on tells peers with each response that the connection will not be kept; still accepts
+  // and serves new ones.
+  void announce_close();
+
   // Takes no new connections; connections close after the response they are sending, and idle
   // ones after a moment in which a request under way is still answered.
   void stop_accepting();
--- /dev/null
+++ b/include/wisteriaflow/relay/gateway_daemon.h
@@ -0,0 +1,43 @@
+// The gateway daemon: forwards opaque HTTP calls to endpoints, on one thread.
+//
+//   relay::gateway_daemon d(relay::load_settings(path));
+//   d.run(); // until SIGTERM or SIGINT and the drain after it
+
+#ifndef WISTERIAFLOW_RELAY_GATEWAY_DAEMON_H_
+#define WISTERIAFLOW_RELAY_GATEWAY_DAEMON_H_
+
+#include <functional>
+#include <memory>
+
+#include "wisteriaflow/daemon/log.h"
+#include "wisteriaflow/relay/settings.h"
+
+namespace wisteriaflow::relay {
+
+class gateway_daemon {
+ public:
+  // Listens at once; throws http_error if an address cannot be bound. `log` takes the log's lines
+  // and must not block.
+  gateway_daemon(const settings& s, std::function<void(daemon::log_line)> log);
+  ~gateway_daemon();
+  gateway_daemon(const gateway_daemon&) = delete;
+  gateway_daemon& operator=(const gateway_daemon&) = delete;
+
+  // Serves until a drain has ended.
+  void run();
+
+  // Begins the drain: callers are told to go elsewhere, calls under way are finished. Called on the
+  // thread of `run`, or before it.
+  void drain();
+
+  // Addresses as bound, with the ports that the kernel chose.
+  [[nodiscard]] http::socket_address caller_address() const;
+
+ private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_RELAY_GATEWAY_DAEMON_H_
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -12,7 +12,7 @@
 #include "wisteriaflow/core/daemon_core.h"
 #include "wisteriaflow/daemon/caller_side.h"
 #include "wisteriaflow/daemon/endpoint_side.h"
-#include "wisteriaflow/daemon/log.h"
+#include "wisteriaflow/daemon/log_writer.h"
 #include "wisteriaflow/daemon/platform_side.h"
 #include "wisteriaflow/peer/peer_side.h"
 
@@ -28,7 +28,6 @@
 // With 32 shards and 200 ms this keeps a shard's owner under its 16 KB/s at 540 claims a second
 // (bench/claims_bench: 11.5 KB/s a shard, 219 writes/s, 102 ms mean wait).
 constexpr std::size_t claim_tail_entries = 16;
-constexpr std::size_t log_ring_capacity = 4'096;
 
 clock_reading read_clocks()
 {
@@ -127,35 +126,6 @@
   return log_level::info;
 }
 
-// Writes log lines on a thread of its own. A full ring drops the line.
-class log_side {
- public:
-  log_side() : ring_(log_ring_capacity), thread_([this] { run(); }) {}
-  ~log_side()
-  {
-    ring_.close();
-    thread_.join();
-  }
-  log_side(const log_side&) = delete;
-  log_side& operator=(const log_side&) = delete;
-
-  void write(log_line line) { ring_.try_push(std::move(line)); }
-
- private:
-  void run()
-  {
-    for (bool open = true; open;) {
-      open = !ring_.closed();
-      for (const auto& line : ring_.wait_pop_all(mono_time::max())) {
-        write_log(line);
-      }
-    }
-  }
-
-  bounded_ring<log_line> ring_;
-  std::thread thread_;
-};
-
 } // namespace
 
 class daemon::implementation {
@@ -253,7 +223,7 @@
   ring_port<core::peer_action> to_peers_;
   core::daemon_core core_;
   std::string id_;
-  log_side log_;
+  log_writer log_;
   bool flushed_ = true;
   bool stopping_ = false;
 };
--- /dev/null
+++ b/src/gateway/answer_verdict.cc
@@ -0,0 +1,66 @@
+#include "wisteriaflow/gateway/answer_verdict.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
+constexpr int request_timeout = 408;
+constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+
+// Statuses by which callers understand "not run". An endpoint that does not promise it in so many
+// words must not have them passed on.
+bool sounds_not_run(int status)
+{
+  return status == request_timeout || status == misdirected || status == too_many_requests ||
+         status == unavailable;
+}
+
+} // namespace
+
+attempt_outcome judge(const answer_head& head, const std::string& request_id)
+{
+  if (head.not_run) {
+    return attempt_outcome::not_run;
+  }
+  const bool other_request = !head.request_id.empty() && head.request_id != request_id;
+  if (other_request || sounds_not_run(head.status)) {
+    return attempt_outcome::broken;
+  }
+  const bool success = head.status >= first_success && head.status < first_redirect;
+  if (success) {
+    const bool proved = head.sealed && head.request_id == request_id;
+    return proved ? attempt_outcome::answered : attempt_outcome::broken;
+  }
+  return head.status >= first_server_error ? attempt_outcome::failed : attempt_outcome::answered;
+}
+
+attempt_history after(attempt_history history, attempt_outcome outcome)
+{
+  ++history.sent;
+  history.may_have_run = history.may_have_run || outcome != attempt_outcome::not_run;
+  return history;
+}
+
+int final_status(const attempt_history& history)
+{
+  if (!history.may_have_run) {
+    return unavailable;
+  }
+  return history.timed_out ? gateway_timeout : bad_gateway;
+}
+
+bool may_send_again(const route& r, const attempt_history& history)
+{
+  if (history.sent >= r.max_attempts) {
+    return false;
+  }
+  return !history.may_have_run || r.repeatable();
+}
+
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/src/gateway/configuration.cc
@@ -0,0 +1,61 @@
+#include "wisteriaflow/gateway/configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wisteriaflow/base/text.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+std::string host_key(std::string_view host)
+{
+  return to_lower(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
+configuration_index::configuration_index(configuration declared) : declared_(std::move(declared))
+{
+  for (const auto& r : declared_.routes) {
+    by_host_[host_key(r.host)].push_back(&r);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const route* a, const route* b) {
+      return a->path_prefix.size() > b->path_prefix.size();
+    });
+  }
+  for (const auto& w : declared_.workspaces) {
+    for (const auto& key : w.api_keys) {
+      by_key_.emplace(key, &w);
+    }
+  }
+  for (const auto& s : declared_.services) {
+    by_service_.emplace(s.name, &s);
+  }
+}
+
+const route* configuration_index::match(std::string_view host, std::string_view path) const
+{
+  const auto of_host = by_host_.find(host_key(host));
+  if (of_host == by_host_.end()) {
+    return nullptr;
+  }
+  const auto begins = [path](const route* r) { return path.starts_with(r->path_prefix); };
+  const auto it = std::find_if(of_host->second.begin(), of_host->second.end(), begins);
+  return it == of_host->second.end() ? nullptr : *it;
+}
+
+const workspace_definition* configuration_index::workspace_of(std::string_view api_key) const
+{
+  const auto it = by_key_.find(api_key);
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
+const service_definition* configuration_index::service(std::string_view name) const
+{
+  const auto it = by_service_.find(name);
+  return it == by_service_.end() ? nullptr : it->second;
+}
+
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/src/gateway/endpoint_pool.cc
@@ -0,0 +1,327 @@
+#include "wisteriaflow/gateway/endpoint_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wisteriaflow/base/hash.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+// Tokens of one block of `prefix_belief`. Coarse, since the belief only has to tell which endpoint
+// holds most of a prompt: 12,000 tokens are 47 look-ups.
+constexpr int tokens_per_block = 256;
+constexpr std::size_t most_blocks = 256;
+// Until an endpoint's own rate is measured.
+constexpr double initial_prefill_rate = 30'000; // tokens/s
+
+std::vector<std::uint64_t> blocks_of(std::span<const prompt_part> prompt)
+{
+  std::vector<std::uint64_t> out;
+  std::uint64_t chain = 0;
+  for (const auto& part : prompt) {
+    const std::string_view id(reinterpret_cast<const char*>(&part.id), sizeof part.id);
+    for (std::uint32_t t = 0; t + tokens_per_block <= part.tokens; t += tokens_per_block) {
+      chain = hash64_of(id, chain + t);
+      out.push_back(chain);
+      if (out.size() == most_blocks) {
+        return out;
+      }
+    }
+    chain = hash64_of(id, chain);
+  }
+  return out;
+}
+
+} // namespace
+
+endpoint_pool::endpoint_pool(endpoint_pool_options options)
+    : options_(std::move(options)),
+      table_({.initial_prefill_rate = initial_prefill_rate,
+              .connect_backoff = options_.trouble_backoff,
+              .connect_backoff_limit = options_.trouble_backoff_limit}),
+      prefixes_({}), random_(options_.seed)
+{
+  routing_.availability_zone = options_.zone;
+  routing_.tokens_per_block = tokens_per_block;
+}
+
+void endpoint_pool::replace_all(std::span<const endpoint_record> listed, std::uint64_t revision,
+                                mono_time now)
+{
+  listed_ = true;
+  std::vector<endpoint_departure> missing;
+  for (const auto& [id, known] : records_) {
+    const auto has_id = [&id = id](const endpoint_record& r) { return r.id == id; };
+    if (known.revision <= revision && std::none_of(listed.begin(), listed.end(), has_id)) {
+      missing.push_back({.id = id, .revision = revision});
+    }
+  }
+  for (const auto& r : listed) {
+    apply(r, now);
+  }
+  for (const auto& gone : missing) {
+    remove(gone, now);
+  }
+}
+
+bool endpoint_pool::is_departed(const endpoint_record& record) const
+{
+  const auto it = departures_.find(record.id);
+  return it != departures_.end() && record.revision <= it->second.revision;
+}
+
+void endpoint_pool::apply(const endpoint_record& changed, mono_time now)
+{
+  const auto known = records_.find(changed.id);
+  if (known != records_.end() && changed.revision < known->second.revision) {
+    return;
+  }
+  held_removals_.erase(changed.id);
+  auto record = changed;
+  record.leaving = record.leaving || is_departed(record);
+  store(record);
+  if (changed.leaving) {
+    mark_departed({.id = changed.id, .revision = changed.revision}, now);
+  }
+}
+
+void endpoint_pool::store(const endpoint_record& record)
+{
+  const auto known = table_.find(record.id);
+  if (known && table_.at(*known).leaving && !record.leaving) {
+    table_.remove(record.id); // the table does not take a leaving endpoint back
+  }
+  const auto slot = table_.upsert({.id = record.id,
+                                   .address = to_string(record.address),
+                                   .availability_zone = record.zone,
+                                   .reclaimable = record.reclaimable});
+  if (record.leaving) {
+    table_.on_leaving(slot);
+  }
+  records_[record.id] = record;
+}
+
+void endpoint_pool::mark_departed(const endpoint_departure& d, mono_time now)
+{
+  auto& entry = departures_[d.id];
+  if (d.revision > entry.revision) {
+    entry = {.revision = d.revision, .told_until = now + options_.departure_told};
+  }
+}
+
+void endpoint_pool::remove(const endpoint_departure& gone, mono_time now)
+{
+  const auto it = records_.find(gone.id);
+  if (it == records_.end() || it->second.revision > gone.revision) {
+    return;
+  }
+  if (now < hold_until_ && !it->second.leaving) {
+    held_removals_[gone.id] = gone.revision;
+    return;
+  }
+  mark_departed(gone, now);
+  erase(gone.id);
+}
+
+void endpoint_pool::erase(const endpoint_id& id)
+{
+  if (const auto slot = table_.find(id)) {
+    prefixes_.forget(*slot);
+  }
+  table_.remove(id);
+  records_.erase(id);
+  own_.erase(id);
+  held_removals_.erase(id);
+}
+
+void endpoint_pool::on_departure(const endpoint_departure& heard, mono_time now)
+{
+  const auto it = records_.find(heard.id);
+  if (it != records_.end() && it->second.revision > heard.revision) {
+    return;
+  }
+  mark_departed(heard, now);
+  if (it != records_.end()) {
+    it->second.leaving = true;
+    store(endpoint_record(it->second));
+  }
+}
+
+void endpoint_pool::tick(mono_time now)
+{
+  if (now >= hold_until_) {
+    for (const auto& [id, revision] : std::exchange(held_removals_, {})) {
+      remove({.id = id, .revision = revision}, now);
+    }
+  }
+  // A record older than the departure may still arrive with a stale list, so departures are kept
+  // ten times as long as they are told.
+  constexpr int kept_times = 10;
+  std::erase_if(departures_, [&](const auto& it) {
+    return it.second.told_until + kept_times * options_.departure_told < now;
+  });
+}
+
+std::vector<const endpoint_record*> endpoint_pool::serving(std::string_view service) const
+{
+  std::vector<const endpoint_record*> out;
+  for (const auto& [id, r] : records_) {
+    if (r.service == service && !r.leaving) {
+      out.push_back(&r);
+    }
+  }
+  return out;
+}
+
+std::vector<endpoint_departure> endpoint_pool::departures(mono_time now) const
+{
+  std::vector<endpoint_departure> out;
+  for (const auto& [id, d] : departures_) {
+    if (now < d.told_until) {
+      out.push_back({.id = id, .revision = d.revision});
+    }
+  }
+  return out;
+}
+
+std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
+{
+  std::vector<routing::endpoint_slot> candidates;
+  std::vector<routing::endpoint_slot> excluded;
+  for (const auto* r : serving(wish.service)) {
+    const auto slot = table_.find(r->id);
+    const bool left_out =
+        std::find(wish.excluded.begin(), wish.excluded.end(), r->id) != wish.excluded.end();
+    (left_out ? excluded : candidates).push_back(*slot);
+  }
+  const auto blocks = blocks_of(wish.prompt);
+  const auto size = wish.size.value_or(token_size{});
+  const routing::request_view request{.blocks = blocks,
+                                      .prompt_tokens = static_cast<int>(size.prompt),
+                                      .expected_output_tokens = static_cast<int>(size.output),
+                                      .target = wish.target,
+                                      .deadline = wish.deadline};
+  const routing::routing_view view{.endpoints = table_, .prefixes = prefixes_, .options = routing_};
+  const auto made = routing::choose_endpoint(view, request, candidates, now, random_);
+  std::optional<routing::endpoint_slot> slot;
+  int prefill = static_cast<int>(size.prompt);
+  if (const auto* chosen = std::get_if<routing::chosen_endpoint>(&made)) {
+    slot = chosen->slot;
+    prefill -= chosen->parts.cached_tokens;
+  } else if (!candidates.empty()) {
+    // All were in trouble or look too slow: the one that is left out the shortest is tried, since
+    // a refusal here helps nobody.
+    slot = *std::min_element(candidates.begin(), candidates.end(), [this](auto a, auto b) {
+      return table_.at(a).unreachable_until < table_.at(b).unreachable_until;
+    });
+  }
+  if (!slot) {
+    return std::nullopt;
+  }
+  const auto& id = table_.at(*slot).description.id;
+  prefixes_.on_sent(*slot, blocks, now);
+  ++own_[id].waiting;
+  return pooled_endpoint{
+      .id = id, .address = records_.at(id).address, .work = table_.on_sent(*slot, prefill, now)};
+}
+
+void endpoint_pool::on_first_token(routing::sent_work& work, mono_time now)
+{
+  if (work.first_token_at) {
+    return;
+  }
+  const auto& slots = table_.slots();
+  if (std::binary_search(slots.begin(), slots.end(), work.slot)) {
+    auto& own = own_[table_.at(work.slot).description.id];
+    own.waiting -= std::min<std::uint32_t>(1, own.waiting);
+    ++own.running;
+  }
+  table_.on_first_token(work, now);
+}
+
+void endpoint_pool::on_finished(const routing::sent_work& work, std::uint64_t output_tokens,
+                                mono_time now)
+{
+  const auto& slots = table_.slots();
+  if (std::binary_search(slots.begin(), slots.end(), work.slot)) {
+    auto& own = own_[table_.at(work.slot).description.id];
+    auto& count = work.first_token_at ? own.running : own.waiting;
+    count -= std::min<std::uint32_t>(1, count);
+  }
+  table_.on_finished(work, static_cast<int>(output_tokens), now);
+}
+
+void endpoint_pool::on_trouble(const endpoint_id& id, mono_time now)
+{
+  if (const auto slot = table_.find(id)) {
+    table_.on_connect_failure(*slot, now);
+  }
+}
+
+void endpoint_pool::on_success(const endpoint_id& id)
+{
+  if (const auto slot = table_.find(id)) {
+    table_.on_connected(*slot);
+  }
+}
+
+endpoint_work_map endpoint_pool::own_work() const
+{
+  endpoint_work_map out;
+  for (const auto& [id, work] : own_) {
+    if (work != endpoint_work{}) {
+      out.emplace(id, work);
+    }
+  }
+  return out;
+}
+
+void endpoint_pool::on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now)
+{
+  peers_[peer] = {.work = std::move(work), .valid_until = now + options_.work_valid};
+}
+
+endpoint_work endpoint_pool::total_work(const endpoint_id& id, mono_time now) const
+{
+  endpoint_work total;
+  const auto add = [&](const endpoint_work_map& work) {
+    const auto it = work.find(id);
+    if (it != work.end()) {
+      total.waiting += it->second.waiting;
+      total.running += it->second.running;
+    }
+  };
+  add(own_);
+  for (const auto& [peer, told] : peers_) {
+    if (now < told.valid_until) {
+      add(told.work);
+    }
+  }
+  return total;
+}
+
+void endpoint_pool::refresh_loads(mono_time now)
+{
+  for (const auto& [id, r] : records_) {
+    const auto total = total_work(id, now);
+    table_.on_report(*table_.find(id), {.running = static_cast<int>(total.running),
+                                        .waiting = static_cast<int>(total.waiting),
+                                        .max_running = static_cast<int>(r.places),
+                                        .measured_at = now});
+  }
+}
+
+std::uint64_t endpoint_pool::fleet_work(std::string_view service, mono_time now) const
+{
+  std::uint64_t sum = 0;
+  for (const auto& [id, r] : records_) {
+    if (r.service == service) {
+      const auto total = total_work(id, now);
+      sum += total.waiting + total.running;
+    }
+  }
+  return sum;
+}
+
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/src/gateway/peer_report.cc
@@ -0,0 +1,151 @@
+#include "wisteriaflow/gateway/peer_report.h"
+
+#include <exception>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace wisteriaflow::gateway {
+namespace {
+
+namespace json = boost::json;
+
+json::value encode(const daemon_contact& c)
+{
+  return {{"id", c.id.value()},
+          {"incarnation", c.incarnation},
+          {"peer", to_string(c.peer_address)},
+          {"caller", to_string(c.caller_address)},
+          {"zone", c.zone.value()},
+          {"ready", c.ready},
+          {"leaving", c.leaving}};
+}
+
+std::string text_at(const json::value& from, std::string_view key)
+{
+  return json::value_to<std::string>(from.at(key));
+}
+
+std::uint64_t number_at(const json::value& from, std::string_view key)
+{
+  return from.at(key).to_number<std::uint64_t>();
+}
+
+daemon_contact decode_contact(const json::value& from)
+{
+  return {.id = daemon_id(text_at(from, "id")),
+          .incarnation = number_at(from, "incarnation"),
+          .peer_address = http::parse_socket_address(text_at(from, "peer")),
+          .caller_address = http::parse_socket_address(text_at(from, "caller")),
+          .zone = availability_zone(text_at(from, "zone")),
+          .ready = from.at("ready").as_bool(),
+          .leaving = from.at("leaving").as_bool()};
+}
+
+json::object encode(const endpoint_work_map& work)
+{
+  json::object out;
+  for (const auto& [id, w] : work) {
+    out[id.value()] = {w.waiting, w.running};
+  }
+  return out;
+}
+
+json::object encode(const window_counts& counts)
+{
+  json::object out;
+  for (const auto& [workspace, n] : counts) {
+    out[workspace.value()] = n;
+  }
+  return out;
+}
+
+json::array encode(const std::vector<usage_row>& rows)
+{
+  json::array out;
+  for (const auto& r : rows) {
+    out.push_back({{"daemon", r.source.daemon.value()},
+                   {"incarnation", r.source.incarnation},
+                   {"window", r.window},
+                   {"counts", encode(r.counts)}});
+  }
+  return out;
+}
+
+usage_row decode_row(const json::value& from)
+{
+  usage_row out{.source = {.daemon = daemon_id(text_at(from, "daemon")),
+                           .incarnation = number_at(from, "incarnation")},
+                .window = number_at(from, "window")};
+  for (const auto& [workspace, n] : from.at("counts").as_object()) {
+    out.counts[workspace_id(std::string(workspace))] = n.to_number<std::uint64_t>();
+  }
+  return out;
+}
+
+peer_report decode(const json::value& from)
+{
+  peer_report out;
+  out.self = decode_contact(from.at("self"));
+  out.configuration_version = number_at(from, "configuration");
+  out.clock = from_unix_ms(from.at("clock").to_number<std::int64_t>());
+  for (const auto& c : from.at("known").as_array()) {
+    out.known.push_back(decode_contact(c));
+  }
+  for (const auto& [id, w] : from.at("work").as_object()) {
+    out.work[endpoint_id(std::string(id))] = {
+        .waiting = w.as_array().at(0).to_number<std::uint32_t>(),
+        .running = w.as_array().at(1).to_number<std::uint32_t>()};
+  }
+  for (const auto& [id, revision] : from.at("departures").as_object()) {
+    out.departures.push_back(
+        {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
+  }
+  for (const auto& [workspace, rate] : from.at("demand").as_object()) {
+    out.demand[workspace_id(std::string(workspace))] = rate.to_number<double>();
+  }
+  for (const auto& r : from.at("usage").as_array()) {
+    out.usage.push_back(decode_row(r));
+  }
+  return out;
+}
+
+} // namespace
+
+std::string encode_peer_report(const peer_report& report)
+{
+  json::array known;
+  for (const auto& c : report.known) {
+    known.push_back(encode(c));
+  }
+  json::object departures;
+  for (const auto& d : report.departures) {
+    departures[d.id.value()] = d.revision;
+  }
+  json::object demand;
+  for (const auto& [workspace, rate] : report.demand) {
+    demand[workspace.value()] = rate;
+  }
+  const json::value out = {
+      {"self", encode(report.self)},       {"configuration", report.configuration_version},
+      {"clock", to_unix_ms(report.clock)}, {"known", std::move(known)},
+      {"work", encode(report.work)},       {"departures", std::move(departures)},
+      {"demand", std::move(demand)},       {"usage", encode(report.usage)}};
+  return json::serialize(out);
+}
+
+peer_report decode_peer_report(std::string_view text)
+{
+  try {
+    return decode(json::parse(text));
+  } catch (const std::exception& e) {
+    throw peer_report_error(std::string("unreadable peer report: ") + e.what());
+  }
+}
+
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/src/gateway/peer_table.cc
@@ -0,0 +1,68 @@
+#include "wisteriaflow/gateway/peer_table.h"
+
+#include <algorithm>
+
+namespace wisteriaflow::gateway {
+
+void peer_table::add_address(const http::socket_address& address)
+{
+  const auto is_there = [&address](const auto& it) {
+    return it.second.contact.peer_address == address;
+  };
+  const bool known = std::any_of(peers_.begin(), peers_.end(), is_there);
+  if (!known && address != options_.self_address) {
+    unnamed_.insert(address);
+  }
+}
+
+void peer_table::on_report(const peer_report& report, mono_time now)
+{
+  if (report.self.id == options_.self) {
+    return;
+  }
+  peers_[report.self.id] = {.contact = report.self, .heard_at = now};
+  unnamed_.erase(report.self.peer_address);
+  for (const auto& c : report.known) {
+    if (c.id != options_.self && !peers_.contains(c.id)) {
+      add_address(c.peer_address);
+    }
+  }
+}
+
+bool peer_table::is_live(const daemon_id& peer, mono_time now) const
+{
+  const auto it = peers_.find(peer);
+  return it != peers_.end() && now < it->second.heard_at + options_.live_for;
+}
+
+std::vector<daemon_contact> peer_table::live(mono_time now) const
+{
+  std::vector<daemon_contact> out;
+  for (const auto& [id, it] : peers_) {
+    if (now < it.heard_at + options_.live_for) {
+      out.push_back(it.contact);
+    }
+  }
+  return out;
+}
+
+std::size_t peer_table::counted(mono_time now) const
+{
+  const auto counts = [&](const auto& it) {
+    return now < it.second.heard_at + options_.counted_for;
+  };
+  return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), counts));
+}
+
+std::vector<http::socket_address> peer_table::addresses_to_ask(mono_time now) const
+{
+  std::vector<http::socket_address> out(unnamed_.begin(), unnamed_.end());
+  for (const auto& [id, it] : peers_) {
+    if (now < it.heard_at + options_.asked_for) {
+      out.push_back(it.contact.peer_address);
+    }
+  }
+  return out;
+}
+
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/src/gateway/usage_counts.cc
@@ -0,0 +1,78 @@
+#include "wisteriaflow/gateway/usage_counts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriaflow::gateway {
+
+usage_counts::usage_counts(usage_source self, std::chrono::milliseconds window_length,
+                           usage_window kept)
+    : self_(std::move(self)), window_length_(window_length), kept_(kept)
+{
+}
+
+usage_window usage_counts::window_at(wall_time t) const
+{
+  return static_cast<usage_window>(t.time_since_epoch() / window_length_);
+}
+
+wall_time usage_counts::end_of(usage_window window) const
+{
+  return wall_time{window_length_ * static_cast<std::int64_t>(window + 1)};
+}
+
+void usage_counts::began(const workspace_id& workspace, wall_time at)
+{
+  ++windows_[window_at(at)][self_][workspace];
+}
+
+void usage_counts::absorb(const usage_row& row)
+{
+  if (row.source == self_) {
+    return;
+  }
+  auto& known = windows_[row.window][row.source];
+  for (const auto& [workspace, n] : row.counts) {
+    auto& count = known[workspace];
+    count = std::max(count, n);
+  }
+}
+
+std::vector<usage_row>
+usage_counts::rows(const std::function<bool(const daemon_id&)>& is_silent) const
+{
+  std::vector<usage_row> out;
+  for (const auto& [window, sources] : windows_) {
+    for (const auto& [source, counts] : sources) {
+      if (source == self_ || source.daemon == self_.daemon || is_silent(source.daemon)) {
+        out.push_back({.source = source, .window = window, .counts = counts});
+      }
+    }
+  }
+  return out;
+}
+
+window_counts usage_counts::total(usage_window window) const
+{
+  window_counts out;
+  const auto it = windows_.find(window);
+  if (it == windows_.end()) {
+    return out;
+  }
+  for (const auto& [source, counts] : it->second) {
+    for (const auto& [workspace, n] : counts) {
+      out[workspace] += n;
+    }
+  }
+  return out;
+}
+
+void usage_counts::forget_old(wall_time now)
+{
+  const auto current = window_at(now);
+  while (!windows_.empty() && windows_.begin()->first + kept_ < current) {
+    windows_.erase(windows_.begin());
+  }
+}
+
+} // namespace wisteriaflow::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,10 @@
 #include "wisteriaflow/http/client.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +17,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include "beast_message.h"
 #include "wisteriaflow/http/errors.h"
@@ -53,6 +59,7 @@
   bool cancelled = false;
   bool response_begun = false;
   bool keep_alive = false;
+  std::chrono::milliseconds idle_time{0}; // that the connection may be kept for
 };
 
 wire_request to_wire(request message, const socket_address& to)
@@ -81,6 +88,31 @@
   return ec == asio::error::would_block;
 }
 
+// Gives up a connection on which sent bytes stay unacknowledged; see client_options.
+void limit_unacknowledged(tcp::socket& socket, std::chrono::milliseconds limit)
+{
+  if (limit.count() > 0) {
+    const auto ms = static_cast<unsigned>(limit.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+  }
+}
+
+// The time that a response's Keep-Alive field states ("timeout=5" or "5"); nothing without one.
+std::optional<std::chrono::seconds> stated_keep_alive(const response& head)
+{
+  auto text = find_header(head.fields, "Keep-Alive");
+  const auto parameter = text.find("timeout=");
+  if (parameter != std::string_view::npos) {
+    text.remove_prefix(parameter + std::string_view("timeout=").size());
+  }
+  unsigned seconds = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
 [[noreturn]] void throw_broken(const call_state& call, error_code ec)
 {
   if (call.cancelled) {
@@ -123,7 +155,7 @@
   asio::awaitable<void> stream([[maybe_unused]] std::shared_ptr<implementation> self,
                                std::shared_ptr<call_state> call, request message)
   {
-    const bool repeatable = message.method == "GET";
+    const bool repeatable = options_.repeat_stale_get && message.method == "GET";
     auto wire = to_wire(std::move(message), call->to);
     for (bool fresh = false;; fresh = true) {
       co_await connect(*call, fresh);
@@ -139,10 +171,12 @@
       }
     }
     if (call->keep_alive) {
-      keep(call->to, std::move(call->connection));
+      keep(*call);
     }
   }
 
+  [[nodiscard]] std::uint64_t connections_opened() const { return connections_opened_; }
+
   void forget(const socket_address& to) { idle_.erase(to); }
 
  private:
@@ -162,7 +196,8 @@
     }
     call.connection = std::make_shared<link>(context_);
     auto& stream = call.connection->stream;
-    stream.expires_at(call.deadline);
+    ++connections_opened_;
+    stream.expires_at(connect_deadline(call));
     error_code ec;
     const auto host = asio::ip::make_address(call.to.host, ec);
     if (!ec) {
@@ -177,6 +212,15 @@
     }
     stream.socket().set_option(tcp::no_delay(true), ec);
     stream.socket().non_blocking(true, ec); // for the peek in is_usable()
+    limit_unacknowledged(stream.socket(), options_.unacknowledged_timeout);
+  }
+
+  [[nodiscard]] mono_time connect_deadline(const call_state& call) const
+  {
+    if (options_.connect_timeout.count() == 0) {
+      return call.deadline;
+    }
+    return std::min(call.deadline, std::chrono::steady_clock::now() + options_.connect_timeout);
   }
 
   // Sends `wire` and reads the response into the observer.
@@ -189,21 +233,40 @@
     if (ec) {
       co_return ec;
     }
-    std::optional<response_reader> reader;
     const bool head_only = wire.method() == beast_http::verb::head;
-    ec = co_await read_head(call, *connection, reader, head_only);
-    if (ec) {
-      co_return ec;
+    for (;;) {
+      std::optional<response_reader> reader;
+      ec = co_await read_head(call, *connection, reader, head_only);
+      if (ec) {
+        co_return ec;
+      }
+      auto& parser = *reader;
+      const response head{.status = static_cast<int>(parser.get().result_int()),
+                          .fields = internal::to_headers(parser.get())};
+      const bool expected = !call.observer.is_expected || call.observer.is_expected(head);
+      if (expected && call.observer.on_head) {
+        call.observer.on_head(head);
+      }
+      ec = co_await read_body(call, *connection, parser, expected);
+      if (ec || expected) {
+        call.idle_time = idle_time_after(head);
+        call.keep_alive = !ec && !call.cancelled && parser.keep_alive();
+        co_return ec;
+      }
+      if (!parser.keep_alive()) {
+        co_return beast_http::error::end_of_stream;
+      }
     }
-    auto& parser = *reader;
-    response head{.status = static_cast<int>(parser.get().result_int()),
-                  .fields = internal::to_headers(parser.get())};
-    if (call.observer.on_head) {
-      call.observer.on_head(head);
+  }
+
+  [[nodiscard]] std::chrono::milliseconds idle_time_after(const response& head) const
+  {
+    if (!options_.only_stated_keep_alive) {
+      return options_.idle_timeout;
     }
-    ec = co_await read_body(call, *connection, parser);
-    call.keep_alive = !ec && !call.cancelled && parser.keep_alive();
-    co_return ec;
+    const std::chrono::milliseconds stated =
+        stated_keep_alive(head).value_or(std::chrono::seconds{0});
+    return std::min(options_.idle_timeout, stated / 2);
   }
 
   // Reads up to the end of the head. An interim response such as 100 is passed over.
@@ -225,7 +288,7 @@
   }
 
   static asio::awaitable<error_code> read_body(call_state& call, link& connection,
-                                               response_reader& parser)
+                                               response_reader& parser, bool expected)
   {
     std::array<char, body_read_size> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init)
     error_code ec;
@@ -241,8 +304,14 @@
       if (call.cancelled) {
         co_return asio::error::operation_aborted;
       }
-      if (n > 0 && call.observer.on_bytes) {
-        call.observer.on_bytes({bytes.data(), n});
+      if (n > 0 && expected) {
+        const std::string_view received(bytes.data(), n);
+        if (call.observer.on_bytes) {
+          call.observer.on_bytes(received);
+        }
+        if (call.observer.write_bytes) {
+          co_await call.observer.write_bytes(received);
+        }
       }
       if (ec) {
         break;
@@ -269,22 +338,28 @@
     return nullptr;
   }
 
-  void keep(const socket_address& to, std::shared_ptr<link> used)
+  void keep(call_state& call)
   {
-    auto& list = idle_[to];
+    auto used = std::move(call.connection);
+    // Bytes beyond the response answer nothing that was asked.
+    if (used->buffer.size() > 0 || call.idle_time.count() <= 0) {
+      return;
+    }
+    auto& list = idle_[call.to];
     if (list.size() >= options_.idle_connections_per_address) {
       list.erase(list.begin());
     }
     used->stream.expires_never();
     used->buffer.clear();
     used->buffer.shrink_to_fit();
-    used->idle_until = std::chrono::steady_clock::now() + options_.idle_timeout;
+    used->idle_until = std::chrono::steady_clock::now() + call.idle_time;
     list.push_back(std::move(used));
   }
 
   asio::io_context& context_;
   client_options options_;
   std::map<socket_address, std::vector<std::shared_ptr<link>>> idle_;
+  std::uint64_t connections_opened_ = 0;
 };
 
 void exchange::cancel()
@@ -330,6 +405,11 @@
   return implementation_->stream(implementation_, std::move(call), std::move(message));
 }
 
+std::uint64_t client::connections_opened() const
+{
+  return implementation_->connections_opened();
+}
+
 void client::forget(const socket_address& to)
 {
   implementation_->forget(to);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -51,9 +51,11 @@
 
   [[nodiscard]] std::size_t open_requests() const { return state_->open_requests; }
 
+  void announce_close() { state_->draining = true; }
+
   void stop_accepting()
   {
-    if (state_->draining) {
+    if (!acceptor_.is_open()) {
       return;
     }
     state_->draining = true;
@@ -178,6 +180,11 @@
   return implementation_->open_requests();
 }
 
+void server::announce_close()
+{
+  implementation_->announce_close();
+}
+
 void server::stop_accepting()
 {
   implementation_->stop_accepting();
--- /dev/null
+++ b/src/relay/attempt.cc
@@ -0,0 +1,223 @@
+#include "relay/attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "messages.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+using gateway::attempt_outcome;
+
+// A repeatable call waits for so many times its latency objective for the first sign of an answer
+// before it is sent elsewhere. Two would give up on endpoints that are merely busy.
+constexpr int patience_in_targets = 3;
+// A whole answer is held in memory up to this size, in bytes.
+constexpr std::size_t answer_limit = std::size_t{8} << 20U;
+
+// Thrown inside an attempt to end it; never leaves it.
+class attempt_ended : public http::http_error {
+ public:
+  using http_error::http_error;
+};
+
+bool is_success(int status)
+{
+  constexpr int first_success = 200;
+  constexpr int first_redirect = 300;
+  return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+attempt::attempt(asio::io_context& context, fleet_state& state, http::client& client,
+                 admitted_call& call, gateway::pooled_endpoint endpoint)
+    : state_(state), client_(client), call_(call), endpoint_(std::move(endpoint)),
+      silence_(context), heard_at_(std::chrono::steady_clock::now())
+{
+  result_.endpoint = endpoint_.id;
+}
+
+asio::awaitable<attempt_result> attempt::run(http::response_writer& writer)
+{
+  auto message = adapter::encode_attempt(call_.received,
+                                         {.endpoint = endpoint_.id,
+                                          .workspace = call_.workspace,
+                                          .priority = call_.priority,
+                                          .deadline = call_.deadline,
+                                          .resume_after = call_.last_event},
+                                         heard_at_);
+  http::stream_observer observer;
+  observer.on_head = [this](const http::response& head) { on_head(head); };
+  observer.write_bytes = [this, &writer](std::string_view bytes) {
+    return on_bytes(bytes, writer);
+  };
+  observer.is_expected = [this](const http::response& head) {
+    const auto id = adapter::decode_answer(head).request_id;
+    return id.empty() || id == call_.description.request_id;
+  };
+  call_.exchange = std::make_shared<http::exchange>();
+  watch_silence();
+  try {
+    co_await client_.stream(endpoint_.address, std::move(message), call_.deadline,
+                            std::move(observer), call_.exchange.get());
+    result_.how = streaming_ ? attempt_result::end::stream_ended : attempt_result::end::whole;
+  } catch (const http::connect_error& e) {
+    result_.how = attempt_result::end::not_sent;
+    result_.reason = e.what();
+  } catch (const http::exchange_timeout_error& e) {
+    result_.timed_out = true;
+    result_.reason = e.what();
+  } catch (const http::http_error& e) {
+    result_.reason = e.what();
+  }
+  silence_.cancel();
+  call_.exchange.reset();
+  co_return conclude();
+}
+
+// What the endpoint's words and the way the exchange ended come to.
+attempt_result attempt::conclude()
+{
+  const auto now = std::chrono::steady_clock::now();
+  state_.endpoints.on_finished(endpoint_.work, events_, now);
+  if (call_.caller_gone || caller_failed_) {
+    result_.how = attempt_result::end::caller_lost;
+    return std::move(result_);
+  }
+  using end = attempt_result::end;
+  if (result_.how == end::stream_ended && (gap_ || splitter_.pending_bytes() > 0 || events_ == 0)) {
+    result_.how = end::cut;
+    result_.reason = "the stream ended within an event, without one, or with one missing";
+  }
+  if (result_.how == end::cut && gap_) {
+    result_.reason = "an event is missing";
+  }
+  const bool whole = result_.how == end::whole || result_.how == end::stream_ended;
+  if (head_seen_ && (whole || head_.not_run)) {
+    // A promise of not having run stands even if the rest of the answer was lost.
+    result_.outcome = gateway::judge(head_, call_.description.request_id);
+  }
+  if (result_.outcome == attempt_outcome::broken && result_.how != end::not_sent) {
+    result_.how = whole ? end::cut : result_.how;
+    state_.endpoints.on_trouble(endpoint_.id, now);
+  } else if (result_.how == end::not_sent) {
+    state_.endpoints.on_trouble(endpoint_.id, now);
+  } else {
+    state_.endpoints.on_success(endpoint_.id);
+  }
+  return std::move(result_);
+}
+
+void attempt::on_head(const http::response& head)
+{
+  heard_at_ = std::chrono::steady_clock::now();
+  head_seen_ = true;
+  head_ = adapter::decode_answer(head);
+  result_.answer = head;
+  const auto outcome = gateway::judge(head_, call_.description.request_id);
+  streaming_ = head_.is_stream && is_success(head.status) && outcome == attempt_outcome::answered;
+  if (!streaming_ && (outcome == attempt_outcome::answered || outcome == attempt_outcome::failed)) {
+    note_begin();
+  }
+}
+
+asio::awaitable<void> attempt::on_bytes(std::string_view bytes, http::response_writer& writer)
+{
+  heard_at_ = std::chrono::steady_clock::now();
+  if (streaming_) {
+    auto events = splitter_.feed(bytes);
+    if (!events.empty()) {
+      note_begin();
+      co_await pass_on(std::move(events), writer);
+    }
+    co_return;
+  }
+  if (result_.answer.body.size() + bytes.size() > answer_limit) {
+    throw attempt_ended("the answer is over the limit");
+  }
+  result_.answer.body.append(bytes);
+}
+
+// Passes whole events on, once each and in order.
+asio::awaitable<void> attempt::pass_on(std::vector<gateway::stream_event> events,
+                                       http::response_writer& writer)
+{
+  std::string out;
+  for (auto& e : events) {
+    ++events_;
+    if (e.id && call_.last_event && *e.id <= *call_.last_event) {
+      continue;
+    }
+    if (e.id && call_.last_event && *e.id != *call_.last_event + 1) {
+      gap_ = true;
+      break;
+    }
+    if (e.id) {
+      call_.last_event = e.id;
+    }
+    out += e.bytes;
+  }
+  try {
+    if (!call_.answer_begun && !out.empty()) {
+      call_.answer_begun = true;
+      http::response head{.status = result_.answer.status, .fields = result_.answer.fields};
+      co_await writer.start_stream(std::move(head));
+    }
+    co_await writer.write_chunk(out);
+  } catch (const http::http_error& e) {
+    caller_failed_ = true;
+    throw;
+  }
+  if (gap_) {
+    throw attempt_ended("an event is missing");
+  }
+}
+
+// The endpoint works on the call now.
+void attempt::note_begin()
+{
+  const auto clocks = read_clocks();
+  state_.endpoints.on_first_token(endpoint_.work, clocks.mono);
+  if (!call_.counted && !call_.workspace.empty()) {
+    call_.counted = true;
+    state_.usage.began(call_.workspace, state_.clock.now(clocks));
+  }
+}
+
+std::optional<milliseconds> attempt::patience() const
+{
+  const auto& r = *call_.route;
+  if (!r.repeatable() || call_.history.sent + 1 >= r.max_attempts) {
+    return std::nullopt;
+  }
+  const auto expected = streaming_ && events_ > 0 ? r.longest_pause : r.target_latency;
+  return expected * patience_in_targets;
+}
+
+void attempt::watch_silence()
+{
+  const auto limit = patience();
+  if (!limit) {
+    return;
+  }
+  silence_.expires_at(heard_at_ + *limit);
+  silence_.async_wait([this](boost::system::error_code ec) {
+    if (ec) {
+      return;
+    }
+    const auto now_limit = patience();
+    if (now_limit && heard_at_ + *now_limit <= std::chrono::steady_clock::now()) {
+      result_.silent = true;
+      call_.exchange->cancel();
+      return;
+    }
+    watch_silence();
+  });
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/attempt.h
@@ -0,0 +1,110 @@
+// One sending of a call to one endpoint: reads the answer, judges it, and passes a stream's events
+// on as they come.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_ATTEMPT_H_
+#define WISTERIAFLOW_SRC_RELAY_ATTEMPT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "relay/fleet_state.h"
+#include "wisteriaflow/gateway/answer_verdict.h"
+#include "wisteriaflow/gateway/call.h"
+#include "wisteriaflow/gateway/event_splitter.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/server.h"
+
+namespace wisteriaflow::relay {
+
+// A call that was admitted, with what it has been through.
+struct admitted_call {
+  http::request received;
+  gateway::call_description description;
+  std::shared_ptr<const gateway::configuration_index> configuration; // keeps `route` alive
+  const gateway::route* route = nullptr;
+  workspace_id workspace; // empty: none
+  double quota_units = 0; // taken from the workspace's rate
+  int priority = 0;
+  std::string service; // drawn among the route's
+  mono_time received_at;
+  mono_time deadline; // of the caller and of the route, whichever is sooner
+
+  gateway::attempt_history history;
+  std::vector<endpoint_id> excluded; // endpoints that it was sent to
+  unsigned connect_failures = 0;
+
+  // The answer that has begun: a stream's head has been passed on.
+  bool answer_begun = false;
+  std::optional<std::uint64_t> last_event; // id of the last event passed on
+  bool counted = false;                    // in the usage of its workspace
+
+  bool caller_gone = false;
+  std::shared_ptr<http::exchange> exchange; // of the attempt under way
+};
+
+// How one attempt ended.
+struct attempt_result {
+  enum class end {
+    not_sent,     // no connection: not a byte left
+    whole,        // a whole answer that is not a stream
+    stream_ended, // a stream that ended properly
+    cut,          // broke off; `silent` says that the endpoint said nothing for too long
+    caller_lost,  // the caller has gone, or does not read
+  };
+
+  end how = end::cut;
+  endpoint_id endpoint;
+  bool silent = false;
+  bool timed_out = false;
+  std::string reason; // of a failure
+  gateway::attempt_outcome outcome = gateway::attempt_outcome::broken;
+  http::response answer; // head, and the body if it is whole
+};
+
+// Sends `call` to one endpoint. Lives for one call of `run`.
+class attempt {
+ public:
+  attempt(boost::asio::io_context& context, fleet_state& state, http::client& client,
+          admitted_call& call, gateway::pooled_endpoint endpoint);
+
+  // Runs the attempt to its end. A stream's events go to `writer` on the way.
+  boost::asio::awaitable<attempt_result> run(http::response_writer& writer);
+
+ private:
+  void on_head(const http::response& head);
+  boost::asio::awaitable<void> on_bytes(std::string_view bytes, http::response_writer& writer);
+  boost::asio::awaitable<void> pass_on(std::vector<gateway::stream_event> events,
+                                       http::response_writer& writer);
+  // Ends the attempt if the endpoint says nothing for too long.
+  void watch_silence();
+  [[nodiscard]] std::optional<std::chrono::milliseconds> patience() const;
+  void note_begin();
+  attempt_result conclude();
+
+  fleet_state& state_;
+  http::client& client_;
+  admitted_call& call_;
+  gateway::pooled_endpoint endpoint_;
+  boost::asio::steady_timer silence_;
+  mono_time heard_at_;
+  gateway::event_splitter splitter_;
+  gateway::answer_head head_;
+  std::uint64_t events_ = 0;
+  bool head_seen_ = false;
+  bool streaming_ = false;
+  bool gap_ = false; // an event was missing
+  bool caller_failed_ = false;
+  attempt_result result_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_ATTEMPT_H_
--- /dev/null
+++ b/src/relay/call_relay.cc
@@ -0,0 +1,319 @@
+#include "relay/call_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "messages.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+using gateway::attempt_outcome;
+
+constexpr int unauthorised = 401;
+constexpr int not_found = 404;
+constexpr int too_large = 413;
+constexpr int too_many_requests = 429;
+constexpr int unavailable = 503;
+
+// Opening a connection to an endpoint takes a millisecond; one that takes this long is to an
+// endpoint that is away.
+constexpr milliseconds connect_timeout{250};
+// An endpoint that acknowledges nothing for so long has lost power or is cut off.
+constexpr milliseconds unacknowledged_timeout{1'500};
+constexpr milliseconds longest_idle_time{4'000};
+constexpr std::size_t idle_connections = 8;
+// Endpoints that cannot be connected to are passed over so often before the call is given up.
+constexpr unsigned most_connect_failures = 4;
+// When to come back after a refusal for want of an endpoint: about the time in which a trouble is
+// noticed by all daemons.
+constexpr milliseconds retry_pause{250};
+// A stream that begins later than this after the order to end may not be over before the process
+// is killed; it is refused, to be sent to another daemon at once.
+constexpr milliseconds last_stream_start{2'500};
+constexpr milliseconds retry_elsewhere{20};
+
+void add_reason(log_fields& to, const attempt_result& result)
+{
+  if (!result.reason.empty()) {
+    to.emplace_back("reason", result.reason);
+  }
+}
+
+} // namespace
+
+call_relay::call_relay(asio::io_context& context, fleet_state& state)
+    : context_(context), state_(state),
+      client_(context, {.idle_connections_per_address = idle_connections,
+                        .idle_timeout = longest_idle_time,
+                        .connect_timeout = connect_timeout,
+                        .unacknowledged_timeout = unacknowledged_timeout,
+                        .repeat_stale_get = false,
+                        .only_stated_keep_alive = true}),
+      random_(state.incarnation)
+{
+}
+
+asio::awaitable<void> call_relay::serve(http::request received, http::response_writer& writer)
+{
+  ++open_calls_;
+  const auto now = std::chrono::steady_clock::now();
+  auto decided = admit(received, now);
+  if (const auto* why = std::get_if<refusal>(&decided)) {
+    log_refusal(received, *why);
+    auto out = adapter::refusal(why->status, why->reason, why->retry_at, now);
+    try {
+      co_await writer.send(std::move(out));
+    } catch (const http::http_error&) {
+      state_.counters.count("callers_gone");
+    }
+    --open_calls_;
+    co_return;
+  }
+  auto call = std::make_shared<admitted_call>(std::move(std::get<admitted_call>(decided)));
+  call->received = std::move(received);
+  co_await relay(std::move(call), writer);
+  --open_calls_;
+}
+
+call_relay::admission call_relay::admit(const http::request& received, mono_time now)
+{
+  admitted_call call{.description = adapter::decode_call(received, now),
+                     .configuration = state_.configuration(),
+                     .received_at = now};
+  if (!call.configuration || !state_.endpoints.is_known()) {
+    return refusal{unavailable, "no configuration yet", now + retry_pause};
+  }
+  call.route = call.configuration->match(call.description.host, call.description.path);
+  if (call.route == nullptr) {
+    return refusal{not_found, "no route", std::nullopt};
+  }
+  call.priority = call.route->priority;
+  if (auto why = refuse_workspace(call, now)) {
+    return *why;
+  }
+  if (received.body.size() > call.configuration->declared().max_body_bytes) {
+    return refusal{too_large, "body over the limit", std::nullopt};
+  }
+  const auto leaving = state_.leaving_since();
+  const bool stream = call.route->kind == gateway::call_kind::stream;
+  if (leaving && stream && now > *leaving + last_stream_start) {
+    return refusal{unavailable, "this daemon is about to end", now + retry_elsewhere};
+  }
+  call.deadline = now + call.route->timeout;
+  if (call.description.deadline) {
+    call.deadline = std::min(call.deadline, *call.description.deadline);
+  }
+  call.service = draw_service(*call.route);
+  return call;
+}
+
+std::optional<call_relay::refusal> call_relay::refuse_workspace(admitted_call& call, mono_time now)
+{
+  const auto& declared = call.configuration->declared();
+  if (declared.workspaces.empty()) {
+    return std::nullopt;
+  }
+  const auto* workspace = call.configuration->workspace_of(call.description.api_key);
+  if (workspace == nullptr) {
+    return call.route->is_public
+               ? std::nullopt
+               : std::optional(refusal{unauthorised, "unknown key", std::nullopt});
+  }
+  call.workspace = workspace->id;
+  call.priority = workspace->priority.value_or(call.priority);
+  double amount = 1;
+  if (workspace->counts_tokens) {
+    const auto& size = call.description.size;
+    amount = size ? static_cast<double>(size->prompt + size->output) : workspace->unsized_tokens;
+  }
+  if (const auto retry_at = state_.quota.admit(workspace->id, amount, now)) {
+    return refusal{too_many_requests, "workspace over its rate", retry_at};
+  }
+  call.quota_units = amount;
+  return std::nullopt;
+}
+
+const std::string& call_relay::draw_service(const gateway::route& r)
+{
+  std::uint64_t total = 0;
+  for (const auto& s : r.services) {
+    total += s.weight;
+  }
+  std::uint64_t drawn = total == 0 ? 0 : random_() % total;
+  for (const auto& s : r.services) {
+    if (drawn < s.weight) {
+      return s.service;
+    }
+    drawn -= s.weight;
+  }
+  return r.services.front().service;
+}
+
+asio::awaitable<void> call_relay::relay(std::shared_ptr<admitted_call> call,
+                                        http::response_writer& writer)
+{
+  writer.on_peer_closed([weak = std::weak_ptr<admitted_call>(call)] {
+    if (const auto live = weak.lock()) {
+      live->caller_gone = true;
+      if (live->exchange) {
+        live->exchange->cancel();
+      }
+    }
+  });
+  try {
+    co_await try_endpoints(call, writer);
+  } catch (const http::http_error& e) {
+    // The answer could not be written: the caller has gone or does not read.
+    state_.counters.count("callers_gone");
+    writer.abort();
+  }
+  state_.counters.observe("call_time", std::chrono::steady_clock::now() - call->received_at);
+}
+
+asio::awaitable<void> call_relay::try_endpoints(std::shared_ptr<admitted_call> call,
+                                                http::response_writer& writer)
+{
+  for (;;) {
+    if (call->caller_gone) {
+      writer.abort();
+      co_return;
+    }
+    auto endpoint = choose(*call);
+    if (!endpoint) {
+      co_await give_up(*call, writer);
+      co_return;
+    }
+    call->excluded.push_back(endpoint->id);
+    attempt one(context_, state_, client_, *call, std::move(*endpoint));
+    auto result = co_await one.run(writer);
+    note_attempt(*call, result);
+    if (result.how == attempt_result::end::caller_lost) {
+      state_.counters.count("callers_gone");
+      writer.abort();
+      co_return;
+    }
+    const bool in_time = std::chrono::steady_clock::now() < call->deadline;
+    if (result.how == attempt_result::end::not_sent) {
+      if (++call->connect_failures < most_connect_failures && in_time) {
+        continue;
+      }
+      co_await give_up(*call, writer);
+      co_return;
+    }
+    call->history = gateway::after(call->history, result.outcome);
+    call->history.timed_out = result.timed_out;
+    if (in_time && may_repeat(*call, result)) {
+      continue;
+    }
+    co_await finish(*call, result, writer);
+    co_return;
+  }
+}
+
+bool call_relay::may_repeat(const admitted_call& call, const attempt_result& last)
+{
+  if (last.outcome == attempt_outcome::answered ||
+      !gateway::may_send_again(*call.route, call.history)) {
+    return false;
+  }
+  // A stream that has begun can only go on where it stopped.
+  if (call.answer_begun && !call.last_event) {
+    return false;
+  }
+  return state_.retries.take(call.service, std::chrono::steady_clock::now());
+}
+
+// Passes the last attempt's answer on, or ends the call with an answer of the gateway's own.
+asio::awaitable<void> call_relay::finish(admitted_call& call, attempt_result& last,
+                                         http::response_writer& writer)
+{
+  if (last.how == attempt_result::end::stream_ended && call.answer_begun) {
+    co_await writer.finish_stream();
+    co_return;
+  }
+  const bool own_answer =
+      last.how == attempt_result::end::whole &&
+      (last.outcome == attempt_outcome::answered || last.outcome == attempt_outcome::failed);
+  if (own_answer && !call.answer_begun) {
+    co_await writer.send(std::move(last.answer));
+    co_return;
+  }
+  co_await give_up(call, writer);
+}
+
+asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer)
+{
+  if (call.answer_begun) {
+    // The caller must see that the answer is not whole.
+    writer.abort();
+    co_return;
+  }
+  const int status = gateway::final_status(call.history);
+  const auto now = std::chrono::steady_clock::now();
+  if (!call.history.may_have_run) {
+    state_.quota.give_back(call.workspace, call.quota_units, now);
+  }
+  const auto retry_at = status == unavailable ? std::optional(now + retry_pause) : std::nullopt;
+  state_.counters.count("answers",
+                        {{"route", call.route->name}, {"status", std::to_string(status)}});
+  state_.log.write(daemon::log_level::warn, "call given up",
+                   {{"request", call.description.request_id},
+                    {"route", call.route->name},
+                    {"status", std::to_string(status)},
+                    {"attempts", std::to_string(call.history.sent)},
+                    {"connect_failures", std::to_string(call.connect_failures)},
+                    {"configuration", std::to_string(call.configuration->version())},
+                    {"serving", std::to_string(state_.endpoints.serving(call.service).size())}});
+  auto out = adapter::refusal(status, "no endpoint answered", retry_at, now);
+  co_await writer.send(std::move(out));
+}
+
+std::optional<gateway::pooled_endpoint> call_relay::choose(const admitted_call& call)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (call.history.sent == 0 && call.connect_failures == 0) {
+    state_.retries.on_call(call.service, now);
+  }
+  const auto& d = call.description;
+  return state_.endpoints.choose({.service = call.service,
+                                  .prompt = d.prompt,
+                                  .size = d.size,
+                                  .target = call.received_at + call.route->target_latency,
+                                  .deadline = call.deadline,
+                                  .excluded = call.excluded},
+                                 now);
+}
+
+void call_relay::log_refusal(const http::request& received, const refusal& why)
+{
+  state_.counters.count("refusals", {{"reason", why.reason}});
+  const auto now = std::chrono::steady_clock::now();
+  state_.log.write(daemon::log_level::warn, "call refused",
+                   {{"request", adapter::decode_call(received, now).request_id},
+                    {"status", std::to_string(why.status)},
+                    {"reason", why.reason},
+                    {"configuration", std::to_string(state_.configuration_version())}});
+}
+
+void call_relay::note_attempt(const admitted_call& call, const attempt_result& result)
+{
+  const bool fine = result.outcome == attempt_outcome::answered;
+  state_.counters.count("attempts", {{"service", call.service}, {"fine", fine ? "yes" : "no"}});
+  if (fine || result.how == attempt_result::end::caller_lost) {
+    return;
+  }
+  log_fields fields = {{"request", call.description.request_id},
+                       {"route", call.route->name},
+                       {"endpoint", result.endpoint.value()},
+                       {"status", std::to_string(result.answer.status)},
+                       {"silent", result.silent ? "yes" : "no"},
+                       {"events", std::to_string(call.last_event.value_or(0))}};
+  add_reason(fields, result);
+  state_.log.write(daemon::log_level::warn, "attempt failed", std::move(fields));
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/call_relay.h
@@ -0,0 +1,74 @@
+// Answers callers: admits a call, sends it to an endpoint, passes the answer on, and goes on
+// elsewhere where that is allowed.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_CALL_RELAY_H_
+#define WISTERIAFLOW_SRC_RELAY_CALL_RELAY_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "relay/attempt.h"
+#include "relay/fleet_state.h"
+#include "wisteriaflow/gateway/answer_verdict.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/server.h"
+
+namespace wisteriaflow::relay {
+
+// Not thread-safe.
+class call_relay {
+ public:
+  call_relay(boost::asio::io_context& context, fleet_state& state);
+
+  // Answers one call of a caller.
+  boost::asio::awaitable<void> serve(http::request received, http::response_writer& writer);
+
+  // Calls that have no final answer yet.
+  [[nodiscard]] std::size_t open_calls() const { return open_calls_; }
+
+  [[nodiscard]] std::uint64_t connections_opened() const { return client_.connections_opened(); }
+
+ private:
+  // Why a call is not admitted.
+  struct refusal {
+    int status = 0;
+    std::string reason;
+    std::optional<mono_time> retry_at;
+  };
+
+  using admission = std::variant<admitted_call, refusal>;
+
+  admission admit(const http::request& received, mono_time now);
+  std::optional<refusal> refuse_workspace(admitted_call& call, mono_time now);
+  boost::asio::awaitable<void> relay(std::shared_ptr<admitted_call> call,
+                                     http::response_writer& writer);
+  // Sends the call to one endpoint after another until one has it or none is left.
+  boost::asio::awaitable<void> try_endpoints(std::shared_ptr<admitted_call> call,
+                                             http::response_writer& writer);
+  boost::asio::awaitable<void> finish(admitted_call& call, attempt_result& last,
+                                      http::response_writer& writer);
+  boost::asio::awaitable<void> give_up(admitted_call& call, http::response_writer& writer);
+  std::optional<gateway::pooled_endpoint> choose(const admitted_call& call);
+  const std::string& draw_service(const gateway::route& r);
+  bool may_repeat(const admitted_call& call, const attempt_result& last);
+  void log_refusal(const http::request& received, const refusal& why);
+  void note_attempt(const admitted_call& call, const attempt_result& result);
+
+  boost::asio::io_context& context_;
+  fleet_state& state_;
+  http::client client_;
+  std::mt19937_64 random_;
+  std::size_t open_calls_ = 0;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_CALL_RELAY_H_
--- /dev/null
+++ b/src/relay/fleet_state.cc
@@ -0,0 +1,160 @@
+#include "relay/fleet_state.h"
+
+#include <chrono>
+#include <utility>
+
+#include "documents.h"
+#include "errors.h"
+#include "wisteriaflow/base/hash.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+// A clock reading of a peer counts for this long: several reports.
+constexpr std::chrono::milliseconds clock_reading_valid{4'000};
+
+// Windows of usage that are kept: a report is due two windows after its end, and a duty that moves
+// to another daemon may be one lease later.
+constexpr gateway::usage_window usage_windows_kept = 5;
+
+std::uint64_t start_time()
+{
+  return static_cast<std::uint64_t>(to_unix_ms(read_clocks().wall));
+}
+
+} // namespace
+
+clock_reading read_clocks()
+{
+  const auto wall = std::chrono::system_clock::now();
+  return {.mono = std::chrono::steady_clock::now(),
+          .wall = std::chrono::time_point_cast<std::chrono::milliseconds>(wall)};
+}
+
+fleet_state::fleet_state(const settings& s, event_log& event_log)
+    : options(s), log(event_log), incarnation(start_time()),
+      endpoints({.zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
+      quota({.slack = s.quota_slack}),
+      retries({.ratio = s.retry_ratio, .slack = s.retry_slack, .window = s.retry_window}),
+      peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
+      usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept)
+{
+  for (const auto& seed : s.seeds) {
+    peers.add_address(seed);
+  }
+}
+
+std::uint64_t fleet_state::configuration_version() const
+{
+  return configuration_ ? configuration_->version() : 0;
+}
+
+void fleet_state::offer_configuration(const boost::json::value& document, std::string_view source)
+{
+  gateway::configuration declared;
+  try {
+    declared = adapter::decode_configuration(document);
+  } catch (const adapter::format_error& e) {
+    log.write(daemon::log_level::error, "configuration rejected",
+              {{"source", std::string(source)},
+               {"reason", e.what()},
+               {"version_in_force", std::to_string(configuration_version())}});
+    return;
+  }
+  if (declared.version <= configuration_version()) {
+    return;
+  }
+  const auto before = configuration_version();
+  configuration_ = std::make_shared<const gateway::configuration_index>(std::move(declared));
+  document_ = document;
+  quota.set_workspaces(configuration_->declared().workspaces, std::chrono::steady_clock::now());
+  counters.set("configuration_version", static_cast<double>(configuration_version()));
+  log.write(daemon::log_level::info, "configuration in force",
+            {{"version", std::to_string(configuration_version())},
+             {"version_before", std::to_string(before)},
+             {"source", std::string(source)},
+             {"routes", std::to_string(configuration_->declared().routes.size())}});
+  announce_news();
+}
+
+void fleet_state::announce_news() const
+{
+  if (on_news_) {
+    on_news_();
+  }
+}
+
+void fleet_state::leave(mono_time now)
+{
+  if (leaving_since_) {
+    return;
+  }
+  leaving_since_ = now;
+  announce_news();
+}
+
+bool fleet_state::is_ready() const
+{
+  return configuration_ && endpoints.is_known() && !leaving_since_;
+}
+
+gateway::daemon_contact fleet_state::self_contact() const
+{
+  return {.id = options.id,
+          .incarnation = incarnation,
+          .peer_address = options.peers,
+          .caller_address = options.callers,
+          .zone = options.zone,
+          .ready = is_ready(),
+          .leaving = leaving_since_.has_value()};
+}
+
+gateway::peer_report fleet_state::report(const clock_reading& now)
+{
+  const auto is_silent = [&](const daemon_id& id) {
+    return id != options.id && !peers.is_live(id, now.mono);
+  };
+  return {.self = self_contact(),
+          .configuration_version = configuration_version(),
+          .clock = now.wall,
+          .known = peers.live(now.mono),
+          .work = endpoints.own_work(),
+          .departures = endpoints.departures(now.mono),
+          .demand = quota.demand(),
+          .usage = usage.rows(is_silent)};
+}
+
+void fleet_state::absorb(const gateway::peer_report& told, const clock_reading& now)
+{
+  if (told.self.id == options.id) {
+    return;
+  }
+  const bool was_live = peers.is_live(told.self.id, now.mono);
+  peers.on_report(told, now.mono);
+  if (!was_live) {
+    log.write(daemon::log_level::info, "peer heard",
+              {{"peer", told.self.id.value()}, {"address", to_string(told.self.peer_address)}});
+  }
+  clock.on_reading(told.self.id, told.clock, now.mono);
+  for (const auto& d : told.departures) {
+    endpoints.on_departure(d, now.mono);
+  }
+  endpoints.on_peer_work(told.self.id, told.work, now.mono);
+  quota.on_demand(told.self.id, told.demand, now.mono);
+  for (const auto& row : told.usage) {
+    usage.absorb(row);
+  }
+}
+
+void fleet_state::tick(const clock_reading& now)
+{
+  const auto daemons = peers.counted(now.mono);
+  quota.set_daemons(daemons);
+  retries.set_daemons(daemons);
+  quota.refresh(now.mono);
+  endpoints.tick(now.mono);
+  endpoints.refresh_loads(now.mono);
+  usage.forget_old(clock.now(now));
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/fleet_state.h
@@ -0,0 +1,90 @@
+// What one gateway daemon believes, shared by the coroutines of its one thread.
+//
+// Every member is pure (no sockets, no clock); the modules around it bring news and ask.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
+#define WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/json/value.hpp>
+
+#include "relay/event_log.h"
+#include "relay/metrics.h"
+#include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/endpoint_pool.h"
+#include "wisteriaflow/gateway/fleet_clock.h"
+#include "wisteriaflow/gateway/peer_table.h"
+#include "wisteriaflow/gateway/retry_budget.h"
+#include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/workspace_quota.h"
+#include "wisteriaflow/relay/settings.h"
+
+namespace wisteriaflow::relay {
+
+// Both clocks, read now.
+[[nodiscard]] clock_reading read_clocks();
+
+class fleet_state {
+ public:
+  fleet_state(const settings& s, event_log& log);
+
+  // Takes a configuration document into force if it is newer than the present one. `source` says
+  // how it was learned. An unreadable one is logged and leaves the present one in force.
+  void offer_configuration(const boost::json::value& document, std::string_view source);
+
+  [[nodiscard]] const std::shared_ptr<const gateway::configuration_index>& configuration() const
+  {
+    return configuration_;
+  }
+  [[nodiscard]] std::uint64_t configuration_version() const;
+  // The document that the configuration in force was read from, for peers.
+  [[nodiscard]] const boost::json::value& configuration_document() const { return document_; }
+
+  // Told after each change that peers should hear of at once.
+  void on_news(std::function<void()> callback) { on_news_ = std::move(callback); }
+  void announce_news() const;
+
+  // Starts the drain: peers and callers are told that this daemon ends.
+  void leave(mono_time now);
+  [[nodiscard]] std::optional<mono_time> leaving_since() const { return leaving_since_; }
+
+  // Whether callers may be sent here.
+  [[nodiscard]] bool is_ready() const;
+
+  [[nodiscard]] gateway::daemon_contact self_contact() const;
+
+  // What to tell a peer now.
+  [[nodiscard]] gateway::peer_report report(const clock_reading& now);
+
+  // Takes in what a peer told.
+  void absorb(const gateway::peer_report& told, const clock_reading& now);
+
+  // Work that is due as time passes; call a few times a second.
+  void tick(const clock_reading& now);
+
+  settings options;
+  event_log& log;
+  metrics counters;
+  std::uint64_t incarnation;
+  gateway::endpoint_pool endpoints;
+  gateway::workspace_quota quota;
+  gateway::retry_budget retries;
+  gateway::peer_table peers;
+  gateway::fleet_clock clock;
+  gateway::usage_counts usage;
+
+ private:
+  std::shared_ptr<const gateway::configuration_index> configuration_;
+  boost::json::value document_;
+  std::function<void()> on_news_;
+  std::optional<mono_time> leaving_since_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
--- /dev/null
+++ b/src/relay/gateway_daemon.cc
@@ -0,0 +1,211 @@
+#include "wisteriaflow/relay/gateway_daemon.h"
+
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "messages.h"
+#include "relay/call_relay.h"
+#include "relay/event_log.h"
+#include "relay/fleet_state.h"
+#include "relay/peer_sync.h"
+#include "relay/store_client.h"
+#include "relay/store_sync.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// How long callers may keep an answer about addresses; some keep it three times as long, so this
+// bounds how long callers still come to a daemon that leaves.
+constexpr std::chrono::seconds addresses_valid{1};
+constexpr int times_kept = 3;
+// Callers reuse connections for most of the idle time that operators declare, up to minutes: the
+// gateway never closes one first.
+constexpr milliseconds caller_idle_timeout{600'000};
+// Limits of the server itself; those that operators declare are checked for each call.
+constexpr std::size_t header_limit = 64U << 10U;
+constexpr std::size_t body_limit = std::size_t{16} << 20U;
+// A drain ends this long before the process would be killed, so that it ends in good order.
+constexpr milliseconds drain_margin{500};
+constexpr milliseconds drain_check_period{50};
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+http::server_options caller_server_options(const settings& s)
+{
+  return {.address = s.callers,
+          .header_limit = header_limit,
+          .body_limit = body_limit,
+          .idle_timeout = caller_idle_timeout};
+}
+
+} // namespace
+
+class gateway_daemon::implementation {
+ public:
+  implementation(const settings& s, std::function<void(daemon::log_line)> log)
+      : log_(std::move(log)), state_(s, log_), store_(context_, state_),
+        store_sync_(context_, state_, store_), peers_(context_, state_), relay_(context_, state_),
+        callers_(context_, caller_server_options(s),
+                 [this](http::request r, http::response_writer& w) {
+                   return relay_.serve(std::move(r), w);
+                 }),
+        addresses_(context_, {.address = s.addresses, .idle_timeout = caller_idle_timeout},
+                   [this](http::request r, http::response_writer& w) {
+                     return answer_addresses(std::move(r), w);
+                   }),
+        readiness_(context_, {.address = s.readiness, .idle_timeout = caller_idle_timeout},
+                   [this](http::request r, http::response_writer& w) {
+                     return answer_readiness(std::move(r), w);
+                   }),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP)
+  {
+  }
+
+  [[nodiscard]] http::socket_address caller_address() const { return callers_.address(); }
+
+  void run()
+  {
+    log_.write(daemon::log_level::info, "started",
+               {{"daemon", state_.options.id.value()}, {"callers", to_string(caller_address())}});
+    store_sync_.start();
+    peers_.start();
+    await_signal();
+    context_.run();
+    log_.write(daemon::log_level::info, "stopped", {{"daemon", state_.options.id.value()}});
+  }
+
+  void drain()
+  {
+    if (state_.leaving_since()) {
+      return;
+    }
+    log_.write(daemon::log_level::info, "draining",
+               {{"open_calls", std::to_string(relay_.open_calls())}});
+    state_.leave(std::chrono::steady_clock::now());
+    callers_.announce_close();
+    asio::co_spawn(context_, finish_drain(), asio::detached);
+  }
+
+ private:
+  void await_signal()
+  {
+    signals_.async_wait([this](boost::system::error_code ec, int signal) {
+      if (ec) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        // The addresses that this process is bound to cannot change under it; the rest of the file
+        // is read at the next start.
+        log_.write(daemon::log_level::info, "settings changed", {{"effect", "at the next start"}});
+      } else {
+        drain();
+      }
+      await_signal();
+    });
+  }
+
+  // Ends the process once callers have stopped coming and every call is answered, and in any case
+  // before the process would be killed.
+  asio::awaitable<void> finish_drain()
+  {
+    const auto start = std::chrono::steady_clock::now();
+    const auto last = start + state_.options.drain_grace - drain_margin;
+    const auto callers_gone = std::min(last, start + times_kept * addresses_valid);
+    asio::steady_timer timer(context_);
+    boost::system::error_code ec;
+    for (auto now = start; now < last; now = std::chrono::steady_clock::now()) {
+      if (now >= callers_gone && relay_.open_calls() == 0) {
+        break;
+      }
+      timer.expires_after(drain_check_period);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    log_.write(daemon::log_level::info, "drained",
+               {{"open_calls", std::to_string(relay_.open_calls())}});
+    context_.stop();
+  }
+
+  asio::awaitable<void> answer_addresses(http::request asked, http::response_writer& writer)
+  {
+    http::response out{.status = status_not_found};
+    if (adapter::is_address_question(asked)) {
+      const auto addresses = addresses_for_callers();
+      out = addresses.empty() ? http::response{.status = status_unavailable}
+                              : adapter::encode_addresses(addresses, addresses_valid);
+    }
+    co_await writer.send(std::move(out));
+  }
+
+  std::vector<http::socket_address> addresses_for_callers() const
+  {
+    constexpr std::size_t most = 64; // that an answer may hold
+    std::vector<http::socket_address> out;
+    if (state_.is_ready()) {
+      out.push_back(state_.options.callers);
+    }
+    for (const auto& peer : state_.peers.live(std::chrono::steady_clock::now())) {
+      if (peer.ready && out.size() < most) {
+        out.push_back(peer.caller_address);
+      }
+    }
+    return out;
+  }
+
+  asio::awaitable<void> answer_readiness(http::request asked, http::response_writer& writer)
+  {
+    http::response out{.status = status_not_found};
+    if (adapter::is_readiness_check(asked)) {
+      out.status = state_.is_ready() ? status_ok : status_unavailable;
+    }
+    co_await writer.send(std::move(out));
+  }
+
+  asio::io_context context_{1};
+  event_log log_;
+  fleet_state state_;
+  store_client store_;
+  store_sync store_sync_;
+  peer_sync peers_;
+  call_relay relay_;
+  http::server callers_;
+  http::server addresses_;
+  http::server readiness_;
+  asio::signal_set signals_;
+};
+
+gateway_daemon::gateway_daemon(const settings& s, std::function<void(daemon::log_line)> log)
+    : implementation_(std::make_unique<implementation>(s, std::move(log)))
+{
+}
+
+gateway_daemon::~gateway_daemon() = default;
+
+void gateway_daemon::run()
+{
+  implementation_->run();
+}
+
+void gateway_daemon::drain()
+{
+  implementation_->drain();
+}
+
+http::socket_address gateway_daemon::caller_address() const
+{
+  return implementation_->caller_address();
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/metrics.h
@@ -0,0 +1,53 @@
+// Counters and latency histograms of the gateway daemon, in the usual text exposition.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_METRICS_H_
+#define WISTERIAFLOW_SRC_RELAY_METRICS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/unlimited_storage.hpp>
+
+namespace wisteriaflow::relay {
+
+// Labels of one series, in the order in which they are printed.
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+// Not thread-safe.
+class metrics {
+ public:
+  // Adds to a counter.
+  void count(const std::string& name, const metric_labels& labels = {}, std::uint64_t n = 1);
+
+  // Sets a gauge.
+  void set(const std::string& name, double value);
+
+  // Adds a sample to a latency histogram.
+  void observe(const std::string& name, std::chrono::nanoseconds sample);
+
+  // Everything, one series a line.
+  [[nodiscard]] std::string exposition() const;
+
+ private:
+  using latency_histogram =
+      boost::histogram::histogram<std::tuple<boost::histogram::axis::variable<double>>>;
+
+  struct latency_series {
+    latency_histogram buckets;
+    double sum = 0; // seconds
+  };
+
+  std::map<std::string, std::map<std::string, std::uint64_t>> counters_; // by name and labels
+  std::map<std::string, double> gauges_;
+  std::map<std::string, latency_series> latencies_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_METRICS_H_
--- /dev/null
+++ b/src/relay/peer_sync.cc
@@ -0,0 +1,177 @@
+#include "relay/peer_sync.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "wisteriaflow/gateway/peer_report.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// A daemon asks each peer so often, unless the peer has asked it meanwhile.
+constexpr milliseconds exchange_period{400};
+// News wait so long for others to share their message.
+constexpr milliseconds news_batch{15};
+constexpr milliseconds exchange_timeout{500};
+constexpr milliseconds fetch_timeout{1'000};
+// In larger fleets a round asks this many peers, drawn at random; reports of the others come
+// through their own rounds. Eight keep a daemon under 16 KB a second with reports of 1 KB.
+constexpr std::size_t fanout = 8;
+// Addresses at which no daemon has answered are asked every so many rounds.
+constexpr unsigned silent_rounds = 5;
+
+constexpr std::string_view report_target = "/report";
+constexpr std::string_view configuration_target = "/configuration";
+constexpr std::string_view metrics_target = "/metrics";
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+
+} // namespace
+
+peer_sync::peer_sync(asio::io_context& context, fleet_state& state)
+    : context_(context), state_(state),
+      client_(context, {.connect_timeout = exchange_timeout, .repeat_stale_get = false}),
+      server_(context, {.address = state.options.peers},
+              [this](http::request asked, http::response_writer& w) {
+                return serve(std::move(asked), w);
+              }),
+      wait_(context), random_(state.incarnation)
+{
+}
+
+void peer_sync::start()
+{
+  state_.on_news([this] { hurry(); });
+  asio::co_spawn(context_, run(), asio::detached);
+}
+
+asio::awaitable<void> peer_sync::run()
+{
+  for (;;) {
+    ask_peers(std::exchange(hurried_, false));
+    state_.tick(read_clocks());
+    wait_.expires_after(exchange_period);
+    boost::system::error_code ec;
+    co_await wait_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (hurried_) {
+      wait_.expires_after(news_batch);
+      co_await wait_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+  }
+}
+
+void peer_sync::hurry()
+{
+  if (!hurried_) {
+    hurried_ = true;
+    wait_.cancel();
+  }
+}
+
+void peer_sync::ask_peers(bool everyone)
+{
+  const auto now = std::chrono::steady_clock::now();
+  auto peers = state_.peers.addresses_to_ask(now);
+  std::shuffle(peers.begin(), peers.end(), random_);
+  const bool silent_too = ++round_ % silent_rounds == 0;
+  std::size_t asked = 0;
+  for (const auto& peer : peers) {
+    const auto it = answered_at_.find(peer);
+    const bool silent = it == answered_at_.end() || it->second + 4 * exchange_period < now;
+    const bool fresh = it != answered_at_.end() && now < it->second + exchange_period / 2;
+    const bool skip = everyone ? false : fresh || (silent && !silent_too && round_ > silent_rounds);
+    if (skip || asked_.contains(peer) || asked >= fanout) {
+      continue;
+    }
+    ++asked;
+    asked_.insert(peer);
+    asio::co_spawn(context_, exchange(peer), asio::detached);
+  }
+}
+
+asio::awaitable<void> peer_sync::exchange(http::socket_address peer)
+{
+  http::request message{.method = "POST",
+                        .target = std::string(report_target),
+                        .body = encode_peer_report(state_.report(read_clocks()))};
+  try {
+    const auto deadline = std::chrono::steady_clock::now() + exchange_timeout;
+    const auto reply = co_await client_.call(peer, std::move(message), deadline);
+    if (reply.status == status_ok) {
+      const auto told = gateway::decode_peer_report(reply.body);
+      answered_at_[peer] = std::chrono::steady_clock::now();
+      state_.absorb(told, read_clocks());
+      if (told.configuration_version > state_.configuration_version()) {
+        asio::co_spawn(context_, fetch_configuration(peer), asio::detached);
+      }
+    }
+  } catch (const http::http_error& e) {
+    state_.counters.count("peer_exchanges_failed");
+  } catch (const gateway::peer_report_error& e) {
+    state_.log.write(daemon::log_level::error, "peer report unreadable",
+                     {{"peer", to_string(peer)}, {"reason", e.what()}});
+  }
+  asked_.erase(peer);
+}
+
+asio::awaitable<void> peer_sync::fetch_configuration(http::socket_address peer)
+{
+  if (fetching_) {
+    co_return;
+  }
+  fetching_ = true;
+  try {
+    http::request message{.target = std::string(configuration_target)};
+    const auto deadline = std::chrono::steady_clock::now() + fetch_timeout;
+    const auto reply = co_await client_.call(peer, std::move(message), deadline);
+    boost::system::error_code ec;
+    const auto document = boost::json::parse(reply.body, ec);
+    if (reply.status == status_ok && !ec) {
+      state_.offer_configuration(document, "peer");
+    }
+  } catch (const http::http_error& e) {
+    state_.log.write(daemon::log_level::warn, "configuration not fetched",
+                     {{"peer", to_string(peer)}, {"reason", e.what()}});
+  }
+  fetching_ = false;
+}
+
+asio::awaitable<void> peer_sync::serve(http::request asked, http::response_writer& writer)
+{
+  http::response out{.status = status_ok};
+  if (asked.target == report_target) {
+    try {
+      const auto told = gateway::decode_peer_report(asked.body);
+      state_.absorb(told, read_clocks());
+      answered_at_[told.self.peer_address] = std::chrono::steady_clock::now();
+      out.body = encode_peer_report(state_.report(read_clocks()));
+      if (told.configuration_version > state_.configuration_version()) {
+        asio::co_spawn(context_, fetch_configuration(told.self.peer_address), asio::detached);
+      }
+    } catch (const gateway::peer_report_error& e) {
+      state_.log.write(daemon::log_level::error, "peer report unreadable", {{"reason", e.what()}});
+      out.status = status_not_found;
+    }
+  } else if (asked.target == configuration_target && state_.configuration()) {
+    out.body = boost::json::serialize(state_.configuration_document());
+  } else if (asked.target == metrics_target) {
+    out.body = state_.counters.exposition();
+  } else {
+    out.status = status_not_found;
+  }
+  co_await writer.send(std::move(out));
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/peer_sync.h
@@ -0,0 +1,52 @@
+// Exchanges reports with the other gateway daemons, and configurations that one of them lacks.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
+#define WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
+
+#include <map>
+#include <random>
+#include <set>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "relay/fleet_state.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/server.h"
+
+namespace wisteriaflow::relay {
+
+// Not thread-safe.
+class peer_sync {
+ public:
+  peer_sync(boost::asio::io_context& context, fleet_state& state);
+
+  // Starts to exchange. Never ends.
+  void start();
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> serve(http::request asked, http::response_writer& writer);
+  boost::asio::awaitable<void> exchange(http::socket_address peer);
+  boost::asio::awaitable<void> fetch_configuration(http::socket_address peer);
+  void ask_peers(bool everyone);
+  // Sends news at once, but news that follow closely share a message.
+  void hurry();
+
+  boost::asio::io_context& context_;
+  fleet_state& state_;
+  http::client client_;
+  http::server server_;
+  boost::asio::steady_timer wait_;
+  std::set<http::socket_address> asked_; // exchanges under way
+  std::map<http::socket_address, mono_time> answered_at_;
+  std::mt19937_64 random_;
+  bool hurried_ = false;
+  bool fetching_ = false;
+  unsigned round_ = 0;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
--- /dev/null
+++ b/src/relay/store_client.cc
@@ -0,0 +1,108 @@
+#include "relay/store_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The store answers in a few milliseconds; a connection that takes longer than this is to a store
+// that is away.
+constexpr milliseconds connect_timeout{500};
+constexpr milliseconds unacknowledged_timeout{1'500};
+constexpr milliseconds first_backoff{100};
+constexpr milliseconds longest_backoff{1'000};
+constexpr unsigned most_doublings = 4;
+constexpr std::size_t list_limit = std::size_t{16} << 20U; // bytes of one answer
+
+std::string_view to_string(adapter::store_result r)
+{
+  switch (r) {
+  case adapter::store_result::done:
+    return "done";
+  case adapter::store_result::missing:
+    return "missing";
+  case adapter::store_result::conflict:
+    return "conflict";
+  case adapter::store_result::expired:
+    return "expired";
+  case adapter::store_result::refused:
+    return "refused";
+  case adapter::store_result::failed:
+    return "failed";
+  }
+  return "failed";
+}
+
+} // namespace
+
+store_client::store_client(boost::asio::io_context& context, fleet_state& state)
+    : client_(context, {.body_limit = list_limit,
+                        .connect_timeout = connect_timeout,
+                        .unacknowledged_timeout = unacknowledged_timeout,
+                        .repeat_stale_get = false}),
+      state_(state), random_(state.incarnation)
+{
+}
+
+boost::asio::awaitable<store_reply> store_client::call(http::request message, std::string name,
+                                                       milliseconds timeout)
+{
+  store_reply out;
+  std::string reason;
+  try {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    auto whole = co_await client_.call(state_.options.store, std::move(message), deadline);
+    out.result = adapter::result_of(whole.status);
+    out.body = std::move(whole.body);
+    reason = "status " + std::to_string(whole.status);
+  } catch (const http::http_error& e) {
+    reason = e.what();
+  }
+  const auto result = std::string(to_string(out.result));
+  state_.counters.count("store_calls", {{"call", name}, {"result", result}});
+  const bool answered =
+      out.result != adapter::store_result::failed && out.result != adapter::store_result::refused;
+  if (!answered) {
+    state_.log.write(daemon::log_level::warn, "store call failed",
+                     {{"call", name}, {"result", result}, {"reason", reason}});
+  }
+  note(answered);
+  co_return out;
+}
+
+void store_client::note(bool answered)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (!answered) {
+    failing_since_ = failing_since_.value_or(now);
+    return;
+  }
+  if (!failing_since_) {
+    return;
+  }
+  const auto away = std::chrono::duration_cast<milliseconds>(now - *failing_since_);
+  failing_since_.reset();
+  if (away < outage) {
+    return;
+  }
+  state_.log.write(daemon::log_level::info, "store answers again",
+                   {{"away_ms", std::to_string(away.count())}});
+  if (on_return_) {
+    on_return_();
+  }
+}
+
+milliseconds store_client::backoff(unsigned failures)
+{
+  const auto doublings = std::min(failures > 0 ? failures - 1 : 0, most_doublings);
+  const auto longest = std::min(first_backoff * (1U << doublings), longest_backoff);
+  std::uniform_int_distribution<milliseconds::rep> jitter(longest.count() / 2, longest.count());
+  return milliseconds(jitter(random_));
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/store_sync.cc
@@ -0,0 +1,266 @@
+#include "relay/store_sync.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value_to.hpp>
+
+#include "documents.h"
+#include "errors.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// The kind under which the daemons enter themselves.
+constexpr std::string_view daemon_kind = "gateway-daemons";
+
+constexpr milliseconds call_timeout{1'200};
+// A watch for the configuration waits so long: short enough that one which hangs in a cut
+// connection is noticed well within the time in which a configuration must be in force, with what
+// peers pass on as the faster way.
+constexpr milliseconds configuration_wait{2'000};
+constexpr milliseconds endpoint_wait{1'000};
+// What a watch may take beyond its wait.
+constexpr milliseconds watch_slack{700};
+// Endpoints write heartbeats all the time, so a watch on them returns at once; the gap turns this
+// into one call for all of a gap's changes. It has to leave room within the two seconds after which
+// a leaving endpoint must get no request.
+constexpr milliseconds endpoint_gap{600};
+// Daemons are found through peers; the store only helps those that know none.
+constexpr milliseconds daemon_list_period{10'000};
+// Lapsed entries are back within two seconds of the store's return.
+constexpr milliseconds lapse_hold{2'300};
+
+} // namespace
+
+store_sync::store_sync(asio::io_context& context, fleet_state& state, store_client& store)
+    : context_(context), state_(state), store_(store)
+{
+  store_.on_return([this] { on_store_return(); });
+}
+
+void store_sync::start()
+{
+  asio::co_spawn(context_, follow_configuration(), asio::detached);
+  asio::co_spawn(context_, follow_endpoints(), asio::detached);
+  asio::co_spawn(context_, follow_daemons(), asio::detached);
+}
+
+asio::awaitable<void> store_sync::pause(milliseconds time)
+{
+  asio::steady_timer timer(context_, time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+void store_sync::on_store_return()
+{
+  state_.endpoints.hold_removals_until(std::chrono::steady_clock::now() + lapse_hold);
+}
+
+asio::awaitable<store_sync::listing> store_sync::list(std::string_view kind)
+{
+  listing out;
+  std::string after;
+  for (;;) {
+    auto message = adapter::list_call(kind, after);
+    const auto reply = co_await store_.call(std::move(message), "list", call_timeout);
+    if (reply.result != adapter::store_result::done) {
+      co_return out;
+    }
+    try {
+      auto page = adapter::decode_list(reply.body);
+      // Changes between two pages are found again by watching from the first page's revision.
+      out.revision = after.empty() ? page.revision : out.revision;
+      for (auto& item : page.items) {
+        after = item.name;
+        out.items.push_back(std::move(item));
+      }
+      if (!page.has_more || page.items.empty()) {
+        out.whole = true;
+        co_return out;
+      }
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "store answer unreadable",
+                       {{"kind", std::string(kind)}, {"reason", e.what()}});
+      co_return out;
+    }
+  }
+}
+
+asio::awaitable<void> store_sync::follow_configuration()
+{
+  for (unsigned failures = 0;;) {
+    const auto all = co_await list(adapter::configuration_kind);
+    for (const auto& item : all.items) {
+      if (item.name == adapter::configuration_name) {
+        state_.offer_configuration(item.spec, "list");
+      }
+    }
+    if (all.whole) {
+      failures = 0;
+      co_await watch_configuration(all.revision);
+    }
+    co_await pause(store_.backoff(++failures));
+  }
+}
+
+// Returns when the watch is broken.
+asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
+{
+  for (;;) {
+    auto message = adapter::watch_call(adapter::configuration_kind, revision, configuration_wait);
+    const auto reply =
+        co_await store_.call(std::move(message), "watch", configuration_wait + watch_slack);
+    if (reply.result != adapter::store_result::done) {
+      co_return;
+    }
+    try {
+      const auto page = adapter::decode_changes(reply.body);
+      revision = page.revision;
+      for (const auto& c : page.changes) {
+        if (!c.deleted && c.object.name == adapter::configuration_name) {
+          state_.offer_configuration(c.object.spec, "watch");
+        }
+      }
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "store answer unreadable",
+                       {{"kind", std::string(adapter::configuration_kind)}, {"reason", e.what()}});
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> store_sync::follow_endpoints()
+{
+  for (unsigned failures = 0;;) {
+    const auto all = co_await list(adapter::endpoint_kind);
+    if (all.whole) {
+      failures = 0;
+      take_endpoints(all);
+      co_await watch_endpoints(all.revision);
+    }
+    co_await pause(store_.backoff(++failures));
+  }
+}
+
+asio::awaitable<void> store_sync::watch_endpoints(std::uint64_t revision)
+{
+  for (;;) {
+    co_await pause(endpoint_gap);
+    auto message = adapter::watch_call(adapter::endpoint_kind, revision, endpoint_wait);
+    const auto reply =
+        co_await store_.call(std::move(message), "watch", endpoint_wait + watch_slack);
+    if (reply.result != adapter::store_result::done) {
+      co_return;
+    }
+    try {
+      const auto page = adapter::decode_changes(reply.body);
+      revision = page.revision;
+      for (const auto& c : page.changes) {
+        take_endpoint_change(c, page.revision);
+      }
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "store answer unreadable",
+                       {{"kind", std::string(adapter::endpoint_kind)}, {"reason", e.what()}});
+      co_return;
+    }
+  }
+}
+
+void store_sync::take_endpoints(const listing& all)
+{
+  std::vector<gateway::endpoint_record> records;
+  for (const auto& item : all.items) {
+    try {
+      records.push_back(adapter::decode_endpoint(item));
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "endpoint rejected",
+                       {{"endpoint", item.name}, {"reason", e.what()}});
+    }
+  }
+  state_.endpoints.replace_all(records, all.revision, std::chrono::steady_clock::now());
+  state_.log.write(
+      daemon::log_level::info, "endpoints listed",
+      {{"count", std::to_string(records.size())}, {"revision", std::to_string(all.revision)}});
+}
+
+void store_sync::take_endpoint_change(const adapter::change& c, std::uint64_t revision)
+{
+  const auto now = std::chrono::steady_clock::now();
+  const auto before = state_.endpoints.departures(now).size();
+  if (c.deleted) {
+    state_.endpoints.remove({.id = endpoint_id(c.object.name), .revision = revision}, now);
+  } else {
+    try {
+      state_.endpoints.apply(adapter::decode_endpoint(c.object), now);
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "endpoint rejected",
+                       {{"endpoint", c.object.name}, {"reason", e.what()}});
+    }
+  }
+  if (state_.endpoints.departures(now).size() != before) {
+    state_.log.write(daemon::log_level::info, "endpoint leaves",
+                     {{"endpoint", c.object.name},
+                      {"revision", std::to_string(c.object.revision)},
+                      {"entry", c.deleted ? "removed" : "leaving"}});
+    state_.announce_news();
+  }
+}
+
+asio::awaitable<void> store_sync::enter()
+{
+  const boost::json::value entry = {{"address", to_string(state_.options.peers)}};
+  const auto& name = state_.options.id.value();
+  auto create = adapter::create_call(daemon_kind, name, entry);
+  const auto reply = co_await store_.call(std::move(create), "create", call_timeout);
+  if (reply.result != adapter::store_result::conflict) {
+    co_return;
+  }
+  // A predecessor's entry, perhaps at another address.
+  try {
+    const auto present = adapter::decode_object(reply.body);
+    if (present.spec != entry) {
+      auto replace = adapter::replace_call(daemon_kind, name, entry, present.revision);
+      co_await store_.call(std::move(replace), "replace", call_timeout);
+    }
+  } catch (const adapter::format_error& e) {
+    state_.log.write(daemon::log_level::error, "store answer unreadable",
+                     {{"kind", std::string(daemon_kind)}, {"reason", e.what()}});
+  }
+}
+
+asio::awaitable<void> store_sync::follow_daemons()
+{
+  co_await enter();
+  for (;;) {
+    const auto all = co_await list(daemon_kind);
+    for (const auto& item : all.items) {
+      try {
+        const auto address = boost::json::value_to<std::string>(item.spec.at("address"));
+        state_.peers.add_address(http::parse_socket_address(address));
+      } catch (const std::exception& e) {
+        state_.log.write(daemon::log_level::error, "daemon entry unreadable",
+                         {{"entry", item.name}, {"reason", e.what()}});
+      }
+    }
+    co_await pause(all.whole ? daemon_list_period : store_.backoff(1));
+  }
+}
+
+asio::awaitable<void> store_sync::withdraw()
+{
+  auto message = adapter::remove_call(daemon_kind, state_.options.id.value());
+  co_await store_.call(std::move(message), "remove", call_timeout);
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/store_sync.h
@@ -0,0 +1,55 @@
+// Follows the configuration and the endpoints in the store, and enters this daemon there.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
+#define WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "relay/fleet_state.h"
+#include "relay/store_client.h"
+
+namespace wisteriaflow::relay {
+
+// Not thread-safe.
+class store_sync {
+ public:
+  store_sync(boost::asio::io_context& context, fleet_state& state, store_client& store);
+
+  // Starts to follow. Never ends.
+  void start();
+
+  // Removes this daemon's entry; once, at the end of a drain.
+  boost::asio::awaitable<void> withdraw();
+
+ private:
+  // A list of a whole kind.
+  struct listing {
+    bool whole = false;
+    std::vector<adapter::stored_object> items;
+    std::uint64_t revision = 0;
+  };
+
+  boost::asio::awaitable<void> follow_configuration();
+  boost::asio::awaitable<void> follow_endpoints();
+  boost::asio::awaitable<void> follow_daemons();
+  boost::asio::awaitable<listing> list(std::string_view kind);
+  boost::asio::awaitable<void> watch_configuration(std::uint64_t revision);
+  boost::asio::awaitable<void> watch_endpoints(std::uint64_t revision);
+  boost::asio::awaitable<void> enter();
+  void take_endpoints(const listing& all);
+  void take_endpoint_change(const adapter::change& c, std::uint64_t revision);
+  void on_store_return();
+  boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+
+  boost::asio::io_context& context_;
+  fleet_state& state_;
+  store_client& store_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -62,8 +62,7 @@
   p.queue = endpoint.queue_seconds(
       {.own_work = rules.own_work,
        .uncertainty = rules.uncertainty ? options.uncertainty : 0,
-       .fades_in_seconds =
-           rules.fading ? (getenv("FD") ? atof(getenv("FD")) : options.report_fades_in_seconds) : 0,
+       .fades_in_seconds = rules.fading ? options.report_fades_in_seconds : 0,
        .now = now});
   p.cached_tokens =
       std::min(request.prompt_tokens, static_cast<int>(blocks) * options.tokens_per_block);
