Report usage and order endpoints under one lease

Change: one daemon holds a lease in the store, writes each window's counts before it sends them, and orders endpoints. Ruled out: sending counts without writing them first, since two holders could then send different ones.

--- /dev/null
+++ b/src/relay/duties.cc
@@ -0,0 +1,236 @@
+#include "relay/duties.h"
+
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include "errors.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::string_view usage_kind = "gateway-usage";
+constexpr milliseconds lease_tick_period{200};
+constexpr milliseconds usage_check_period{500};
+constexpr milliseconds planning_period{500};
+constexpr milliseconds store_timeout{1'000};
+// Within the time for which the lease spares a new holder; see lease_keeper.
+constexpr milliseconds cloud_timeout{900};
+// After a window's end its counts are still on their way from the other daemons: two rounds of
+// reports, and a third for one that was lost.
+constexpr milliseconds counts_settle{1'500};
+// Requests at one endpoint at which it still meets its latency objectives, with room for a burst.
+constexpr double work_of_full_endpoint = 12;
+constexpr int status_ok = 200;
+
+json::value encode(const gateway::window_counts& counts)
+{
+  json::object out;
+  for (const auto& [workspace, n] : counts) {
+    out[workspace.value()] = n;
+  }
+  return out;
+}
+
+gateway::window_counts decode(const json::value& spec)
+{
+  gateway::window_counts out;
+  for (const auto& [workspace, n] : spec.as_object()) {
+    out[workspace_id(std::string(workspace))] = n.to_number<std::uint64_t>();
+  }
+  return out;
+}
+
+std::string object_name(gateway::usage_window window)
+{
+  return "window-" + std::to_string(window);
+}
+
+} // namespace
+
+duties::duties(asio::io_context& context, fleet_state& state, store_client& store)
+    : context_(context), state_(state), store_(store),
+      client_(context, {.connect_timeout = cloud_timeout, .repeat_stale_get = false}),
+      lease_(context, state, store), planner_({})
+{
+}
+
+void duties::start()
+{
+  if (!state_.options.cloud) {
+    return;
+  }
+  asio::co_spawn(context_, keep_lease(), asio::detached);
+  asio::co_spawn(context_, report_usage(), asio::detached);
+  asio::co_spawn(context_, order_endpoints(), asio::detached);
+}
+
+asio::awaitable<void> duties::pause(milliseconds time)
+{
+  asio::steady_timer timer(context_, time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> duties::keep_lease()
+{
+  for (;;) {
+    lease_.tick();
+    co_await pause(lease_tick_period);
+  }
+}
+
+adapter::duty_stamp duties::stamp() const
+{
+  return {.holder = state_.options.id, .fencing_number = lease_.fencing_number()};
+}
+
+asio::awaitable<std::optional<int>> duties::call_cloud(http::request message)
+{
+  const auto target = message.target;
+  try {
+    const auto deadline = std::chrono::steady_clock::now() + cloud_timeout;
+    const auto reply = co_await client_.call(*state_.options.cloud, std::move(message), deadline);
+    state_.counters.count("cloud_calls",
+                          {{"call", target}, {"status", std::to_string(reply.status)}});
+    co_return reply.status;
+  } catch (const http::http_error& e) {
+    state_.counters.count("cloud_calls", {{"call", target}, {"status", "none"}});
+    state_.log.write(daemon::log_level::warn, "cloud call failed",
+                     {{"call", target}, {"reason", e.what()}});
+    co_return std::nullopt;
+  }
+}
+
+asio::awaitable<void> duties::report_usage()
+{
+  for (;;) {
+    co_await pause(usage_check_period);
+    if (!lease_.may_act()) {
+      continue;
+    }
+    const auto now = state_.clock.now(read_clocks());
+    const auto current = state_.usage.window_at(now);
+    // The report before the last may still be due when the duty has just moved here.
+    for (auto window = current - 2; window < current; ++window) {
+      const auto end = state_.usage.end_of(window);
+      const bool due = now >= end + counts_settle && now < end + state_.options.usage_deadline;
+      if (due && !reported_.contains(window)) {
+        co_await report_window(window);
+      }
+    }
+  }
+}
+
+asio::awaitable<void> duties::report_window(gateway::usage_window window)
+{
+  const auto counts = co_await settle_counts(window);
+  if (!counts || !lease_.may_act()) {
+    co_return;
+  }
+  auto message = adapter::usage_call(stamp(), window, *counts);
+  const auto status = co_await call_cloud(std::move(message));
+  if (status != status_ok) {
+    co_return; // sent again, with the same counts
+  }
+  reported_.insert(window);
+  state_.log.write(daemon::log_level::info, "usage reported",
+                   {{"window", std::to_string(window)},
+                    {"workspaces", std::to_string(counts->size())}});
+  // Nothing expires by itself. Four windows later nobody reports this one any more.
+  constexpr gateway::usage_window kept = 4;
+  if (reported_.contains(window - kept)) {
+    reported_.erase(window - kept);
+    auto remove = adapter::remove_call(usage_kind, object_name(window - kept));
+    co_await store_.call(std::move(remove), "usage", store_timeout);
+  }
+}
+
+asio::awaitable<std::optional<gateway::window_counts>>
+duties::settle_counts(gateway::usage_window window)
+{
+  auto counts = state_.usage.total(window);
+  auto message = adapter::create_call(usage_kind, object_name(window), encode(counts));
+  const auto reply = co_await store_.call(std::move(message), "usage", store_timeout);
+  if (reply.result == adapter::store_result::done) {
+    co_return counts;
+  }
+  if (reply.result != adapter::store_result::conflict) {
+    co_return std::nullopt; // perhaps written: the next try finds it
+  }
+  try {
+    co_return decode(adapter::decode_object(reply.body).spec);
+  } catch (const std::exception& e) {
+    state_.log.write(daemon::log_level::error, "usage entry unreadable",
+                     {{"window", std::to_string(window)}, {"reason", e.what()}});
+    co_return std::nullopt;
+  }
+}
+
+gateway::scaling_input duties::scaling_of(const gateway::service_definition& s) const
+{
+  gateway::scaling_input out{.service = s.name, .limits = *s.scaling};
+  for (const auto* e : state_.endpoints.serving(s.name)) {
+    ++out.serving[{.service = s.name, .zone = e->zone, .reclaimable = e->reclaimable}];
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto work = static_cast<double>(state_.endpoints.fleet_work(s.name, now));
+  out.demand = work / work_of_full_endpoint;
+  return out;
+}
+
+asio::awaitable<void> duties::order_endpoints()
+{
+  bool acted = false;
+  for (;;) {
+    co_await pause(planning_period);
+    if (!lease_.may_act() || !state_.endpoints.is_known()) {
+      acted = false;
+      continue;
+    }
+    if (!std::exchange(acted, true)) {
+      planner_.take_over();
+    }
+    const auto configuration = state_.configuration();
+    for (const auto& s : configuration->declared().services) {
+      if (!s.scaling || s.scaling->most == 0) {
+        continue;
+      }
+      const auto now = std::chrono::steady_clock::now();
+      for (const auto& order : planner_.plan(scaling_of(s), now)) {
+        if (lease_.may_act()) {
+          co_await send_order(order);
+        }
+      }
+    }
+  }
+}
+
+asio::awaitable<void> duties::send_order(gateway::endpoint_order order)
+{
+  auto message = adapter::order_call(stamp(), order);
+  const auto status = co_await call_cloud(std::move(message));
+  const auto answer =
+      status ? adapter::decode_order_answer(*status) : gateway::order_answer::lost;
+  planner_.on_answer(order, answer, std::chrono::steady_clock::now());
+  state_.log.write(daemon::log_level::info, "endpoints ordered",
+                   {{"service", order.subject.service},
+                    {"zone", order.subject.zone.value()},
+                    {"reclaimable", order.subject.reclaimable ? "yes" : "no"},
+                    {"wanted", std::to_string(order.wanted)},
+                    {"status", status ? std::to_string(*status) : "none"}});
+}
+
+} // namespace wisteriaflow::relay
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -13,6 +13,7 @@
 
 #include "messages.h"
 #include "relay/call_relay.h"
+#include "relay/duties.h"
 #include "relay/event_log.h"
 #include "relay/fleet_state.h"
 #include "relay/peer_sync.h"
@@ -57,7 +58,8 @@
  public:
   implementation(const settings& s, std::function<void(daemon::log_line)> log)
       : log_(std::move(log)), state_(s, log_), store_(context_, state_),
-        store_sync_(context_, state_, store_), peers_(context_, state_), relay_(context_, state_),
+        store_sync_(context_, state_, store_), peers_(context_, state_), duties_(context_, state_, store_),
+        relay_(context_, state_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
                    return relay_.serve(std::move(r), w);
@@ -82,6 +84,7 @@
                {{"daemon", state_.options.id.value()}, {"callers", to_string(caller_address())}});
     store_sync_.start();
     peers_.start();
+    duties_.start();
     await_signal();
     context_.run();
     log_.write(daemon::log_level::info, "stopped", {{"daemon", state_.options.id.value()}});
@@ -179,6 +182,7 @@
   store_client store_;
   store_sync store_sync_;
   peer_sync peers_;
+  duties duties_;
   call_relay relay_;
   http::server callers_;
   http::server addresses_;
--- /dev/null
+++ b/src/relay/lease_keeper.cc
@@ -0,0 +1,157 @@
+#include "relay/lease_keeper.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+
+#include "errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::string_view lease_kind = "gateway-leases";
+constexpr std::string_view lease_name = "duties";
+constexpr milliseconds call_timeout{800};
+// A duty call is given up after this, so none arrives later than that after its sending.
+constexpr milliseconds order_timeout{1'000};
+// By which two monotonic clocks may drift apart in one lease, with the delay of a loaded process.
+constexpr milliseconds skew_margin{300};
+
+capacity::lease_options lease_options_of(const fleet_state& state)
+{
+  const auto duration = state.options.lease_duration;
+  return {.name = std::string(lease_name),
+          .self = state.options.id,
+          .duration = duration,
+          .renew_period = duration / 3,
+          .read_period = duration / 2,
+          .order_timeout = order_timeout,
+          .skew_margin = skew_margin,
+          .retry_period = milliseconds{500},
+          .seed = state.incarnation};
+}
+
+json::value encode(const capacity::lease_record& record)
+{
+  return {{"holder", record.holder.value()},
+          {"fencing_number", record.fencing_number},
+          {"nonce", record.nonce},
+          {"duration_ms", record.duration.count()}};
+}
+
+capacity::lease_record decode(const json::value& spec)
+{
+  try {
+    return {.holder = daemon_id(json::value_to<std::string>(spec.at("holder"))),
+            .fencing_number = spec.at("fencing_number").to_number<std::uint64_t>(),
+            .nonce = spec.at("nonce").to_number<std::uint64_t>(),
+            .duration = milliseconds(spec.at("duration_ms").to_number<std::int64_t>())};
+  } catch (const std::exception& e) {
+    throw adapter::format_error(std::string("unreadable lease: ") + e.what());
+  }
+}
+
+} // namespace
+
+lease_keeper::lease_keeper(asio::io_context& context, fleet_state& state, store_client& store)
+    : context_(context), state_(state), store_(store), holder_(lease_options_of(state))
+{
+}
+
+bool lease_keeper::may_act() const
+{
+  constexpr bool checks_fencing = false;
+  return holder_.may_order(checks_fencing, std::chrono::steady_clock::now());
+}
+
+void lease_keeper::tick()
+{
+  const auto now = read_clocks();
+  const bool wanted = state_.configuration() && !state_.leaving_since();
+  carry_out(holder_.handle(capacity::lease_wanted{.wanted = wanted}, now));
+  if (const auto due = holder_.wake_at(); due && *due <= now.mono) {
+    carry_out(holder_.handle(capacity::lease_tick{}, now));
+  }
+  const bool acting = may_act();
+  if (acting != was_acting_) {
+    was_acting_ = acting;
+    state_.log.write(daemon::log_level::info, acting ? "duties taken" : "duties given up",
+                     {{"fencing_number", std::to_string(fencing_number())},
+                      {"last_seen_holder", holder_.last_seen_holder().value()}});
+  }
+}
+
+void lease_keeper::carry_out(std::vector<capacity::lease_action> actions)
+{
+  for (auto& a : actions) {
+    if (auto* r = std::get_if<capacity::read_lease>(&a)) {
+      asio::co_spawn(context_, read(*r), asio::detached);
+    } else {
+      asio::co_spawn(context_, write(std::get<capacity::write_lease>(std::move(a))),
+                     asio::detached);
+    }
+  }
+}
+
+void lease_keeper::answer(const capacity::lease_event& e)
+{
+  carry_out(holder_.handle(e, read_clocks()));
+}
+
+asio::awaitable<void> lease_keeper::read(capacity::read_lease a)
+{
+  auto message = adapter::get_call(lease_kind, lease_name);
+  const auto reply = co_await store_.call(std::move(message), "lease", call_timeout);
+  if (reply.result == adapter::store_result::missing) {
+    answer(capacity::lease_missing{.call = a.call});
+    co_return;
+  }
+  if (reply.result != adapter::store_result::done) {
+    answer(capacity::lease_call_lost{.call = a.call});
+    co_return;
+  }
+  try {
+    const auto object = adapter::decode_object(reply.body);
+    answer(capacity::lease_found{
+        .call = a.call, .record = decode(object.spec), .version = object.revision});
+  } catch (const adapter::format_error& e) {
+    state_.log.write(daemon::log_level::error, "lease unreadable", {{"reason", e.what()}});
+    answer(capacity::lease_call_lost{.call = a.call});
+  }
+}
+
+asio::awaitable<void> lease_keeper::write(capacity::write_lease a)
+{
+  const auto spec = encode(a.record);
+  auto message = a.version == 0
+                     ? adapter::create_call(lease_kind, lease_name, spec)
+                     : adapter::replace_call(lease_kind, lease_name, spec, a.version);
+  const auto reply = co_await store_.call(std::move(message), "lease", call_timeout);
+  switch (reply.result) {
+  case adapter::store_result::done:
+    try {
+      const auto object = adapter::decode_object(reply.body);
+      answer(capacity::lease_written{.call = a.call, .version = object.revision});
+    } catch (const adapter::format_error& e) {
+      state_.log.write(daemon::log_level::error, "lease unreadable", {{"reason", e.what()}});
+      answer(capacity::lease_call_lost{.call = a.call});
+    }
+    break;
+  case adapter::store_result::conflict:
+  case adapter::store_result::missing:
+    answer(capacity::lease_conflict{.call = a.call});
+    break;
+  default:
+    answer(capacity::lease_call_lost{.call = a.call});
+  }
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/lease_keeper.h
@@ -0,0 +1,44 @@
+// Carries the lease of the fleet's duties between capacity::lease_holder and the store.
+
+#ifndef WISTERIAFLOW_SRC_RELAY_LEASE_KEEPER_H_
+#define WISTERIAFLOW_SRC_RELAY_LEASE_KEEPER_H_
+
+#include <functional>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "relay/fleet_state.h"
+#include "relay/store_client.h"
+#include "wisteriaflow/capacity/lease_holder.h"
+
+namespace wisteriaflow::relay {
+
+// Not thread-safe.
+class lease_keeper {
+ public:
+  lease_keeper(boost::asio::io_context& context, fleet_state& state, store_client& store);
+
+  // Lets time pass: call a few times a second.
+  void tick();
+
+  // Whether calls may be made now for the whole fleet, under `fencing_number`.
+  [[nodiscard]] bool may_act() const;
+  [[nodiscard]] std::uint64_t fencing_number() const { return holder_.fencing_number(); }
+
+ private:
+  void carry_out(std::vector<capacity::lease_action> actions);
+  boost::asio::awaitable<void> read(capacity::read_lease a);
+  boost::asio::awaitable<void> write(capacity::write_lease a);
+  void answer(const capacity::lease_event& e);
+
+  boost::asio::io_context& context_;
+  fleet_state& state_;
+  store_client& store_;
+  capacity::lease_holder holder_;
+  bool was_acting_ = false;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_LEASE_KEEPER_H_
