Tell a lease's own write by its holder, not by its nonce alone

Change: the holder is compared, too, and seeds differ by daemon. With it: on-demand endpoints carry the demand, reclaimable ones give room. Ruled out: a fault of the store's create (it answered 409 to the second).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -65,6 +65,9 @@
 
 using endpoint_work_map = std::map<endpoint_id, endpoint_work>;
 
+// Prompt tokens a second that one daemon sends to a service's endpoints to be computed, by service.
+using prefill_demand = std::map<std::string, double, std::less<>>;
+
 struct endpoint_pool_options {
   availability_zone zone;
   std::uint64_t seed = 0;
@@ -146,15 +149,20 @@
   [[nodiscard]] endpoint_work_map own_work() const;
   void on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now);
 
+  // The same for prompt tokens. `refresh_loads` brings the own figure up to date.
+  [[nodiscard]] const prefill_demand& own_prefill() const { return prefill_; }
+  void on_peer_prefill(const daemon_id& peer, prefill_demand demand, mono_time now);
+
+  // Endpoints of `service` that the whole fleet's prompts would keep busy all the time.
+  [[nodiscard]] double busy_endpoints(std::string_view service, mono_time now) const;
+
   // Takes the peers' work into account. Call after news of it.
   void refresh_loads(mono_time now);
 
-  // Requests of the whole fleet at the endpoints of `service`, as far as known.
-  [[nodiscard]] std::uint64_t fleet_work(std::string_view service, mono_time now) const;
-
  private:
   struct peer_work {
     endpoint_work_map work;
+    prefill_demand prefill;
     mono_time valid_until;
   };
 
@@ -162,6 +170,8 @@
   void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
   [[nodiscard]] bool is_departed(const endpoint_record& record) const;
+  void measure_prefill(mono_time now);
+  void note_prefill_speed(const routing::sent_work& work, mono_time now);
   [[nodiscard]] endpoint_work total_work(const endpoint_id& id, mono_time now) const;
 
   struct departure_entry {
@@ -176,6 +186,10 @@
   std::map<endpoint_id, departure_entry> departures_;
   std::map<daemon_id, peer_work> peers_;
   std::map<endpoint_id, endpoint_work> own_;
+  prefill_demand prefill_;
+  prefill_demand prefill_sent_; // tokens since the last refresh
+  std::map<std::string, routing::ewma, std::less<>> prefill_speeds_; // tokens/s, by service
+  std::optional<mono_time> refreshed_at_;
   routing::endpoint_table table_;
   routing::prefix_belief prefixes_;
   std::mt19937_64 random_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -44,6 +44,7 @@
   wall_time clock;                         // the sender's own, uncorrected
   std::vector<daemon_contact> known;       // daemons that the sender hears
   endpoint_work_map work;                  // the sender's own
+  prefill_demand prefill;                  // the same
   std::vector<endpoint_departure> departures;
   workspace_demand demand; // at the sender
   std::vector<usage_row> usage;
--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -1,12 +1,14 @@
 // How many endpoints of a service to order in each availability zone, and of which kind.
 //
 // Reclaimable endpoints cost a part of the others, but all of a zone's may be taken away at once,
-// and none may be had for a while after. The planner spreads them evenly, so that what is left after
-// the loss of the fullest zone still carries the demand, and keeps on-demand endpoints only until
-// enough reclaimable ones serve, or where reclaimable ones are not to be had.
+// zone after zone, and none may be had for a while after. So on-demand endpoints carry the demand
+// without room to spare, in the cheapest zones; reclaimable ones, spread evenly, give the room that
+// keeps answers within their latency objective. While too few of these serve, on-demand ones stand
+// in for them.
 //
 //   scaling_planner planner({});
-//   for (const auto& order : planner.plan(input, now)) { ... send; planner.on_answer(order, r, now); }
+//   for (const auto& order : planner.plan(input, now)) { ... send; planner.on_answer(order, r,
+//   now); }
 
 #ifndef WISTERIAFLOW_GATEWAY_SCALING_PLANNER_H_
 #define WISTERIAFLOW_GATEWAY_SCALING_PLANNER_H_
@@ -53,19 +55,25 @@
   std::string service;
   scaling_limits limits;
   std::map<order_subject, unsigned> serving; // endpoints that take new work
-  double demand = 0;                         // endpoints that the present work would fill
+  double busy = 0; // endpoints that the present work would keep busy all the time
 };
 
 struct scaling_planner_options {
-  // Requests beyond the present ones that the fleet is kept ready for, as a factor.
-  double headroom = 1.5;
-  // Fewest reclaimable endpoints in each zone: with one, a single crash empties the zone.
-  unsigned fewest_reclaimable = 2;
+  // Part of its time that an endpoint is busy with prompts when answers begin in time, and when the
+  // work is only just done. Prompts of several endpoint-seconds arrive together, hence the
+  // distance.
+  double comfortable_utilisation = 0.45;
+  double highest_utilisation = 0.75;
+  // With one on-demand endpoint, its crash could leave none.
+  unsigned fewest_on_demand = 2;
+  unsigned fewest_reclaimable = 1; // in each zone
   // The demand counts with its highest value of this time, so that a lull does not give away what
   // the next wave needs.
   std::chrono::milliseconds demand_memory{12'000};
   // A zone that had none is asked again after this.
   std::chrono::milliseconds sold_out_pause{1'500};
+  // On-demand endpoints are given back once fewer have been enough for this long.
+  std::chrono::milliseconds release_after{4'000};
   // An order whose endpoints have not come this long after they should is sent again.
   std::chrono::milliseconds repeat_after{3'000};
 };
@@ -90,20 +98,38 @@
     mono_time not_before;
   };
 
-  struct demand_peak {
+  struct peak {
     double value = 0;
     mono_time valid_until;
   };
 
-  double recent_demand(const scaling_input& in, mono_time now);
-  // Reclaimable endpoints in each zone that carry `needed` without any one zone.
-  [[nodiscard]] unsigned reclaimable_in_zone(const scaling_input& in, double needed) const;
-  void add_order(std::vector<endpoint_order>& to, const endpoint_order& order, unsigned serving,
-                 const scaling_input& in, mono_time now);
+  struct held_number {
+    unsigned number = 0;
+    mono_time until;
+  };
+
+  // What a plan works with.
+  struct targets {
+    unsigned on_demand = 0;   // of the service
+    unsigned reclaimable = 0; // of each zone
+  };
+
+  double recent_busy(const scaling_input& in, mono_time now);
+  targets targets_of(const scaling_input& in, mono_time now);
+  // Lowers the number only after it has been enough for a while.
+  unsigned settle(const std::string& service, unsigned wanted, mono_time now);
+  void order_reclaimable(const scaling_input& in, unsigned in_zone, mono_time now,
+                         std::vector<endpoint_order>& to);
+  void order_on_demand(const scaling_input& in, unsigned total, mono_time now,
+                       std::vector<endpoint_order>& to);
+  void add_order(const endpoint_order& order, const scaling_input& in, mono_time now,
+                 std::vector<endpoint_order>& to);
+  [[nodiscard]] bool is_sold_out(const order_subject& subject, mono_time now) const;
 
   scaling_planner_options options_;
   std::map<order_subject, sent_order> orders_;
-  std::map<std::string, demand_peak> peaks_; // by service
+  std::map<std::string, peak> peaks_;       // by service
+  std::map<std::string, held_number> held_; // on-demand endpoints, by service
 };
 
 } // namespace wisteriaflow::gateway
--- a/src/capacity/lease_core.cc
+++ b/src/capacity/lease_core.cc
@@ -31,7 +31,9 @@
 
 bool lease_core::is_ours(const lease_found& e) const
 {
-  return write_ && e.record.nonce == write_->record.nonce;
+  // The nonce alone is not enough: daemons that start together may draw the same one.
+  return write_ && e.record.nonce == write_->record.nonce &&
+         e.record.holder == write_->record.holder;
 }
 
 bool lease_core::is_base(const lease_found& e) const
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -1,6 +1,7 @@
 #include "wisteriaflow/gateway/endpoint_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "wisteriaflow/base/hash.h"
@@ -221,6 +222,7 @@
   }
   const auto& id = table_.at(*slot).description.id;
   prefixes_.on_sent(*slot, blocks, now);
+  prefill_sent_[std::string(wish.service)] += prefill;
   ++own_[id].waiting;
   return pooled_endpoint{
       .id = id, .address = records_.at(id).address, .work = table_.on_sent(*slot, prefill, now)};
@@ -236,6 +238,7 @@
     auto& own = own_[table_.at(work.slot).description.id];
     own.waiting -= std::min<std::uint32_t>(1, own.waiting);
     ++own.running;
+    note_prefill_speed(work, now);
   }
   table_.on_first_token(work, now);
 }
@@ -279,7 +282,9 @@
 
 void endpoint_pool::on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now)
 {
-  peers_[peer] = {.work = std::move(work), .valid_until = now + options_.work_valid};
+  auto& told = peers_[peer];
+  told.work = std::move(work);
+  told.valid_until = now + options_.work_valid;
 }
 
 endpoint_work endpoint_pool::total_work(const endpoint_id& id, mono_time now) const
@@ -303,6 +308,7 @@
 
 void endpoint_pool::refresh_loads(mono_time now)
 {
+  measure_prefill(now);
   for (const auto& [id, r] : records_) {
     const auto total = total_work(id, now);
     table_.on_report(*table_.find(id), {.running = static_cast<int>(total.running),
@@ -312,16 +318,57 @@
   }
 }
 
-std::uint64_t endpoint_pool::fleet_work(std::string_view service, mono_time now) const
+void endpoint_pool::on_peer_prefill(const daemon_id& peer, prefill_demand demand, mono_time now)
 {
-  std::uint64_t sum = 0;
-  for (const auto& [id, r] : records_) {
-    if (r.service == service) {
-      const auto total = total_work(id, now);
-      sum += total.waiting + total.running;
-    }
+  auto& told = peers_[peer];
+  told.prefill = std::move(demand);
+  told.valid_until = now + options_.work_valid;
+}
+
+// Smooths what was sent since the last call into a rate.
+void endpoint_pool::measure_prefill(mono_time now)
+{
+  constexpr double smoothing_seconds = 3;
+  const double elapsed =
+      refreshed_at_ ? std::chrono::duration<double>(now - *refreshed_at_).count() : 0;
+  refreshed_at_ = now;
+  if (elapsed <= 0) {
+    return;
+  }
+  const double kept = std::exp(-elapsed / smoothing_seconds);
+  for (auto& [service, tokens] : prefill_sent_) {
+    prefill_[service] = kept * prefill_[service] + (1 - kept) * tokens / elapsed;
+    tokens = 0;
+  }
+}
+
+// Only a large prompt that met no queue tells the engine's speed: in a small one the time is mostly
+// that of the way and of a step.
+void endpoint_pool::note_prefill_speed(const routing::sent_work& work, mono_time now)
+{
+  constexpr int fewest_tokens = 3'000;
+  constexpr double gain = 0.1;
+  const double elapsed = std::chrono::duration<double>(now - work.sent_at).count();
+  if (!work.found_idle || work.prefill_tokens < fewest_tokens || elapsed <= 0) {
+    return;
+  }
+  const auto& service = records_.at(table_.at(work.slot).description.id).service;
+  auto it = prefill_speeds_.try_emplace(service, initial_prefill_rate, gain).first;
+  it->second.add(work.prefill_tokens / elapsed);
+}
+
+double endpoint_pool::busy_endpoints(std::string_view service, mono_time now) const
+{
+  const auto demand_in = [service](const prefill_demand& d) {
+    const auto it = d.find(service);
+    return it == d.end() ? 0.0 : it->second;
+  };
+  double tokens = demand_in(prefill_);
+  for (const auto& [peer, told] : peers_) {
+    tokens += now < told.valid_until ? demand_in(told.prefill) : 0;
   }
-  return sum;
+  const auto speed = prefill_speeds_.find(service);
+  return tokens / (speed == prefill_speeds_.end() ? initial_prefill_rate : speed->second.value());
 }
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -65,6 +65,15 @@
   return out;
 }
 
+json::object encode(const prefill_demand& demand)
+{
+  json::object out;
+  for (const auto& [service, rate] : demand) {
+    out[service] = rate;
+  }
+  return out;
+}
+
 json::array encode(const std::vector<usage_row>& rows)
 {
   json::array out;
@@ -102,6 +111,9 @@
         .waiting = w.as_array().at(0).to_number<std::uint32_t>(),
         .running = w.as_array().at(1).to_number<std::uint32_t>()};
   }
+  for (const auto& [service, rate] : from.at("prefill").as_object()) {
+    out.prefill[std::string(service)] = rate.to_number<double>();
+  }
   for (const auto& [id, revision] : from.at("departures").as_object()) {
     out.departures.push_back(
         {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
@@ -132,10 +144,11 @@
     demand[workspace.value()] = rate;
   }
   const json::value out = {
-      {"self", encode(report.self)},       {"configuration", report.configuration_version},
-      {"clock", to_unix_ms(report.clock)}, {"known", std::move(known)},
-      {"work", encode(report.work)},       {"departures", std::move(departures)},
-      {"demand", std::move(demand)},       {"usage", encode(report.usage)}};
+      {"self", encode(report.self)},         {"configuration", report.configuration_version},
+      {"clock", to_unix_ms(report.clock)},   {"known", std::move(known)},
+      {"work", encode(report.work)},         {"prefill", encode(report.prefill)},
+      {"departures", std::move(departures)}, {"demand", std::move(demand)},
+      {"usage", encode(report.usage)}};
   return json::serialize(out);
 }
 
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -12,28 +12,81 @@
   return it == in.serving.end() ? 0 : it->second;
 }
 
+unsigned serving_of_kind(const scaling_input& in, bool reclaimable)
+{
+  unsigned sum = 0;
+  for (const auto& [subject, n] : in.serving) {
+    sum += subject.reclaimable == reclaimable ? n : 0;
+  }
+  return sum;
+}
+
+unsigned whole(double endpoints)
+{
+  return static_cast<unsigned>(std::ceil(std::max(0.0, endpoints)));
+}
+
+// Zones of the service, cheapest first.
+std::vector<availability_zone> zones_by_price(const scaling_limits& limits)
+{
+  std::vector<availability_zone> out;
+  for (const auto& [zone, price] : limits.zone_prices) {
+    out.push_back(zone);
+  }
+  std::stable_sort(out.begin(), out.end(), [&](const auto& a, const auto& b) {
+    return limits.zone_prices.at(a) < limits.zone_prices.at(b);
+  });
+  return out;
+}
+
 } // namespace
 
-double scaling_planner::recent_demand(const scaling_input& in, mono_time now)
+double scaling_planner::recent_busy(const scaling_input& in, mono_time now)
+{
+  auto& it = peaks_[in.service];
+  if (in.busy >= it.value || now >= it.valid_until) {
+    it = {.value = in.busy, .valid_until = now + options_.demand_memory};
+  }
+  return it.value;
+}
+
+scaling_planner::targets scaling_planner::targets_of(const scaling_input& in, mono_time now)
+{
+  const double busy = recent_busy(in, now);
+  const auto comfortable = whole(busy / options_.comfortable_utilisation);
+  const auto least =
+      std::max(whole(busy / options_.highest_utilisation), options_.fewest_on_demand);
+  const auto zones = std::max<std::size_t>(2, in.limits.zone_prices.size());
+  const double room = comfortable > least ? comfortable - least : 0;
+  // What is left after the loss of one zone's still gives the room.
+  const auto in_zone =
+      std::max(whole(room / static_cast<double>(zones - 1)), options_.fewest_reclaimable);
+  const auto reclaimable_serving = serving_of_kind(in, true);
+  const auto short_of =
+      comfortable > least + reclaimable_serving ? comfortable - least - reclaimable_serving : 0;
+  return {.on_demand = settle(in.service, least + short_of, now),
+          .reclaimable = std::min(in_zone, in.limits.most)};
+}
+
+unsigned scaling_planner::settle(const std::string& service, unsigned wanted, mono_time now)
 {
-  auto& peak = peaks_[in.service];
-  if (in.demand >= peak.value || now >= peak.valid_until) {
-    peak = {.value = in.demand, .valid_until = now + options_.demand_memory};
+  auto& it = held_[service];
+  if (wanted >= it.number || now >= it.until) {
+    it = {.number = wanted, .until = now + options_.release_after};
   }
-  return peak.value;
+  return it.number;
 }
 
-unsigned scaling_planner::reclaimable_in_zone(const scaling_input& in, double needed) const
+bool scaling_planner::is_sold_out(const order_subject& subject, mono_time now) const
 {
-  const auto zones = in.limits.zone_prices.size();
-  const auto rest = static_cast<double>(std::max<std::size_t>(1, zones - 1));
-  const auto wanted = static_cast<unsigned>(std::ceil(needed / rest));
-  return std::clamp(std::max(wanted, options_.fewest_reclaimable), in.limits.least, in.limits.most);
+  const auto it = orders_.find(subject);
+  return it != orders_.end() && now < it->second.not_before;
 }
 
-void scaling_planner::add_order(std::vector<endpoint_order>& to, const endpoint_order& order,
-                                unsigned serving, const scaling_input& in, mono_time now)
+void scaling_planner::add_order(const endpoint_order& order, const scaling_input& in, mono_time now,
+                                std::vector<endpoint_order>& to)
 {
+  const auto serving = serving_of(in, order.subject);
   const auto it = orders_.find(order.subject);
   if (it == orders_.end()) {
     if (serving == order.wanted) {
@@ -52,33 +105,45 @@
   to.push_back(order);
 }
 
-std::vector<endpoint_order> scaling_planner::plan(const scaling_input& in, mono_time now)
+void scaling_planner::order_reclaimable(const scaling_input& in, unsigned in_zone, mono_time now,
+                                        std::vector<endpoint_order>& to)
 {
-  std::vector<endpoint_order> out;
-  const double needed = recent_demand(in, now) * options_.headroom;
-  const unsigned reclaimable = reclaimable_in_zone(in, needed);
-  unsigned all_serving = 0;
   for (const auto& [zone, price] : in.limits.zone_prices) {
-    const order_subject cheap{.service = in.service, .zone = zone, .reclaimable = true};
-    all_serving += serving_of(in, cheap);
-    const order_subject sure{.service = in.service, .zone = zone, .reclaimable = false};
-    const auto sure_serving = serving_of(in, sure);
-    const unsigned room = in.limits.most - std::min(in.limits.most, sure_serving);
-    add_order(out, {.subject = cheap, .wanted = std::min(reclaimable, room)},
-              serving_of(in, cheap), in, now);
+    const auto others = serving_of(in, {.service = in.service, .zone = zone, .reclaimable = false});
+    const unsigned room = in.limits.most - std::min(in.limits.most, others);
+    const order_subject subject{.service = in.service, .zone = zone, .reclaimable = true};
+    add_order({.subject = subject, .wanted = std::min(in_zone, room)}, in, now, to);
   }
-  // On-demand endpoints are given back zone by zone as enough reclaimable ones serve.
-  const auto enough = static_cast<unsigned>(std::ceil(needed));
-  const bool replaced = all_serving >= std::max(enough, options_.fewest_reclaimable);
-  for (const auto& [zone, price] : in.limits.zone_prices) {
-    const order_subject sure{.service = in.service, .zone = zone, .reclaimable = false};
-    const order_subject cheap{.service = in.service, .zone = zone, .reclaimable = true};
-    const auto present = serving_of(in, sure);
-    const bool zone_covered = serving_of(in, cheap) >= std::max(1U, in.limits.least);
-    if (replaced && zone_covered && present > 0) {
-      add_order(out, {.subject = sure, .wanted = 0}, present, in, now);
+}
+
+void scaling_planner::order_on_demand(const scaling_input& in, unsigned total, mono_time now,
+                                      std::vector<endpoint_order>& to)
+{
+  // Half of them in the cheapest zone at the most, so that one zone's trouble leaves the other
+  // half.
+  const unsigned in_zone = std::max(1U, (total + 1) / 2);
+  unsigned left = total;
+  for (const auto& zone : zones_by_price(in.limits)) {
+    const order_subject subject{.service = in.service, .zone = zone, .reclaimable = false};
+    const auto reclaimable =
+        serving_of(in, {.service = in.service, .zone = zone, .reclaimable = true});
+    const unsigned room = in.limits.most - std::min(in.limits.most, reclaimable);
+    const auto present = serving_of(in, subject);
+    auto wanted = std::min({in_zone, left, room});
+    if (is_sold_out(subject, now)) {
+      wanted = std::min(wanted, present); // the next zone has to stand in
     }
+    left -= wanted;
+    add_order({.subject = subject, .wanted = wanted}, in, now, to);
   }
+}
+
+std::vector<endpoint_order> scaling_planner::plan(const scaling_input& in, mono_time now)
+{
+  std::vector<endpoint_order> out;
+  const auto t = targets_of(in, now);
+  order_reclaimable(in, t.reclaimable, now, out);
+  order_on_demand(in, t.on_demand, now, out);
   return out;
 }
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -53,7 +53,7 @@
                         .unacknowledged_timeout = unacknowledged_timeout,
                         .repeat_stale_get = false,
                         .only_stated_keep_alive = true}),
-      random_(state.incarnation)
+      random_(state.seed())
 {
 }
 
--- a/src/relay/duties.cc
+++ b/src/relay/duties.cc
@@ -31,8 +31,6 @@
 // After a window's end its counts are still on their way from the other daemons: two rounds of
 // reports, and a third for one that was lost.
 constexpr milliseconds counts_settle{1'500};
-// Requests at one endpoint at which it still meets its latency objectives, with room for a burst.
-constexpr double work_of_full_endpoint = 12;
 constexpr int status_ok = 200;
 
 json::value encode(const gateway::window_counts& counts)
@@ -146,9 +144,9 @@
     co_return; // sent again, with the same counts
   }
   reported_.insert(window);
-  state_.log.write(daemon::log_level::info, "usage reported",
-                   {{"window", std::to_string(window)},
-                    {"workspaces", std::to_string(counts->size())}});
+  state_.log.write(
+      daemon::log_level::info, "usage reported",
+      {{"window", std::to_string(window)}, {"workspaces", std::to_string(counts->size())}});
   // Nothing expires by itself. Four windows later nobody reports this one any more.
   constexpr gateway::usage_window kept = 4;
   if (reported_.contains(window - kept)) {
@@ -185,9 +183,7 @@
   for (const auto* e : state_.endpoints.serving(s.name)) {
     ++out.serving[{.service = s.name, .zone = e->zone, .reclaimable = e->reclaimable}];
   }
-  const auto now = std::chrono::steady_clock::now();
-  const auto work = static_cast<double>(state_.endpoints.fleet_work(s.name, now));
-  out.demand = work / work_of_full_endpoint;
+  out.busy = state_.endpoints.busy_endpoints(s.name, std::chrono::steady_clock::now());
   return out;
 }
 
@@ -222,14 +218,15 @@
 {
   auto message = adapter::order_call(stamp(), order);
   const auto status = co_await call_cloud(std::move(message));
-  const auto answer =
-      status ? adapter::decode_order_answer(*status) : gateway::order_answer::lost;
+  const auto answer = status ? adapter::decode_order_answer(*status) : gateway::order_answer::lost;
   planner_.on_answer(order, answer, std::chrono::steady_clock::now());
   state_.log.write(daemon::log_level::info, "endpoints ordered",
                    {{"service", order.subject.service},
                     {"zone", order.subject.zone.value()},
                     {"reclaimable", order.subject.reclaimable ? "yes" : "no"},
                     {"wanted", std::to_string(order.wanted)},
+                    {"busy", std::to_string(state_.endpoints.busy_endpoints(
+                                 order.subject.service, std::chrono::steady_clock::now()))},
                     {"status", status ? std::to_string(*status) : "none"}});
 }
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -98,6 +98,11 @@
   return configuration_ && endpoints.is_known() && !leaving_since_;
 }
 
+std::uint64_t fleet_state::seed() const
+{
+  return hash64_of(options.id.value(), incarnation);
+}
+
 gateway::daemon_contact fleet_state::self_contact() const
 {
   return {.id = options.id,
@@ -119,6 +124,7 @@
           .clock = now.wall,
           .known = peers.live(now.mono),
           .work = endpoints.own_work(),
+          .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
           .demand = quota.demand(),
           .usage = usage.rows(is_silent)};
@@ -140,6 +146,7 @@
     endpoints.on_departure(d, now.mono);
   }
   endpoints.on_peer_work(told.self.id, told.work, now.mono);
+  endpoints.on_peer_prefill(told.self.id, told.prefill, now.mono);
   quota.on_demand(told.self.id, told.demand, now.mono);
   for (const auto& row : told.usage) {
     usage.absorb(row);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -58,6 +58,9 @@
 
   [[nodiscard]] gateway::daemon_contact self_contact() const;
 
+  // Of random choices; differs between daemons that start together.
+  [[nodiscard]] std::uint64_t seed() const;
+
   // What to tell a peer now.
   [[nodiscard]] gateway::peer_report report(const clock_reading& now);
 
--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -36,7 +36,7 @@
           .order_timeout = order_timeout,
           .skew_margin = skew_margin,
           .retry_period = milliseconds{500},
-          .seed = state.incarnation};
+          .seed = state.seed()};
 }
 
 json::value encode(const capacity::lease_record& record)
@@ -131,9 +131,8 @@
 asio::awaitable<void> lease_keeper::write(capacity::write_lease a)
 {
   const auto spec = encode(a.record);
-  auto message = a.version == 0
-                     ? adapter::create_call(lease_kind, lease_name, spec)
-                     : adapter::replace_call(lease_kind, lease_name, spec, a.version);
+  auto message = a.version == 0 ? adapter::create_call(lease_kind, lease_name, spec)
+                                : adapter::replace_call(lease_kind, lease_name, spec, a.version);
   const auto reply = co_await store_.call(std::move(message), "lease", call_timeout);
   switch (reply.result) {
   case adapter::store_result::done:
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -47,7 +47,7 @@
               [this](http::request asked, http::response_writer& w) {
                 return serve(std::move(asked), w);
               }),
-      wait_(context), random_(state.incarnation)
+      wait_(context), random_(state.seed())
 {
 }
 
--- a/src/relay/store_client.cc
+++ b/src/relay/store_client.cc
@@ -45,7 +45,7 @@
                         .connect_timeout = connect_timeout,
                         .unacknowledged_timeout = unacknowledged_timeout,
                         .repeat_stale_get = false}),
-      state_(state), random_(state.incarnation)
+      state_(state), random_(state.seed())
 {
 }
 
