Order endpoints by three utilisations

Cause: one threshold for cheap and dear endpoints kept 9 on-demand ones where 4 and reclaimable ones do. Change: generous room in reclaimable ones, on-demand ones stand in later.

--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -59,11 +59,12 @@
 };
 
 struct scaling_planner_options {
-  // Part of its time that an endpoint is busy with prompts when answers begin in time, and when the
-  // work is only just done. Prompts of several endpoint-seconds arrive together, hence the
-  // distance.
-  double comfortable_utilisation = 0.45;
-  double highest_utilisation = 0.75;
+  // Parts of its time that an endpoint is busy with prompts: with reclaimable ones, which cost
+  // little; at which on-demand ones stand in for missing reclaimable ones; and at which the work is
+  // only just done. Prompts of several endpoint-seconds arrive together, hence the distances.
+  double generous_utilisation = 0.35;
+  double comfortable_utilisation = 0.65;
+  double highest_utilisation = 0.9;
   // With one on-demand endpoint, its crash could leave none.
   unsigned fewest_on_demand = 2;
   unsigned fewest_reclaimable = 1; // in each zone
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -57,7 +57,8 @@
   const auto least =
       std::max(whole(busy / options_.highest_utilisation), options_.fewest_on_demand);
   const auto zones = std::max<std::size_t>(2, in.limits.zone_prices.size());
-  const double room = comfortable > least ? comfortable - least : 0;
+  const auto generous = whole(busy / options_.generous_utilisation);
+  const double room = generous > least ? generous - least : 0;
   // What is left after the loss of one zone's still gives the room.
   const auto in_zone =
       std::max(whole(room / static_cast<double>(zones - 1)), options_.fewest_reclaimable);
