--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -90,6 +91,12 @@
     log_.write(daemon::log_level::info, "stopped", {{"daemon", state_.options.id.value()}});
   }
 
+  void request_drain()
+  {
+    asio::post(context_, [this] { drain(); });
+  }
+
+ private:
   void drain()
   {
     if (state_.leaving_since()) {
@@ -102,7 +109,6 @@
     asio::co_spawn(context_, finish_drain(), asio::detached);
   }
 
- private:
   void await_signal()
   {
     signals_.async_wait([this](boost::system::error_code ec, int signal) {
@@ -204,7 +210,7 @@
 
 void gateway_daemon::drain()
 {
-  implementation_->drain();
+  implementation_->request_drain();
 }
 
 http::socket_address gateway_daemon::caller_address() const
--- /dev/null
+++ b/test/adapter/duty_calls_test.cc
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+#include "duty_calls.h"
+
+namespace wisteriaflow::adapter {
+namespace {
+
+const duty_stamp stamp{.holder = daemon_id("d1"), .fencing_number = 12};
+
+TEST(DutyCallsTest, CarryTheHolderAndItsNumber)
+{
+  const auto out = usage_call(stamp, 3, {});
+  EXPECT_EQ(http::find_header(out.fields, "Duty-Holder"), "d1");
+  EXPECT_EQ(http::find_header(out.fields, "Fence-Token"), "12");
+}
+
+TEST(DutyCallsTest, ReportCountsByWorkspace)
+{
+  EXPECT_EQ(usage_call(stamp, 3, {{workspace_id("hotel"), 5}}).body,
+            R"({"windowId":3,"counts":{"hotel":5}})");
+}
+
+TEST(DutyCallsTest, OrderEndpoints)
+{
+  gateway::endpoint_order order{.subject = {.service = "s", .zone = availability_zone("z")},
+                                .wanted = 6};
+  EXPECT_EQ(order_call(stamp, order).body, R"({"service":"s","zone":"z","desired":6})");
+  order.subject.reclaimable = true;
+  EXPECT_EQ(order_call(stamp, order).body, R"({"service":"s","zone":"z","desired":6,"spot":true})");
+}
+
+TEST(DutyCallsTest, ReadTheAnswerToAnOrder)
+{
+  EXPECT_EQ(decode_order_answer(200), gateway::order_answer::taken);
+  EXPECT_EQ(decode_order_answer(409), gateway::order_answer::sold_out);
+  EXPECT_EQ(decode_order_answer(503), gateway::order_answer::lost);
+}
+
+} // namespace
+} // namespace wisteriaflow::adapter
--- /dev/null
+++ b/test/adapter/messages_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include "messages.h"
+
+namespace wisteriaflow::adapter {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+http::request from_caller()
+{
+  return {.method = "POST",
+          .target = "/chat/1?x=2",
+          .fields = {{"Host", "shop.example"},
+                     {"Request-Id", "r1"},
+                     {"Model", "m"},
+                     {"Token-Usage", "1460,80"},
+                     {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                     {"Deadline-Ms", "1500"},
+                     {"Api-Key", "k1"},
+                     {"Length-Hint", "70"}},
+          .body = "text"};
+}
+
+gateway::attempt_terms terms()
+{
+  return {.endpoint = endpoint_id("i-1"),
+          .workspace = workspace_id("hotel"),
+          .priority = 2,
+          .deadline = start + 700ms};
+}
+
+TEST(CallTest, SaysWhatItIsAbout)
+{
+  const auto call = decode_call(from_caller(), start);
+  EXPECT_EQ(call.path, "/chat/1");
+  EXPECT_EQ(call.request_id, "r1");
+  EXPECT_EQ(call.api_key, "k1");
+  EXPECT_EQ(call.size, (gateway::token_size{.prompt = 1'460, .output = 80}));
+  EXPECT_EQ(call.deadline, start + 1'500ms);
+}
+
+TEST(CallTest, ListsThePartsOfThePrompt)
+{
+  const std::vector<gateway::prompt_part> parts = {{.id = 0x5c1e07a2, .tokens = 800},
+                                                   {.id = 0x91bd3f06, .tokens = 410}};
+  EXPECT_EQ(decode_call(from_caller(), start).prompt, parts);
+}
+
+TEST(CallTest, TakesUnreadableFieldsForAbsent)
+{
+  const auto call = decode_call(
+      {.fields = {{"Token-Usage", "many"}, {"Prompt-Prefix", "5c1e07a2"}, {"Deadline-Ms", "soon"}}},
+      start);
+  EXPECT_EQ(call.size, std::nullopt);
+  EXPECT_TRUE(call.prompt.empty());
+  EXPECT_EQ(call.deadline, std::nullopt);
+}
+
+TEST(AttemptTest, PassesTheCallersWordsOn)
+{
+  const auto out = encode_attempt(from_caller(), terms(), start);
+  EXPECT_EQ(out.target, "/chat/1?x=2");
+  EXPECT_EQ(out.body, "text");
+  EXPECT_EQ(http::find_header(out.fields, "Request-Id"), "r1");
+  EXPECT_EQ(http::find_header(out.fields, "Length-Hint"), "70");
+}
+
+TEST(AttemptTest, AddsTheGatewaysOwnFields)
+{
+  const auto out = encode_attempt(from_caller(), terms(), start);
+  EXPECT_EQ(http::find_header(out.fields, "Deadline-Ms"), "700");
+  EXPECT_EQ(http::find_header(out.fields, "Expect-Instance"), "i-1");
+  EXPECT_EQ(http::find_header(out.fields, "Tenant"), "hotel");
+  EXPECT_EQ(http::find_header(out.fields, "Request-Priority"), "2");
+}
+
+TEST(AttemptTest, KeepsTheKeyAndTheGatewaysFieldsFromCallers)
+{
+  auto message = from_caller();
+  for (const char* name : {"Tenant", "Expect-Instance", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup",
+                           "Kv-Fetch", "Expect-Version", "Request-Priority"}) {
+    message.fields.push_back({.name = name, .value = "forged"});
+  }
+  const auto out = encode_attempt(message, terms(), start);
+  for (const auto& field : out.fields) {
+    EXPECT_NE(field.value, "forged") << field.name;
+    EXPECT_NE(field.value, "k1") << field.name;
+  }
+}
+
+TEST(AttemptTest, DropsWhatConcernsTheCallersConnection)
+{
+  auto message = from_caller();
+  message.fields.push_back({.name = "Connection", .value = "keep-alive, X-Mine"});
+  message.fields.push_back({.name = "x-mine", .value = "1"});
+  const auto out = encode_attempt(message, terms(), start);
+  EXPECT_EQ(http::find_header(out.fields, "X-Mine"), "");
+  EXPECT_EQ(http::find_header(out.fields, "Connection"), "");
+}
+
+TEST(AttemptTest, ResumesAfterTheLastEventOfTheGateway)
+{
+  auto message = from_caller();
+  message.fields.push_back({.name = "Last-Event-Id", .value = "3"});
+  EXPECT_EQ(http::find_header(encode_attempt(message, terms(), start).fields, "Last-Event-Id"),
+            "3");
+  auto t = terms();
+  t.resume_after = 9;
+  EXPECT_EQ(http::find_header(encode_attempt(message, t, start).fields, "Last-Event-Id"), "9");
+}
+
+TEST(AnswerTest, SaysWhetherTheRequestRan)
+{
+  EXPECT_TRUE(decode_answer({.status = 503, .fields = {{"Not-Executed", "1"}}}).not_run);
+  EXPECT_TRUE(decode_answer({.status = 421}).not_run);
+  EXPECT_FALSE(decode_answer({.status = 503}).not_run);
+}
+
+TEST(AnswerTest, SaysWhoseItIs)
+{
+  const auto head = decode_answer({.status = 200,
+                                   .fields = {{"Request-Id", "r1"},
+                                              {"Response-Seal", "s"},
+                                              {"Content-Type", "text/event-stream"}}});
+  EXPECT_EQ(head.request_id, "r1");
+  EXPECT_TRUE(head.sealed);
+  EXPECT_TRUE(head.is_stream);
+}
+
+TEST(RefusalTest, TellsWhenToComeBackInSeconds)
+{
+  const auto out = refusal(503, "full", start + 1'250ms, start);
+  EXPECT_EQ(http::find_header(out.fields, "Retry-After"), "1.250");
+}
+
+TEST(RefusalTest, TellsNoTimeWithoutOne)
+{
+  EXPECT_EQ(http::find_header(refusal(502, "x", std::nullopt, start).fields, "Retry-After"), "");
+}
+
+TEST(AddressesTest, AnswersWithAddressesAndHowLongTheyHold)
+{
+  const auto out = encode_addresses({{.host = "10.1.0.14", .port = 8221}}, 2s);
+  EXPECT_EQ(out.body, R"({"addresses":["10.1.0.14:8221"],"ttlS":2})");
+}
+
+} // namespace
+} // namespace wisteriaflow::adapter
--- /dev/null
+++ b/test/adapter/store_calls_test.cc
@@ -0,0 +1,63 @@
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
+#include "errors.h"
+#include "store_calls.h"
+
+namespace wisteriaflow::adapter {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(StoreCallsTest, AsksForListsAndChanges)
+{
+  EXPECT_EQ(list_call("k", "").target, "/objects/k");
+  EXPECT_EQ(list_call("k", "n").target, "/objects/k?after=n");
+  EXPECT_EQ(watch_call("k", 7, 2s).target, "/objects/k?watch=7&waitMs=2000");
+}
+
+TEST(StoreCallsTest, CreatesUnderTheKindAndReplacesUnderTheName)
+{
+  const auto create = create_call("k", "n", "value");
+  EXPECT_EQ(create.method + " " + create.target, "POST /objects/k");
+  const auto replace = replace_call("k", "n", "value", 7);
+  EXPECT_EQ(replace.method + " " + replace.target, "PUT /objects/k/n");
+  EXPECT_EQ(boost::json::parse(replace.body).at("metadata").at("revision").as_int64(), 7);
+}
+
+TEST(StoreCallsTest, ReadsAPage)
+{
+  const auto page = decode_list(
+      R"({"items":[{"metadata":{"name":"n","revision":4},"spec":1}],"hasMore":true,"at":9})");
+  EXPECT_EQ(page.items, (std::vector{stored_object{.name = "n", .revision = 4, .spec = 1}}));
+  EXPECT_TRUE(page.has_more);
+  EXPECT_EQ(page.revision, 9U);
+}
+
+TEST(StoreCallsTest, ReadsChanges)
+{
+  const auto page = decode_changes(
+      R"({"events":[{"deleted":true,"object":{"metadata":{"name":"n","revision":4}}}],"at":9})");
+  ASSERT_EQ(page.changes.size(), 1U);
+  EXPECT_TRUE(page.changes[0].deleted);
+  EXPECT_EQ(page.changes[0].object.name, "n");
+}
+
+TEST(StoreCallsTest, RejectsAnAnswerThatIsNone)
+{
+  EXPECT_THROW(static_cast<void>(decode_list("[]")), format_error);
+  EXPECT_THROW(static_cast<void>(decode_changes("")), format_error);
+  EXPECT_THROW(static_cast<void>(decode_object("{}")), format_error);
+}
+
+TEST(StoreCallsTest, TellsRefusalsFromFailures)
+{
+  EXPECT_EQ(result_of(429), store_result::refused);
+  EXPECT_EQ(result_of(503), store_result::refused);
+  EXPECT_EQ(result_of(409), store_result::conflict);
+  EXPECT_EQ(result_of(410), store_result::expired);
+  EXPECT_EQ(result_of(500), store_result::failed);
+}
+
+} // namespace
+} // namespace wisteriaflow::adapter
--- /dev/null
+++ b/test/base/text_test.cc
@@ -0,0 +1,28 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/base/text.h"
+
+namespace wisteriaflow {
+namespace {
+
+TEST(TextTest, SplitsAndTrimsAndLeavesEmptyPartsOut)
+{
+  const std::vector<std::string_view> parts = {"a", "b c"};
+  EXPECT_EQ(split(" a ,, b c,", ','), parts);
+}
+
+TEST(TextTest, ComparesWithoutCase)
+{
+  EXPECT_TRUE(equals_ignoring_case("Keep-Alive", "keep-alive"));
+  EXPECT_FALSE(equals_ignoring_case("Keep", "Keep-Alive"));
+}
+
+TEST(TextTest, TakesNoNumberWithARest)
+{
+  EXPECT_EQ(parse_number<int>("12"), 12);
+  EXPECT_EQ(parse_number<int>("12x"), std::nullopt);
+  EXPECT_EQ(parse_number<int>(""), std::nullopt);
+}
+
+} // namespace
+} // namespace wisteriaflow
--- a/test/capacity/lease_holder_test.cc
+++ b/test/capacity/lease_holder_test.cc
@@ -111,6 +111,19 @@
   EXPECT_GT(world_.holder(0).deadline(), world_.now() + 9s);
 }
 
+TEST_F(LeaseHolderTest, DoesNotTakeAnothersWriteWithTheSameNonceForItsOwn)
+{
+  lease_world world(2, true);
+  world.feed(0, lease_wanted{true});
+  world.feed(1, lease_wanted{true});
+  world.serve(0); // both read that there is no lease
+  world.serve(1);
+  world.serve_all(0);
+  world.serve_all(1);
+  EXPECT_TRUE(world.holder(0).holds(world.now()));
+  EXPECT_FALSE(world.holder(1).holds(world.now()));
+}
+
 TEST_F(LeaseHolderTest, GivesTheLeaseBackWhenItIsNotWanted)
 {
   acquire();
--- a/test/capacity/lease_world.h
+++ b/test/capacity/lease_world.h
@@ -21,12 +21,13 @@
  public:
   lease_options options{.name = "capacity"};
 
-  explicit lease_world(int daemons)
+  // `same_seeds`: the daemons draw the same nonces, as if started at the same moment.
+  explicit lease_world(int daemons, bool same_seeds = false)
   {
     for (int i = 0; i < daemons; ++i) {
       auto o = options;
       o.self = daemon_id("d" + std::to_string(i));
-      o.seed = static_cast<std::uint64_t>(i) + 1;
+      o.seed = same_seeds ? 1 : static_cast<std::uint64_t>(i) + 1;
       holders_.push_back(std::make_unique<lease_holder>(o));
       open_.emplace_back();
     }
--- /dev/null
+++ b/test/gateway/configuration_test.cc
@@ -0,0 +1,45 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/configuration.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+class ConfigurationIndexTest : public testing::Test {
+ protected:
+  static configuration declared()
+  {
+    return {.version = 3,
+            .routes = {{.name = "shop", .host = "Shop.example", .path_prefix = "/"},
+                       {.name = "orders", .host = "shop.example", .path_prefix = "/orders/"}},
+            .services = {{.name = "chat"}},
+            .workspaces = {{.id = workspace_id("hotel"), .api_keys = {"k1", "k2"}}}};
+  }
+
+  configuration_index index_{declared()};
+};
+
+TEST_F(ConfigurationIndexTest, TakesTheLongestPrefix)
+{
+  EXPECT_EQ(index_.match("shop.example", "/orders/7")->name, "orders");
+  EXPECT_EQ(index_.match("shop.example", "/other")->name, "shop");
+}
+
+TEST_F(ConfigurationIndexTest, IgnoresCaseAndPortOfTheHost)
+{
+  EXPECT_EQ(index_.match("SHOP.example:8080", "/orders/7")->name, "orders");
+}
+
+TEST_F(ConfigurationIndexTest, KnowsNoRouteOfAnotherHost)
+{
+  EXPECT_EQ(index_.match("other.example", "/orders/7"), nullptr);
+}
+
+TEST_F(ConfigurationIndexTest, FindsTheWorkspaceOfEachKey)
+{
+  EXPECT_EQ(index_.workspace_of("k2")->id.value(), "hotel");
+  EXPECT_EQ(index_.workspace_of("k3"), nullptr);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/endpoint_pool_test.cc
@@ -0,0 +1,193 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/endpoint_pool.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+endpoint_record record(const char* id, std::uint64_t revision, bool leaving = false)
+{
+  return {.id = endpoint_id(id),
+          .revision = revision,
+          .service = "chat",
+          .address = {.host = "10.0.0.1", .port = 80},
+          .zone = availability_zone("z"),
+          .places = 4,
+          .leaving = leaving};
+}
+
+class EndpointPoolTest : public testing::Test {
+ protected:
+  void list(std::vector<endpoint_record> all, std::uint64_t revision, mono_time now = start)
+  {
+    pool_.replace_all(all, revision, now);
+  }
+
+  std::optional<pooled_endpoint> choose(std::vector<endpoint_id> excluded = {},
+                                        std::vector<prompt_part> prompt = {})
+  {
+    return pool_.choose({.service = "chat",
+                         .prompt = prompt,
+                         .size = token_size{.prompt = 4'000, .output = 10},
+                         .target = start + 1s,
+                         .deadline = start + 10s,
+                         .excluded = excluded},
+                        start);
+  }
+
+  endpoint_pool pool_{{.zone = availability_zone("z"), .seed = 1}};
+};
+
+TEST_F(EndpointPoolTest, ServesWhatIsListed)
+{
+  list({record("a", 1), record("b", 2)}, 5);
+  EXPECT_EQ(pool_.serving("chat").size(), 2U);
+  EXPECT_TRUE(pool_.serving("other").empty());
+}
+
+TEST_F(EndpointPoolTest, ALeavingEndpointGetsNoNewWork)
+{
+  list({record("a", 1)}, 5);
+  pool_.apply(record("a", 6, true), start);
+  EXPECT_FALSE(choose());
+}
+
+TEST_F(EndpointPoolTest, AStaleListBringsNoLeavingEndpointBack)
+{
+  list({record("a", 1)}, 5);
+  pool_.apply(record("a", 6, true), start);
+  list({record("a", 1)}, 5);
+  EXPECT_TRUE(pool_.serving("chat").empty());
+}
+
+TEST_F(EndpointPoolTest, ARemovedEndpointStaysAwayFromAStaleList)
+{
+  list({record("a", 1)}, 5);
+  pool_.remove({.id = endpoint_id("a"), .revision = 8}, start);
+  list({record("a", 1)}, 7);
+  EXPECT_TRUE(pool_.serving("chat").empty());
+}
+
+TEST_F(EndpointPoolTest, ALaterEntryRevivesAnEndpointThatHadLapsed)
+{
+  list({record("a", 1)}, 5);
+  pool_.remove({.id = endpoint_id("a"), .revision = 8}, start);
+  pool_.apply(record("a", 9), start);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, ALaterEntryRevivesAnEndpointThatAPeerCalledGone)
+{
+  list({record("a", 1)}, 5);
+  pool_.on_departure({.id = endpoint_id("a"), .revision = 8}, start);
+  EXPECT_FALSE(choose());
+  pool_.apply(record("a", 9), start);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, APeersOldWordDoesNotEndANewerEntry)
+{
+  list({record("a", 9)}, 9);
+  pool_.on_departure({.id = endpoint_id("a"), .revision = 8}, start);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, KeepsAVanishedEntryWhileRemovalsAreOnHold)
+{
+  list({record("a", 1)}, 5);
+  pool_.hold_removals_until(start + 2s);
+  list({}, 8);
+  EXPECT_TRUE(choose());
+  pool_.tick(start + 3s);
+  EXPECT_FALSE(choose());
+}
+
+TEST_F(EndpointPoolTest, AnEntryThatComesBackInTimeIsKept)
+{
+  list({record("a", 1)}, 5);
+  pool_.hold_removals_until(start + 2s);
+  list({}, 8);
+  pool_.apply(record("a", 9), start + 1s);
+  pool_.tick(start + 3s);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, TellsDeparturesForAWhile)
+{
+  list({record("a", 1)}, 5);
+  pool_.remove({.id = endpoint_id("a"), .revision = 8}, start);
+  EXPECT_EQ(pool_.departures(start + 1s).size(), 1U);
+  EXPECT_TRUE(pool_.departures(start + 20s).empty());
+}
+
+TEST_F(EndpointPoolTest, DoesNotChooseAnExcludedEndpoint)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  EXPECT_EQ(choose({endpoint_id("a")})->id, endpoint_id("b"));
+  EXPECT_FALSE(choose({endpoint_id("a"), endpoint_id("b")}));
+}
+
+TEST_F(EndpointPoolTest, AvoidsAnEndpointInTrouble)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  pool_.on_trouble(endpoint_id("a"), start);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(choose()->id, endpoint_id("b"));
+  }
+}
+
+TEST_F(EndpointPoolTest, TriesAnEndpointInTroubleRatherThanNone)
+{
+  list({record("a", 1)}, 5);
+  pool_.on_trouble(endpoint_id("a"), start);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, PrefersTheEndpointThatHasThePrompt)
+{
+  list({record("a", 1), record("b", 1), record("c", 1)}, 5);
+  const std::vector<prompt_part> prompt = {{.id = 1, .tokens = 2'000}, {.id = 2, .tokens = 2'000}};
+  auto first = choose({}, prompt);
+  pool_.on_first_token(first->work, start);
+  pool_.on_finished(first->work, 10, start);
+  for (int i = 0; i < 5; ++i) {
+    auto next = choose({}, prompt);
+    EXPECT_EQ(next->id, first->id);
+    pool_.on_first_token(next->work, start);
+    pool_.on_finished(next->work, 10, start);
+  }
+}
+
+TEST_F(EndpointPoolTest, AvoidsEndpointsThatPeersKeepBusy)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  pool_.on_peer_work(daemon_id("p"), {{endpoint_id("a"), {.waiting = 6, .running = 4}}}, start);
+  pool_.refresh_loads(start);
+  EXPECT_EQ(choose()->id, endpoint_id("b"));
+}
+
+TEST_F(EndpointPoolTest, CountsItsOwnWorkUntilItEnds)
+{
+  list({record("a", 1)}, 5);
+  auto chosen = choose();
+  EXPECT_EQ(pool_.own_work().at(endpoint_id("a")), (endpoint_work{.waiting = 1}));
+  pool_.on_first_token(chosen->work, start);
+  EXPECT_EQ(pool_.own_work().at(endpoint_id("a")), (endpoint_work{.running = 1}));
+  pool_.on_finished(chosen->work, 10, start);
+  EXPECT_TRUE(pool_.own_work().empty());
+}
+
+TEST_F(EndpointPoolTest, AddsUpThePromptsOfTheFleet)
+{
+  list({record("a", 1)}, 5);
+  pool_.on_peer_prefill(daemon_id("p"), {{"chat", 60'000}}, start);
+  EXPECT_GT(pool_.busy_endpoints("chat", start), 1);
+  EXPECT_EQ(pool_.busy_endpoints("chat", start + 10s), 0);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/peer_report_test.cc
@@ -0,0 +1,49 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/peer_report.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+daemon_contact contact(const char* id, std::uint16_t port)
+{
+  return {.id = daemon_id(id),
+          .incarnation = 5,
+          .peer_address = {.host = "10.0.0.1", .port = port},
+          .caller_address = {.host = "10.0.0.2", .port = port},
+          .zone = availability_zone("z"),
+          .ready = true,
+          .leaving = true};
+}
+
+TEST(PeerReportTest, ComesBackAsItWasSent)
+{
+  const peer_report sent{.self = contact("a", 1),
+                         .configuration_version = 9,
+                         .clock = from_unix_ms(1'234'567),
+                         .known = {contact("b", 2)},
+                         .work = {{endpoint_id("e"), {.waiting = 1, .running = 2}}},
+                         .prefill = {{"chat", 1'500.5}},
+                         .departures = {{.id = endpoint_id("f"), .revision = 44}},
+                         .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
+                                    .window = 17,
+                                    .counts = {{workspace_id("hotel"), 3}}}}};
+  EXPECT_EQ(decode_peer_report(encode_peer_report(sent)), sent);
+}
+
+TEST(PeerReportTest, RejectsWhatItCannotRead)
+{
+  EXPECT_THROW(static_cast<void>(decode_peer_report("{}")), peer_report_error);
+  EXPECT_THROW(static_cast<void>(decode_peer_report("not json")), peer_report_error);
+}
+
+TEST(PeerReportTest, QuotaQuestionAndGrantComeBackAsTheyWereSent)
+{
+  const quota_question question{.workspace = workspace_id("hotel"), .units = 12.5, .ask = 20};
+  EXPECT_EQ(decode_quota_question(encode_quota_question(question)), question);
+  const quota_grant grant{.units = 20, .retry_after = std::chrono::milliseconds(30)};
+  EXPECT_EQ(decode_quota_grant(encode_quota_grant(grant)), grant);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/peer_table_test.cc
@@ -0,0 +1,63 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/peer_table.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+const http::socket_address first{.host = "10.0.0.1", .port = 7};
+const http::socket_address second{.host = "10.0.0.2", .port = 7};
+
+class PeerTableTest : public testing::Test {
+ protected:
+  void hear(const char* id, const http::socket_address& at, mono_time now,
+            std::vector<daemon_contact> known = {})
+  {
+    peer_report report{.self = {.id = daemon_id(id), .peer_address = at}};
+    report.known = std::move(known);
+    peers_.on_report(report, now);
+  }
+
+  peer_table peers_{{.self = daemon_id("self"), .self_address = {.host = "10.0.0.9", .port = 7}}};
+};
+
+TEST_F(PeerTableTest, ADaemonIsLiveWhileItIsHeard)
+{
+  hear("a", first, start);
+  EXPECT_TRUE(peers_.is_live(daemon_id("a"), start + 1s));
+  EXPECT_FALSE(peers_.is_live(daemon_id("a"), start + 2s));
+}
+
+TEST_F(PeerTableTest, ASilentDaemonIsCountedForAWhile)
+{
+  hear("a", first, start);
+  EXPECT_EQ(peers_.counted(start + 10s), 2U);
+  EXPECT_EQ(peers_.counted(start + 30s), 1U);
+}
+
+TEST_F(PeerTableTest, AnotherDaemonsWordMakesNoDaemonLive)
+{
+  hear("a", first, start, {{.id = daemon_id("b"), .peer_address = second}});
+  EXPECT_FALSE(peers_.is_live(daemon_id("b"), start));
+  EXPECT_EQ(peers_.addresses_to_ask(start), (std::vector{second, first}));
+}
+
+TEST_F(PeerTableTest, NeverAsksItself)
+{
+  peers_.add_address({.host = "10.0.0.9", .port = 7});
+  EXPECT_TRUE(peers_.addresses_to_ask(start).empty());
+}
+
+TEST_F(PeerTableTest, AnAddressIsAskedOnceItsDaemonIsKnown)
+{
+  peers_.add_address(first);
+  hear("a", first, start);
+  peers_.add_address(first);
+  EXPECT_EQ(peers_.addresses_to_ask(start), std::vector{first});
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/scaling_planner_test.cc
@@ -0,0 +1,138 @@
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/scaling_planner.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+class ScalingPlannerTest : public testing::Test {
+ protected:
+  static order_subject subject(const char* zone, bool reclaimable)
+  {
+    return {.service = "chat", .zone = availability_zone(zone), .reclaimable = reclaimable};
+  }
+
+  std::vector<endpoint_order> plan(mono_time now) { return planner_.plan(input_, now); }
+
+  // The number that `orders` sets for the zone's kind; nothing if it sets none.
+  static std::optional<unsigned> wanted(const std::vector<endpoint_order>& orders, const char* zone,
+                                        bool reclaimable)
+  {
+    const auto it = std::find_if(orders.begin(), orders.end(), [&](const endpoint_order& o) {
+      return o.subject == subject(zone, reclaimable);
+    });
+    return it == orders.end() ? std::nullopt : std::optional(it->wanted);
+  }
+
+  scaling_planner planner_{{}};
+  scaling_input input_{.service = "chat",
+                       .limits = {.least = 1,
+                                  .most = 6,
+                                  .start_time = 4s,
+                                  .reclaimable_price = 0.2,
+                                  .zone_prices = {{availability_zone("a"), 1.0},
+                                                  {availability_zone("b"), 0.8},
+                                                  {availability_zone("c"), 1.2}}},
+                       .busy = 0};
+};
+
+TEST_F(ScalingPlannerTest, SpreadsReclaimableEndpointsOverTheZones)
+{
+  input_.busy = 2;
+  const auto orders = plan(start);
+  for (const char* zone : {"a", "b", "c"}) {
+    EXPECT_GE(wanted(orders, zone, true), 2U);
+  }
+}
+
+TEST_F(ScalingPlannerTest, OnDemandEndpointsStandInUntilReclaimableOnesServe)
+{
+  input_.busy = 3;
+  const auto before = plan(start);
+  input_.serving = {{subject("a", true), 3}, {subject("b", true), 3}, {subject("c", true), 3}};
+  const auto after = plan(start + 60s);
+  const auto total = [this](const std::vector<endpoint_order>& orders) {
+    unsigned sum = 0;
+    for (const char* zone : {"a", "b", "c"}) {
+      sum += wanted(orders, zone, false).value_or(0);
+    }
+    return sum;
+  };
+  EXPECT_GT(total(before), total(after));
+  EXPECT_GE(total(after), 3U);
+}
+
+TEST_F(ScalingPlannerTest, PutsOnDemandEndpointsIntoCheapZonesButNotAllIntoOne)
+{
+  input_.busy = 1;
+  const auto orders = plan(start);
+  EXPECT_EQ(wanted(orders, "b", false), 1U);
+  EXPECT_EQ(wanted(orders, "a", false), 1U);
+  EXPECT_EQ(wanted(orders, "c", false).value_or(0), 0U);
+}
+
+TEST_F(ScalingPlannerTest, SendsAnOrderOnce)
+{
+  input_.busy = 1;
+  EXPECT_FALSE(plan(start).empty());
+  EXPECT_TRUE(plan(start + 500ms).empty());
+}
+
+TEST_F(ScalingPlannerTest, RepeatsAnOrderWhoseEndpointsDoNotCome)
+{
+  input_.busy = 1;
+  static_cast<void>(plan(start));
+  EXPECT_FALSE(plan(start + 8s).empty());
+}
+
+TEST_F(ScalingPlannerTest, AsksASoldOutZoneAgainAfterAPause)
+{
+  input_.busy = 1;
+  for (const auto& o : plan(start)) {
+    if (o.subject == subject("a", true)) {
+      planner_.on_answer(o, order_answer::sold_out, start);
+    }
+  }
+  EXPECT_FALSE(wanted(plan(start + 1s), "a", true));
+  EXPECT_TRUE(wanted(plan(start + 2s), "a", true));
+}
+
+TEST_F(ScalingPlannerTest, AnotherZoneStandsInForOneWithoutOnDemandEndpoints)
+{
+  input_.busy = 1;
+  for (const auto& o : plan(start)) {
+    if (o.subject == subject("b", false)) {
+      planner_.on_answer(o, order_answer::sold_out, start);
+    }
+  }
+  EXPECT_EQ(wanted(plan(start + 500ms), "c", false), 1U);
+}
+
+TEST_F(ScalingPlannerTest, NeverOrdersMoreThanAZoneMayHave)
+{
+  input_.busy = 50;
+  input_.serving = {{subject("a", false), 4}};
+  for (const auto& o : plan(start)) {
+    EXPECT_LE(o.wanted, 6U);
+  }
+  EXPECT_EQ(wanted(plan(start + 60s), "a", true), 2U);
+}
+
+TEST_F(ScalingPlannerTest, ALullDoesNotGiveEndpointsAwayAtOnce)
+{
+  input_.busy = 4;
+  static_cast<void>(plan(start));
+  input_.busy = 0.1;
+  for (const auto& o : plan(start + 2s)) {
+    EXPECT_NE(o.wanted, 0U) << o.subject.zone.value();
+  }
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/usage_counts_test.cc
@@ -0,0 +1,64 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/usage_counts.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const workspace_id hotel("hotel");
+const usage_source other{.daemon = daemon_id("b"), .incarnation = 7};
+
+class UsageCountsTest : public testing::Test {
+ protected:
+  usage_counts counts_{{.daemon = daemon_id("a"), .incarnation = 1}, 5s, 3};
+  wall_time at_{10'000s};
+  usage_window window_ = counts_.window_at(at_);
+};
+
+TEST_F(UsageCountsTest, NumbersWindowsFromTheEpoch)
+{
+  EXPECT_EQ(window_, 2'000U);
+  EXPECT_EQ(counts_.end_of(window_), wall_time{10'005s});
+}
+
+TEST_F(UsageCountsTest, SumsTheFleet)
+{
+  counts_.began(hotel, at_);
+  counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 4}}});
+  EXPECT_EQ(counts_.total(window_), (window_counts{{hotel, 5}}));
+}
+
+TEST_F(UsageCountsTest, TakesAnOldOrDoubledRowWithoutHarm)
+{
+  counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 4}}});
+  counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 3}}});
+  EXPECT_EQ(counts_.total(window_), (window_counts{{hotel, 4}}));
+}
+
+TEST_F(UsageCountsTest, CountsAnEarlierIncarnationBesideTheOwn)
+{
+  counts_.absorb({.source = {.daemon = daemon_id("a"), .incarnation = 0},
+                  .window = window_,
+                  .counts = {{hotel, 2}}});
+  counts_.began(hotel, at_);
+  EXPECT_EQ(counts_.total(window_), (window_counts{{hotel, 3}}));
+}
+
+TEST_F(UsageCountsTest, PassesOnTheRowsOfSilentDaemons)
+{
+  counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 4}}});
+  EXPECT_TRUE(counts_.rows([](const daemon_id&) { return false; }).empty());
+  EXPECT_EQ(counts_.rows([](const daemon_id&) { return true; }).size(), 1U);
+}
+
+TEST_F(UsageCountsTest, ForgetsWindowsThatAreNoLongerReported)
+{
+  counts_.began(hotel, at_);
+  counts_.forget_old(at_ + 20s);
+  EXPECT_TRUE(counts_.total(window_).empty());
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/gateway/workspace_quota_test.cc
@@ -0,0 +1,170 @@
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "wisteriaflow/gateway/workspace_quota.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+const workspace_id hotel("hotel");
+
+workspace_definition limited(double rate, double burst)
+{
+  return {.id = hotel, .rate = rate, .burst = burst, .counts_tokens = true};
+}
+
+// Daemons that hear each other unless told otherwise, with exchanges that take no time.
+class quota_fleet {
+ public:
+  quota_fleet(int daemons, double rate, double burst, double slack)
+  {
+    for (int i = 0; i < daemons; ++i) {
+      ids_.emplace_back("d" + std::to_string(i));
+    }
+    for (const auto& id : ids_) {
+      quotas_.push_back(
+          std::make_unique<workspace_quota>(workspace_quota_options{.self = id, .slack = slack}));
+    }
+    for (std::size_t i = 0; i < ids_.size(); ++i) {
+      connect(i, ids_.size());
+      quota(i).set_workspaces({limited(rate, burst)}, now_);
+    }
+  }
+
+  [[nodiscard]] workspace_quota& quota(std::size_t i) { return *quotas_.at(i); }
+
+  // Daemon `i` hears nobody.
+  void cut_off(std::size_t i)
+  {
+    cut_ = i;
+    quota(i).set_fleet({}, ids_.size(), now_);
+    for (std::size_t k = 0; k < ids_.size(); ++k) {
+      if (k != i) {
+        connect(k, ids_.size());
+      }
+    }
+  }
+
+  void pass(std::chrono::milliseconds time)
+  {
+    now_ += time;
+    for (const auto& q : quotas_) {
+      q->refresh(now_);
+    }
+  }
+
+  // Whether daemon `i` admits a request of `units`.
+  bool admit(std::size_t i, double units)
+  {
+    auto decided = quota(i).admit(hotel, units, now_);
+    if (decided.outcome == quota_outcome::ask_owner) {
+      const auto owner = static_cast<std::size_t>(
+          std::find(ids_.begin(), ids_.end(), decided.owner) - ids_.begin());
+      const bool reachable = i != cut_ && owner != cut_;
+      const auto grant = reachable
+                             ? std::optional(quota(owner).grant(hotel, units, decided.ask, now_))
+                             : std::nullopt;
+      decided = quota(i).on_grant(hotel, units, grant, now_);
+    }
+    admitted_ += decided.outcome == quota_outcome::admitted ? units : 0;
+    return decided.outcome == quota_outcome::admitted;
+  }
+
+  [[nodiscard]] double admitted() const { return admitted_; }
+
+ private:
+  void connect(std::size_t i, std::size_t counted)
+  {
+    std::vector<daemon_id> live;
+    for (std::size_t k = 0; k < ids_.size(); ++k) {
+      if (k != i && k != cut_) {
+        live.push_back(ids_[k]);
+      }
+    }
+    quota(i).set_fleet(std::move(live), counted, now_);
+  }
+
+  std::vector<daemon_id> ids_;
+  std::vector<std::unique_ptr<workspace_quota>> quotas_;
+  std::size_t cut_ = static_cast<std::size_t>(-1);
+  mono_time now_ = start;
+  double admitted_ = 0;
+};
+
+TEST(WorkspaceQuotaTest, AdmitsAWorkspaceWithoutALimit)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(0, 0)}, start);
+  EXPECT_EQ(quota.admit(hotel, 1e9, start).outcome, quota_outcome::admitted);
+}
+
+TEST(WorkspaceQuotaTest, OneDaemonMayUseMostOfTheRateAlone)
+{
+  quota_fleet fleet(6, 1'000, 1'000, 1'000);
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    fleet.pass(100ms);
+    refused += fleet.admit(0, 70) ? 0 : 1; // 700 a second, all at one daemon
+  }
+  EXPECT_EQ(refused, 0);
+}
+
+TEST(WorkspaceQuotaTest, SaysWhenThereWillBeUnitsAgain)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(100, 10)}, start);
+  quota_decision last;
+  for (int i = 0; i < 50 && last.outcome != quota_outcome::refused; ++i) {
+    last = quota.admit(hotel, 10, start);
+  }
+  EXPECT_GT(last.retry_at, start);
+  EXPECT_EQ(quota.admit(hotel, 1, last.retry_at).outcome, quota_outcome::admitted);
+}
+
+TEST(WorkspaceQuotaTest, UnitsOfARequestThatHasNotRunCanBeUsedAgain)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(1, 0)}, start);
+  while (quota.admit(hotel, 5, start).outcome == quota_outcome::admitted) {
+  }
+  quota.give_back(hotel, 5, start);
+  EXPECT_EQ(quota.admit(hotel, 5, start).outcome, quota_outcome::admitted);
+}
+
+TEST(WorkspaceQuotaTest, AnOwnerThatDoesNotAnswerLeavesTheOwnBucket)
+{
+  quota_fleet fleet(4, 1'000, 1'000, 1'000);
+  fleet.cut_off(1);
+  EXPECT_TRUE(fleet.admit(1, 10));
+}
+
+// Whatever the demand, in any span: no more than rate x time + burst + slack and a request each
+// that ran into debt.
+RC_GTEST_PROP(WorkspaceQuotaPropertyTest, TheFleetKeepsWithinItsBound, ())
+{
+  constexpr double rate = 1'000;
+  constexpr double burst = 1'000;
+  constexpr double slack = 1'000;
+  constexpr std::size_t daemons = 5;
+  constexpr double largest = 60;
+  quota_fleet fleet(daemons, rate, burst, slack);
+  if (*rc::gen::arbitrary<bool>()) {
+    fleet.cut_off(*rc::gen::inRange<std::size_t>(0, daemons));
+  }
+  constexpr int steps = 80;
+  for (int step = 0; step < steps; ++step) {
+    fleet.pass(100ms);
+    for (int n = 0; n < 8; ++n) {
+      fleet.admit(*rc::gen::inRange<std::size_t>(0, daemons), largest);
+    }
+  }
+  RC_ASSERT(fleet.admitted() <= rate * steps / 10 + burst + slack + 2 * daemons * largest);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- /dev/null
+++ b/test/relay/fake_endpoint.h
@@ -0,0 +1,52 @@
+// An endpoint of the platform: answers with the request's id and a proof, or misbehaves as told.
+
+#ifndef WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
+#define WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
+
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "fakes/fake_server.h"
+
+namespace wisteriaflow::relay {
+
+// What the endpoint does with a request.
+enum class endpoint_mood {
+  answers,
+  streams,          // six events, ids 1 to 6
+  streams_and_cuts, // three whole events and a part of the fourth
+  sheds,            // refuses as not run
+  refuses_unproved, // 503 without saying that it did not run the request
+  cuts,             // runs the request, then closes the connection
+  fails,            // its own 500
+  answers_unsealed,
+  answers_for_another,
+  says_nothing, // holds the request
+};
+
+class fake_endpoint final : public fakes::fake_server {
+ public:
+  fake_endpoint(boost::asio::io_context& context, std::string id)
+      : fake_server(context, 0), id_(std::move(id))
+  {
+  }
+
+  endpoint_mood mood = endpoint_mood::answers;
+  std::vector<fakes::fake_request> received;
+
+  [[nodiscard]] const std::string& id() const { return id_; }
+
+ private:
+  boost::asio::awaitable<void> serve(fakes::fake_request r, http::response_writer& w) override;
+  boost::asio::awaitable<void> stream(const fakes::fake_request& r, http::response_writer& w);
+  [[nodiscard]] http::response whole_answer(const fakes::fake_request& r) const;
+
+  std::string id_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
--- /dev/null
+++ b/test/relay/fake_store.cc
@@ -0,0 +1,135 @@
+#include "relay/fake_store.h"
+
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace wisteriaflow::relay {
+namespace {
+
+namespace json = boost::json;
+using fakes::fake_reply;
+using fakes::fake_request;
+
+// A watch without changes is answered after this.
+constexpr std::chrono::milliseconds watch_pause{20};
+
+std::string query_of(const fake_request& r, std::string_view name)
+{
+  return std::string(http::find_header(r.query, name));
+}
+
+} // namespace
+
+void fake_store::put(const std::string& kind, const std::string& name, json::value spec)
+{
+  kinds_[kind][name] = {.revision = ++revision_, .spec = std::move(spec)};
+}
+
+void fake_store::erase(const std::string& kind, const std::string& name)
+{
+  kinds_[kind][name] = {.revision = ++revision_, .deleted = true};
+}
+
+json::value fake_store::get(const std::string& kind, const std::string& name) const
+{
+  const auto of_kind = kinds_.find(kind);
+  if (of_kind == kinds_.end()) {
+    return nullptr;
+  }
+  const auto it = of_kind->second.find(name);
+  return it == of_kind->second.end() || it->second.deleted ? json::value() : it->second.spec;
+}
+
+json::value fake_store::render(const std::string& name, const object& o)
+{
+  return {{"metadata", {{"name", name}, {"revision", o.revision}}}, {"spec", o.spec}};
+}
+
+boost::asio::awaitable<void> fake_store::serve(fake_request received, http::response_writer& w)
+{
+  const auto after = query_of(received, "watch");
+  auto reply = answer(received);
+  if (!after.empty() && reply.status == 200 && reply.body.at("events").as_array().empty()) {
+    co_await pause(watch_pause);
+    reply = answer(received);
+  }
+  co_await send(w, std::move(reply));
+}
+
+fake_reply fake_store::answer(const fake_request& r)
+{
+  if (away) {
+    return {.status = 503};
+  }
+  const auto& kind = r.segments.at(1);
+  const auto after = query_of(r, "watch");
+  if (r.method == "POST") {
+    return create(kind, r.body);
+  }
+  if (r.segments.size() == 2) {
+    return after.empty() ? list(kind) : changes(kind, std::stoull(after));
+  }
+  const auto& name = r.segments.at(2);
+  const auto it = kinds_[kind].find(name);
+  if (it == kinds_[kind].end() || it->second.deleted) {
+    return {.status = 404};
+  }
+  if (r.method == "PUT") {
+    return replace(kind, name, r.body);
+  }
+  if (r.method == "DELETE") {
+    erase(kind, name);
+    return {};
+  }
+  return {.body = render(name, it->second)};
+}
+
+fake_reply fake_store::list(const std::string& kind)
+{
+  json::array items;
+  for (const auto& [name, o] : kinds_[kind]) {
+    if (!o.deleted) {
+      items.push_back(render(name, o));
+    }
+  }
+  return {.body = {{"items", std::move(items)}, {"hasMore", false}, {"at", revision_}}};
+}
+
+fake_reply fake_store::changes(const std::string& kind, std::uint64_t after)
+{
+  json::array events;
+  for (const auto& [name, o] : kinds_[kind]) {
+    if (o.revision > after) {
+      events.push_back({{"deleted", o.deleted}, {"object", render(name, o)}});
+    }
+  }
+  return {.body = {{"events", std::move(events)}, {"at", revision_}}};
+}
+
+fake_reply fake_store::create(const std::string& kind, const json::value& body)
+{
+  const auto name = json::value_to<std::string>(body.at("metadata").at("name"));
+  const auto it = kinds_[kind].find(name);
+  if (it != kinds_[kind].end() && !it->second.deleted) {
+    return {.status = 409, .body = render(name, it->second)};
+  }
+  put(kind, name, body.at("spec"));
+  return {.body = render(name, kinds_[kind][name])};
+}
+
+fake_reply fake_store::replace(const std::string& kind, const std::string& name,
+                               const json::value& body)
+{
+  auto& o = kinds_[kind][name];
+  const auto base = body.at("metadata").at("revision").to_number<std::uint64_t>();
+  if (base != o.revision) {
+    return {.status = 409, .body = render(name, o)};
+  }
+  put(kind, name, body.at("spec"));
+  return {.body = render(name, o)};
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/test/relay/fake_store.h
@@ -0,0 +1,57 @@
+// The platform's store as far as the gateway uses it: objects by kind and name at one revision
+// counter, lists, watches that return at once, conditional writes.
+
+#ifndef WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
+#define WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include "fakes/fake_server.h"
+
+namespace wisteriaflow::relay {
+
+class fake_store final : public fakes::fake_server {
+ public:
+  explicit fake_store(boost::asio::io_context& context) : fake_server(context, 0) {}
+
+  // Writes an object as the operator or an endpoint does.
+  void put(const std::string& kind, const std::string& name, boost::json::value spec);
+  void erase(const std::string& kind, const std::string& name);
+
+  // The object's content; null if there is none.
+  [[nodiscard]] boost::json::value get(const std::string& kind, const std::string& name) const;
+
+  // While set, every call is answered 503.
+  bool away = false;
+
+ private:
+  struct object {
+    std::uint64_t revision = 0;
+    boost::json::value spec;
+    bool deleted = false;
+  };
+
+  boost::asio::awaitable<void> serve(fakes::fake_request received,
+                                     http::response_writer& w) override;
+  fakes::fake_reply answer(const fakes::fake_request& received);
+  fakes::fake_reply list(const std::string& kind);
+  fakes::fake_reply changes(const std::string& kind, std::uint64_t after);
+  fakes::fake_reply create(const std::string& kind, const boost::json::value& body);
+  fakes::fake_reply replace(const std::string& kind, const std::string& name,
+                            const boost::json::value& body);
+  static boost::json::value render(const std::string& name, const object& o);
+
+  std::map<std::string, std::map<std::string, object>> kinds_;
+  std::uint64_t revision_ = 0;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
--- /dev/null
+++ b/test/relay/gateway_fixture.cc
@@ -0,0 +1,151 @@
+#include "relay/gateway_fixture.h"
+
+#include <atomic>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "fakes/run.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+// A port that was free a moment ago.
+http::socket_address free_address()
+{
+  boost::asio::io_context context;
+  const tcp::acceptor bound(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return {.host = "127.0.0.1", .port = bound.local_endpoint().port()};
+}
+
+boost::json::object route(const std::string& name, const std::string& kind, bool resumable)
+{
+  return {{"name", name},          {"host", "shop.example"}, {"pathPrefix", "/" + name + "/"},
+          {"kind", kind},          {"timeoutMs", 5'000},     {"targetLatencyMs", 300},
+          {"targetGapMs", 300},    {"service", "chat"},      {"maxAttempts", 2},
+          {"resumable", resumable}};
+}
+
+} // namespace
+
+running_gateway::running_gateway(const settings& s)
+    : options(s), daemon(s, [](daemon::log_line) {}), thread_([this] { daemon.run(); })
+{
+}
+
+running_gateway::~running_gateway()
+{
+  daemon.drain();
+  thread_.join();
+}
+
+GatewayFixture::GatewayFixture()
+{
+  write_configuration(1);
+}
+
+running_gateway& GatewayFixture::start_gateway(fake_store& store)
+{
+  settings s{.id = daemon_id("d" + std::to_string(gateways_.size())),
+             .zone = availability_zone("z"),
+             .callers = free_address(),
+             .addresses = free_address(),
+             .readiness = free_address(),
+             .peers = free_address(),
+             .store = store.address(),
+             .drain_grace = 1'500ms,
+             .retry_ratio = 0.2,
+             .retry_slack = 100,
+             .retry_window = 10s,
+             .lease_duration = 3s,
+             .usage_window = 5s,
+             .usage_deadline = 10s};
+  for (const auto& g : gateways_) {
+    s.seeds.push_back(g->options.peers);
+  }
+  gateways_.push_back(std::make_unique<running_gateway>(s));
+  return *gateways_.back();
+}
+
+fake_endpoint& GatewayFixture::add_endpoint(const std::string& id)
+{
+  endpoints_.push_back(std::make_unique<fake_endpoint>(context_, id));
+  write_endpoint(*endpoints_.back(), "ready");
+  return *endpoints_.back();
+}
+
+void GatewayFixture::write_endpoint(const fake_endpoint& e, const std::string& state)
+{
+  store_.put("servers", e.id(),
+             {{"service", "chat"},
+              {"address", to_string(e.address())},
+              {"zone", "z"},
+              {"slots", 8},
+              {"state", state}});
+}
+
+void GatewayFixture::write_configuration(std::uint64_t version, const std::string& without)
+{
+  boost::json::array routes;
+  for (const auto& r :
+       {route("safe", "safe", false), route("unsafe", "unsafe", false),
+        route("stream", "streaming", false), route("resumable", "streaming", true)}) {
+    if (r.at("name") != boost::json::string(without)) {
+      routes.push_back(r);
+    }
+  }
+  const boost::json::value workspace = {{"name", "hotel"}, {"apiKeys", boost::json::array{"k1"}}};
+  store_.put("config", "main",
+             {{"version", version},
+              {"routes", std::move(routes)},
+              {"services", boost::json::array{{{"name", "chat"}}}},
+              {"tenants", boost::json::array{workspace}}});
+}
+
+http::request GatewayFixture::request_for(const std::string& method, const std::string& path,
+                                          const std::string& key)
+{
+  static std::atomic<int> number = 0;
+  const auto id = "r" + std::to_string(++number);
+  return {
+      .method = method,
+      .target = path,
+      .fields = {{"Host", host}, {"Request-Id", id}, {"Api-Key", key}, {"Deadline-Ms", "5000"}}};
+}
+
+http::response GatewayFixture::send(const http::socket_address& to, http::request message)
+{
+  return fakes::call(context_, client_, to, std::move(message));
+}
+
+http::response GatewayFixture::call(const std::string& method, const std::string& path,
+                                    const std::string& key)
+{
+  return send(gateways_.front()->options.callers, request_for(method, path, key));
+}
+
+void GatewayFixture::wait_until(const std::function<bool()>& probe, const char* what)
+{
+  const auto deadline = std::chrono::steady_clock::now() + 60s;
+  while (!probe()) {
+    ASSERT_LT(std::chrono::steady_clock::now(), deadline) << what;
+    context_.restart();
+    context_.run_for(20ms);
+  }
+}
+
+void GatewayFixture::wait_until_ready()
+{
+  wait_until(
+      [this] {
+        return send(gateways_.front()->options.readiness, {.target = "/ready"}).status == 200;
+      },
+      "the daemon becomes ready");
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/test/relay/gateway_test.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "fakes/run.h"
+#include "relay/gateway_fixture.h"
+#include "wisteriaflow/http/errors.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+const std::string whole_stream = "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
+                                 "id: 4\ndata: t4\n\nid: 5\ndata: t5\n\nid: 6\ndata: t6\n\n";
+
+class GatewayTest : public GatewayFixture {
+ protected:
+  // One daemon and two endpoints.
+  void start()
+  {
+    add_endpoint("i-1");
+    add_endpoint("i-2");
+    start_gateway(store_);
+    wait_until_ready();
+  }
+
+  void set_mood(endpoint_mood mood)
+  {
+    for (const auto& e : endpoints_) {
+      e->mood = mood;
+    }
+  }
+
+  [[nodiscard]] std::size_t runs() const
+  {
+    std::size_t n = 0;
+    for (const auto& e : endpoints_) {
+      n += e->received.size();
+    }
+    return n;
+  }
+};
+
+TEST_F(GatewayTest, PassesAnAnswerOnWithItsProof)
+{
+  start();
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 200);
+  EXPECT_TRUE(out.body.starts_with("made by i-"));
+  EXPECT_TRUE(http::find_header(out.fields, "Response-Seal").starts_with("seal-i-"));
+}
+
+TEST_F(GatewayTest, TellsTheEndpointWhomItExpectsAndWhoseTheRequestIs)
+{
+  start();
+  call("POST", "/unsafe/1");
+  const auto& e = endpoints_[0]->received.empty() ? *endpoints_[1] : *endpoints_[0];
+  const auto& fields = e.received.at(0).fields;
+  EXPECT_EQ(http::find_header(fields, "Expect-Instance"), e.id());
+  EXPECT_EQ(http::find_header(fields, "Tenant"), "hotel");
+  EXPECT_EQ(http::find_header(fields, "Api-Key"), "");
+}
+
+TEST_F(GatewayTest, PassesAStreamOn)
+{
+  start();
+  set_mood(endpoint_mood::streams);
+  EXPECT_EQ(call("POST", "/stream/1").body, whole_stream);
+}
+
+TEST_F(GatewayTest, GoesOnElsewhereWhereAStreamBrokeOff)
+{
+  start();
+  endpoints_[0]->mood = endpoint_mood::streams_and_cuts;
+  endpoints_[1]->mood = endpoint_mood::streams;
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(call("POST", "/resumable/1").body, whole_stream);
+  }
+  EXPECT_FALSE(endpoints_[0]->received.empty());
+}
+
+TEST_F(GatewayTest, LetsABrokenStreamThatCannotGoOnLookBroken)
+{
+  start();
+  set_mood(endpoint_mood::streams_and_cuts);
+  EXPECT_THROW(call("POST", "/stream/1"), http::broken_exchange_error);
+  EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(GatewayTest, SaysNotRunIfTheEndpointsSaidSo)
+{
+  start();
+  set_mood(endpoint_mood::sheds);
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 503);
+  EXPECT_NE(http::find_header(out.fields, "Retry-After"), "");
+}
+
+TEST_F(GatewayTest, DoesNotSayNotRunOfANonIdempotentCallThatWasCut)
+{
+  start();
+  set_mood(endpoint_mood::cuts);
+  EXPECT_EQ(call("POST", "/unsafe/1").status, 502);
+  EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(GatewayTest, DoesNotSayNotRunBecauseAnEndpointSaysUnavailable)
+{
+  start();
+  set_mood(endpoint_mood::refuses_unproved);
+  EXPECT_EQ(call("POST", "/unsafe/1").status, 502);
+}
+
+TEST_F(GatewayTest, SendsAnIdempotentCallElsewhereAfterACut)
+{
+  start();
+  endpoints_[0]->mood = endpoint_mood::cuts;
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(call("GET", "/safe/1").status, 200);
+  }
+  EXPECT_FALSE(endpoints_[0]->received.empty());
+}
+
+TEST_F(GatewayTest, SendsAnIdempotentCallElsewhereAfterSilence)
+{
+  start();
+  endpoints_[0]->mood = endpoint_mood::says_nothing;
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(call("GET", "/safe/1").status, 200);
+  }
+}
+
+TEST_F(GatewayTest, PassesAnEndpointsOwnFailureOn)
+{
+  start();
+  set_mood(endpoint_mood::fails);
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 500);
+  EXPECT_NE(http::find_header(out.fields, "Response-Seal"), "");
+}
+
+TEST_F(GatewayTest, TakesNoSuccessWithoutProof)
+{
+  start();
+  set_mood(endpoint_mood::answers_unsealed);
+  EXPECT_EQ(call("POST", "/unsafe/1").status, 502);
+}
+
+TEST_F(GatewayTest, TakesNoAnswerToAnotherRequest)
+{
+  start();
+  set_mood(endpoint_mood::answers_for_another);
+  auto message = request_for("POST", "/unsafe/1");
+  message.fields.at(3).value = "700";
+  EXPECT_EQ(send(gateways_[0]->options.callers, message).status, 504);
+}
+
+TEST_F(GatewayTest, KnowsWhatItDoesNotServe)
+{
+  start();
+  EXPECT_EQ(call("GET", "/other/1").status, 404);
+  EXPECT_EQ(call("GET", "/safe/1", "unknown").status, 401);
+}
+
+TEST_F(GatewayTest, SaysUnavailableWhileItHasNoConfiguration)
+{
+  store_.away = true;
+  start_gateway(store_);
+  EXPECT_EQ(call("GET", "/safe/1").status, 503);
+  EXPECT_EQ(send(gateways_[0]->options.readiness, {.target = "/ready"}).status, 503);
+}
+
+TEST_F(GatewayTest, TakesANewConfigurationIntoForce)
+{
+  start();
+  write_configuration(2, "safe");
+  wait_until([this] { return call("GET", "/safe/1").status == 404; }, "the route is gone");
+}
+
+TEST_F(GatewayTest, NeverGoesBackToAnOlderConfiguration)
+{
+  start();
+  write_configuration(5, "safe");
+  wait_until([this] { return call("GET", "/safe/1").status == 404; }, "the route is gone");
+  write_configuration(4);
+  write_configuration(6, "unsafe");
+  wait_until([this] { return call("GET", "/safe/1").status == 200; }, "version 6 is in force");
+  EXPECT_EQ(call("POST", "/unsafe/1").status, 404);
+}
+
+TEST_F(GatewayTest, KeepsTheConfigurationInForceWhenANewOneCannotBeRead)
+{
+  start();
+  store_.put("config", "main", "not a configuration");
+  context_.restart();
+  context_.run_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(call("GET", "/safe/1").status, 200);
+}
+
+TEST_F(GatewayTest, SendsNothingToALeavingEndpoint)
+{
+  start();
+  write_endpoint(*endpoints_[0], "draining");
+  wait_until(
+      [this] {
+        const auto before = endpoints_[0]->received.size();
+        for (int i = 0; i < 8; ++i) {
+          call("GET", "/safe/1");
+        }
+        return endpoints_[0]->received.size() == before;
+      },
+      "the endpoint gets no more");
+}
+
+TEST_F(GatewayTest, TellsPeersAConfigurationThatTheStoreDoesNotServeThem)
+{
+  add_endpoint("i-1");
+  fake_store away(context_);
+  away.away = true;
+  start_gateway(store_);
+  auto& cut = start_gateway(away);
+  wait_until(
+      [&] {
+        const auto out = send(cut.options.peers, {.target = "/configuration"});
+        return out.status == 200;
+      },
+      "the peer's configuration is in force");
+}
+
+TEST_F(GatewayTest, TellsCallersOfAllReadyDaemons)
+{
+  add_endpoint("i-1");
+  start_gateway(store_);
+  auto& second = start_gateway(store_);
+  const auto caller = to_string(second.options.callers);
+  wait_until(
+      [&] {
+        const auto out = send(gateways_[0]->options.addresses, {.target = "/resolve?name=x"});
+        return out.body.find(caller) != std::string::npos;
+      },
+      "both are named");
+}
+
+TEST_F(GatewayTest, CancelsTheEndpointsWorkWhenTheCallerLeaves)
+{
+  start();
+  set_mood(endpoint_mood::says_nothing);
+  http::exchange handle;
+  bool ended = false;
+  auto leave = [&]() -> boost::asio::awaitable<void> {
+    try {
+      co_await client_.stream(gateways_[0]->options.callers, request_for("POST", "/unsafe/1"),
+                              fakes::far_deadline(), {}, &handle);
+    } catch (const http::http_error&) {
+      ended = true;
+    }
+  };
+  boost::asio::co_spawn(context_, leave(), boost::asio::detached);
+  wait_until([this] { return runs() == 1; }, "the endpoint has the request");
+  handle.cancel();
+  wait_until([&] { return ended; }, "the caller has left");
+  // The daemon counts callers that have gone once it has let go of the endpoint.
+  wait_until(
+      [this] {
+        const auto out = send(gateways_[0]->options.peers, {.target = "/metrics"});
+        return out.body.find("callers_gone_total 1") != std::string::npos;
+      },
+      "the call has ended");
+}
+
+TEST_F(GatewayTest, ADrainingDaemonIsNotReadyAndStillAnswers)
+{
+  start();
+  gateways_[0]->daemon.drain();
+  wait_until(
+      [this] { return send(gateways_[0]->options.readiness, {.target = "/ready"}).status == 503; },
+      "the daemon is not ready");
+  const auto out = call("GET", "/safe/1");
+  EXPECT_EQ(out.status, 200);
+  EXPECT_EQ(http::find_header(out.fields, "Connection"), "close");
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
