Keep a fired timer from calling an attempt that has ended

Cause: the timer that bounds an endpoint's silence captured the attempt itself. Once it has fired its handler cannot be cancelled; a process that stood still for longer finds the answer and the timer together, and the handler runs on a dead attempt. Change: a deadline watch whose callback dies with it. Ruled out: memory (4 MB peak), a frozen process alone (3 freezes, none ended).

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -75,7 +75,7 @@
   } catch (const http::http_error& e) {
     result_.reason = e.what();
   }
-  silence_.cancel();
+  silence_.disarm();
   call_.exchange.reset();
   co_return conclude();
 }
@@ -205,19 +205,18 @@
   if (!limit) {
     return;
   }
-  silence_.expires_at(heard_at_ + *limit);
-  silence_.async_wait([this](boost::system::error_code ec) {
-    if (ec) {
-      return;
-    }
-    const auto now_limit = patience();
-    if (now_limit && heard_at_ + *now_limit <= std::chrono::steady_clock::now()) {
-      result_.silent = true;
-      call_.exchange->cancel();
-      return;
-    }
-    watch_silence();
-  });
+  silence_.arm(heard_at_ + *limit, [this] { on_silence_check(); });
+}
+
+void attempt::on_silence_check()
+{
+  const auto limit = patience();
+  if (limit && heard_at_ + *limit <= std::chrono::steady_clock::now()) {
+    result_.silent = true;
+    call_.exchange->cancel();
+    return;
+  }
+  watch_silence();
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -13,8 +13,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "relay/deadline_watch.h"
 #include "relay/fleet_state.h"
 #include "wisteriaflow/gateway/answer_verdict.h"
 #include "wisteriaflow/gateway/call.h"
@@ -75,6 +75,10 @@
   attempt(boost::asio::io_context& context, fleet_state& state, http::client& client,
           admitted_call& call, gateway::pooled_endpoint endpoint);
 
+  attempt(const attempt&) = delete;
+  attempt& operator=(const attempt&) = delete;
+  ~attempt() = default;
+
   // Runs the attempt to its end. A stream's events go to `writer` on the way.
   boost::asio::awaitable<attempt_result> run(http::response_writer& writer);
 
@@ -85,6 +89,7 @@
                                        http::response_writer& writer);
   // Ends the attempt if the endpoint says nothing for too long.
   void watch_silence();
+  void on_silence_check();
   [[nodiscard]] std::optional<std::chrono::milliseconds> patience() const;
   void note_begin();
   attempt_result conclude();
@@ -93,7 +98,7 @@
   http::client& client_;
   admitted_call& call_;
   gateway::pooled_endpoint endpoint_;
-  boost::asio::steady_timer silence_;
+  deadline_watch silence_;
   mono_time heard_at_;
   gateway::event_splitter splitter_;
   gateway::answer_head head_;
--- /dev/null
+++ b/test/relay/attempt_test.cc
@@ -0,0 +1,85 @@
+#include <chrono>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "fakes/run.h"
+#include "relay/attempt.h"
+#include "relay/fake_endpoint.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Takes an answer and does nothing with it.
+class null_writer final : public http::response_writer {
+ public:
+  boost::asio::awaitable<void> send(http::response) override { co_return; }
+  boost::asio::awaitable<void> start_stream(http::response) override { co_return; }
+  boost::asio::awaitable<void> write_chunk(std::string_view) override { co_return; }
+  boost::asio::awaitable<void> finish_stream() override { co_return; }
+  void abort() override {}
+  void on_peer_closed(std::function<void()>) override {}
+};
+
+class AttemptTest : public testing::Test {
+ protected:
+  AttemptTest()
+  {
+    call_.received = {.fields = {{"Request-Id", "r1"}}};
+    call_.description = {.request_id = "r1"};
+    call_.route = &route_;
+    call_.deadline = std::chrono::steady_clock::now() + 10s;
+  }
+
+  gateway::pooled_endpoint choose()
+  {
+    const gateway::endpoint_record r{.id = endpoint_id("i-1"),
+                                     .revision = 1,
+                                     .service = "chat",
+                                     .address = endpoint_.address(),
+                                     .places = 4};
+    const auto now = std::chrono::steady_clock::now();
+    state_.endpoints.apply(r, now);
+    return *state_.endpoints.choose({.service = "chat", .target = now + 1s, .deadline = now + 2s},
+                                    now);
+  }
+
+  boost::asio::io_context context_;
+  event_log log_{[](daemon::log_line) {}};
+  fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
+  http::client client_{context_};
+  fake_endpoint endpoint_{context_, "i-1"};
+  null_writer writer_;
+  gateway::route route_{.target_latency = 10ms, .max_attempts = 2};
+  admitted_call call_;
+};
+
+TEST_F(AttemptTest, TakesAnAnswerThatWasThereInTimeAfterItsThreadStoodStill)
+{
+  attempt_result result;
+  auto task = [&]() -> boost::asio::awaitable<void> {
+    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    result = co_await one->run(writer_);
+  };
+  endpoint_.stall = 100ms;
+  fakes::run(context_, task());
+  EXPECT_EQ(result.how, attempt_result::end::whole);
+}
+
+TEST_F(AttemptTest, EndsWhenTheEndpointSaysNothing)
+{
+  endpoint_.mood = endpoint_mood::says_nothing;
+  attempt_result result;
+  auto task = [&]() -> boost::asio::awaitable<void> {
+    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    result = co_await one->run(writer_);
+  };
+  fakes::run(context_, task());
+  EXPECT_TRUE(result.silent);
+  EXPECT_EQ(result.outcome, gateway::attempt_outcome::broken);
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
--- a/test/relay/fake_endpoint.cc
+++ b/test/relay/fake_endpoint.cc
@@ -1,5 +1,6 @@
 #include "relay/fake_endpoint.h"
 
+#include <thread>
 #include <utility>
 
 namespace wisteriaflow::relay {
@@ -49,6 +50,7 @@
 boost::asio::awaitable<void> fake_endpoint::serve(fakes::fake_request r, http::response_writer& w)
 {
   received.push_back(r);
+  std::this_thread::sleep_for(stall);
   switch (mood) {
   case endpoint_mood::cuts:
     w.abort();
--- a/test/relay/fake_endpoint.h
+++ b/test/relay/fake_endpoint.h
@@ -35,6 +35,8 @@
   }
 
   endpoint_mood mood = endpoint_mood::answers;
+  // Holds up the whole thread for this long before an answer, as a stopped process does.
+  std::chrono::milliseconds stall{0};
   std::vector<fakes::fake_request> received;
 
   [[nodiscard]] const std::string& id() const { return id_; }
