Leave out endpoints that fail or fall silent, by a score

Cause: an endpoint that said nothing was found out only at a call's deadline, up to 15 s, and kept getting calls; one success of an older attempt forgave everything. Change: silence of two latency objectives counts at once, a score decides, and with most in trouble all are used.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -55,6 +55,12 @@
   friend bool operator==(const endpoint_departure&, const endpoint_departure&) = default;
 };
 
+// How an endpoint failed an attempt.
+enum class endpoint_trouble {
+  failed, // its own failure, which may be the request's fault
+  broken, // no connection, a cut, garbage, silence
+};
+
 // Requests of one daemon at an endpoint.
 struct endpoint_work {
   std::uint32_t waiting = 0; // no byte of an answer yet
@@ -78,6 +84,11 @@
   // After trouble with an endpoint it is left out this long, doubled for each further trouble.
   std::chrono::milliseconds trouble_backoff{400};
   std::chrono::milliseconds trouble_backoff_limit{3'000};
+  // An endpoint's trouble is a score: `trouble_limit` leaves it out, a failure of its own adds 1, a
+  // cut or silence adds `trouble_limit`, a success takes `success_relief` off. With 0.4, one that
+  // fails a seventh of its calls stays in, and one that fails three in ten goes out.
+  double trouble_limit = 1.5;
+  double success_relief = 0.4;
 };
 
 // What a choice needs to know.
@@ -141,8 +152,8 @@
   // The attempt is over, whatever became of it.
   void on_finished(const routing::sent_work& work, std::uint64_t output_tokens, mono_time now);
 
-  // The endpoint failed the attempt in a way that points at itself: no connection, a cut, silence.
-  void on_trouble(const endpoint_id& id, mono_time now);
+  // The endpoint failed an attempt, or served one well.
+  void on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now);
   void on_success(const endpoint_id& id);
 
   // Work of this daemon, for its peers, and what a peer told.
@@ -166,6 +177,22 @@
     mono_time valid_until;
   };
 
+  struct health {
+    double trouble = 0; // score
+    mono_time left_out_until;
+  };
+
+  // Endpoints of the wish's service by whether they may be chosen now.
+  struct candidates {
+    std::vector<routing::endpoint_slot> open;
+    std::vector<routing::endpoint_slot> left_out; // in trouble
+  };
+
+  [[nodiscard]] candidates candidates_for(const endpoint_wish& wish, mono_time now) const;
+  pooled_endpoint take(routing::endpoint_slot slot, int prefill,
+                       std::span<const std::uint64_t> blocks, const endpoint_wish& wish,
+                       mono_time now);
+  [[nodiscard]] mono_time left_out_until(routing::endpoint_slot slot) const;
   void store(const endpoint_record& record);
   void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
@@ -186,6 +213,7 @@
   std::map<endpoint_id, departure_entry> departures_;
   std::map<daemon_id, peer_work> peers_;
   std::map<endpoint_id, endpoint_work> own_;
+  std::map<endpoint_id, health> health_;
   prefill_demand prefill_;
   prefill_demand prefill_sent_;                               // tokens since the last refresh
   std::map<std::string, double, std::less<>> prefill_speeds_; // tokens/s, by service
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -37,10 +37,7 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
-    : options_(std::move(options)),
-      table_({.initial_prefill_rate = initial_prefill_rate,
-              .connect_backoff = options_.trouble_backoff,
-              .connect_backoff_limit = options_.trouble_backoff_limit}),
+    : options_(std::move(options)), table_({.initial_prefill_rate = initial_prefill_rate}),
       prefixes_({}), random_(options_.seed)
 {
   routing_.availability_zone = options_.zone;
@@ -133,6 +130,7 @@
   table_.remove(id);
   records_.erase(id);
   own_.erase(id);
+  health_.erase(id);
   held_removals_.erase(id);
 }
 
@@ -186,16 +184,36 @@
   return out;
 }
 
-std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
+mono_time endpoint_pool::left_out_until(routing::endpoint_slot slot) const
+{
+  const auto it = health_.find(table_.at(slot).description.id);
+  return it == health_.end() ? mono_time{} : it->second.left_out_until;
+}
+
+endpoint_pool::candidates endpoint_pool::candidates_for(const endpoint_wish& wish,
+                                                        mono_time now) const
 {
-  std::vector<routing::endpoint_slot> candidates;
-  std::vector<routing::endpoint_slot> excluded;
+  candidates out;
   for (const auto* r : serving(wish.service)) {
-    const auto slot = table_.find(r->id);
-    const bool left_out =
-        std::find(wish.excluded.begin(), wish.excluded.end(), r->id) != wish.excluded.end();
-    (left_out ? excluded : candidates).push_back(*slot);
+    const auto& excluded = wish.excluded;
+    if (std::find(excluded.begin(), excluded.end(), r->id) != excluded.end()) {
+      continue;
+    }
+    const auto slot = *table_.find(r->id);
+    (now < left_out_until(slot) ? out.left_out : out.open).push_back(slot);
+  }
+  // With most of them in trouble the trouble is not theirs, and the few others would be overrun.
+  if (out.open.size() < out.left_out.size()) {
+    out.open.insert(out.open.end(), out.left_out.begin(), out.left_out.end());
+    std::sort(out.open.begin(), out.open.end());
+    out.left_out.clear();
   }
+  return out;
+}
+
+std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
+{
+  const auto candidates = candidates_for(wish, now);
   const auto blocks = blocks_of(wish.prompt);
   const auto size = wish.size.value_or(token_size{});
   const routing::request_view request{.blocks = blocks,
@@ -204,28 +222,33 @@
                                       .target = wish.target,
                                       .deadline = wish.deadline};
   const routing::routing_view view{.endpoints = table_, .prefixes = prefixes_, .options = routing_};
-  const auto made = routing::choose_endpoint(view, request, candidates, now, random_);
-  std::optional<routing::endpoint_slot> slot;
-  int prefill = static_cast<int>(size.prompt);
+  const auto made = routing::choose_endpoint(view, request, candidates.open, now, random_);
   if (const auto* chosen = std::get_if<routing::chosen_endpoint>(&made)) {
-    slot = chosen->slot;
-    prefill -= chosen->parts.cached_tokens;
-  } else if (!candidates.empty()) {
-    // All were in trouble or look too slow: the one that is left out the shortest is tried, since
-    // a refusal here helps nobody.
-    slot = *std::min_element(candidates.begin(), candidates.end(), [this](auto a, auto b) {
-      return table_.at(a).unreachable_until < table_.at(b).unreachable_until;
-    });
-  }
-  if (!slot) {
+    const int prefill = static_cast<int>(size.prompt) - chosen->parts.cached_tokens;
+    return take(chosen->slot, prefill, blocks, wish, now);
+  }
+  // All look too slow or are in trouble: the least bad is tried, since a refusal helps nobody.
+  const auto& rest = candidates.open.empty() ? candidates.left_out : candidates.open;
+  if (rest.empty()) {
     return std::nullopt;
   }
-  const auto& id = table_.at(*slot).description.id;
-  prefixes_.on_sent(*slot, blocks, now);
+  const auto slot = *std::min_element(rest.begin(), rest.end(), [this](auto a, auto b) {
+    return std::pair(left_out_until(a), table_.at(a).crowding()) <
+           std::pair(left_out_until(b), table_.at(b).crowding());
+  });
+  return take(slot, static_cast<int>(size.prompt), blocks, wish, now);
+}
+
+// Counts an attempt at the chosen endpoint.
+pooled_endpoint endpoint_pool::take(routing::endpoint_slot slot, int prefill,
+                                    std::span<const std::uint64_t> blocks,
+                                    const endpoint_wish& wish, mono_time now)
+{
+  const auto& id = table_.at(slot).description.id;
+  prefixes_.on_sent(slot, blocks, now);
   prefill_sent_[std::string(wish.service)] += prefill;
   ++own_[id].waiting;
-  return pooled_endpoint{
-      .id = id, .address = records_.at(id).address, .work = table_.on_sent(*slot, prefill, now)};
+  return {.id = id, .address = records_.at(id).address, .work = table_.on_sent(slot, prefill, now)};
 }
 
 void endpoint_pool::on_first_token(routing::sent_work& work, mono_time now)
@@ -255,17 +278,33 @@
   table_.on_finished(work, static_cast<int>(output_tokens), now);
 }
 
-void endpoint_pool::on_trouble(const endpoint_id& id, mono_time now)
+void endpoint_pool::on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now)
 {
-  if (const auto slot = table_.find(id)) {
-    table_.on_connect_failure(*slot, now);
+  if (!records_.contains(id)) {
+    return;
   }
+  auto& h = health_[id];
+  h.trouble += kind == endpoint_trouble::broken ? options_.trouble_limit : 1.0;
+  if (h.trouble < options_.trouble_limit) {
+    return;
+  }
+  constexpr double most_doublings = 8;
+  const double doublings = std::min(h.trouble - options_.trouble_limit, most_doublings);
+  const auto backoff = std::chrono::duration_cast<std::chrono::milliseconds>(
+      options_.trouble_backoff * std::exp2(doublings));
+  h.left_out_until = now + std::min(backoff, options_.trouble_backoff_limit);
 }
 
 void endpoint_pool::on_success(const endpoint_id& id)
 {
-  if (const auto slot = table_.find(id)) {
-    table_.on_connected(*slot);
+  const auto it = health_.find(id);
+  if (it == health_.end()) {
+    return;
+  }
+  // The time that it is left out runs on: what succeeds now may have been sent before the trouble.
+  it->second.trouble -= options_.success_relief;
+  if (it->second.trouble <= 0) {
+    it->second.trouble = 0;
   }
 }
 
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -13,9 +13,11 @@
 namespace asio = boost::asio;
 using gateway::attempt_outcome;
 
-// A repeatable call waits for so many times its latency objective for the first sign of an answer
-// before it is sent elsewhere. Two would give up on endpoints that are merely busy.
-constexpr int patience_in_targets = 3;
+// A repeatable call waits for so many times its latency objective, or its longest pause, before it
+// is sent elsewhere. Two would give up on endpoints that are merely busy.
+constexpr int patience_in_spans = 3;
+// After so many an endpoint counts as silent for the choice of others' endpoints.
+constexpr int overdue_in_spans = 2;
 // A whole answer is held in memory up to this size, in bytes.
 constexpr std::size_t answer_limit = std::size_t{8} << 20U;
 
@@ -102,17 +104,34 @@
     // A promise of not having run stands even if the rest of the answer was lost.
     result_.outcome = gateway::judge(head_, call_.description.request_id);
   }
-  if (result_.outcome == attempt_outcome::broken && result_.how != end::not_sent) {
-    result_.how = whole ? end::cut : result_.how;
-    state_.endpoints.on_trouble(endpoint_.id, now);
-  } else if (result_.how == end::not_sent) {
-    state_.endpoints.on_trouble(endpoint_.id, now);
-  } else {
-    state_.endpoints.on_success(endpoint_.id);
+  if (result_.how != end::not_sent && !whole) {
+    result_.how = end::cut;
   }
+  if (result_.outcome == attempt_outcome::broken && whole) {
+    result_.how = end::cut; // whole, but not an answer that can be passed on
+  }
+  note_health(now);
   return std::move(result_);
 }
 
+// Tells the pool how the endpoint did.
+void attempt::note_health(mono_time now)
+{
+  switch (result_.outcome) {
+  case attempt_outcome::answered:
+    state_.endpoints.on_success(endpoint_.id);
+    break;
+  case attempt_outcome::failed:
+    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::failed, now);
+    break;
+  case attempt_outcome::not_run:
+    break; // full, not ill
+  case attempt_outcome::broken:
+    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::broken, now);
+    break;
+  }
+}
+
 void attempt::on_head(const http::response& head)
 {
   heard_at_ = std::chrono::steady_clock::now();
@@ -189,29 +208,33 @@
   }
 }
 
-std::optional<milliseconds> attempt::patience() const
+// Whether the call could be sent elsewhere after this attempt.
+bool attempt::may_give_up() const
 {
   const auto& r = *call_.route;
-  if (!r.repeatable() || call_.history.sent + 1 >= r.max_attempts) {
-    return std::nullopt;
-  }
-  const auto expected = streaming_ && events_ > 0 ? r.longest_pause : r.target_latency;
-  return expected * patience_in_targets;
+  return r.repeatable() && call_.history.sent + 1 < r.max_attempts;
+}
+
+milliseconds attempt::expected_silence() const
+{
+  return streaming_ && events_ > 0 ? call_.route->longest_pause : call_.route->target_latency;
 }
 
 void attempt::watch_silence()
 {
-  const auto limit = patience();
-  if (!limit) {
-    return;
-  }
-  silence_.arm(heard_at_ + *limit, [this] { on_silence_check(); });
+  // Looked at once for each span in which something was to be heard.
+  silence_.arm(std::chrono::steady_clock::now() + expected_silence(),
+               [this] { on_silence_check(); });
 }
 
 void attempt::on_silence_check()
 {
-  const auto limit = patience();
-  if (limit && heard_at_ + *limit <= std::chrono::steady_clock::now()) {
+  const auto now = std::chrono::steady_clock::now();
+  if (heard_at_ + overdue_in_spans * expected_silence() <= now) {
+    // It goes on, since it may be running; but others are to go elsewhere meanwhile.
+    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::broken, now);
+  }
+  if (may_give_up() && heard_at_ + patience_in_spans * expected_silence() <= now) {
     result_.silent = true;
     call_.exchange->cancel();
     return;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -87,10 +87,12 @@
   boost::asio::awaitable<void> on_bytes(std::string_view bytes, http::response_writer& writer);
   boost::asio::awaitable<void> pass_on(std::vector<gateway::stream_event> events,
                                        http::response_writer& writer);
-  // Ends the attempt if the endpoint says nothing for too long.
+  // Notes an endpoint that says nothing for too long, and ends the attempt if it can go elsewhere.
   void watch_silence();
   void on_silence_check();
-  [[nodiscard]] std::optional<std::chrono::milliseconds> patience() const;
+  [[nodiscard]] std::chrono::milliseconds expected_silence() const;
+  [[nodiscard]] bool may_give_up() const;
+  void note_health(mono_time now);
   void note_begin();
   attempt_result conclude();
 
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "wisteriaflow/gateway/endpoint_pool.h"
@@ -134,16 +136,62 @@
 TEST_F(EndpointPoolTest, AvoidsAnEndpointInTrouble)
 {
   list({record("a", 1), record("b", 1)}, 5);
-  pool_.on_trouble(endpoint_id("a"), start);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::broken, start);
   for (int i = 0; i < 10; ++i) {
     EXPECT_EQ(choose()->id, endpoint_id("b"));
   }
 }
 
+TEST_F(EndpointPoolTest, ASuccessOfAnOlderAttemptDoesNotBringAnEndpointBack)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::broken, start);
+  pool_.on_success(endpoint_id("a"));
+  EXPECT_EQ(choose()->id, endpoint_id("b"));
+}
+
+TEST_F(EndpointPoolTest, LeavesOutAnEndpointThatFailsHalfOfItsCalls)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  for (int i = 0; i < 10; ++i) {
+    pool_.on_trouble(endpoint_id("a"), endpoint_trouble::failed, start);
+    pool_.on_success(endpoint_id("a"));
+  }
+  EXPECT_EQ(choose()->id, endpoint_id("b"));
+}
+
+TEST_F(EndpointPoolTest, KeepsAnEndpointThatSeldomFails)
+{
+  list({record("a", 1)}, 5);
+  list({record("a", 1), record("b", 1)}, 6);
+  for (int i = 0; i < 70; ++i) {
+    if (i % 7 == 0) {
+      pool_.on_trouble(endpoint_id("a"), endpoint_trouble::failed, start);
+    } else {
+      pool_.on_success(endpoint_id("a"));
+    }
+  }
+  EXPECT_EQ(choose({endpoint_id("b")})->id, endpoint_id("a"));
+  pool_.on_trouble(endpoint_id("b"), endpoint_trouble::broken, start);
+  EXPECT_EQ(choose()->id, endpoint_id("a"));
+}
+
+TEST_F(EndpointPoolTest, UsesAllEndpointsWhileMostAreInTrouble)
+{
+  list({record("a", 1), record("b", 1), record("c", 1)}, 5);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::broken, start);
+  pool_.on_trouble(endpoint_id("b"), endpoint_trouble::broken, start);
+  std::set<endpoint_id> chosen;
+  for (int i = 0; i < 12; ++i) {
+    chosen.insert(choose()->id);
+  }
+  EXPECT_EQ(chosen.size(), 3U);
+}
+
 TEST_F(EndpointPoolTest, TriesAnEndpointInTroubleRatherThanNone)
 {
   list({record("a", 1)}, 5);
-  pool_.on_trouble(endpoint_id("a"), start);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::broken, start);
   EXPECT_TRUE(choose());
 }
 
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -44,12 +44,12 @@
   thread_.join();
 }
 
-GatewayFixture::GatewayFixture()
+gateway_fixture::gateway_fixture()
 {
   write_configuration(1);
 }
 
-running_gateway& GatewayFixture::start_gateway(fake_store& store)
+running_gateway& gateway_fixture::start_gateway(fake_store& store)
 {
   settings s{.id = daemon_id("d" + std::to_string(gateways_.size())),
              .zone = availability_zone("z"),
@@ -72,14 +72,14 @@
   return *gateways_.back();
 }
 
-fake_endpoint& GatewayFixture::add_endpoint(const std::string& id)
+fake_endpoint& gateway_fixture::add_endpoint(const std::string& id)
 {
   endpoints_.push_back(std::make_unique<fake_endpoint>(context_, id));
   write_endpoint(*endpoints_.back(), "ready");
   return *endpoints_.back();
 }
 
-void GatewayFixture::write_endpoint(const fake_endpoint& e, const std::string& state)
+void gateway_fixture::write_endpoint(const fake_endpoint& e, const std::string& state)
 {
   store_.put("servers", e.id(),
              {{"service", "chat"},
@@ -89,7 +89,7 @@
               {"state", state}});
 }
 
-void GatewayFixture::write_configuration(std::uint64_t version, const std::string& without)
+void gateway_fixture::write_configuration(std::uint64_t version, const std::string& without)
 {
   boost::json::array routes;
   for (const auto& r :
@@ -107,7 +107,7 @@
               {"tenants", boost::json::array{workspace}}});
 }
 
-http::request GatewayFixture::request_for(const std::string& method, const std::string& path,
+http::request gateway_fixture::request_for(const std::string& method, const std::string& path,
                                           const std::string& key)
 {
   static std::atomic<int> number = 0;
@@ -118,18 +118,18 @@
       .fields = {{"Host", host}, {"Request-Id", id}, {"Api-Key", key}, {"Deadline-Ms", "5000"}}};
 }
 
-http::response GatewayFixture::send(const http::socket_address& to, http::request message)
+http::response gateway_fixture::send(const http::socket_address& to, http::request message)
 {
   return fakes::call(context_, client_, to, std::move(message));
 }
 
-http::response GatewayFixture::call(const std::string& method, const std::string& path,
+http::response gateway_fixture::call(const std::string& method, const std::string& path,
                                     const std::string& key)
 {
   return send(gateways_.front()->options.callers, request_for(method, path, key));
 }
 
-void GatewayFixture::wait_until(const std::function<bool()>& probe, const char* what)
+void gateway_fixture::wait_until(const std::function<bool()>& probe, const char* what)
 {
   const auto deadline = std::chrono::steady_clock::now() + 60s;
   while (!probe()) {
@@ -139,7 +139,7 @@
   }
 }
 
-void GatewayFixture::wait_until_ready()
+void gateway_fixture::wait_until_ready()
 {
   wait_until(
       [this] {
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -34,12 +34,12 @@
   std::thread thread_;
 };
 
-class GatewayFixture : public testing::Test {
+class gateway_fixture : public testing::Test {
  protected:
   // The routes of a test are below this host: /safe/, /unsafe/, /stream/ and /resumable/.
   static constexpr const char* host = "shop.example";
 
-  GatewayFixture();
+  gateway_fixture();
 
   // Starts a daemon that uses `store`; its seeds are the daemons started before.
   running_gateway& start_gateway(fake_store& store);
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -13,7 +13,7 @@
 const std::string whole_stream = "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
                                  "id: 4\ndata: t4\n\nid: 5\ndata: t5\n\nid: 6\ndata: t6\n\n";
 
-class GatewayTest : public GatewayFixture {
+class GatewayTest : public gateway_fixture {
  protected:
   // One daemon and two endpoints.
   void start()
