--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -152,8 +152,8 @@
   // The attempt is over, whatever became of it.
   void on_finished(const routing::sent_work& work, std::uint64_t output_tokens, mono_time now);
 
-  // The endpoint failed an attempt, or served one well.
-  void on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now);
+  // The endpoint failed an attempt, or served one well. True if it is left out from now on.
+  bool on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now);
   void on_success(const endpoint_id& id);
 
   // Work of this daemon, for its peers, and what a peer told.
--- a/include/wisteriaflow/relay/gateway_daemon.h
+++ b/include/wisteriaflow/relay/gateway_daemon.h
@@ -26,8 +26,8 @@
   // Serves until a drain has ended.
   void run();
 
-  // Begins the drain: callers are told to go elsewhere, calls under way are finished. Any thread may
-  // call it.
+  // Begins the drain: callers are told to go elsewhere, calls under way are finished. Any thread
+  // may call it.
   void drain();
 
   // Addresses as bound, with the ports that the kernel chose.
--- a/include/wisteriaflow/relay/settings.h
+++ b/include/wisteriaflow/relay/settings.h
@@ -36,6 +36,7 @@
   http::socket_address addresses; // where callers ask which daemons to connect to
   http::socket_address readiness;
   http::socket_address peers;
+  std::optional<http::socket_address> metrics; // the peers' address serves them, too
 
   // [peers]
   std::vector<http::socket_address> seeds;
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -44,6 +44,7 @@
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/text.h"
 #include "wisteriaflow/base/time.h"
 
 // objects
@@ -142,4 +143,18 @@
 #include "wisteriaflow/daemon/settings.h"
 #include "wisteriaflow/daemon/version.h"
 
+// Opaque requests: routes, endpoints, limits over the fleet, peers, duties.
+#include "wisteriaflow/gateway/answer_verdict.h"
+#include "wisteriaflow/gateway/call.h"
+#include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/endpoint_pool.h"
+#include "wisteriaflow/gateway/event_splitter.h"
+#include "wisteriaflow/gateway/fleet_clock.h"
+#include "wisteriaflow/gateway/peer_report.h"
+#include "wisteriaflow/gateway/peer_table.h"
+#include "wisteriaflow/gateway/retry_budget.h"
+#include "wisteriaflow/gateway/scaling_planner.h"
+#include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/workspace_quota.h"
+
 #endif // WISTERIAFLOW_WISTERIAFLOW_H_
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -42,13 +42,13 @@
   local name
   while read -r name; do
     grep -qF "\`$name\`" docs/REFERENCE.md || fault "docs/REFERENCE.md: no metric $name"
-  done < <(tr -d '\n' < <(cat src/core/*.cc src/core/*.h) |
+  done < <(tr -d '\n' < <(cat src/core/*.cc src/core/*.h src/relay/*.cc src/relay/*.h) |
     grep -oE '(count|set|observe)\( *"[a-z_]+"' | sed 's/.*"\(.*\)"/\1/' | sort -u)
 }
 
 check_header() {
   local header package
-  for package in base objects requests claims membership routing admission capacity core; do
+  for package in base objects requests claims membership routing admission capacity core gateway; do
     for header in include/wisteriaflow/"$package"/*.h; do
       [ -e "$header" ] || continue
       grep -qF "#include \"${header#include/}\"" include/wisteriaflow/wisteriaflow.h ||
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -278,21 +278,23 @@
   table_.on_finished(work, static_cast<int>(output_tokens), now);
 }
 
-void endpoint_pool::on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now)
+bool endpoint_pool::on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now)
 {
   if (!records_.contains(id)) {
-    return;
+    return false;
   }
   auto& h = health_[id];
   h.trouble += kind == endpoint_trouble::broken ? options_.trouble_limit : 1.0;
   if (h.trouble < options_.trouble_limit) {
-    return;
+    return false;
   }
   constexpr double most_doublings = 8;
   const double doublings = std::min(h.trouble - options_.trouble_limit, most_doublings);
   const auto backoff = std::chrono::duration_cast<std::chrono::milliseconds>(
       options_.trouble_backoff * std::exp2(doublings));
+  const bool was_in = now >= h.left_out_until;
   h.left_out_until = now + std::min(backoff, options_.trouble_backoff_limit);
+  return was_in;
 }
 
 void endpoint_pool::on_success(const endpoint_id& id)
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -122,16 +122,26 @@
     state_.endpoints.on_success(endpoint_.id);
     break;
   case attempt_outcome::failed:
-    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::failed, now);
+    note_trouble(gateway::endpoint_trouble::failed, now);
     break;
   case attempt_outcome::not_run:
     break; // full, not ill
   case attempt_outcome::broken:
-    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::broken, now);
+    note_trouble(gateway::endpoint_trouble::broken, now);
     break;
   }
 }
 
+void attempt::note_trouble(gateway::endpoint_trouble kind, mono_time now)
+{
+  if (state_.endpoints.on_trouble(endpoint_.id, kind, now)) {
+    state_.log.write(daemon::log_level::warn, "endpoint left out",
+                     {{"endpoint", endpoint_.id.value()},
+                      {"request", call_.description.request_id},
+                      {"reason", result_.reason.empty() ? "silent or failing" : result_.reason}});
+  }
+}
+
 void attempt::on_head(const http::response& head)
 {
   heard_at_ = std::chrono::steady_clock::now();
@@ -232,7 +242,7 @@
   const auto now = std::chrono::steady_clock::now();
   if (heard_at_ + overdue_in_spans * expected_silence() <= now) {
     // It goes on, since it may be running; but others are to go elsewhere meanwhile.
-    state_.endpoints.on_trouble(endpoint_.id, gateway::endpoint_trouble::broken, now);
+    note_trouble(gateway::endpoint_trouble::broken, now);
   }
   if (may_give_up() && heard_at_ + patience_in_spans * expected_silence() <= now) {
     result_.silent = true;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -93,6 +93,7 @@
   [[nodiscard]] std::chrono::milliseconds expected_silence() const;
   [[nodiscard]] bool may_give_up() const;
   void note_health(mono_time now);
+  void note_trouble(gateway::endpoint_trouble kind, mono_time now);
   void note_begin();
   attempt_result conclude();
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -328,18 +328,27 @@
 void call_relay::note_attempt(const admitted_call& call, const attempt_result& result)
 {
   const bool fine = result.outcome == attempt_outcome::answered;
+  const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - call.received_at);
   state_.counters.count("attempts", {{"service", call.service}, {"fine", fine ? "yes" : "no"}});
-  if (fine || result.how == attempt_result::end::caller_lost) {
-    return;
-  }
   log_fields fields = {{"request", call.description.request_id},
                        {"route", call.route->name},
+                       {"workspace", call.workspace.value()},
                        {"endpoint", result.endpoint.value()},
+                       {"attempt", std::to_string(call.history.sent + 1)},
+                       {"since_arrival_ms", std::to_string(elapsed.count())},
+                       {"configuration", std::to_string(call.configuration->version())},
                        {"status", std::to_string(result.answer.status)},
                        {"silent", result.silent ? "yes" : "no"},
                        {"events", std::to_string(call.last_event.value_or(0))}};
   add_reason(fields, result);
-  state_.log.write(daemon::log_level::warn, "attempt failed", std::move(fields));
+  if (result.how == attempt_result::end::caller_lost) {
+    state_.log.write(daemon::log_level::info, "caller left", std::move(fields));
+  } else if (fine) {
+    state_.log.write(daemon::log_level::info, "attempt answered", std::move(fields));
+  } else {
+    state_.log.write(daemon::log_level::warn, "attempt failed", std::move(fields));
+  }
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -134,12 +134,7 @@
   if (told.self.id == options.id) {
     return;
   }
-  const bool was_live = peers.is_live(told.self.id, now.mono);
   peers.on_report(told, now.mono);
-  if (!was_live) {
-    log.write(daemon::log_level::info, "peer heard",
-              {{"peer", told.self.id.value()}, {"address", to_string(told.self.peer_address)}});
-  }
   clock.on_reading(told.self.id, told.clock, now.mono);
   for (const auto& d : told.departures) {
     endpoints.on_departure(d, now.mono);
@@ -151,6 +146,22 @@
   }
 }
 
+void fleet_state::log_peer_changes(const std::vector<daemon_id>& live)
+{
+  std::set<daemon_id> present(live.begin(), live.end());
+  for (const auto& id : present) {
+    if (!live_peers_.contains(id)) {
+      log.write(daemon::log_level::info, "peer heard", {{"peer", id.value()}});
+    }
+  }
+  for (const auto& id : live_peers_) {
+    if (!present.contains(id)) {
+      log.write(daemon::log_level::warn, "peer silent or leaving", {{"peer", id.value()}});
+    }
+  }
+  live_peers_ = std::move(present);
+}
+
 void fleet_state::tick(const clock_reading& now)
 {
   const auto daemons = peers.counted(now.mono);
@@ -160,6 +171,9 @@
       live.push_back(peer.id);
     }
   }
+  counters.set("peers_live", static_cast<double>(live.size()));
+  counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
+  log_peer_changes(live);
   quota.set_fleet(std::move(live), daemons, now.mono);
   retries.set_daemons(daemons);
   quota.refresh(now.mono);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/json/value.hpp>
@@ -70,7 +71,7 @@
   // Work that is due as time passes; call a few times a second.
   void tick(const clock_reading& now);
 
-  settings options;
+  settings options; // as at the start
   event_log& log;
   metrics counters;
   std::uint64_t incarnation;
@@ -82,10 +83,13 @@
   gateway::usage_counts usage;
 
  private:
+  void log_peer_changes(const std::vector<daemon_id>& live);
+
   std::shared_ptr<const gateway::configuration_index> configuration_;
   boost::json::value document_;
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
+  std::set<daemon_id> live_peers_; // at the last tick
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -1,6 +1,7 @@
 #include "wisteriaflow/relay/gateway_daemon.h"
 
 #include <csignal>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,6 +76,12 @@
                    }),
         signals_(context_, SIGTERM, SIGINT, SIGHUP)
   {
+    if (s.metrics) {
+      metrics_.emplace(context_, http::server_options{.address = *s.metrics},
+                       [this](http::request r, http::response_writer& w) {
+                         return answer_metrics(std::move(r), w);
+                       });
+    }
   }
 
   [[nodiscard]] http::socket_address caller_address() const { return callers_.address(); }
@@ -173,6 +180,15 @@
     return out;
   }
 
+  asio::awaitable<void> answer_metrics(http::request asked, http::response_writer& writer)
+  {
+    http::response out{.status = status_not_found};
+    if (asked.target == "/metrics") {
+      out = {.status = status_ok, .body = state_.counters.exposition()};
+    }
+    co_await writer.send(std::move(out));
+  }
+
   asio::awaitable<void> answer_readiness(http::request asked, http::response_writer& writer)
   {
     http::response out{.status = status_not_found};
@@ -193,6 +209,7 @@
   http::server callers_;
   http::server addresses_;
   http::server readiness_;
+  std::optional<http::server> metrics_;
   asio::signal_set signals_;
 };
 
--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -81,6 +81,7 @@
     carry_out(holder_.handle(capacity::lease_tick{}, now));
   }
   const bool acting = may_act();
+  state_.counters.set("duties_held", acting ? 1 : 0);
   if (acting != was_acting_) {
     was_acting_ = acting;
     state_.log.write(daemon::log_level::info, acting ? "duties taken" : "duties given up",
--- a/src/relay/settings.cc
+++ b/src/relay/settings.cc
@@ -145,6 +145,7 @@
   out.addresses = from.address("listen", "addresses");
   out.readiness = from.address("listen", "readiness");
   out.peers = from.address("listen", "peers");
+  out.metrics = from.optional_address("listen", "metrics");
   out.seeds = from.addresses("peers", "seeds");
   out.store = from.address("store", "address");
   out.cloud = from.optional_address("cloud", "address");
