End a drain though claim shards cannot be released

Cause: a leaving daemon waited without a deadline until its shards were released, which with the store away is never: 2 of 20 drains beside load had not ended 30 s after their notice, and tests left processes behind. Change: two seconds after the last moment for requests it ends all the same; its shards pass on like a crashed daemon's. Ruled out: requests under way (none). The core's test never ended before and does now.

--- a/src/core/daemon_core.cc
+++ b/src/core/daemon_core.cc
@@ -27,6 +27,9 @@
 // It stays to answer peers and late callers this long, so that nobody meets a closed port before
 // the addresses that it gave out have been replaced.
 constexpr std::chrono::milliseconds linger{1'000};
+// After the last moment for requests, claim shards get this long to be released: two store calls
+// with their timeout.
+constexpr std::chrono::milliseconds release_time{2'000};
 
 } // namespace
 
@@ -106,13 +109,17 @@
     capacity_.leave();
     requests_.drain(hand_over_at);
     exit_after_ = now.mono + linger;
+    release_by_ = hand_over_at + release_time;
     check_exit();
   }
 
   void check_exit()
   {
     const auto now = context_.now().mono;
-    if (requests_.drained() && claims_.released() && now >= exit_after_) {
+    // Shards that cannot be released, as with the store away, pass on like a crashed daemon's: to
+    // wait for them would keep the process for as long as the store is away.
+    const bool released = claims_.released() || now >= release_by_;
+    if (requests_.drained() && released && now >= exit_after_) {
       context_.emit(caller_action(stop_accepting{}));
       context_.log(severity::info, "drained");
       context_.emit(process_action(stop_process{}));
@@ -253,6 +260,7 @@
   operator_service operators_;
   bool draining_ = false;
   mono_time exit_after_;
+  mono_time release_by_;
 };
 
 daemon_core::daemon_core(daemon_core_options options, clock_reading now)
