Pass on how long ago peers were heard, so that larger fleets keep seeing each other

Cause: a daemon exchanges with eight peers a round; of sixty it hears each one every 1.5 s on the mean, about the time after which one counts as silent, so owners of rates and the addresses given to callers would change all the time. Reports carried every contact, 9 KB. Change: reports carry ages of the peers heard last and a sample of contacts; departures learned from a peer are passed on at once; usage is reported once each live daemon has reported. At sixty daemons: not measured.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -122,8 +122,8 @@
   // The store has no entry any more.
   void remove(const endpoint_departure& gone, mono_time now);
 
-  // A peer's word that an endpoint leaves.
-  void on_departure(const endpoint_departure& heard, mono_time now);
+  // A peer's word that an endpoint leaves. True if it is news for an endpoint in use here.
+  bool on_departure(const endpoint_departure& heard, mono_time now);
 
   // Until `deadline`, an entry that vanishes may only have lapsed with the store and is kept; what
   // is still missing then is gone.
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -4,6 +4,7 @@
 #ifndef WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
 #define WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -38,11 +39,20 @@
   friend bool operator==(const daemon_contact&, const daemon_contact&) = default;
 };
 
+// How long ago a daemon was heard, by the sender or by those who told it.
+struct peer_age {
+  daemon_id id;
+  std::chrono::milliseconds age{0};
+
+  friend bool operator==(const peer_age&, const peer_age&) = default;
+};
+
 struct peer_report {
   daemon_contact self;
   std::uint64_t configuration_version = 0; // in force at the sender; 0: none
   wall_time clock;                         // the sender's own, uncorrected
-  std::vector<daemon_contact> known;       // daemons that the sender hears
+  std::vector<daemon_contact> known;       // some of the daemons that the sender hears
+  std::vector<peer_age> heard;             // those heard last
   endpoint_work_map work;                  // the sender's own
   prefill_demand prefill;                  // the same
   std::vector<endpoint_departure> departures;
--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -1,7 +1,8 @@
-// The other gateway daemons, as heard from directly.
+// The other gateway daemons, and when each was last heard.
 //
-// A daemon is live while its own reports keep coming. What third parties say of it only tells where
-// it can be asked.
+// A daemon is live while somebody hears it: daemons pass on how long ago they heard whom, so that
+// each of many need not hear all of them often. Only a daemon's own report says what it is and
+// where callers reach it; of others' words only the address at which it can be asked is taken.
 
 #ifndef WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
 #define WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
@@ -45,6 +46,12 @@
   // The daemon says that it ends, or is known to have ended.
   [[nodiscard]] bool is_live(const daemon_id& peer, mono_time now) const;
 
+  // Up to `most` daemons, those heard last first.
+  [[nodiscard]] std::vector<peer_age> heard_last(std::size_t most, mono_time now) const;
+
+  // Whether every live daemon's own report has come since `t`.
+  [[nodiscard]] bool all_reported_since(mono_time t, mono_time now) const;
+
   // Contacts of live daemons.
   [[nodiscard]] std::vector<daemon_contact> live(mono_time now) const;
 
@@ -60,7 +67,8 @@
  private:
   struct entry {
     daemon_contact contact;
-    mono_time heard_at;
+    mono_time reported_at; // its own report
+    mono_time heard_at;    // by anybody
   };
 
   peer_table_options options_;
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -134,17 +134,19 @@
   held_removals_.erase(id);
 }
 
-void endpoint_pool::on_departure(const endpoint_departure& heard, mono_time now)
+bool endpoint_pool::on_departure(const endpoint_departure& heard, mono_time now)
 {
   const auto it = records_.find(heard.id);
   if (it != records_.end() && it->second.revision > heard.revision) {
-    return;
+    return false;
   }
   mark_departed(heard, now);
-  if (it != records_.end()) {
-    it->second.leaving = true;
-    store(endpoint_record(it->second));
+  if (it == records_.end() || it->second.leaving) {
+    return false;
   }
+  it->second.leaving = true;
+  store(endpoint_record(it->second));
+  return true;
 }
 
 void endpoint_pool::tick(mono_time now)
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -74,6 +74,15 @@
   return out;
 }
 
+json::object encode(const std::vector<peer_age>& heard)
+{
+  json::object out;
+  for (const auto& h : heard) {
+    out[h.id.value()] = h.age.count();
+  }
+  return out;
+}
+
 json::array encode(const std::vector<usage_row>& rows)
 {
   json::array out;
@@ -106,6 +115,10 @@
   for (const auto& c : from.at("known").as_array()) {
     out.known.push_back(decode_contact(c));
   }
+  for (const auto& [id, age] : from.at("heard").as_object()) {
+    out.heard.push_back({.id = daemon_id(std::string(id)),
+                         .age = std::chrono::milliseconds(age.to_number<std::int64_t>())});
+  }
   for (const auto& [id, w] : from.at("work").as_object()) {
     out.work[endpoint_id(std::string(id))] = {
         .waiting = w.as_array().at(0).to_number<std::uint32_t>(),
@@ -147,10 +160,11 @@
     departures[d.id.value()] = d.revision;
   }
   const json::value out = {
-      {"self", encode(report.self)},         {"configuration", report.configuration_version},
-      {"clock", to_unix_ms(report.clock)},   {"known", std::move(known)},
-      {"work", encode(report.work)},         {"prefill", encode(report.prefill)},
-      {"departures", std::move(departures)}, {"usage", encode(report.usage)}};
+      {"self", encode(report.self)},       {"configuration", report.configuration_version},
+      {"clock", to_unix_ms(report.clock)}, {"known", std::move(known)},
+      {"heard", encode(report.heard)},     {"work", encode(report.work)},
+      {"prefill", encode(report.prefill)}, {"departures", std::move(departures)},
+      {"usage", encode(report.usage)}};
   return json::serialize(out);
 }
 
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -20,8 +20,14 @@
   if (report.self.id == options_.self) {
     return;
   }
-  peers_[report.self.id] = {.contact = report.self, .heard_at = now};
+  peers_[report.self.id] = {.contact = report.self, .reported_at = now, .heard_at = now};
   unnamed_.erase(report.self.peer_address);
+  for (const auto& h : report.heard) {
+    const auto it = peers_.find(h.id);
+    if (it != peers_.end()) {
+      it->second.heard_at = std::max(it->second.heard_at, now - h.age);
+    }
+  }
   for (const auto& c : report.known) {
     if (c.id != options_.self && !peers_.contains(c.id)) {
       add_address(c.peer_address);
@@ -29,6 +35,28 @@
   }
 }
 
+std::vector<peer_age> peer_table::heard_last(std::size_t most, mono_time now) const
+{
+  std::vector<peer_age> out;
+  for (const auto& [id, it] : peers_) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - it.heard_at);
+    out.push_back({.id = id, .age = age});
+  }
+  const auto middle = out.begin() + static_cast<std::ptrdiff_t>(std::min(most, out.size()));
+  std::partial_sort(out.begin(), middle, out.end(),
+                    [](const peer_age& a, const peer_age& b) { return a.age < b.age; });
+  out.erase(middle, out.end());
+  return out;
+}
+
+bool peer_table::all_reported_since(mono_time t, mono_time now) const
+{
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+    const bool live = now < it.second.heard_at + options_.live_for;
+    return !live || it.second.reported_at >= t;
+  });
+}
+
 bool peer_table::is_live(const daemon_id& peer, mono_time now) const
 {
   const auto it = peers_.find(peer);
--- a/src/relay/duties.cc
+++ b/src/relay/duties.cc
@@ -28,9 +28,11 @@
 constexpr milliseconds store_timeout{1'000};
 // Within the time for which the lease spares a new holder; see lease_keeper.
 constexpr milliseconds cloud_timeout{900};
-// After a window's end its counts are still on their way from the other daemons: two rounds of
-// reports, and a third for one that was lost.
-constexpr milliseconds counts_settle{1'500};
+// After a window's end its counts are still on their way from the other daemons: each has to report
+// once more, or half of the time until the report is due has passed.
+constexpr milliseconds counts_settle{1'000};
+// A report may have been made this long before it came.
+constexpr milliseconds last_count_delay{300};
 constexpr int status_ok = 200;
 
 json::value encode(const gateway::window_counts& counts)
@@ -124,7 +126,7 @@
     // The report before the last may still be due when the duty has just moved here.
     for (auto window = current - 2; window < current; ++window) {
       const auto end = state_.usage.end_of(window);
-      const bool due = now >= end + counts_settle && now < end + state_.options.usage_deadline;
+      const bool due = counts_are_in(now - end) && now < end + state_.options.usage_deadline;
       if (due && !reported_.contains(window)) {
         co_await report_window(window);
       }
@@ -132,6 +134,18 @@
   }
 }
 
+// Whether the counts of a window that ended `ago` can be taken for whole.
+bool duties::counts_are_in(milliseconds ago) const
+{
+  if (ago < counts_settle) {
+    return false;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto ended_at = now - ago;
+  return state_.peers.all_reported_since(ended_at + last_count_delay, now) ||
+         ago >= state_.options.usage_deadline / 2;
+}
+
 asio::awaitable<void> duties::report_window(gateway::usage_window window)
 {
   const auto counts = co_await settle_counts(window);
--- a/src/relay/duties.h
+++ b/src/relay/duties.h
@@ -30,6 +30,7 @@
  private:
   boost::asio::awaitable<void> keep_lease();
   boost::asio::awaitable<void> report_usage();
+  [[nodiscard]] bool counts_are_in(std::chrono::milliseconds ago) const;
   boost::asio::awaitable<void> report_window(gateway::usage_window window);
   // The counts as they are written in the store: those of the first daemon that wrote them.
   boost::asio::awaitable<std::optional<gateway::window_counts>>
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -1,5 +1,6 @@
 #include "relay/fleet_state.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -17,6 +18,11 @@
 // to another daemon may be one lease later.
 constexpr gateway::usage_window usage_windows_kept = 5;
 
+// Bounds of a report, about 2 KB. With eight exchanges a round both sides of which tell sixteen
+// ages, sixty daemons' ages pass through each daemon four times a round.
+constexpr std::size_t contacts_told = 8;
+constexpr std::size_t ages_told = 16;
+
 std::uint64_t start_time()
 {
   return static_cast<std::uint64_t>(to_unix_ms(read_clocks().wall));
@@ -114,6 +120,16 @@
           .leaving = leaving_since_.has_value()};
 }
 
+std::vector<gateway::daemon_contact> fleet_state::contacts_to_tell(mono_time now)
+{
+  const auto live = peers.live(now);
+  std::vector<gateway::daemon_contact> out;
+  for (std::size_t i = 0; i < std::min(contacts_told, live.size()); ++i) {
+    out.push_back(live[next_contact_++ % live.size()]);
+  }
+  return out;
+}
+
 gateway::peer_report fleet_state::report(const clock_reading& now)
 {
   const auto is_silent = [&](const daemon_id& id) {
@@ -122,7 +138,8 @@
   return {.self = self_contact(),
           .configuration_version = configuration_version(),
           .clock = now.wall,
-          .known = peers.live(now.mono),
+          .known = contacts_to_tell(now.mono),
+          .heard = peers.heard_last(ages_told, now.mono),
           .work = endpoints.own_work(),
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
@@ -136,8 +153,12 @@
   }
   peers.on_report(told, now.mono);
   clock.on_reading(told.self.id, told.clock, now.mono);
+  bool news = false;
   for (const auto& d : told.departures) {
-    endpoints.on_departure(d, now.mono);
+    news = endpoints.on_departure(d, now.mono) || news;
+  }
+  if (news) {
+    announce_news();
   }
   endpoints.on_peer_work(told.self.id, told.work, now.mono);
   endpoints.on_peer_prefill(told.self.id, told.prefill, now.mono);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -83,6 +83,8 @@
   gateway::usage_counts usage;
 
  private:
+  // Contacts for a report: all of a small fleet's, a changing few of a large one's.
+  std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
 
   std::shared_ptr<const gateway::configuration_index> configuration_;
@@ -90,6 +92,7 @@
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
   std::set<daemon_id> live_peers_; // at the last tick
+  std::size_t next_contact_ = 0;   // to tell
 };
 
 } // namespace wisteriaflow::relay
--- a/test/gateway/peer_table_test.cc
+++ b/test/gateway/peer_table_test.cc
@@ -45,6 +45,33 @@
   EXPECT_EQ(peers_.addresses_to_ask(start), (std::vector{second, first}));
 }
 
+TEST_F(PeerTableTest, AKnownDaemonIsLiveWhileAnotherHearsIt)
+{
+  hear("b", second, start);
+  peer_report report{.self = {.id = daemon_id("a"), .peer_address = first},
+                     .heard = {{.id = daemon_id("b"), .age = 200ms}}};
+  peers_.on_report(report, start + 2s);
+  EXPECT_TRUE(peers_.is_live(daemon_id("b"), start + 3s));
+  EXPECT_FALSE(peers_.is_live(daemon_id("b"), start + 4s));
+}
+
+TEST_F(PeerTableTest, TellsThoseHeardLastFirst)
+{
+  hear("a", first, start);
+  hear("b", second, start + 1s);
+  const std::vector<peer_age> expected = {{.id = daemon_id("b"), .age = 500ms}};
+  EXPECT_EQ(peers_.heard_last(1, start + 1'500ms), expected);
+}
+
+TEST_F(PeerTableTest, KnowsWhetherAllLiveDaemonsHaveReported)
+{
+  hear("a", first, start);
+  hear("b", second, start + 1s);
+  EXPECT_TRUE(peers_.all_reported_since(start, start + 1s));
+  EXPECT_FALSE(peers_.all_reported_since(start + 500ms, start + 1s));
+  EXPECT_TRUE(peers_.all_reported_since(start + 500ms, start + 2s)); // "a" is no longer live
+}
+
 TEST_F(PeerTableTest, NeverAsksItself)
 {
   peers_.add_address({.host = "10.0.0.9", .port = 7});
