--- a/include/wisteriaflow/gateway/workspace_quota.h
+++ b/include/wisteriaflow/gateway/workspace_quota.h
@@ -7,7 +7,7 @@
 //
 // Daemons that cannot hear each other may each believe to be the owner. So an owner only gives away
 // the part of the rate that belongs to the daemons it hears, out of all that may be running; and a
-// new owner begins without credit.
+// new owner begins with little credit.
 //
 //   auto d = quota.admit(workspace, tokens, now);
 //   if (d.outcome == admission::ask_owner) { ... ask d.owner, then quota.on_grant(...) ... }
@@ -60,6 +60,15 @@
   friend bool operator==(const quota_grant&, const quota_grant&) = default;
 };
 
+// The fleet as one daemon sees it.
+struct quota_fleet_view {
+  std::vector<daemon_id> candidates; // for owners, without this daemon
+  std::size_t heard = 1;             // daemons that can ask this one, and it; leaving ones, too
+  std::size_t running = 1;           // those that may be admitting, heard or not
+
+  friend bool operator==(const quota_fleet_view&, const quota_fleet_view&) = default;
+};
+
 // Not thread-safe.
 class workspace_quota {
  public:
@@ -67,8 +76,8 @@
 
   void set_workspaces(const std::vector<workspace_definition>& declared, mono_time now);
 
-  // Daemons heard now, without this one, and the number of those that may be running, with it.
-  void set_fleet(std::vector<daemon_id> live, std::size_t counted, mono_time now);
+  // The daemons of the fleet.
+  void set_fleet(quota_fleet_view fleet, mono_time now);
 
   // Takes `units` from what this daemon holds. A workspace without a limit, or unknown, is always
   // admitted.
@@ -113,8 +122,7 @@
 
   workspace_quota_options options_;
   std::map<workspace_id, account> accounts_;
-  std::vector<daemon_id> live_;
-  std::size_t counted_ = 1;
+  quota_fleet_view fleet_;
   std::optional<mono_time> refreshed_at_;
 };
 
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -83,7 +83,9 @@
 std::size_t peer_table::counted(mono_time now) const
 {
   const auto counts = [&](const auto& it) {
-    return now < it.second.heard_at + options_.counted_for;
+    // One that said that it leaves has ended once it is silent.
+    const auto counted_for = it.second.contact.leaving ? options_.live_for : options_.counted_for;
+    return now < it.second.heard_at + counted_for;
   };
   return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), counts));
 }
--- a/src/gateway/workspace_quota.cc
+++ b/src/gateway/workspace_quota.cc
@@ -44,13 +44,14 @@
 
 double workspace_quota::shared_rate(double rate) const
 {
-  const auto heard = static_cast<double>(live_.size() + 1);
-  return rate * (1 - options_.own_part) * std::min(1.0, heard / static_cast<double>(counted_));
+  const auto heard = static_cast<double>(fleet_.heard);
+  return rate * (1 - options_.own_part) *
+         std::min(1.0, heard / static_cast<double>(fleet_.running));
 }
 
 double workspace_quota::own_rate(double rate) const
 {
-  return rate * options_.own_part / static_cast<double>(counted_);
+  return rate * options_.own_part / static_cast<double>(fleet_.running);
 }
 
 daemon_id workspace_quota::owner_of(const workspace_id& workspace) const
@@ -58,7 +59,7 @@
   const auto key = hash64_of(workspace.value());
   const auto* best = &options_.self;
   auto best_score = rendezvous_score(key, options_.self.value());
-  for (const auto& id : live_) {
+  for (const auto& id : fleet_.candidates) {
     const auto score = rendezvous_score(key, id.value());
     if (score > best_score) {
       best = &id;
@@ -103,22 +104,21 @@
   it.shared.set_rate(shared_rate(it.rate), now);
   it.own.set_rate(own_rate(it.rate), now);
   if (owner != it.owner && owner == options_.self) {
-    // What the former owner has given away is not known here.
+    // What the former owner has given away is not known here: it begins like after a restart.
     const auto burst =
         burst_time(shared_slack * (it.burst + options_.slack), it.rate * (1 - options_.own_part));
-    it.shared = make_bucket(shared_rate(it.rate), burst, 0, now);
+    it.shared = make_bucket(shared_rate(it.rate), burst, initial_credit, now);
   }
   it.owner = owner;
 }
 
-void workspace_quota::set_fleet(std::vector<daemon_id> live, std::size_t counted, mono_time now)
+void workspace_quota::set_fleet(quota_fleet_view fleet, mono_time now)
 {
-  counted = std::max(counted, live.size() + 1);
-  if (live == live_ && counted == counted_) {
+  fleet.running = std::max(fleet.running, fleet.heard);
+  if (fleet == fleet_) {
     return;
   }
-  live_ = std::move(live);
-  counted_ = counted;
+  fleet_ = std::move(fleet);
   for (auto& [id, it] : accounts_) {
     divide(it, id, now);
   }
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -186,17 +186,19 @@
 void fleet_state::tick(const clock_reading& now)
 {
   const auto daemons = peers.counted(now.mono);
-  std::vector<daemon_id> live;
-  for (const auto& peer : peers.live(now.mono)) {
+  retries.set_daemons(daemons);
+  const auto live = peers.live(now.mono);
+  std::vector<daemon_id> staying;
+  for (const auto& peer : live) {
     if (!peer.leaving) {
-      live.push_back(peer.id);
+      staying.push_back(peer.id);
     }
   }
   counters.set("peers_live", static_cast<double>(live.size()));
   counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
-  log_peer_changes(live);
-  quota.set_fleet(std::move(live), daemons, now.mono);
-  retries.set_daemons(daemons);
+  log_peer_changes(staying);
+  quota.set_fleet({.candidates = std::move(staying), .heard = live.size() + 1, .running = daemons},
+                  now.mono);
   quota.refresh(now.mono);
   endpoints.tick(now.mono);
   endpoints.refresh_loads(now.mono);
--- a/test/gateway/peer_table_test.cc
+++ b/test/gateway/peer_table_test.cc
@@ -38,6 +38,13 @@
   EXPECT_EQ(peers_.counted(start + 30s), 1U);
 }
 
+TEST_F(PeerTableTest, ADaemonThatLeftIsNotCountedOnceItIsSilent)
+{
+  peers_.on_report({.self = {.id = daemon_id("a"), .peer_address = first, .leaving = true}}, start);
+  EXPECT_EQ(peers_.counted(start + 1s), 2U);
+  EXPECT_EQ(peers_.counted(start + 2s), 1U);
+}
+
 TEST_F(PeerTableTest, AnotherDaemonsWordMakesNoDaemonLive)
 {
   hear("a", first, start, {{.id = daemon_id("b"), .peer_address = second}});
--- a/test/gateway/workspace_quota_test.cc
+++ b/test/gateway/workspace_quota_test.cc
@@ -42,7 +42,7 @@
   void cut_off(std::size_t i)
   {
     cut_ = i;
-    quota(i).set_fleet({}, ids_.size(), now_);
+    quota(i).set_fleet({.running = ids_.size()}, now_);
     for (std::size_t k = 0; k < ids_.size(); ++k) {
       if (k != i) {
         connect(k, ids_.size());
@@ -86,7 +86,8 @@
         live.push_back(ids_[k]);
       }
     }
-    quota(i).set_fleet(std::move(live), counted, now_);
+    const auto heard = live.size() + 1;
+    quota(i).set_fleet({.candidates = std::move(live), .heard = heard, .running = counted}, now_);
   }
 
   std::vector<daemon_id> ids_;
@@ -136,6 +137,19 @@
   EXPECT_EQ(quota.admit(hotel, 5, start).outcome, quota_outcome::admitted);
 }
 
+TEST(WorkspaceQuotaTest, LeavingDaemonsDoNotLowerTheRate)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(1'000, 0)}, start);
+  quota.set_fleet({.heard = 6, .running = 6}, start); // five leave
+  int refused = 0;
+  for (int i = 1; i <= 100; ++i) {
+    const auto decided = quota.admit(hotel, 75, start + 100ms * i); // 750 a second
+    refused += decided.outcome == quota_outcome::refused ? 1 : 0;
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 TEST(WorkspaceQuotaTest, AnOwnerThatDoesNotAnswerLeavesTheOwnBucket)
 {
   quota_fleet fleet(4, 1'000, 1'000, 1'000);
