--- a/include/wisteriaflow/gateway/call.h
+++ b/include/wisteriaflow/gateway/call.h
@@ -60,8 +60,8 @@
 // What the head of an endpoint's answer says.
 struct answer_head {
   int status = 0;
-  bool not_run = false; // the endpoint promises that it did not run the request
-  bool sealed = false;  // carries the endpoint's proof that it made this answer
+  bool not_run = false;       // the endpoint promises that it did not run the request
+  bool has_signature = false; // carries the endpoint's signature
   bool is_stream = false;
   std::string request_id; // as echoed by the endpoint; empty: none
 
--- a/src/gateway/answer_verdict.cc
+++ b/src/gateway/answer_verdict.cc
@@ -34,8 +34,8 @@
   }
   const bool success = head.status >= first_success && head.status < first_redirect;
   if (success) {
-    const bool proved = head.sealed && head.request_id == request_id;
-    return proved ? attempt_outcome::answered : attempt_outcome::broken;
+    const bool is_signed = head.has_signature && head.request_id == request_id;
+    return is_signed ? attempt_outcome::answered : attempt_outcome::broken;
   }
   return head.status >= first_server_error ? attempt_outcome::failed : attempt_outcome::answered;
 }
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -114,28 +114,37 @@
   }
 }
 
-// Returns when the watch is broken.
+// The changes after `revision`; nothing if the watch is broken and has to begin with a new list.
+asio::awaitable<std::optional<adapter::change_page>>
+store_sync::read_changes(std::string_view kind, std::uint64_t revision, milliseconds wait)
+{
+  auto message = adapter::watch_call(kind, revision, wait);
+  const auto reply = co_await store_.call(std::move(message), "watch", wait + watch_slack);
+  if (reply.result != adapter::store_result::done) {
+    co_return std::nullopt;
+  }
+  try {
+    co_return adapter::decode_changes(reply.body);
+  } catch (const adapter::format_error& e) {
+    state_.log.write(daemon::log_level::error, "store answer unreadable",
+                     {{"kind", std::string(kind)}, {"reason", e.what()}});
+    co_return std::nullopt;
+  }
+}
+
 asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
 {
   for (;;) {
-    auto message = adapter::watch_call(adapter::configuration_kind, revision, configuration_wait);
-    const auto reply =
-        co_await store_.call(std::move(message), "watch", configuration_wait + watch_slack);
-    if (reply.result != adapter::store_result::done) {
+    const auto page =
+        co_await read_changes(adapter::configuration_kind, revision, configuration_wait);
+    if (!page) {
       co_return;
     }
-    try {
-      const auto page = adapter::decode_changes(reply.body);
-      revision = page.revision;
-      for (const auto& c : page.changes) {
-        if (!c.deleted && c.object.name == adapter::configuration_name) {
-          state_.offer_configuration(c.object.spec, "watch");
-        }
+    revision = page->revision;
+    for (const auto& c : page->changes) {
+      if (!c.deleted && c.object.name == adapter::configuration_name) {
+        state_.offer_configuration(c.object.spec, "watch");
       }
-    } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "store answer unreadable",
-                       {{"kind", std::string(adapter::configuration_kind)}, {"reason", e.what()}});
-      co_return;
     }
   }
 }
@@ -157,22 +166,13 @@
 {
   for (;;) {
     co_await pause(endpoint_gap);
-    auto message = adapter::watch_call(adapter::endpoint_kind, revision, endpoint_wait);
-    const auto reply =
-        co_await store_.call(std::move(message), "watch", endpoint_wait + watch_slack);
-    if (reply.result != adapter::store_result::done) {
+    const auto page = co_await read_changes(adapter::endpoint_kind, revision, endpoint_wait);
+    if (!page) {
       co_return;
     }
-    try {
-      const auto page = adapter::decode_changes(reply.body);
-      revision = page.revision;
-      for (const auto& c : page.changes) {
-        take_endpoint_change(c, page.revision);
-      }
-    } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "store answer unreadable",
-                       {{"kind", std::string(adapter::endpoint_kind)}, {"reason", e.what()}});
-      co_return;
+    revision = page->revision;
+    for (const auto& c : page->changes) {
+      take_endpoint_change(c, revision);
     }
   }
 }
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -3,8 +3,11 @@
 #ifndef WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
 #define WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,6 +40,8 @@
   boost::asio::awaitable<void> follow_endpoints();
   boost::asio::awaitable<void> follow_daemons();
   boost::asio::awaitable<listing> list(std::string_view kind);
+  boost::asio::awaitable<std::optional<adapter::change_page>>
+  read_changes(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait);
   boost::asio::awaitable<void> watch_configuration(std::uint64_t revision);
   boost::asio::awaitable<void> watch_endpoints(std::uint64_t revision);
   boost::asio::awaitable<void> enter();
--- a/test/adapter/messages_test.cc
+++ b/test/adapter/messages_test.cc
@@ -126,7 +126,7 @@
                                               {"Response-Seal", "s"},
                                               {"Content-Type", "text/event-stream"}}});
   EXPECT_EQ(head.request_id, "r1");
-  EXPECT_TRUE(head.sealed);
+  EXPECT_TRUE(head.has_signature);
   EXPECT_TRUE(head.is_stream);
 }
 
--- a/test/gateway/answer_verdict_test.cc
+++ b/test/gateway/answer_verdict_test.cc
@@ -8,18 +8,18 @@
 
 answer_head success()
 {
-  return {.status = 200, .sealed = true, .request_id = "r1"};
+  return {.status = 200, .has_signature = true, .request_id = "r1"};
 }
 
-TEST(AnswerVerdictTest, PassesOnAProvedSuccess)
+TEST(AnswerVerdictTest, PassesOnASignedSuccess)
 {
   EXPECT_EQ(judge(success(), "r1"), attempt_outcome::answered);
 }
 
-TEST(AnswerVerdictTest, TakesNoSuccessWithoutProof)
+TEST(AnswerVerdictTest, TakesNoSuccessWithoutSignature)
 {
   auto head = success();
-  head.sealed = false;
+  head.has_signature = false;
   EXPECT_EQ(judge(head, "r1"), attempt_outcome::broken);
 }
 
@@ -36,7 +36,7 @@
 TEST(AnswerVerdictTest, DoesNotPassOnAStatusThatPromisesMoreThanTheEndpointDid)
 {
   for (const int status : {408, 421, 429, 503}) {
-    EXPECT_EQ(judge({.status = status, .sealed = true, .request_id = "r1"}, "r1"),
+    EXPECT_EQ(judge({.status = status, .has_signature = true, .request_id = "r1"}, "r1"),
               attempt_outcome::broken);
   }
 }
--- a/test/relay/fake_endpoint.cc
+++ b/test/relay/fake_endpoint.cc
@@ -29,13 +29,13 @@
   switch (mood) {
   case endpoint_mood::sheds:
     return {.status = 503, .fields = {{"Not-Executed", "1"}}};
-  case endpoint_mood::refuses_unproved:
+  case endpoint_mood::refuses_unpromised:
     out.status = 503;
     break;
   case endpoint_mood::fails:
     out.status = 500;
     break;
-  case endpoint_mood::answers_unsealed:
+  case endpoint_mood::answers_unsigned:
     return out;
   case endpoint_mood::answers_for_another:
     out.fields.at(0).value = "another";
@@ -43,7 +43,7 @@
   default:
     out.body = "made by " + id_;
   }
-  out.fields.push_back({.name = "Response-Seal", .value = "seal-" + id_});
+  out.fields.push_back({.name = "Response-Seal", .value = "signature-" + id_});
   return out;
 }
 
@@ -75,7 +75,7 @@
 {
   http::response head{
       .fields = {{"Request-Id", std::string(http::find_header(r.fields, "Request-Id"))},
-                 {"Response-Seal", "seal-" + id_},
+                 {"Response-Seal", "signature-" + id_},
                  {"Content-Type", "text/event-stream"}}};
   co_await w.start_stream(std::move(head));
   const bool cuts = mood == endpoint_mood::streams_and_cuts;
--- a/test/relay/fake_endpoint.h
+++ b/test/relay/fake_endpoint.h
@@ -1,4 +1,5 @@
-// An endpoint of the platform: answers with the request's id and a proof, or misbehaves as told.
+// An endpoint of the platform: answers with the request's id and a signature, or misbehaves as
+// told.
 
 #ifndef WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
 #define WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
@@ -17,13 +18,13 @@
 // What the endpoint does with a request.
 enum class endpoint_mood {
   answers,
-  streams,          // six events, ids 1 to 6
-  streams_and_cuts, // three whole events and a part of the fourth
-  sheds,            // refuses as not run
-  refuses_unproved, // 503 without saying that it did not run the request
-  cuts,             // runs the request, then closes the connection
-  fails,            // its own 500
-  answers_unsealed,
+  streams,            // six events, ids 1 to 6
+  streams_and_cuts,   // three whole events and a part of the fourth
+  sheds,              // refuses as not run
+  refuses_unpromised, // 503 without saying that it did not run the request
+  cuts,               // runs the request, then closes the connection
+  fails,              // its own 500
+  answers_unsigned,
   answers_for_another,
   says_nothing, // holds the request
 };
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -49,13 +49,13 @@
   }
 };
 
-TEST_F(GatewayTest, PassesAnAnswerOnWithItsProof)
+TEST_F(GatewayTest, PassesAnAnswerOnWithItsSignature)
 {
   start();
   const auto out = call("POST", "/unsafe/1");
   EXPECT_EQ(out.status, 200);
   EXPECT_TRUE(out.body.starts_with("made by i-"));
-  EXPECT_TRUE(http::find_header(out.fields, "Response-Seal").starts_with("seal-i-"));
+  EXPECT_TRUE(http::find_header(out.fields, "Response-Seal").starts_with("signature-i-"));
 }
 
 TEST_F(GatewayTest, TellsTheEndpointWhomItExpectsAndWhoseTheRequestIs)
@@ -113,7 +113,7 @@
 TEST_F(GatewayTest, DoesNotSayNotRunBecauseAnEndpointSaysUnavailable)
 {
   start();
-  set_mood(endpoint_mood::refuses_unproved);
+  set_mood(endpoint_mood::refuses_unpromised);
   EXPECT_EQ(call("POST", "/unsafe/1").status, 502);
 }
 
@@ -142,10 +142,10 @@
   EXPECT_NE(http::find_header(out.fields, "Response-Seal"), "");
 }
 
-TEST_F(GatewayTest, TakesNoSuccessWithoutProof)
+TEST_F(GatewayTest, TakesNoSuccessWithoutSignature)
 {
   start();
-  set_mood(endpoint_mood::answers_unsealed);
+  set_mood(endpoint_mood::answers_unsigned);
   EXPECT_EQ(call("POST", "/unsafe/1").status, 502);
 }
 
