Guess the work from the fleet before there is any, and call the store less in large fleets

Change: until work is seen the present endpoints count as busy for a fifth of their time; three daemons compete for the duties; gaps and waits grow with the fleet.

--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -73,6 +73,11 @@
   std::chrono::milliseconds demand_memory{12'000};
   // A zone that had none is asked again after this.
   std::chrono::milliseconds sold_out_pause{1'500};
+  // Before any work is seen the present endpoints are taken to be busy for this part of their time:
+  // who started the fleet knew about how much is to come.
+  double guessed_utilisation = 0.2;
+  // For how long the guess counts beside the first work, which is measured with a delay.
+  std::chrono::milliseconds guess_memory{6'000};
   // On-demand endpoints are given back once fewer have been enough for this long.
   std::chrono::milliseconds release_after{4'000};
   // An order whose endpoints have not come this long after they should is sent again.
@@ -101,7 +106,7 @@
 
   struct peak {
     double value = 0;
-    mono_time valid_until;
+    mono_time valid_until = mono_time::max(); // of a guess: until there is work
   };
 
   struct held_number {
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -43,11 +43,19 @@
 
 double scaling_planner::recent_busy(const scaling_input& in, mono_time now)
 {
-  auto& it = peaks_[in.service];
-  if (in.busy >= it.value || now >= it.valid_until) {
-    it = {.value = in.busy, .valid_until = now + options_.demand_memory};
+  const auto [it, first] = peaks_.try_emplace(in.service);
+  auto& highest = it->second;
+  if (first) {
+    const auto present = serving_of_kind(in, false) + serving_of_kind(in, true);
+    highest.value = options_.guessed_utilisation * present;
   }
-  return it.value;
+  if (highest.valid_until == mono_time::max() && in.busy > 0) {
+    highest.valid_until = now + options_.guess_memory;
+  }
+  if (in.busy >= highest.value || now >= highest.valid_until) {
+    highest = {.value = in.busy, .valid_until = now + options_.demand_memory};
+  }
+  return highest.value;
 }
 
 scaling_planner::targets scaling_planner::targets_of(const scaling_input& in, mono_time now)
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -120,6 +120,26 @@
           .leaving = leaving_since_.has_value()};
 }
 
+bool fleet_state::competes_for_duties(mono_time now) const
+{
+  constexpr int contenders = 3; // two may fall out at once
+  const auto key = hash64_of("duties");
+  const auto own_score = rendezvous_score(key, options.id.value());
+  int before = 0;
+  for (const auto& peer : peers.live(now)) {
+    const bool better = rendezvous_score(key, peer.id.value()) > own_score;
+    before += better && !peer.leaving ? 1 : 0;
+  }
+  return before < contenders;
+}
+
+std::chrono::milliseconds fleet_state::call_period(double fleet_calls_per_second) const
+{
+  const auto daemons = static_cast<double>(peers.counted(std::chrono::steady_clock::now()));
+  const std::chrono::duration<double> period(daemons / fleet_calls_per_second);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(period);
+}
+
 std::vector<gateway::daemon_contact> fleet_state::contacts_to_tell(mono_time now)
 {
   const auto live = peers.live(now);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -62,6 +62,13 @@
   // Of random choices; differs between daemons that start together.
   [[nodiscard]] std::uint64_t seed() const;
 
+  // Whether this daemon is among those that compete for the fleet's duties: few, since each of them
+  // reads the lease all the time.
+  [[nodiscard]] bool competes_for_duties(mono_time now) const;
+
+  // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
+  [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
+
   // What to tell a peer now.
   [[nodiscard]] gateway::peer_report report(const clock_reading& now);
 
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -1,5 +1,6 @@
 #include "relay/store_sync.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,15 +27,19 @@
 constexpr milliseconds call_timeout{1'200};
 // A watch for the configuration waits so long: short enough that one which hangs in a cut
 // connection is noticed well within the time in which a configuration must be in force, with what
-// peers pass on as the faster way.
-constexpr milliseconds configuration_wait{2'000};
+// peers pass on as the faster way. In large fleets that way is sure, and calls are dear.
+constexpr milliseconds shortest_configuration_wait{2'000};
+constexpr milliseconds longest_configuration_wait{8'000};
+constexpr double configuration_calls_per_second = 8; // of the fleet
 constexpr milliseconds endpoint_wait{1'000};
 // What a watch may take beyond its wait.
 constexpr milliseconds watch_slack{700};
 // Endpoints write heartbeats all the time, so a watch on them returns at once; the gap turns this
 // into one call for all of a gap's changes. It has to leave room within the two seconds after which
 // a leaving endpoint must get no request.
-constexpr milliseconds endpoint_gap{600};
+constexpr milliseconds shortest_endpoint_gap{600};
+constexpr milliseconds longest_endpoint_gap{1'500};
+constexpr double endpoint_calls_per_second = 20; // of the fleet
 // Daemons are found through peers; the store only helps those that know none.
 constexpr milliseconds daemon_list_period{10'000};
 // Lapsed entries are back within two seconds of the store's return.
@@ -135,8 +140,9 @@
 asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
 {
   for (;;) {
-    const auto page =
-        co_await read_changes(adapter::configuration_kind, revision, configuration_wait);
+    const auto wait = std::clamp(state_.call_period(configuration_calls_per_second),
+                                 shortest_configuration_wait, longest_configuration_wait);
+    const auto page = co_await read_changes(adapter::configuration_kind, revision, wait);
     if (!page) {
       co_return;
     }
@@ -165,7 +171,8 @@
 asio::awaitable<void> store_sync::watch_endpoints(std::uint64_t revision)
 {
   for (;;) {
-    co_await pause(endpoint_gap);
+    co_await pause(std::clamp(state_.call_period(endpoint_calls_per_second), shortest_endpoint_gap,
+                              longest_endpoint_gap));
     const auto page = co_await read_changes(adapter::endpoint_kind, revision, endpoint_wait);
     if (!page) {
       co_return;
--- a/test/gateway/scaling_planner_test.cc
+++ b/test/gateway/scaling_planner_test.cc
@@ -124,6 +124,26 @@
   EXPECT_EQ(wanted(plan(start + 60s), "a", true), 2U);
 }
 
+TEST_F(ScalingPlannerTest, GuessesTheWorkFromTheFleetUntilThereIsSome)
+{
+  input_.serving = {{subject("a", false), 30}, {subject("b", false), 30}};
+  input_.limits.most = 40;
+  const auto orders = plan(start);
+  EXPECT_GE(wanted(orders, "a", false).value_or(30) + wanted(orders, "b", false).value_or(30), 12U);
+}
+
+TEST_F(ScalingPlannerTest, ForgetsItsGuessSomeTimeAfterTheFirstWork)
+{
+  input_.serving = {{subject("a", false), 30}, {subject("b", false), 30}};
+  input_.limits.most = 40;
+  static_cast<void>(plan(start));
+  input_.busy = 1;
+  static_cast<void>(plan(start + 60s));
+  static_cast<void>(plan(start + 80s));
+  const auto orders = plan(start + 100s);
+  EXPECT_LE(wanted(orders, "a", false).value_or(0) + wanted(orders, "b", false).value_or(0), 4U);
+}
+
 TEST_F(ScalingPlannerTest, ALullDoesNotGiveEndpointsAwayAtOnce)
 {
   input_.busy = 4;
