--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -43,7 +43,7 @@
   // A daemon's own report arrived.
   void on_report(const peer_report& report, mono_time now);
 
-  // The daemon says that it ends, or is known to have ended.
+  // Whether anybody has heard the daemon lately; a leaving one is live until it falls silent.
   [[nodiscard]] bool is_live(const daemon_id& peer, mono_time now) const;
 
   // Up to `most` daemons, those heard last first.
