Order endpoints by the whole fleet, and hear every peer within a bounded time

Cause: two faults that only large fleets show. The planner planned on its first list, which is empty before the endpoints have registered: of 90 it kept 10, and the first ten seconds of traffic were lost. Peers to ask were drawn at random, so the last of 62 was heard after 6.5 s on the mean and the duty holder's counts of a window lacked 10 to 25%. Change: nothing is ordered before the number of endpoints has stood for 2 s, unless there is work; peers are asked in turn, those heard longest ago first (a pure class of its own, gateway/peer_rounds). Ruled out: slow endpoints (busy counts match), lost duty calls (all answered 200).

--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -76,6 +76,10 @@
   // Before any work is seen the present endpoints are taken to be busy for this part of their time:
   // who started the fleet knew about how much is to come.
   double guessed_utilisation = 0.2;
+  // Until work is seen nothing is ordered before the number of endpoints has stood for this long:
+  // they register one by one after a start, and a guess from the first few gives the others back.
+  // A little over the longest gap between two reads of the store (1.5 s).
+  std::chrono::milliseconds settle_time{2'000};
   // For how long the guess counts beside the first work, which is measured with a delay.
   std::chrono::milliseconds guess_memory{6'000};
   // On-demand endpoints are given back once fewer have been enough for this long.
@@ -120,6 +124,8 @@
     unsigned reclaimable = 0; // of each zone
   };
 
+  // Whether the fleet is known well enough to order by.
+  bool has_settled(const scaling_input& in, mono_time now);
   double recent_busy(const scaling_input& in, mono_time now);
   targets targets_of(const scaling_input& in, mono_time now);
   // Lowers the number only after it has been enough for a while.
@@ -136,6 +142,7 @@
   std::map<order_subject, sent_order> orders_;
   std::map<std::string, peak> peaks_;       // by service
   std::map<std::string, held_number> held_; // on-demand endpoints, by service
+  std::map<std::string, held_number> seen_; // most endpoints present before any work, by service
 };
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -41,13 +41,23 @@
 
 } // namespace
 
+bool scaling_planner::has_settled(const scaling_input& in, mono_time now)
+{
+  const auto first = held_number{.until = now + options_.settle_time};
+  auto& seen = seen_.try_emplace(in.service, first).first->second;
+  const auto present = serving_of_kind(in, false) + serving_of_kind(in, true);
+  if (present > seen.number) {
+    seen = {.number = present, .until = now + options_.settle_time};
+  }
+  return in.busy > 0 || now >= seen.until;
+}
+
 double scaling_planner::recent_busy(const scaling_input& in, mono_time now)
 {
   const auto [it, first] = peaks_.try_emplace(in.service);
   auto& highest = it->second;
   if (first) {
-    const auto present = serving_of_kind(in, false) + serving_of_kind(in, true);
-    highest.value = options_.guessed_utilisation * present;
+    highest.value = options_.guessed_utilisation * seen_[in.service].number;
   }
   if (highest.valid_until == mono_time::max() && in.busy > 0) {
     highest.valid_until = now + options_.guess_memory;
@@ -150,6 +160,9 @@
 std::vector<endpoint_order> scaling_planner::plan(const scaling_input& in, mono_time now)
 {
   std::vector<endpoint_order> out;
+  if (!has_settled(in, now)) {
+    return out;
+  }
   const auto t = targets_of(in, now);
   order_reclaimable(in, t.reclaimable, now, out);
   order_on_demand(in, t.on_demand, now, out);
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -1,6 +1,5 @@
 #include "relay/peer_sync.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -28,11 +27,6 @@
 // An owner answers within a few milliseconds; a caller should not wait longer for one that is away.
 constexpr milliseconds quota_timeout{120};
 constexpr milliseconds fetch_timeout{1'000};
-// In larger fleets a round asks this many peers, drawn at random; reports of the others come
-// through their own rounds. Eight keep a daemon under 16 KB a second with reports of 1 KB.
-constexpr std::size_t fanout = 8;
-// Addresses at which no daemon has answered are asked every so many rounds.
-constexpr unsigned silent_rounds = 5;
 
 constexpr std::string_view report_target = "/report";
 constexpr std::string_view quota_target = "/quota";
@@ -51,7 +45,7 @@
               [this](http::request asked, http::response_writer& w) {
                 return serve(std::move(asked), w);
               }),
-      wait_(context), random_(state.seed())
+      wait_(context), rounds_({.period = exchange_period}, state.seed())
 {
 }
 
@@ -84,22 +78,14 @@
   }
 }
 
-void peer_sync::ask_peers(bool everyone)
+void peer_sync::ask_peers(bool news)
 {
   const auto now = std::chrono::steady_clock::now();
-  auto peers = state_.peers.addresses_to_ask(now);
-  std::shuffle(peers.begin(), peers.end(), random_);
-  const bool silent_too = ++round_ % silent_rounds == 0;
-  std::size_t asked = 0;
+  auto known = state_.peers.addresses_to_ask(now);
+  std::erase_if(known, [this](const auto& peer) { return asked_.contains(peer); });
+  const auto peers =
+      news ? rounds_.next_for_news(std::move(known)) : rounds_.next(std::move(known), now);
   for (const auto& peer : peers) {
-    const auto it = answered_at_.find(peer);
-    const bool silent = it == answered_at_.end() || it->second + 4 * exchange_period < now;
-    const bool fresh = it != answered_at_.end() && now < it->second + exchange_period / 2;
-    const bool skip = everyone ? false : fresh || (silent && !silent_too && round_ > silent_rounds);
-    if (skip || asked_.contains(peer) || asked >= fanout) {
-      continue;
-    }
-    ++asked;
     asked_.insert(peer);
     asio::co_spawn(context_, exchange(peer), asio::detached);
   }
@@ -115,7 +101,7 @@
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
     if (reply.status == status_ok) {
       const auto told = gateway::decode_peer_report(reply.body);
-      answered_at_[peer] = std::chrono::steady_clock::now();
+      rounds_.on_answer(peer, std::chrono::steady_clock::now());
       state_.absorb(told, read_clocks());
       if (told.configuration_version > state_.configuration_version()) {
         asio::co_spawn(context_, fetch_configuration(peer), asio::detached);
@@ -195,7 +181,7 @@
 {
   const auto told = gateway::decode_peer_report(asked.body);
   state_.absorb(told, read_clocks());
-  answered_at_[told.self.peer_address] = std::chrono::steady_clock::now();
+  rounds_.on_answer(told.self.peer_address, std::chrono::steady_clock::now());
   if (told.configuration_version > state_.configuration_version()) {
     asio::co_spawn(context_, fetch_configuration(told.self.peer_address), asio::detached);
   }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -3,8 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 #define WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 
-#include <map>
-#include <random>
 #include <set>
 
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "relay/fleet_state.h"
+#include "wisteriaflow/gateway/peer_rounds.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/http/server.h"
 
@@ -37,7 +36,8 @@
   http::response answer_report(const http::request& asked);
   http::response answer_quota(const http::request& asked);
   boost::asio::awaitable<void> fetch_configuration(http::socket_address peer);
-  void ask_peers(bool everyone);
+  // Starts one round of the exchange, which may have to spread news.
+  void ask_peers(bool news);
   // Sends news at once, but news that follow closely share a message.
   void hurry();
 
@@ -47,11 +47,9 @@
   http::server server_;
   boost::asio::steady_timer wait_;
   std::set<http::socket_address> asked_; // exchanges under way
-  std::map<http::socket_address, mono_time> answered_at_;
-  std::mt19937_64 random_;
+  gateway::peer_rounds rounds_;
   bool hurried_ = false;
   bool fetching_ = false;
-  unsigned round_ = 0;
 };
 
 } // namespace wisteriaflow::relay
