Count a peer as silent by questions without an answer

Cause: an address counted as silent when its last answer was older than four rounds, also when it had never been asked, so in a fleet of 63 the peers not asked in the first five rounds waited for each fifth. Change: an address is silent after five questions without an answer.

--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -29,7 +29,7 @@
   // Peers asked in one round; reports of the others come through their own rounds. Eight keep a
   // daemon under 16 KB a second with reports of 1 KB.
   std::size_t fanout = 8;
-  // Addresses at which no daemon has answered for four periods are asked every so many rounds.
+  // An address at which nobody has answered so many times is asked every so many rounds.
   unsigned silent_rounds = 5;
 };
 
@@ -48,15 +48,21 @@
   next_for_news(std::vector<http::socket_address> known);
 
   // A report of the daemon at `peer` has come.
-  void on_answer(const http::socket_address& peer, mono_time now) { answered_at_[peer] = now; }
+  void on_answer(const http::socket_address& peer, mono_time now);
 
  private:
-  [[nodiscard]] mono_time last_answer(const http::socket_address& peer) const;
+  struct standing {
+    mono_time answered_at;   // last; the clock's start: never
+    unsigned unanswered = 0; // times asked since
+  };
+
+  [[nodiscard]] standing standing_of(const http::socket_address& peer) const;
   [[nodiscard]] bool is_due(const http::socket_address& peer, mono_time now) const;
+  std::vector<http::socket_address> ask_first(std::vector<http::socket_address> known);
 
   peer_rounds_options options_;
   std::mt19937_64 random_;
-  std::map<http::socket_address, mono_time> answered_at_;
+  std::map<http::socket_address, standing> standings_;
   unsigned round_ = 0;
 };
 
--- a/test/gateway/peer_rounds_test.cc
+++ b/test/gateway/peer_rounds_test.cc
@@ -61,7 +61,7 @@
   for (int round = 0; round < 20; ++round) {
     asked += rounds_.next(peers(1), start + round * 400ms).size();
   }
-  EXPECT_EQ(asked, 5U + 3U);
+  EXPECT_EQ(asked, 5U + 3U); // of twenty rounds
 }
 
 TEST_F(PeerRoundsTest, TellsNewsToPeersThatHaveJustAsked)
