Gather prompts that share their first parts at the same endpoints

Change: daemons send a shared prefix to the same home by rendezvous hashing, with more homes as its measured traffic outgrows one endpoint (gateway/shared_prefix); prediction takes a home to hold the shared blocks, so load still moves requests away. Ruled out: cache events of the endpoints (a waiting call of each daemon at each endpoint, 5,900 at once in the grown fleet).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -26,6 +26,7 @@
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/call.h"
+#include "wisteriaflow/gateway/shared_prefix.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/routing/choose_endpoint.h"
 #include "wisteriaflow/routing/endpoint_table.h"
@@ -79,8 +80,9 @@
   std::uint64_t seed = 0;
   // Departures are passed on to peers for this long; well above the time that gossip takes.
   std::chrono::milliseconds departure_told{10'000};
-  // A peer's work counts for this long after it was told.
-  std::chrono::milliseconds work_valid{2'500};
+  // A peer's work counts for this long after it was told: peers of a large fleet are heard every
+  // 3.1 s at the least.
+  std::chrono::milliseconds work_valid{3'500};
   // After trouble with an endpoint it is left out this long, doubled for each further trouble.
   std::chrono::milliseconds trouble_backoff{400};
   std::chrono::milliseconds trouble_backoff_limit{3'000};
@@ -189,6 +191,12 @@
   };
 
   [[nodiscard]] candidates candidates_for(const endpoint_wish& wish, mono_time now) const;
+  // Where the fleet gathers prompts with this one's shared parts; see shared_prefix.h.
+  std::vector<routing::endpoint_slot> homes_of(const prompt_blocks& prompt, const token_size& size,
+                                               const std::vector<routing::endpoint_slot>& open,
+                                               mono_time now);
+  // Daemons whose work is known, this one included.
+  [[nodiscard]] std::size_t live_daemons(mono_time now) const;
   pooled_endpoint take(routing::endpoint_slot slot, int prefill,
                        std::span<const std::uint64_t> blocks, const endpoint_wish& wish,
                        mono_time now);
@@ -220,6 +228,7 @@
   std::optional<mono_time> refreshed_at_;
   routing::endpoint_table table_;
   routing::prefix_belief prefixes_;
+  prefix_spread spread_;
   std::mt19937_64 random_;
   mono_time hold_until_;
   bool listed_ = false;
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -71,6 +71,10 @@
   mono_time target;                        // the first token should come by then
   mono_time deadline;                      // and must come by then
   std::span<const endpoint_slot> excluded; // by earlier attempts
+  // Endpoints at which the whole fleet gathers such prompts: believed to hold the first
+  // `home_blocks` blocks, whatever this daemon has sent there.
+  std::span<const endpoint_slot> homes = {};
+  std::uint32_t home_blocks = 0;
 };
 
 // The parts of a prediction, in seconds from now.
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 #include "wisteriaflow/base/hash.h"
@@ -9,31 +10,9 @@
 namespace wisteriaflow::gateway {
 namespace {
 
-// Tokens of one block of `prefix_belief`. Coarse, since the belief only has to tell which endpoint
-// holds most of a prompt: 12,000 tokens are 47 look-ups.
-constexpr int tokens_per_block = 256;
-constexpr std::size_t most_blocks = 256;
 // Until an endpoint's own rate is measured.
 constexpr double initial_prefill_rate = 30'000; // tokens/s
 
-std::vector<std::uint64_t> blocks_of(std::span<const prompt_part> prompt)
-{
-  std::vector<std::uint64_t> out;
-  std::uint64_t chain = 0;
-  for (const auto& part : prompt) {
-    const std::string_view id(reinterpret_cast<const char*>(&part.id), sizeof part.id);
-    for (std::uint32_t t = 0; t + tokens_per_block <= part.tokens; t += tokens_per_block) {
-      chain = hash64_of(id, chain + t);
-      out.push_back(chain);
-      if (out.size() == most_blocks) {
-        return out;
-      }
-    }
-    chain = hash64_of(id, chain);
-  }
-  return out;
-}
-
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
@@ -213,16 +192,52 @@
   return out;
 }
 
+std::vector<routing::endpoint_slot>
+endpoint_pool::homes_of(const prompt_blocks& prompt, const token_size& size,
+                        const std::vector<routing::endpoint_slot>& open, mono_time now)
+{
+  if (!prompt.shared_key) {
+    return {};
+  }
+  const auto own_tokens =
+      static_cast<double>(size.prompt) - static_cast<double>(prompt.shared) * tokens_per_block;
+  const double busy = std::max(0.0, own_tokens) / initial_prefill_rate;
+  const auto wanted = spread_.homes_of(*prompt.shared_key, busy, live_daemons(now), now);
+  std::vector<std::pair<std::uint64_t, routing::endpoint_slot>> scores;
+  scores.reserve(open.size());
+  for (const auto slot : open) {
+    const auto& id = table_.at(slot).description.id;
+    scores.emplace_back(rendezvous_score(*prompt.shared_key, id.value()), slot);
+  }
+  const auto number = static_cast<std::ptrdiff_t>(std::min(wanted, scores.size()));
+  std::partial_sort(scores.begin(), scores.begin() + number, scores.end(), std::greater<>());
+  std::vector<routing::endpoint_slot> out;
+  for (auto it = scores.begin(); it != scores.begin() + number; ++it) {
+    out.push_back(it->second);
+  }
+  return out;
+}
+
+std::size_t endpoint_pool::live_daemons(mono_time now) const
+{
+  const auto is_live = [now](const auto& it) { return now < it.second.valid_until; };
+  return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
+}
+
 std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
 {
   const auto candidates = candidates_for(wish, now);
-  const auto blocks = blocks_of(wish.prompt);
+  const auto prompt = split_prompt(wish.prompt);
+  const auto& blocks = prompt.hashes;
   const auto size = wish.size.value_or(token_size{});
+  const auto homes = homes_of(prompt, size, candidates.open, now);
   const routing::request_view request{.blocks = blocks,
                                       .prompt_tokens = static_cast<int>(size.prompt),
                                       .expected_output_tokens = static_cast<int>(size.output),
                                       .target = wish.target,
-                                      .deadline = wish.deadline};
+                                      .deadline = wish.deadline,
+                                      .homes = homes,
+                                      .home_blocks = prompt.shared};
   const routing::routing_view view{.endpoints = table_, .prefixes = prefixes_, .options = routing_};
   const auto made = routing::choose_endpoint(view, request, candidates.open, now, random_);
   if (const auto* chosen = std::get_if<routing::chosen_endpoint>(&made)) {
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -83,15 +83,29 @@
   return endpoint.description.price_per_hour / seconds_per_hour * (p.prefill + shared);
 }
 
+// Blocks of the request that each slot is believed to hold; empty where nothing is believed.
+std::vector<std::uint32_t> match_prefixes(const routing_view& view, const request_view& request,
+                                          std::span<const endpoint_slot> candidates, mono_time now)
+{
+  std::vector<std::uint32_t> matched;
+  if (!view.options.rules.prefixes || request.blocks.empty() || candidates.empty()) {
+    return matched;
+  }
+  matched.resize(*std::max_element(candidates.begin(), candidates.end()) + std::size_t{1});
+  view.prefixes.match(request.blocks, now, matched);
+  for (const auto home : request.homes) {
+    if (home < matched.size()) {
+      matched[home] = std::max(matched[home], request.home_blocks);
+    }
+  }
+  return matched;
+}
+
 // The candidates' standing, prediction and cost.
 std::vector<scored> assess(const routing_view& view, const request_view& request,
                            std::span<const endpoint_slot> candidates, mono_time now)
 {
-  std::vector<std::uint32_t> matched;
-  if (view.options.rules.prefixes && !request.blocks.empty() && !candidates.empty()) {
-    matched.resize(*std::max_element(candidates.begin(), candidates.end()) + std::size_t{1});
-    view.prefixes.match(request.blocks, now, matched);
-  }
+  const auto matched = match_prefixes(view, request, candidates, now);
   std::vector<scored> all;
   all.reserve(candidates.size());
   for (const auto slot : candidates) {
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -237,5 +237,37 @@
   EXPECT_EQ(pool_.busy_endpoints("chat", start + 10s), 0);
 }
 
+TEST_F(EndpointPoolTest, DaemonsThatKnowNothingOfEachOtherGatherASharedPrefixAtOneEndpoint)
+{
+  std::vector<endpoint_record> all;
+  for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+    all.push_back(record(id, 1));
+  }
+  std::set<endpoint_id> chosen;
+  for (std::uint64_t daemon = 0; daemon < 20; ++daemon) {
+    endpoint_pool pool({.zone = availability_zone("z"), .seed = daemon});
+    pool.replace_all(all, 5, start);
+    const std::vector<prompt_part> prompt{{7, 5'000}, {100 + daemon, 1'000}};
+    const auto one = pool.choose({.service = "chat",
+                                  .prompt = prompt,
+                                  .size = token_size{.prompt = 6'000, .output = 10},
+                                  .target = start + 1s,
+                                  .deadline = start + 10s},
+                                 start);
+    chosen.insert(one->id);
+  }
+  EXPECT_EQ(chosen.size(), 1U);
+}
+
+TEST_F(EndpointPoolTest, ABusyHomeOfASharedPrefixIsPassedOver)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  std::set<endpoint_id> chosen;
+  for (std::uint64_t own = 0; own < 4; ++own) {
+    chosen.insert(choose({}, {{7, 1'000}, {100 + own, 3'000}})->id);
+  }
+  EXPECT_EQ(chosen.size(), 2U);
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
