Find silent connections, and let one take the other idle ones with it

A call that waited on one ran into its deadline, and the next took the next idle connection, as silent as the first; a watch or a stream that only awaits bytes had no limit but its deadline. Change: connections with a limit for unacknowledged bytes also send keep-alive probes; a reused connection without a response takes the other idle ones to its address with it. Ruled out: a shorter life of idle connections, which costs a new connection for each call. Seen run: http_test 38 passed; the new test runs into its time limit without the change.

--- a/include/wisteriaflow/http/client.h
+++ b/include/wisteriaflow/http/client.h
@@ -65,6 +65,9 @@
 // Observers run on the io_context's thread; what they throw ends the exchange and reaches the
 // caller. A message that cannot be written (line breaks in a field) throws http_error.
 //
+// A reused connection on which no response comes, be it that it breaks or stays silent, takes the
+// other idle connections to its address with it.
+//
 // A request on a reused connection that breaks before any byte of a response is sent again only
 // for GET; anything else gets broken_exchange_error, because it may have been run.
 class client {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -88,13 +88,24 @@
   return ec == asio::error::would_block;
 }
 
-// Gives up a connection on which sent bytes stay unacknowledged; see client_options.
+// Gives up a connection on which sent bytes stay unacknowledged; see client_options. A connection
+// on which only an answer is awaited sends nothing, so probes keep it under the same limit: without
+// them one that a firewall has forgotten is waited on until the call's deadline.
 void limit_unacknowledged(tcp::socket& socket, std::chrono::milliseconds limit)
 {
-  if (limit.count() > 0) {
-    const auto ms = static_cast<unsigned>(limit.count());
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+  if (limit.count() <= 0) {
+    return;
   }
+  constexpr int probe_seconds = 1; // the shortest that the kernel knows
+  constexpr int lost_probes = 2;
+  const auto ms = static_cast<unsigned>(limit.count());
+  const int fd = socket.native_handle();
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+  error_code ec;
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_seconds, sizeof probe_seconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds, sizeof probe_seconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &lost_probes, sizeof lost_probes);
 }
 
 // The time that a response's Keep-Alive field states ("timeout=5" or "5"); nothing without one.
@@ -164,6 +175,11 @@
       if (!ec) {
         break;
       }
+      if (call->reused && !call->response_begun && !call->cancelled) {
+        // What silenced or broke this connection has most likely met the others, too; a call on
+        // each of them in turn would wait as long again.
+        idle_.erase(call->to);
+      }
       const bool stale = call->reused && !call->response_begun && !call->cancelled &&
                          ec != boost::beast::error::timeout;
       if (!stale || !repeatable) {
--- a/test/http/client_reuse_test.cc
+++ b/test/http/client_reuse_test.cc
@@ -1,4 +1,6 @@
+#include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -34,6 +36,9 @@
     return fakes::call(context_, c, address_, std::move(message));
   }
 
+  // The connections that stand now give no answer any more, and stay open; new ones work.
+  void silence() { silent_up_to_ = connections_; }
+
   asio::io_context context_;
   tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
   socket_address address_;
@@ -45,11 +50,11 @@
     for (;;) {
       auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
       ++connections_;
-      asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+      asio::co_spawn(context_, serve(std::move(socket), connections_), asio::detached);
     }
   }
 
-  asio::awaitable<void> serve(tcp::socket socket)
+  asio::awaitable<void> serve(tcp::socket socket, int number)
   {
     std::string buf(4096, ' ');
     boost::system::error_code ec;
@@ -59,6 +64,9 @@
       if (ec) {
         co_return;
       }
+      if (number <= silent_up_to_) {
+        continue;
+      }
       const auto text = texts_.at(next_++);
       co_await asio::async_write(socket, asio::buffer(text),
                                  asio::redirect_error(asio::use_awaitable, ec));
@@ -67,6 +75,7 @@
 
   std::vector<std::string> texts_;
   std::size_t next_ = 0;
+  int silent_up_to_ = 0;
 };
 
 std::string whole(const std::string& fields, const std::string& body)
@@ -118,6 +127,33 @@
   EXPECT_EQ(body, "new");
 }
 
+TEST_F(ClientReuseTest, OneSilentConnectionTakesTheOtherIdleOnesWithIt)
+{
+  answer_with({whole("", "a"), whole("", "b"), whole("", "c")});
+  client c(context_);
+  const auto twice = [&]() -> asio::awaitable<void> {
+    // The first call still has its connection when the second begins.
+    stream_observer observer;
+    observer.write_bytes = [&](std::string_view) -> asio::awaitable<void> {
+      request second;
+      co_await c.call(address_, std::move(second), fakes::far_deadline());
+    };
+    request first;
+    co_await c.stream(address_, std::move(first), fakes::far_deadline(), observer);
+  };
+  fakes::run(context_, twice());
+  ASSERT_EQ(connections_, 2);
+  silence();
+  const auto soon = std::chrono::steady_clock::now() + std::chrono::milliseconds(50);
+  const auto in_vain = [&]() -> asio::awaitable<void> {
+    request third;
+    co_await c.call(address_, std::move(third), soon);
+  };
+  EXPECT_THROW(fakes::run(context_, in_vain()), exchange_timeout_error);
+  EXPECT_EQ(call(c).body, "c");
+  EXPECT_EQ(connections_, 3);
+}
+
 TEST_F(ClientReuseTest, TakesABodyThatEndsWithItsConnection)
 {
   answer_with({"HTTP/1.1 200 OK\r\n\r\nall"});
