Let a few daemons read the endpoints from the store for all

Change: reports tell how current their sender's view is; peers take it for a reading of their own once they have fetched the changes in between (gateway/endpoint_feed, pure); three readers read within 0.3 of the drain's notice, others within 0.6 if nobody told them. The notice is a setting, no constant. Daemons are listed from stale copies and less often; the configuration's watch waits up to 16 s in large fleets. A failed reading is repeated from the same revision instead of listing anew. Ruled out: longer gaps alone (the notice bounds them), a single reader under a lease.

--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -13,6 +13,7 @@
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/usage_counts.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
@@ -56,6 +57,7 @@
   endpoint_work_map work;                  // the sender's own
   prefill_demand prefill;                  // the same
   std::vector<endpoint_departure> departures;
+  endpoint_view endpoints; // how current the sender's view of them is
   std::vector<usage_row> usage;
 
   friend bool operator==(const peer_report&, const peer_report&) = default;
@@ -77,6 +79,11 @@
 [[nodiscard]] quota_question decode_quota_question(std::string_view text);
 [[nodiscard]] quota_grant decode_quota_grant(std::string_view text);
 
+// Endpoints' descriptions for a peer; see endpoint_feed.
+[[nodiscard]] std::string encode_endpoint_changes(const endpoint_changes& changes);
+// Throws peer_report_error.
+[[nodiscard]] endpoint_changes decode_endpoint_changes(std::string_view text);
+
 [[nodiscard]] std::string encode_peer_report(const peer_report& report);
 
 // Throws peer_report_error.
--- a/include/wisteriaflow/relay/settings.h
+++ b/include/wisteriaflow/relay/settings.h
@@ -46,7 +46,8 @@
   std::optional<http::socket_address> cloud;
 
   // [drain]
-  std::chrono::milliseconds drain_grace{}; // from the order to end until the process is killed
+  std::chrono::milliseconds endpoint_notice{}; // after it a leaving endpoint gets no request
+  std::chrono::milliseconds drain_grace{};     // from the order to end until the process is killed
 
   // [quota]
   double quota_slack = 0; // units beyond a workspace's bound, over the fleet
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -135,6 +135,20 @@
       remove({.id = id, .revision = revision}, now);
     }
   }
+  // A daemon that follows its peers' views never sees the removal of an entry, only the departure.
+  // Its last requests have ended by then.
+  constexpr int told_times = 3;
+  std::vector<endpoint_id> left;
+  for (const auto& [id, d] : departures_) {
+    const auto it = records_.find(id);
+    const auto gone_at = d.told_until + (told_times - 1) * options_.departure_told;
+    if (gone_at <= now && it != records_.end() && it->second.leaving) {
+      left.push_back(id);
+    }
+  }
+  for (const auto& id : left) {
+    erase(id);
+  }
   // A record older than the departure may still arrive with a stale list, so departures are kept
   // ten times as long as they are told.
   constexpr int kept_times = 10;
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -106,6 +106,38 @@
   return out;
 }
 
+json::value encode(const endpoint_view& view)
+{
+  return {{"revision", view.revision}, {"changed", view.changed}, {"age", view.age.count()}};
+}
+
+endpoint_view decode_view(const json::value& from)
+{
+  return {.revision = number_at(from, "revision"),
+          .changed = number_at(from, "changed"),
+          .age = std::chrono::milliseconds(from.at("age").to_number<std::int64_t>())};
+}
+
+json::value encode(const endpoint_record& r)
+{
+  return {{"id", r.id.value()},     {"revision", r.revision},
+          {"service", r.service},   {"address", to_string(r.address)},
+          {"zone", r.zone.value()}, {"places", r.places},
+          {"leaving", r.leaving},   {"reclaimable", r.reclaimable}};
+}
+
+endpoint_record decode_record(const json::value& from)
+{
+  return {.id = endpoint_id(text_at(from, "id")),
+          .revision = number_at(from, "revision"),
+          .service = text_at(from, "service"),
+          .address = http::parse_socket_address(text_at(from, "address")),
+          .zone = availability_zone(text_at(from, "zone")),
+          .places = from.at("places").to_number<std::uint32_t>(),
+          .leaving = from.at("leaving").as_bool(),
+          .reclaimable = from.at("reclaimable").as_bool()};
+}
+
 peer_report decode(const json::value& from)
 {
   peer_report out;
@@ -131,6 +163,7 @@
     out.departures.push_back(
         {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
   }
+  out.endpoints = decode_view(from.at("endpoints"));
   for (const auto& r : from.at("usage").as_array()) {
     out.usage.push_back(decode_row(r));
   }
@@ -160,11 +193,11 @@
     departures[d.id.value()] = d.revision;
   }
   const json::value out = {
-      {"self", encode(report.self)},       {"configuration", report.configuration_version},
-      {"clock", to_unix_ms(report.clock)}, {"known", std::move(known)},
-      {"heard", encode(report.heard)},     {"work", encode(report.work)},
-      {"prefill", encode(report.prefill)}, {"departures", std::move(departures)},
-      {"usage", encode(report.usage)}};
+      {"self", encode(report.self)},           {"configuration", report.configuration_version},
+      {"clock", to_unix_ms(report.clock)},     {"known", std::move(known)},
+      {"heard", encode(report.heard)},         {"work", encode(report.work)},
+      {"prefill", encode(report.prefill)},     {"departures", std::move(departures)},
+      {"endpoints", encode(report.endpoints)}, {"usage", encode(report.usage)}};
   return json::serialize(out);
 }
 
@@ -181,6 +214,27 @@
   return json::serialize(out);
 }
 
+std::string encode_endpoint_changes(const endpoint_changes& changes)
+{
+  json::array records;
+  for (const auto& r : changes.records) {
+    records.push_back(encode(r));
+  }
+  const json::value out = {{"view", encode(changes.view)}, {"records", std::move(records)}};
+  return json::serialize(out);
+}
+
+endpoint_changes decode_endpoint_changes(std::string_view text)
+{
+  return read(text, [](const json::value& from) {
+    endpoint_changes out{.view = decode_view(from.at("view"))};
+    for (const auto& r : from.at("records").as_array()) {
+      out.records.push_back(decode_record(r));
+    }
+    return out;
+  });
+}
+
 quota_question decode_quota_question(std::string_view text)
 {
   return read(text, [](const json::value& from) {
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -40,6 +40,7 @@
 fleet_state::fleet_state(const settings& s, event_log& event_log)
     : options(s), log(event_log), incarnation(start_time()),
       endpoints({.zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
+      feed({.notice = s.endpoint_notice, .seed = hash64_of(s.id.value(), incarnation)}),
       quota({.self = s.id, .slack = s.quota_slack}),
       retries({.ratio = s.retry_ratio, .slack = s.retry_slack, .window = s.retry_window}),
       peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
@@ -120,17 +121,28 @@
           .leaving = leaving_since_.has_value()};
 }
 
-bool fleet_state::competes_for_duties(mono_time now) const
+bool fleet_state::is_among_first(std::size_t number, std::string_view job, mono_time now) const
 {
-  constexpr int contenders = 3; // two may fall out at once
-  const auto key = hash64_of("duties");
+  const auto key = hash64_of(job);
   const auto own_score = rendezvous_score(key, options.id.value());
-  int before = 0;
+  std::size_t before = 0;
   for (const auto& peer : peers.live(now)) {
     const bool better = rendezvous_score(key, peer.id.value()) > own_score;
     before += better && !peer.leaving ? 1 : 0;
   }
-  return before < contenders;
+  return before < number;
+}
+
+bool fleet_state::competes_for_duties(mono_time now) const
+{
+  constexpr std::size_t contenders = 3; // two may fall out at once
+  return is_among_first(contenders, "duties", now);
+}
+
+void fleet_state::take_endpoint(const gateway::endpoint_record& record, mono_time now)
+{
+  endpoints.apply(record, now);
+  feed.note(record);
 }
 
 std::chrono::milliseconds fleet_state::call_period(double fleet_calls_per_second) const
@@ -163,6 +175,7 @@
           .work = endpoints.own_work(),
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
+          .endpoints = feed.view(now.mono),
           .usage = usage.rows(is_silent)};
 }
 
@@ -175,7 +188,10 @@
   clock.on_reading(told.self.id, told.clock, now.mono);
   bool news = false;
   for (const auto& d : told.departures) {
-    news = endpoints.on_departure(d, now.mono) || news;
+    if (endpoints.on_departure(d, now.mono)) {
+      feed.forget(d.id);
+      news = true;
+    }
   }
   if (news) {
     announce_news();
@@ -222,6 +238,9 @@
   quota.refresh(now.mono);
   endpoints.tick(now.mono);
   endpoints.refresh_loads(now.mono);
+  constexpr std::size_t readers = 3; // of which two may fall out at once
+  feed.set_reader(is_among_first(readers, "endpoints", now.mono));
+  feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
 }
 
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -17,6 +17,7 @@
 #include "relay/metrics.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/fleet_clock.h"
 #include "wisteriaflow/gateway/peer_table.h"
@@ -66,6 +67,9 @@
   // reads the lease all the time.
   [[nodiscard]] bool competes_for_duties(mono_time now) const;
 
+  // An endpoint's description, from the store or from a peer.
+  void take_endpoint(const gateway::endpoint_record& record, mono_time now);
+
   // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
 
@@ -83,6 +87,7 @@
   metrics counters;
   std::uint64_t incarnation;
   gateway::endpoint_pool endpoints;
+  gateway::endpoint_feed feed; // how current `endpoints` is
   gateway::workspace_quota quota;
   gateway::retry_budget retries;
   gateway::peer_table peers;
@@ -92,6 +97,8 @@
  private:
   // Contacts for a report: all of a small fleet's, a changing few of a large one's.
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
+  // Whether this daemon is among the first `number` live ones, in an order of the job's own.
+  [[nodiscard]] bool is_among_first(std::size_t number, std::string_view job, mono_time now) const;
   void log_peer_changes(const std::vector<daemon_id>& live);
 
   std::shared_ptr<const gateway::configuration_index> configuration_;
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -10,6 +10,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "wisteriaflow/base/text.h"
 #include "wisteriaflow/gateway/peer_report.h"
 #include "wisteriaflow/http/errors.h"
 
@@ -31,6 +32,7 @@
 constexpr std::string_view report_target = "/report";
 constexpr std::string_view quota_target = "/quota";
 constexpr std::string_view configuration_target = "/configuration";
+constexpr std::string_view endpoints_target = "/endpoints"; // ?after=REVISION
 constexpr std::string_view metrics_target = "/metrics";
 constexpr int status_ok = 200;
 constexpr int status_malformed = 400;
@@ -97,7 +99,8 @@
                         .target = std::string(report_target),
                         .body = encode_peer_report(state_.report(read_clocks()))};
   try {
-    const auto deadline = std::chrono::steady_clock::now() + exchange_timeout;
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto deadline = asked_at + exchange_timeout;
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
     if (reply.status == status_ok) {
       const auto told = gateway::decode_peer_report(reply.body);
@@ -106,6 +109,9 @@
       if (told.configuration_version > state_.configuration_version()) {
         asio::co_spawn(context_, fetch_configuration(peer), asio::detached);
       }
+      if (state_.feed.on_peer_view(told.endpoints, asked_at) == gateway::feed_step::fetch) {
+        asio::co_spawn(context_, fetch_endpoints(peer), asio::detached);
+      }
     }
   } catch (const http::http_error& e) {
     state_.counters.count("peer_exchanges_failed");
@@ -138,6 +144,33 @@
   fetching_ = false;
 }
 
+asio::awaitable<void> peer_sync::fetch_endpoints(http::socket_address peer)
+{
+  if (fetching_endpoints_) {
+    co_return;
+  }
+  fetching_endpoints_ = true;
+  const auto after = state_.feed.revision();
+  http::request message{.target =
+                            std::string(endpoints_target) + "?after=" + std::to_string(after)};
+  try {
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto reply = co_await client_.call(peer, std::move(message), asked_at + fetch_timeout);
+    if (reply.status == status_ok) {
+      const auto changes = gateway::decode_endpoint_changes(reply.body);
+      for (const auto& r : changes.records) {
+        state_.endpoints.apply(r, std::chrono::steady_clock::now());
+        state_.feed.note_fetched(r);
+      }
+      state_.feed.on_fetched(changes.view, after, asked_at);
+    }
+  } catch (const error& e) {
+    state_.log.write(daemon::log_level::warn, "endpoints not fetched",
+                     {{"peer", to_string(peer)}, {"reason", e.what()}});
+  }
+  fetching_endpoints_ = false;
+}
+
 asio::awaitable<gateway::quota_decision> peer_sync::admit(workspace_id workspace, double units)
 {
   auto decided = state_.quota.admit(workspace, units, std::chrono::steady_clock::now());
@@ -196,6 +229,17 @@
   return {.status = status_ok, .body = encode_quota_grant(grant)};
 }
 
+http::response peer_sync::answer_endpoints(const http::request& asked)
+{
+  const auto query = http::parse_target(asked.target).query;
+  const auto after = parse_number<std::uint64_t>(http::find_header(query, "after"));
+  if (!after) {
+    return {.status = status_malformed};
+  }
+  const auto changes = state_.feed.changes_after(*after, std::chrono::steady_clock::now());
+  return {.status = status_ok, .body = encode_endpoint_changes(changes)};
+}
+
 asio::awaitable<void> peer_sync::serve(http::request asked, http::response_writer& writer)
 {
   http::response out{.status = status_not_found};
@@ -206,6 +250,8 @@
       out = answer_quota(asked);
     } else if (asked.target == configuration_target && state_.configuration()) {
       out = {.status = status_ok, .body = boost::json::serialize(state_.configuration_document())};
+    } else if (http::parse_target(asked.target).path == endpoints_target) {
+      out = answer_endpoints(asked);
     } else if (asked.target == metrics_target) {
       out = {.status = status_ok, .body = state_.counters.exposition()};
     }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -36,6 +36,9 @@
   http::response answer_report(const http::request& asked);
   http::response answer_quota(const http::request& asked);
   boost::asio::awaitable<void> fetch_configuration(http::socket_address peer);
+  // The endpoints' changes that a peer knows of and this daemon does not.
+  boost::asio::awaitable<void> fetch_endpoints(http::socket_address peer);
+  http::response answer_endpoints(const http::request& asked);
   // Starts one round of the exchange, which may have to spread news.
   void ask_peers(bool news);
   // Sends news at once, but news that follow closely share a message.
@@ -49,7 +52,8 @@
   std::set<http::socket_address> asked_; // exchanges under way
   gateway::peer_rounds rounds_;
   bool hurried_ = false;
-  bool fetching_ = false;
+  bool fetching_ = false; // a configuration
+  bool fetching_endpoints_ = false;
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/settings.cc
+++ b/src/relay/settings.cc
@@ -149,6 +149,7 @@
   out.seeds = from.addresses("peers", "seeds");
   out.store = from.address("store", "address");
   out.cloud = from.optional_address("cloud", "address");
+  out.endpoint_notice = from.time("drain", "endpoint_notice_ms", 1ms, 2s);
   out.drain_grace = from.time("drain", "grace_s", 1s, 8s);
   out.quota_slack = from.number("quota", "slack", 0);
   out.retry_ratio = from.number("retries", "ratio", 0.1);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -29,19 +29,18 @@
 // connection is noticed well within the time in which a configuration must be in force, with what
 // peers pass on as the faster way. In large fleets that way is sure, and calls are dear.
 constexpr milliseconds shortest_configuration_wait{2'000};
-constexpr milliseconds longest_configuration_wait{8'000};
-constexpr double configuration_calls_per_second = 8; // of the fleet
-constexpr milliseconds endpoint_wait{1'000};
+constexpr milliseconds longest_configuration_wait{16'000};
+constexpr double configuration_calls_per_second = 4; // of the fleet
 // What a watch may take beyond its wait.
 constexpr milliseconds watch_slack{700};
-// Endpoints write heartbeats all the time, so a watch on them returns at once; the gap turns this
-// into one call for all of a gap's changes. It has to leave room within the two seconds after which
-// a leaving endpoint must get no request.
-constexpr milliseconds shortest_endpoint_gap{600};
-constexpr milliseconds longest_endpoint_gap{1'500};
-constexpr double endpoint_calls_per_second = 20; // of the fleet
+// Endpoints write heartbeats all the time, so a reading of their changes has some at once.
+constexpr milliseconds endpoint_wait{200};
+// How often it is looked whether a reading is due: a peer may have put it off.
+constexpr milliseconds endpoint_check_period{50};
 // Daemons are found through peers; the store only helps those that know none.
-constexpr milliseconds daemon_list_period{10'000};
+constexpr milliseconds shortest_daemon_list_period{10'000};
+constexpr milliseconds longest_daemon_list_period{60'000};
+constexpr double daemon_lists_per_second = 2; // of the fleet
 // Lapsed entries are back within two seconds of the store's return.
 constexpr milliseconds lapse_hold{2'300};
 
@@ -72,12 +71,12 @@
   state_.endpoints.hold_removals_until(std::chrono::steady_clock::now() + lapse_hold);
 }
 
-asio::awaitable<store_sync::listing> store_sync::list(std::string_view kind)
+asio::awaitable<store_sync::listing> store_sync::list(std::string_view kind, adapter::list_age age)
 {
   listing out;
   std::string after;
   for (;;) {
-    auto message = adapter::list_call(kind, after);
+    auto message = adapter::list_call(kind, after, age);
     const auto reply = co_await store_.call(std::move(message), "list", call_timeout);
     if (reply.result != adapter::store_result::done) {
       co_return out;
@@ -105,7 +104,7 @@
 asio::awaitable<void> store_sync::follow_configuration()
 {
   for (unsigned failures = 0;;) {
-    const auto all = co_await list(adapter::configuration_kind);
+    const auto all = co_await list(adapter::configuration_kind, adapter::list_age::current);
     for (const auto& item : all.items) {
       if (item.name == adapter::configuration_name) {
         state_.offer_configuration(item.spec, "list");
@@ -119,21 +118,21 @@
   }
 }
 
-// The changes after `revision`; nothing if the watch is broken and has to begin with a new list.
-asio::awaitable<std::optional<adapter::change_page>>
+asio::awaitable<store_sync::change_reading>
 store_sync::read_changes(std::string_view kind, std::uint64_t revision, milliseconds wait)
 {
   auto message = adapter::watch_call(kind, revision, wait);
   const auto reply = co_await store_.call(std::move(message), "watch", wait + watch_slack);
   if (reply.result != adapter::store_result::done) {
-    co_return std::nullopt;
+    co_return change_reading{.result = reply.result};
   }
   try {
-    co_return adapter::decode_changes(reply.body);
+    co_return change_reading{.result = reply.result, .page = adapter::decode_changes(reply.body)};
   } catch (const adapter::format_error& e) {
     state_.log.write(daemon::log_level::error, "store answer unreadable",
                      {{"kind", std::string(kind)}, {"reason", e.what()}});
-    co_return std::nullopt;
+    // Begins with a new list, like after a gap.
+    co_return change_reading{.result = adapter::store_result::expired};
   }
 }
 
@@ -142,12 +141,12 @@
   for (;;) {
     const auto wait = std::clamp(state_.call_period(configuration_calls_per_second),
                                  shortest_configuration_wait, longest_configuration_wait);
-    const auto page = co_await read_changes(adapter::configuration_kind, revision, wait);
-    if (!page) {
+    const auto read = co_await read_changes(adapter::configuration_kind, revision, wait);
+    if (read.result != adapter::store_result::done) {
       co_return;
     }
-    revision = page->revision;
-    for (const auto& c : page->changes) {
+    revision = read.page.revision;
+    for (const auto& c : read.page.changes) {
       if (!c.deleted && c.object.name == adapter::configuration_name) {
         state_.offer_configuration(c.object.spec, "watch");
       }
@@ -158,29 +157,49 @@
 asio::awaitable<void> store_sync::follow_endpoints()
 {
   for (unsigned failures = 0;;) {
-    const auto all = co_await list(adapter::endpoint_kind);
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto all = co_await list(adapter::endpoint_kind, adapter::list_age::current);
     if (all.whole) {
       failures = 0;
       take_endpoints(all);
-      co_await watch_endpoints(all.revision);
+      state_.feed.on_read(all.revision, asked_at);
+      co_await watch_endpoints();
     }
     co_await pause(store_.backoff(++failures));
   }
 }
 
-asio::awaitable<void> store_sync::watch_endpoints(std::uint64_t revision)
+asio::awaitable<void> store_sync::wait_until_due()
 {
   for (;;) {
-    co_await pause(std::clamp(state_.call_period(endpoint_calls_per_second), shortest_endpoint_gap,
-                              longest_endpoint_gap));
-    const auto page = co_await read_changes(adapter::endpoint_kind, revision, endpoint_wait);
-    if (!page) {
+    const auto now = std::chrono::steady_clock::now();
+    if (state_.feed.is_due(now)) {
       co_return;
     }
-    revision = page->revision;
-    for (const auto& c : page->changes) {
-      take_endpoint_change(c, revision);
+    const auto left = std::chrono::ceil<milliseconds>(state_.feed.due_at() - now);
+    co_await pause(std::max(left, endpoint_check_period));
+  }
+}
+
+asio::awaitable<void> store_sync::watch_endpoints()
+{
+  for (unsigned failures = 0;;) {
+    co_await wait_until_due();
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto after = state_.feed.revision();
+    const auto read = co_await read_changes(adapter::endpoint_kind, after, endpoint_wait);
+    if (read.result == adapter::store_result::expired) {
+      co_return;
+    }
+    if (read.result != adapter::store_result::done) {
+      co_await pause(store_.backoff(++failures));
+      continue;
     }
+    failures = 0;
+    for (const auto& c : read.page.changes) {
+      take_endpoint_change(c, read.page.revision);
+    }
+    state_.feed.on_read(read.page.revision, asked_at);
   }
 }
 
@@ -196,6 +215,10 @@
     }
   }
   state_.endpoints.replace_all(records, all.revision, std::chrono::steady_clock::now());
+  state_.feed.retain(state_.endpoints.all());
+  for (const auto& r : records) {
+    state_.feed.note(r);
+  }
   state_.log.write(
       daemon::log_level::info, "endpoints listed",
       {{"count", std::to_string(records.size())}, {"revision", std::to_string(all.revision)}});
@@ -207,9 +230,10 @@
   const auto before = state_.endpoints.departures(now).size();
   if (c.deleted) {
     state_.endpoints.remove({.id = endpoint_id(c.object.name), .revision = revision}, now);
+    state_.feed.forget(endpoint_id(c.object.name));
   } else {
     try {
-      state_.endpoints.apply(adapter::decode_endpoint(c.object), now);
+      state_.take_endpoint(adapter::decode_endpoint(c.object), now);
     } catch (const adapter::format_error& e) {
       state_.log.write(daemon::log_level::error, "endpoint rejected",
                        {{"endpoint", c.object.name}, {"reason", e.what()}});
@@ -250,7 +274,7 @@
 {
   co_await enter();
   for (;;) {
-    const auto all = co_await list(daemon_kind);
+    const auto all = co_await list(daemon_kind, adapter::list_age::may_be_stale);
     for (const auto& item : all.items) {
       try {
         const auto address = boost::json::value_to<std::string>(item.spec.at("address"));
@@ -260,7 +284,9 @@
                          {{"entry", item.name}, {"reason", e.what()}});
       }
     }
-    co_await pause(all.whole ? daemon_list_period : store_.backoff(1));
+    const auto period = std::clamp(state_.call_period(daemon_lists_per_second),
+                                   shortest_daemon_list_period, longest_daemon_list_period);
+    co_await pause(all.whole ? period : store_.backoff(1));
   }
 }
 
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -39,11 +39,19 @@
   boost::asio::awaitable<void> follow_configuration();
   boost::asio::awaitable<void> follow_endpoints();
   boost::asio::awaitable<void> follow_daemons();
-  boost::asio::awaitable<listing> list(std::string_view kind);
-  boost::asio::awaitable<std::optional<adapter::change_page>>
-  read_changes(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait);
+  // The changes after a revision; none of them unless `result` says done.
+  struct change_reading {
+    adapter::store_result result = adapter::store_result::failed;
+    adapter::change_page page;
+  };
+
+  boost::asio::awaitable<listing> list(std::string_view kind, adapter::list_age age);
+  boost::asio::awaitable<change_reading> read_changes(std::string_view kind, std::uint64_t revision,
+                                                      std::chrono::milliseconds wait);
   boost::asio::awaitable<void> watch_configuration(std::uint64_t revision);
-  boost::asio::awaitable<void> watch_endpoints(std::uint64_t revision);
+  // Reads changes whenever they are due, until the store has forgotten some of them.
+  boost::asio::awaitable<void> watch_endpoints();
+  boost::asio::awaitable<void> wait_until_due();
   boost::asio::awaitable<void> enter();
   void take_endpoints(const listing& all);
   void take_endpoint_change(const adapter::change& c, std::uint64_t revision);
--- a/test/adapter/store_calls_test.cc
+++ b/test/adapter/store_calls_test.cc
@@ -13,6 +13,9 @@
 {
   EXPECT_EQ(list_call("k", "").target, "/objects/k");
   EXPECT_EQ(list_call("k", "n").target, "/objects/k?after=n");
+  EXPECT_EQ(list_call("k", "", list_age::may_be_stale).target, "/objects/k?serializable=1");
+  EXPECT_EQ(list_call("k", "n", list_age::may_be_stale).target,
+            "/objects/k?serializable=1&after=n");
   EXPECT_EQ(watch_call("k", 7, 2s).target, "/objects/k?watch=7&waitMs=2000");
 }
 
--- /dev/null
+++ b/test/gateway/endpoint_feed_test.cc
@@ -0,0 +1,178 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/endpoint_feed.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+endpoint_record record(const char* id, std::uint64_t revision, bool leaving = false)
+{
+  return {.id = endpoint_id(id),
+          .revision = revision,
+          .service = "chat",
+          .address = {.host = "10.0.0.1", .port = 80},
+          .leaving = leaving};
+}
+
+class EndpointFeedTest : public testing::Test {
+ protected:
+  // Both daemons have read the store at revision 10, where it held endpoint "a".
+  EndpointFeedTest()
+  {
+    for (auto* feed : {&reader_, &follower_}) {
+      feed->note(record("a", 5));
+      feed->on_read(10, start);
+    }
+  }
+
+  feed_step tell(mono_time asked_at)
+  {
+    return follower_.on_peer_view(reader_.view(asked_at), asked_at);
+  }
+
+  endpoint_feed reader_{{.notice = 2s, .seed = 1}};
+  endpoint_feed follower_{{.notice = 2s, .seed = 2}};
+};
+
+TEST_F(EndpointFeedTest, IsDueFromTheBeginning)
+{
+  EXPECT_TRUE(endpoint_feed({}).is_due(start));
+}
+
+TEST_F(EndpointFeedTest, IsDueWellBeforeTheNoticeIsOver)
+{
+  EXPECT_FALSE(follower_.is_due(start + 1'000ms));
+  EXPECT_TRUE(follower_.is_due(start + 1'200ms));
+}
+
+TEST_F(EndpointFeedTest, AReaderIsDueInHalfTheTime)
+{
+  reader_.set_reader(true);
+  reader_.on_read(11, start + 10ms);
+  EXPECT_FALSE(reader_.is_due(start + 500ms));
+  EXPECT_TRUE(reader_.is_due(start + 610ms));
+}
+
+TEST_F(EndpointFeedTest, APeersReadingPutsTheOwnOff)
+{
+  reader_.on_read(20, start + 500ms);
+  EXPECT_EQ(tell(start + 550ms), feed_step::nothing);
+  EXPECT_EQ(follower_.revision(), 20U);
+  EXPECT_FALSE(follower_.is_due(start + 1'500ms));
+}
+
+TEST_F(EndpointFeedTest, HeartbeatsAreNoChanges)
+{
+  reader_.note(record("a", 15));
+  reader_.on_read(20, start + 500ms);
+  EXPECT_EQ(tell(start + 550ms), feed_step::nothing);
+  EXPECT_TRUE(reader_.changes_after(10, start + 550ms).records.empty());
+}
+
+TEST_F(EndpointFeedTest, FetchesChangesBeforeItTakesThePeersView)
+{
+  reader_.note(record("a", 15, true));
+  reader_.note(record("b", 16));
+  reader_.on_read(20, start + 500ms);
+  EXPECT_EQ(tell(start + 550ms), feed_step::fetch);
+  EXPECT_EQ(follower_.revision(), 10U);
+  const auto changes = reader_.changes_after(10, start + 560ms);
+  EXPECT_EQ(changes.records, (std::vector{record("a", 15, true), record("b", 16)}));
+  for (const auto& r : changes.records) {
+    follower_.note(r);
+  }
+  follower_.on_fetched(changes.view, 10, start + 560ms);
+  EXPECT_EQ(follower_.revision(), 20U);
+  EXPECT_EQ(follower_.changes_after(10, start + 600ms).records, changes.records);
+}
+
+TEST_F(EndpointFeedTest, ForgetsEndpointsThatAreGone)
+{
+  reader_.note(record("b", 16));
+  reader_.retain({});
+  EXPECT_TRUE(reader_.changes_after(0, start).records.empty());
+}
+
+TEST_F(EndpointFeedTest, AnEndpointThatComesBackAsItWasIsAChange)
+{
+  reader_.forget(endpoint_id("a"));
+  reader_.note(record("a", 15));
+  reader_.on_read(20, start + 500ms);
+  EXPECT_EQ(tell(start + 550ms), feed_step::fetch);
+}
+
+TEST_F(EndpointFeedTest, WhatWasFetchedIsPassedOnThoughItSaysNothingNewHere)
+{
+  follower_.note_fetched(record("a", 15));
+  EXPECT_EQ(follower_.changes_after(10, start).records, std::vector{record("a", 15)});
+  EXPECT_EQ(follower_.view(start).changed, 15U);
+}
+
+TEST_F(EndpointFeedTest, AnAnswerThatTookLongDoesNotLookFresh)
+{
+  reader_.on_read(20, start + 500ms);
+  const auto view = reader_.view(start + 2'500ms);
+  EXPECT_EQ(follower_.on_peer_view(view, start + 2'500ms), feed_step::nothing);
+  EXPECT_TRUE(follower_.is_due(start + 2'500ms));
+}
+
+TEST_F(EndpointFeedTest, DoesNotFollowAcrossAGapInWhichItMayHaveMissedDepartures)
+{
+  reader_.on_read(20, start + 6s);
+  EXPECT_EQ(tell(start + 6s), feed_step::nothing);
+  EXPECT_EQ(follower_.revision(), 10U);
+}
+
+TEST_F(EndpointFeedTest, DoesNotFollowBeforeItsFirstReading)
+{
+  endpoint_feed fresh({.notice = 2s});
+  EXPECT_EQ(fresh.on_peer_view(reader_.view(start), start), feed_step::nothing);
+  EXPECT_EQ(fresh.revision(), 0U);
+}
+
+TEST_F(EndpointFeedTest, ChangesFetchedAfterALaterRevisionThanTheOwnAreNotTheWholeGap)
+{
+  reader_.on_read(20, start + 500ms);
+  follower_.on_fetched(reader_.view(start + 500ms), 12, start + 500ms);
+  EXPECT_EQ(follower_.revision(), 10U);
+}
+
+TEST_F(EndpointFeedTest, InAFleetOnlyTheReadersRead)
+{
+  // Each daemon hears the one that read last within 400 ms.
+  std::vector<endpoint_feed> fleet;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    fleet.emplace_back(endpoint_feed_options{.notice = 2s, .seed = seed});
+    fleet.back().set_reader(seed < 3);
+    fleet.back().on_read(1, start);
+  }
+  int reads = 0;
+  int reads_of_others = 0;
+  const endpoint_feed* latest = nullptr;
+  for (int step = 1; step <= 600; ++step) {
+    const auto now = start + step * 100ms;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      if (fleet[i].is_due(now)) {
+        fleet[i].on_read(1, now);
+        latest = &fleet[i];
+        ++reads;
+        reads_of_others += i < 3 ? 0 : 1;
+      }
+    }
+    for (auto& feed : fleet) {
+      if (latest != nullptr && step % 4 == 0) {
+        static_cast<void>(feed.on_peer_view(latest->view(now), now));
+      }
+    }
+  }
+  EXPECT_LE(reads, 60 * 5); // alone each would read about once a second: 1,200
+  EXPECT_GE(reads, 60);
+  EXPECT_LE(reads_of_others, 10);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -51,6 +51,18 @@
   EXPECT_TRUE(pool_.serving("other").empty());
 }
 
+TEST_F(EndpointPoolTest, ForgetsAnEndpointSomeTimeAfterItsDeparture)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  pool_.on_departure({.id = endpoint_id("a"), .revision = 6}, start);
+  pool_.tick(start + 29s);
+  EXPECT_EQ(pool_.all().size(), 2U);
+  pool_.tick(start + 30s);
+  EXPECT_EQ(pool_.all().size(), 1U);
+  pool_.apply(record("a", 4), start + 31s);
+  EXPECT_EQ(pool_.serving("chat").size(), 1U);
+}
+
 TEST_F(EndpointPoolTest, ALeavingEndpointGetsNoNewWork)
 {
   list({record("a", 1)}, 5);
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -18,20 +18,38 @@
 
 TEST(PeerReportTest, ComesBackAsItWasSent)
 {
-  const peer_report sent{.self = contact("a", 1),
-                         .configuration_version = 9,
-                         .clock = from_unix_ms(1'234'567),
-                         .known = {contact("b", 2)},
-                         .heard = {{.id = daemon_id("b"), .age = std::chrono::milliseconds(40)}},
-                         .work = {{endpoint_id("e"), {.waiting = 1, .running = 2}}},
-                         .prefill = {{"chat", 1'500.5}},
-                         .departures = {{.id = endpoint_id("f"), .revision = 44}},
-                         .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
-                                    .window = 17,
-                                    .counts = {{workspace_id("hotel"), 3}}}}};
+  const peer_report sent{
+      .self = contact("a", 1),
+      .configuration_version = 9,
+      .clock = from_unix_ms(1'234'567),
+      .known = {contact("b", 2)},
+      .heard = {{.id = daemon_id("b"), .age = std::chrono::milliseconds(40)}},
+      .work = {{endpoint_id("e"), {.waiting = 1, .running = 2}}},
+      .prefill = {{"chat", 1'500.5}},
+      .departures = {{.id = endpoint_id("f"), .revision = 44}},
+      .endpoints = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
+      .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
+                 .window = 17,
+                 .counts = {{workspace_id("hotel"), 3}}}}};
   EXPECT_EQ(decode_peer_report(encode_peer_report(sent)), sent);
 }
 
+TEST(PeerReportTest, EndpointChangesComeBackAsTheyWereSent)
+{
+  const endpoint_changes sent{
+      .view = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
+      .records = {{.id = endpoint_id("e"),
+                   .revision = 44,
+                   .service = "chat",
+                   .address = {.host = "10.0.0.3", .port = 8'000},
+                   .zone = availability_zone("z"),
+                   .places = 8,
+                   .leaving = true,
+                   .reclaimable = true}}};
+  EXPECT_EQ(decode_endpoint_changes(encode_endpoint_changes(sent)), sent);
+  EXPECT_THROW(static_cast<void>(decode_endpoint_changes("{}")), peer_report_error);
+}
+
 TEST(PeerReportTest, RejectsWhatItCannotRead)
 {
   EXPECT_THROW(static_cast<void>(decode_peer_report("{}")), peer_report_error);
--- a/test/relay/fake_store.cc
+++ b/test/relay/fake_store.cc
@@ -25,18 +25,18 @@
 
 void fake_store::put(const std::string& kind, const std::string& name, json::value spec)
 {
-  kinds_[kind][name] = {.revision = ++revision_, .spec = std::move(spec)};
+  content_->kinds[kind][name] = {.revision = ++content_->revision, .spec = std::move(spec)};
 }
 
 void fake_store::erase(const std::string& kind, const std::string& name)
 {
-  kinds_[kind][name] = {.revision = ++revision_, .deleted = true};
+  content_->kinds[kind][name] = {.revision = ++content_->revision, .deleted = true};
 }
 
 json::value fake_store::get(const std::string& kind, const std::string& name) const
 {
-  const auto of_kind = kinds_.find(kind);
-  if (of_kind == kinds_.end()) {
+  const auto of_kind = content_->kinds.find(kind);
+  if (of_kind == content_->kinds.end()) {
     return nullptr;
   }
   const auto it = of_kind->second.find(name);
@@ -73,8 +73,8 @@
     return after.empty() ? list(kind) : changes(kind, std::stoull(after));
   }
   const auto& name = r.segments.at(2);
-  const auto it = kinds_[kind].find(name);
-  if (it == kinds_[kind].end() || it->second.deleted) {
+  const auto it = content_->kinds[kind].find(name);
+  if (it == content_->kinds[kind].end() || it->second.deleted) {
     return {.status = 404};
   }
   if (r.method == "PUT") {
@@ -90,40 +90,40 @@
 fake_reply fake_store::list(const std::string& kind)
 {
   json::array items;
-  for (const auto& [name, o] : kinds_[kind]) {
+  for (const auto& [name, o] : content_->kinds[kind]) {
     if (!o.deleted) {
       items.push_back(render(name, o));
     }
   }
-  return {.body = {{"items", std::move(items)}, {"hasMore", false}, {"at", revision_}}};
+  return {.body = {{"items", std::move(items)}, {"hasMore", false}, {"at", content_->revision}}};
 }
 
 fake_reply fake_store::changes(const std::string& kind, std::uint64_t after)
 {
   json::array events;
-  for (const auto& [name, o] : kinds_[kind]) {
+  for (const auto& [name, o] : content_->kinds[kind]) {
     if (o.revision > after) {
       events.push_back({{"deleted", o.deleted}, {"object", render(name, o)}});
     }
   }
-  return {.body = {{"events", std::move(events)}, {"at", revision_}}};
+  return {.body = {{"events", std::move(events)}, {"at", content_->revision}}};
 }
 
 fake_reply fake_store::create(const std::string& kind, const json::value& body)
 {
   const auto name = json::value_to<std::string>(body.at("metadata").at("name"));
-  const auto it = kinds_[kind].find(name);
-  if (it != kinds_[kind].end() && !it->second.deleted) {
+  const auto it = content_->kinds[kind].find(name);
+  if (it != content_->kinds[kind].end() && !it->second.deleted) {
     return {.status = 409, .body = render(name, it->second)};
   }
   put(kind, name, body.at("spec"));
-  return {.body = render(name, kinds_[kind][name])};
+  return {.body = render(name, content_->kinds[kind][name])};
 }
 
 fake_reply fake_store::replace(const std::string& kind, const std::string& name,
                                const json::value& body)
 {
-  auto& o = kinds_[kind][name];
+  auto& o = content_->kinds[kind][name];
   const auto base = body.at("metadata").at("revision").to_number<std::uint64_t>();
   if (base != o.revision) {
     return {.status = 409, .body = render(name, o)};
--- a/test/relay/fake_store.h
+++ b/test/relay/fake_store.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,17 @@
 
 class fake_store final : public fakes::fake_server {
  public:
-  explicit fake_store(boost::asio::io_context& context) : fake_server(context, 0) {}
+  explicit fake_store(boost::asio::io_context& context)
+      : fake_server(context, 0), content_(std::make_shared<content>())
+  {
+  }
+
+  // Another way to the content of `same`, which can be away by itself: the platform's store may
+  // turn some daemons away and serve the others.
+  fake_store(boost::asio::io_context& context, const fake_store& same)
+      : fake_server(context, 0), content_(same.content_)
+  {
+  }
 
   // Writes an object as the operator or an endpoint does.
   void put(const std::string& kind, const std::string& name, boost::json::value spec);
@@ -48,8 +59,12 @@
                             const boost::json::value& body);
   static boost::json::value render(const std::string& name, const object& o);
 
-  std::map<std::string, std::map<std::string, object>> kinds_;
-  std::uint64_t revision_ = 0;
+  struct content {
+    std::map<std::string, std::map<std::string, object>> kinds;
+    std::uint64_t revision = 0;
+  };
+
+  std::shared_ptr<content> content_;
 };
 
 } // namespace wisteriaflow::relay
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -230,6 +230,23 @@
       "the peer's configuration is in force");
 }
 
+TEST_F(GatewayTest, LearnsOfNewEndpointsFromPeersWhileTheStoreTurnsItAway)
+{
+  add_endpoint("i-1");
+  fake_store door(context_, store_);
+  start_gateway(store_);
+  auto& cut = start_gateway(door);
+  const auto served_by_cut = [&] {
+    return send(cut.options.callers, request_for("GET", "/safe/1")).status == 200;
+  };
+  wait_until(served_by_cut, "the second daemon serves");
+  door.away = true;
+  add_endpoint("i-2");
+  write_endpoint(*endpoints_[0], "draining");
+  wait_until([&] { return served_by_cut() && !endpoints_[1]->received.empty(); },
+             "the second daemon uses the new endpoint");
+}
+
 TEST_F(GatewayTest, TellsCallersOfAllReadyDaemons)
 {
   add_endpoint("i-1");
