Tell peers no view of the endpoints while removals are on hold

A daemon that had failed one call of the store long ago took its next answer for the end of an outage and held removals for 2.3 s; as a reader it told its peers a view in which they were read and not done, so nobody read them again. 0.8 s to the reading and 2.3 s of hold are the 3.1 s seen. Change: an outage is the time from the first failed call to the last (relay/outage_watch), not to the next answer; while removals may be on hold no view is told. Ruled out: a storm of news between peers (counted: at most 3 rounds in 0.5 s, 32 questions), stale views (the oldest was 1.8 s), failed exchanges (4 in 0.5 s at the most).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -137,6 +137,12 @@
   // is still missing then is gone.
   void hold_removals_until(mono_time deadline) { hold_until_ = deadline; }
 
+  // Whether a removal may be on hold. Until none is, this daemon knows less than it has read.
+  [[nodiscard]] bool holds_removals(mono_time now) const
+  {
+    return now < hold_until_ || !held_removals_.empty();
+  }
+
   // Carries out removals whose hold has ended. Call a few times a second.
   void tick(mono_time now);
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -162,6 +162,17 @@
   return out;
 }
 
+gateway::endpoint_view fleet_state::endpoint_view(mono_time now) const
+{
+  return endpoints.holds_removals(now) ? gateway::endpoint_view{} : feed.view(now);
+}
+
+gateway::endpoint_changes fleet_state::endpoint_changes(std::uint64_t revision, mono_time now) const
+{
+  return endpoints.holds_removals(now) ? gateway::endpoint_changes{}
+                                       : feed.changes_after(revision, now);
+}
+
 gateway::peer_report fleet_state::report(const clock_reading& now)
 {
   const auto is_silent = [&](const daemon_id& id) {
@@ -175,7 +186,7 @@
           .work = endpoints.own_work(),
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
-          .endpoints = feed.view(now.mono),
+          .endpoints = endpoint_view(now.mono),
           .usage = usage.rows(is_silent)};
 }
 
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -73,6 +73,12 @@
   // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
 
+  // How current the endpoints are here, and what a peer lacks whose view is at `revision`. Nothing
+  // is told while removals are on hold: a peer that followed would never see them.
+  [[nodiscard]] gateway::endpoint_view endpoint_view(mono_time now) const;
+  [[nodiscard]] gateway::endpoint_changes endpoint_changes(std::uint64_t revision,
+                                                           mono_time now) const;
+
   // What to tell a peer now.
   [[nodiscard]] gateway::peer_report report(const clock_reading& now);
 
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -236,7 +236,7 @@
   if (!after) {
     return {.status = status_malformed};
   }
-  const auto changes = state_.feed.changes_after(*after, std::chrono::steady_clock::now());
+  const auto changes = state_.endpoint_changes(*after, std::chrono::steady_clock::now());
   return {.status = status_ok, .body = encode_endpoint_changes(changes)};
 }
 
--- a/src/relay/store_client.cc
+++ b/src/relay/store_client.cc
@@ -77,21 +77,12 @@
 
 void store_client::note(bool answered)
 {
-  const auto now = std::chrono::steady_clock::now();
-  if (!answered) {
-    failing_since_ = failing_since_.value_or(now);
-    return;
-  }
-  if (!failing_since_) {
-    return;
-  }
-  const auto away = std::chrono::duration_cast<milliseconds>(now - *failing_since_);
-  failing_since_.reset();
-  if (away < outage) {
+  const auto away = outages_.note(answered, std::chrono::steady_clock::now());
+  if (!away) {
     return;
   }
   state_.log.write(daemon::log_level::info, "store answers again",
-                   {{"away_ms", std::to_string(away.count())}});
+                   {{"away_ms", std::to_string(away->count())}});
   if (on_return_) {
     on_return_();
   }
--- a/src/relay/store_client.h
+++ b/src/relay/store_client.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "relay/fleet_state.h"
+#include "relay/outage_watch.h"
 #include "store_calls.h"
 #include "wisteriaflow/http/client.h"
 
@@ -33,7 +34,7 @@
   boost::asio::awaitable<store_reply> call(http::request message, std::string name,
                                            std::chrono::milliseconds timeout);
 
-  // Told when the store answers again after it had not for at least `outage`.
+  // Told when the store answers again after calls had failed for at least `outage`.
   void on_return(std::function<void()> callback) { on_return_ = std::move(callback); }
 
   // Pause before a failed call is made again: doubled with each failure in a row, with jitter, so
@@ -48,7 +49,7 @@
 
   http::client client_;
   fleet_state& state_;
-  std::optional<mono_time> failing_since_;
+  outage_watch outages_{outage};
   std::function<void()> on_return_;
   std::mt19937_64 random_;
 };
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -127,6 +127,13 @@
   EXPECT_EQ(follower_.revision(), 10U);
 }
 
+TEST_F(EndpointFeedTest, DoesNotFollowAPeerThatTellsNoView)
+{
+  EXPECT_EQ(follower_.on_peer_view({}, start + 500ms), feed_step::nothing);
+  follower_.on_fetched({}, 10, start + 500ms);
+  EXPECT_TRUE(follower_.is_due(start + 1'200ms));
+}
+
 TEST_F(EndpointFeedTest, DoesNotFollowBeforeItsFirstReading)
 {
   endpoint_feed fresh({.notice = 2s});
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -63,6 +63,18 @@
   EXPECT_EQ(pool_.serving("chat").size(), 1U);
 }
 
+TEST_F(EndpointPoolTest, SaysThatItHoldsRemovalsUntilTheyAreCarriedOut)
+{
+  list({record("a", 1)}, 5);
+  EXPECT_FALSE(pool_.holds_removals(start));
+  pool_.hold_removals_until(start + 1s);
+  pool_.remove({.id = endpoint_id("a"), .revision = 6}, start);
+  EXPECT_TRUE(pool_.holds_removals(start));
+  EXPECT_TRUE(pool_.holds_removals(start + 1s));
+  pool_.tick(start + 1s);
+  EXPECT_FALSE(pool_.holds_removals(start + 1s));
+}
+
 TEST_F(EndpointPoolTest, ALeavingEndpointGetsNoNewWork)
 {
   list({record("a", 1)}, 5);
