Follow no view whose owner may not have seen a removal

Change: a view says after which revision its owner has seen every removal (its list's); a peer follows only if its own view is not older. Fetched changes carry the departures that are younger than the report. Ruled out: stale heartbeats that undo a leaving state (none in the log), a lost event of the watch. The new test fails without the change. Also: status codes, the pause of coroutines and refusals are written once; a configuration's version is read before the rest; a stream that was cut short has a line of its own, which the new tests that go from a request's id to its cause found missing.

--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -30,18 +30,22 @@
 
 // A view as it is told to peers.
 struct endpoint_view {
-  std::uint64_t revision = 0;       // of the store: every change up to it is known; 0: nothing is
-  std::uint64_t changed = 0;        // of the last change that is more than a heartbeat
+  std::uint64_t revision = 0; // of the store: every change up to it is known; 0: nothing is
+  std::uint64_t changed = 0;  // of the last change that is more than a heartbeat
+  // Every removal after this revision has been seen and told. A list shows what is there, not what
+  // was removed before.
+  std::uint64_t removals_after = 0;
   std::chrono::milliseconds age{0}; // since the store was asked that stood at `revision`
 
   friend bool operator==(const endpoint_view&, const endpoint_view&) = default;
 };
 
-// A peer's answer to a question for changes: the endpoints described anew after a revision.
-// Departures are not among them; every report tells those.
+// A peer's answer to a question for changes: the endpoints described anew after a revision, and the
+// latest departures, some of which may be younger than the report that gave rise to the question.
 struct endpoint_changes {
   endpoint_view view;
   std::vector<endpoint_record> records;
+  std::vector<endpoint_departure> departures = {};
 
   friend bool operator==(const endpoint_changes&, const endpoint_changes&) = default;
 };
@@ -67,6 +71,9 @@
   // Whether this daemon is one of the few that read for the others.
   void set_reader(bool reader) { is_reader_ = reader; }
 
+  // The whole list stood so at `revision` when the store was asked, and has been noted.
+  void on_list(std::uint64_t revision, mono_time asked_at);
+
   // The store stood at `revision` when it was asked, and all changes up to there have been noted.
   void on_read(std::uint64_t revision, mono_time asked_at);
 
@@ -113,6 +120,7 @@
   std::mt19937_64 random_;
   std::uint64_t revision_ = 0;
   std::uint64_t changed_ = 0;
+  std::uint64_t removals_after_ = 0;
   mono_time read_at_;
   mono_time due_at_;
   bool is_reader_ = false;
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -137,6 +137,7 @@
 #include "wisteriaflow/core/timer_queue.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/message.h"
+#include "wisteriaflow/http/status.h"
 
 // daemon
 #include "wisteriaflow/daemon/daemon.h"
--- a/src/gateway/answer_verdict.cc
+++ b/src/gateway/answer_verdict.cc
@@ -1,24 +1,18 @@
 #include "wisteriaflow/gateway/answer_verdict.h"
 
+#include "wisteriaflow/http/status.h"
+
 namespace wisteriaflow::gateway {
 namespace {
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
-constexpr int first_server_error = 500;
-constexpr int request_timeout = 408;
-constexpr int misdirected = 421;
-constexpr int too_many_requests = 429;
-constexpr int bad_gateway = 502;
-constexpr int unavailable = 503;
-constexpr int gateway_timeout = 504;
+namespace status = http::status;
 
 // Statuses by which callers understand "not run". An endpoint that does not promise it in so many
 // words must not have them passed on.
-bool sounds_not_run(int status)
+bool sounds_not_run(int code)
 {
-  return status == request_timeout || status == misdirected || status == too_many_requests ||
-         status == unavailable;
+  return code == status::request_timeout || code == status::misdirected ||
+         code == status::too_many_requests || code == status::unavailable;
 }
 
 } // namespace
@@ -32,12 +26,12 @@
   if (other_request || sounds_not_run(head.status)) {
     return attempt_outcome::broken;
   }
-  const bool success = head.status >= first_success && head.status < first_redirect;
-  if (success) {
+  if (status::is_success(head.status)) {
     const bool is_signed = head.has_signature && head.request_id == request_id;
     return is_signed ? attempt_outcome::answered : attempt_outcome::broken;
   }
-  return head.status >= first_server_error ? attempt_outcome::failed : attempt_outcome::answered;
+  return head.status >= status::first_server_error ? attempt_outcome::failed
+                                                   : attempt_outcome::answered;
 }
 
 attempt_history after(attempt_history history, attempt_outcome outcome)
@@ -50,9 +44,9 @@
 int final_status(const attempt_history& history)
 {
   if (!history.may_have_run) {
-    return unavailable;
+    return status::unavailable;
   }
-  return history.timed_out ? gateway_timeout : bad_gateway;
+  return history.timed_out ? status::gateway_timeout : status::bad_gateway;
 }
 
 bool may_send_again(const route& r, const attempt_history& history)
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -32,6 +32,12 @@
   due_at_ = read_at + milliseconds(static_cast<std::int64_t>(pause));
 }
 
+void endpoint_feed::on_list(std::uint64_t revision, mono_time asked_at)
+{
+  removals_after_ = revision;
+  move_to(revision, asked_at);
+}
+
 void endpoint_feed::on_read(std::uint64_t revision, mono_time asked_at)
 {
   move_to(revision, asked_at);
@@ -72,7 +78,8 @@
 // Whether the gap between this daemon's view and a peer's can be closed by what the peer tells.
 bool endpoint_feed::may_follow(const endpoint_view& told, mono_time read_at) const
 {
-  return revision_ > 0 && told.revision >= revision_ && read_at > read_at_ &&
+  const bool closes_gap = told.removals_after <= revision_ && told.revision >= revision_;
+  return revision_ > 0 && closes_gap && read_at > read_at_ &&
          read_at - read_at_ < options_.longest_gap;
 }
 
@@ -106,6 +113,7 @@
   }
   return {.revision = revision_,
           .changed = changed_,
+          .removals_after = removals_after_,
           .age = std::chrono::ceil<milliseconds>(now - read_at_)};
 }
 
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -106,15 +106,38 @@
   return out;
 }
 
+json::object encode(const std::vector<endpoint_departure>& departures)
+{
+  json::object out;
+  for (const auto& d : departures) {
+    out[d.id.value()] = d.revision;
+  }
+  return out;
+}
+
+std::vector<endpoint_departure> decode_departures(const json::value& from)
+{
+  std::vector<endpoint_departure> out;
+  for (const auto& [id, revision] : from.as_object()) {
+    out.push_back(
+        {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
+  }
+  return out;
+}
+
 json::value encode(const endpoint_view& view)
 {
-  return {{"revision", view.revision}, {"changed", view.changed}, {"age", view.age.count()}};
+  return {{"revision", view.revision},
+          {"changed", view.changed},
+          {"removals_after", view.removals_after},
+          {"age", view.age.count()}};
 }
 
 endpoint_view decode_view(const json::value& from)
 {
   return {.revision = number_at(from, "revision"),
           .changed = number_at(from, "changed"),
+          .removals_after = number_at(from, "removals_after"),
           .age = std::chrono::milliseconds(from.at("age").to_number<std::int64_t>())};
 }
 
@@ -159,10 +182,7 @@
   for (const auto& [service, rate] : from.at("prefill").as_object()) {
     out.prefill[std::string(service)] = rate.to_number<double>();
   }
-  for (const auto& [id, revision] : from.at("departures").as_object()) {
-    out.departures.push_back(
-        {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
-  }
+  out.departures = decode_departures(from.at("departures"));
   out.endpoints = decode_view(from.at("endpoints"));
   for (const auto& r : from.at("usage").as_array()) {
     out.usage.push_back(decode_row(r));
@@ -188,15 +208,11 @@
   for (const auto& c : report.known) {
     known.push_back(encode(c));
   }
-  json::object departures;
-  for (const auto& d : report.departures) {
-    departures[d.id.value()] = d.revision;
-  }
   const json::value out = {
       {"self", encode(report.self)},           {"configuration", report.configuration_version},
       {"clock", to_unix_ms(report.clock)},     {"known", std::move(known)},
       {"heard", encode(report.heard)},         {"work", encode(report.work)},
-      {"prefill", encode(report.prefill)},     {"departures", std::move(departures)},
+      {"prefill", encode(report.prefill)},     {"departures", encode(report.departures)},
       {"endpoints", encode(report.endpoints)}, {"usage", encode(report.usage)}};
   return json::serialize(out);
 }
@@ -220,7 +236,9 @@
   for (const auto& r : changes.records) {
     records.push_back(encode(r));
   }
-  const json::value out = {{"view", encode(changes.view)}, {"records", std::move(records)}};
+  const json::value out = {{"view", encode(changes.view)},
+                           {"records", std::move(records)},
+                           {"departures", encode(changes.departures)}};
   return json::serialize(out);
 }
 
@@ -231,6 +249,7 @@
     for (const auto& r : from.at("records").as_array()) {
       out.records.push_back(decode_record(r));
     }
+    out.departures = decode_departures(from.at("departures"));
     return out;
   });
 }
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -5,6 +5,7 @@
 
 #include "messages.h"
 #include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -27,13 +28,6 @@
   using http_error::http_error;
 };
 
-bool is_success(int status)
-{
-  constexpr int first_success = 200;
-  constexpr int first_redirect = 300;
-  return status >= first_success && status < first_redirect;
-}
-
 } // namespace
 
 attempt::attempt(asio::io_context& context, fleet_state& state, http::client& client,
@@ -149,7 +143,8 @@
   head_ = adapter::decode_answer(head);
   result_.answer = head;
   const auto outcome = gateway::judge(head_, call_.description.request_id);
-  streaming_ = head_.is_stream && is_success(head.status) && outcome == attempt_outcome::answered;
+  streaming_ = head_.is_stream && http::status::is_success(head.status) &&
+               outcome == attempt_outcome::answered;
   if (!streaming_ && (outcome == attempt_outcome::answered || outcome == attempt_outcome::failed)) {
     note_begin();
   }
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -5,6 +5,7 @@
 
 #include "messages.h"
 #include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -13,12 +14,6 @@
 namespace asio = boost::asio;
 using gateway::attempt_outcome;
 
-constexpr int unauthorised = 401;
-constexpr int not_found = 404;
-constexpr int too_large = 413;
-constexpr int too_many_requests = 429;
-constexpr int unavailable = 503;
-
 // Opening a connection to an endpoint takes a millisecond; one that takes this long is to an
 // endpoint that is away.
 constexpr milliseconds connect_timeout{250};
@@ -97,23 +92,23 @@
                      .configuration = state_.configuration(),
                      .received_at = now};
   if (!call.configuration || !state_.endpoints.is_known()) {
-    return refusal{unavailable, "no configuration yet", now + retry_pause};
+    return refusal{http::status::unavailable, "no configuration yet", now + retry_pause};
   }
   call.route = call.configuration->match(call.description.host, call.description.path);
   if (call.route == nullptr) {
-    return refusal{not_found, "no route", std::nullopt};
+    return refusal{http::status::not_found, "no route", std::nullopt};
   }
   call.priority = call.route->priority;
   if (auto why = find_workspace(call)) {
     return *why;
   }
   if (received.body.size() > call.configuration->declared().max_body_bytes) {
-    return refusal{too_large, "body over the limit", std::nullopt};
+    return refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
   }
   const auto leaving = state_.leaving_since();
   const bool stream = call.route->kind == gateway::call_kind::stream;
   if (leaving && stream && now > *leaving + last_stream_start) {
-    return refusal{unavailable, "this daemon is about to end", now + retry_elsewhere};
+    return refusal{http::status::unavailable, "this daemon is about to end", now + retry_elsewhere};
   }
   call.deadline = now + call.route->timeout;
   if (call.description.deadline) {
@@ -133,7 +128,7 @@
   if (workspace == nullptr) {
     return call.route->is_public
                ? std::nullopt
-               : std::optional(refusal{unauthorised, "unknown key", std::nullopt});
+               : std::optional(refusal{http::status::unauthorized, "unknown key", std::nullopt});
   }
   call.workspace = workspace->id;
   call.priority = workspace->priority.value_or(call.priority);
@@ -155,12 +150,13 @@
   if (decided.outcome == gateway::quota_outcome::admitted) {
     co_return std::nullopt;
   }
-  state_.log.write(daemon::log_level::info, "quota refused",
-                   {{"request", call.description.request_id},
-                    {"workspace", call.workspace.value()},
-                    {"units", std::to_string(call.quota_units)},
-                    {"daemons_counted", std::to_string(state_.peers.counted(call.received_at))}});
-  co_return refusal{too_many_requests, "workspace over its rate", decided.retry_at};
+  co_return refusal{
+      .status = http::status::too_many_requests,
+      .reason = "workspace over its rate",
+      .retry_at = decided.retry_at,
+      .inputs = {{"workspace", call.workspace.value()},
+                 {"units", std::to_string(call.quota_units)},
+                 {"daemons_counted", std::to_string(state_.peers.counted(call.received_at))}}};
 }
 
 const std::string& call_relay::draw_service(const gateway::route& r)
@@ -273,29 +269,34 @@
 
 asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer)
 {
+  const auto now = std::chrono::steady_clock::now();
+  const int status = gateway::final_status(call.history);
+  note_given_up(call, call.answer_begun ? "cut short" : std::to_string(status));
   if (call.answer_begun) {
     // The caller must see that the answer is not whole.
     writer.abort();
     co_return;
   }
-  const int status = gateway::final_status(call.history);
-  const auto now = std::chrono::steady_clock::now();
   if (!call.history.may_have_run) {
     state_.quota.give_back(call.workspace, call.quota_units, now);
   }
-  const auto retry_at = status == unavailable ? std::optional(now + retry_pause) : std::nullopt;
-  state_.counters.count("answers",
-                        {{"route", call.route->name}, {"status", std::to_string(status)}});
+  const auto retry_at =
+      status == http::status::unavailable ? std::optional(now + retry_pause) : std::nullopt;
+  auto out = adapter::refusal(status, "no endpoint answered", retry_at, now);
+  co_await writer.send(std::move(out));
+}
+
+void call_relay::note_given_up(const admitted_call& call, const std::string& status)
+{
+  state_.counters.count("answers", {{"route", call.route->name}, {"status", status}});
   state_.log.write(daemon::log_level::warn, "call given up",
                    {{"request", call.description.request_id},
                     {"route", call.route->name},
-                    {"status", std::to_string(status)},
+                    {"status", status},
                     {"attempts", std::to_string(call.history.sent)},
                     {"connect_failures", std::to_string(call.connect_failures)},
                     {"configuration", std::to_string(call.configuration->version())},
                     {"serving", std::to_string(state_.endpoints.serving(call.service).size())}});
-  auto out = adapter::refusal(status, "no endpoint answered", retry_at, now);
-  co_await writer.send(std::move(out));
 }
 
 std::optional<gateway::pooled_endpoint> call_relay::choose(const admitted_call& call)
@@ -318,11 +319,12 @@
 {
   state_.counters.count("refusals", {{"reason", why.reason}});
   const auto now = std::chrono::steady_clock::now();
-  state_.log.write(daemon::log_level::warn, "call refused",
-                   {{"request", adapter::decode_call(received, now).request_id},
-                    {"status", std::to_string(why.status)},
-                    {"reason", why.reason},
-                    {"configuration", std::to_string(state_.configuration_version())}});
+  log_fields fields = {{"request", adapter::decode_call(received, now).request_id},
+                       {"status", std::to_string(why.status)},
+                       {"reason", why.reason},
+                       {"configuration", std::to_string(state_.configuration_version())}};
+  fields.insert(fields.end(), why.inputs.begin(), why.inputs.end());
+  state_.log.write(daemon::log_level::warn, "call refused", std::move(fields));
 }
 
 void call_relay::note_attempt(const admitted_call& call, const attempt_result& result)
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -43,6 +43,7 @@
     int status = 0;
     std::string reason;
     std::optional<mono_time> retry_at;
+    log_fields inputs = {}; // what decided it, for the log
   };
 
   using admission = std::variant<admitted_call, refusal>;
@@ -64,6 +65,7 @@
   std::optional<gateway::pooled_endpoint> choose(const admitted_call& call);
   const std::string& draw_service(const gateway::route& r);
   bool may_repeat(const admitted_call& call, const attempt_result& last);
+  void note_given_up(const admitted_call& call, const std::string& status);
   void log_refusal(const http::request& received, const refusal& why);
   void note_attempt(const admitted_call& call, const attempt_result& result);
 
--- a/src/relay/duties.cc
+++ b/src/relay/duties.cc
@@ -5,14 +5,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
 #include "errors.h"
+#include "relay/pause.h"
 #include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -33,7 +32,6 @@
 constexpr milliseconds counts_settle{1'000};
 // A report may have been made this long before it came.
 constexpr milliseconds last_count_delay{300};
-constexpr int status_ok = 200;
 
 json::value encode(const gateway::window_counts& counts)
 {
@@ -77,13 +75,6 @@
   asio::co_spawn(context_, order_endpoints(), asio::detached);
 }
 
-asio::awaitable<void> duties::pause(milliseconds time)
-{
-  asio::steady_timer timer(context_, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<void> duties::keep_lease()
 {
   for (;;) {
@@ -154,7 +145,7 @@
   }
   auto message = adapter::usage_call(stamp(), window, *counts);
   const auto status = co_await call_cloud(std::move(message));
-  if (status != status_ok) {
+  if (status != http::status::ok) {
     co_return; // sent again, with the same counts
   }
   reported_.insert(window);
--- a/src/relay/duties.h
+++ b/src/relay/duties.h
@@ -3,7 +3,6 @@
 #ifndef WISTERIAFLOW_SRC_RELAY_DUTIES_H_
 #define WISTERIAFLOW_SRC_RELAY_DUTIES_H_
 
-#include <map>
 #include <optional>
 #include <set>
 
@@ -41,7 +40,6 @@
   // Makes one call to the platform; the status, or nothing without an answer.
   boost::asio::awaitable<std::optional<int>> call_cloud(http::request message);
   [[nodiscard]] adapter::duty_stamp stamp() const;
-  boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
 
   boost::asio::io_context& context_;
   fleet_state& state_;
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -60,6 +60,10 @@
 {
   gateway::configuration declared;
   try {
+    // Most documents are known already; reading one whole takes milliseconds here.
+    if (adapter::decode_version(document) <= configuration_version()) {
+      return;
+    }
     declared = adapter::decode_configuration(document);
   } catch (const adapter::format_error& e) {
     log.write(daemon::log_level::error, "configuration rejected",
@@ -68,9 +72,6 @@
                {"version_in_force", std::to_string(configuration_version())}});
     return;
   }
-  if (declared.version <= configuration_version()) {
-    return;
-  }
   const auto before = configuration_version();
   configuration_ = std::make_shared<const gateway::configuration_index>(std::move(declared));
   document_ = document;
@@ -145,6 +146,21 @@
   feed.note(record);
 }
 
+void fleet_state::take_departures(const std::vector<gateway::endpoint_departure>& told,
+                                  mono_time now)
+{
+  bool news = false;
+  for (const auto& d : told) {
+    if (endpoints.on_departure(d, now)) {
+      feed.forget(d.id);
+      news = true;
+    }
+  }
+  if (news) {
+    announce_news();
+  }
+}
+
 std::chrono::milliseconds fleet_state::call_period(double fleet_calls_per_second) const
 {
   const auto daemons = static_cast<double>(peers.counted(std::chrono::steady_clock::now()));
@@ -169,8 +185,12 @@
 
 gateway::endpoint_changes fleet_state::endpoint_changes(std::uint64_t revision, mono_time now) const
 {
-  return endpoints.holds_removals(now) ? gateway::endpoint_changes{}
-                                       : feed.changes_after(revision, now);
+  if (endpoints.holds_removals(now)) {
+    return {};
+  }
+  auto out = feed.changes_after(revision, now);
+  out.departures = endpoints.departures(now);
+  return out;
 }
 
 gateway::peer_report fleet_state::report(const clock_reading& now)
@@ -197,16 +217,7 @@
   }
   peers.on_report(told, now.mono);
   clock.on_reading(told.self.id, told.clock, now.mono);
-  bool news = false;
-  for (const auto& d : told.departures) {
-    if (endpoints.on_departure(d, now.mono)) {
-      feed.forget(d.id);
-      news = true;
-    }
-  }
-  if (news) {
-    announce_news();
-  }
+  take_departures(told.departures, now.mono);
   endpoints.on_peer_work(told.self.id, told.work, now.mono);
   endpoints.on_peer_prefill(told.self.id, told.prefill, now.mono);
   for (const auto& row : told.usage) {
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -67,9 +67,12 @@
   // reads the lease all the time.
   [[nodiscard]] bool competes_for_duties(mono_time now) const;
 
-  // An endpoint's description, from the store or from a peer.
+  // An endpoint's description, from the store.
   void take_endpoint(const gateway::endpoint_record& record, mono_time now);
 
+  // Departures that a peer told.
+  void take_departures(const std::vector<gateway::endpoint_departure>& told, mono_time now);
+
   // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
 
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -22,6 +22,7 @@
 #include "relay/store_client.h"
 #include "relay/store_sync.h"
 #include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -42,9 +43,6 @@
 // A drain ends this long before the process would be killed, so that it ends in good order.
 constexpr milliseconds drain_margin{500};
 constexpr milliseconds drain_check_period{50};
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 
 http::server_options caller_server_options(const settings& s)
 {
@@ -156,10 +154,10 @@
 
   asio::awaitable<void> answer_addresses(http::request asked, http::response_writer& writer)
   {
-    http::response out{.status = status_not_found};
+    http::response out{.status = http::status::not_found};
     if (adapter::is_address_question(asked)) {
       const auto addresses = addresses_for_callers();
-      out = addresses.empty() ? http::response{.status = status_unavailable}
+      out = addresses.empty() ? http::response{.status = http::status::unavailable}
                               : adapter::encode_addresses(addresses, addresses_valid);
     }
     co_await writer.send(std::move(out));
@@ -182,18 +180,18 @@
 
   asio::awaitable<void> answer_metrics(http::request asked, http::response_writer& writer)
   {
-    http::response out{.status = status_not_found};
+    http::response out{.status = http::status::not_found};
     if (asked.target == "/metrics") {
-      out = {.status = status_ok, .body = state_.counters.exposition()};
+      out = {.status = http::status::ok, .body = state_.counters.exposition()};
     }
     co_await writer.send(std::move(out));
   }
 
   asio::awaitable<void> answer_readiness(http::request asked, http::response_writer& writer)
   {
-    http::response out{.status = status_not_found};
+    http::response out{.status = http::status::not_found};
     if (adapter::is_readiness_check(asked)) {
-      out.status = state_.is_ready() ? status_ok : status_unavailable;
+      out.status = state_.is_ready() ? http::status::ok : http::status::unavailable;
     }
     co_await writer.send(std::move(out));
   }
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -13,6 +13,7 @@
 #include "wisteriaflow/base/text.h"
 #include "wisteriaflow/gateway/peer_report.h"
 #include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -34,9 +35,6 @@
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // ?after=REVISION
 constexpr std::string_view metrics_target = "/metrics";
-constexpr int status_ok = 200;
-constexpr int status_malformed = 400;
-constexpr int status_not_found = 404;
 
 } // namespace
 
@@ -102,7 +100,7 @@
     const auto asked_at = std::chrono::steady_clock::now();
     const auto deadline = asked_at + exchange_timeout;
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
-    if (reply.status == status_ok) {
+    if (reply.status == http::status::ok) {
       const auto told = gateway::decode_peer_report(reply.body);
       rounds_.on_answer(peer, std::chrono::steady_clock::now());
       state_.absorb(told, read_clocks());
@@ -134,7 +132,7 @@
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
     boost::system::error_code ec;
     const auto document = boost::json::parse(reply.body, ec);
-    if (reply.status == status_ok && !ec) {
+    if (reply.status == http::status::ok && !ec) {
       state_.offer_configuration(document, "peer");
     }
   } catch (const http::http_error& e) {
@@ -156,10 +154,12 @@
   try {
     const auto asked_at = std::chrono::steady_clock::now();
     const auto reply = co_await client_.call(peer, std::move(message), asked_at + fetch_timeout);
-    if (reply.status == status_ok) {
+    if (reply.status == http::status::ok) {
       const auto changes = gateway::decode_endpoint_changes(reply.body);
+      const auto now = std::chrono::steady_clock::now();
+      state_.take_departures(changes.departures, now);
       for (const auto& r : changes.records) {
-        state_.endpoints.apply(r, std::chrono::steady_clock::now());
+        state_.endpoints.apply(r, now);
         state_.feed.note_fetched(r);
       }
       state_.feed.on_fetched(changes.view, after, asked_at);
@@ -196,7 +196,7 @@
   try {
     const auto deadline = std::chrono::steady_clock::now() + quota_timeout;
     const auto reply = co_await client_.call(*address, std::move(message), deadline);
-    if (reply.status == status_ok) {
+    if (reply.status == http::status::ok) {
       co_return gateway::decode_quota_grant(reply.body);
     }
     reason = "status " + std::to_string(reply.status);
@@ -218,7 +218,7 @@
   if (told.configuration_version > state_.configuration_version()) {
     asio::co_spawn(context_, fetch_configuration(told.self.peer_address), asio::detached);
   }
-  return {.status = status_ok, .body = encode_peer_report(state_.report(read_clocks()))};
+  return {.status = http::status::ok, .body = encode_peer_report(state_.report(read_clocks()))};
 }
 
 http::response peer_sync::answer_quota(const http::request& asked)
@@ -226,7 +226,7 @@
   const auto q = gateway::decode_quota_question(asked.body);
   const auto grant =
       state_.quota.grant(q.workspace, q.units, q.ask, std::chrono::steady_clock::now());
-  return {.status = status_ok, .body = encode_quota_grant(grant)};
+  return {.status = http::status::ok, .body = encode_quota_grant(grant)};
 }
 
 http::response peer_sync::answer_endpoints(const http::request& asked)
@@ -234,30 +234,31 @@
   const auto query = http::parse_target(asked.target).query;
   const auto after = parse_number<std::uint64_t>(http::find_header(query, "after"));
   if (!after) {
-    return {.status = status_malformed};
+    return {.status = http::status::bad_request};
   }
   const auto changes = state_.endpoint_changes(*after, std::chrono::steady_clock::now());
-  return {.status = status_ok, .body = encode_endpoint_changes(changes)};
+  return {.status = http::status::ok, .body = encode_endpoint_changes(changes)};
 }
 
 asio::awaitable<void> peer_sync::serve(http::request asked, http::response_writer& writer)
 {
-  http::response out{.status = status_not_found};
+  http::response out{.status = http::status::not_found};
   try {
     if (asked.target == report_target) {
       out = answer_report(asked);
     } else if (asked.target == quota_target) {
       out = answer_quota(asked);
     } else if (asked.target == configuration_target && state_.configuration()) {
-      out = {.status = status_ok, .body = boost::json::serialize(state_.configuration_document())};
+      out = {.status = http::status::ok,
+             .body = boost::json::serialize(state_.configuration_document())};
     } else if (http::parse_target(asked.target).path == endpoints_target) {
       out = answer_endpoints(asked);
     } else if (asked.target == metrics_target) {
-      out = {.status = status_ok, .body = state_.counters.exposition()};
+      out = {.status = http::status::ok, .body = state_.counters.exposition()};
     }
   } catch (const gateway::peer_report_error& e) {
     state_.log.write(daemon::log_level::error, "peer report unreadable", {{"reason", e.what()}});
-    out.status = status_malformed;
+    out.status = http::status::bad_request;
   }
   co_await writer.send(std::move(out));
 }
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -5,14 +5,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
 #include "documents.h"
 #include "errors.h"
+#include "relay/pause.h"
 #include "wisteriaflow/http/errors.h"
 
 namespace wisteriaflow::relay {
@@ -59,13 +57,6 @@
   asio::co_spawn(context_, follow_daemons(), asio::detached);
 }
 
-asio::awaitable<void> store_sync::pause(milliseconds time)
-{
-  asio::steady_timer timer(context_, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 void store_sync::on_store_return()
 {
   state_.endpoints.hold_removals_until(std::chrono::steady_clock::now() + lapse_hold);
@@ -162,7 +153,7 @@
     if (all.whole) {
       failures = 0;
       take_endpoints(all);
-      state_.feed.on_read(all.revision, asked_at);
+      state_.feed.on_list(all.revision, asked_at);
       co_await watch_endpoints();
     }
     co_await pause(store_.backoff(++failures));
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -56,7 +56,6 @@
   void take_endpoints(const listing& all);
   void take_endpoint_change(const adapter::change& c, std::uint64_t revision);
   void on_store_return();
-  boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
 
   boost::asio::io_context& context_;
   fleet_state& state_;
--- a/test/adapter/documents_test.cc
+++ b/test/adapter/documents_test.cc
@@ -82,6 +82,12 @@
                format_error);
 }
 
+TEST(DocumentsTest, TellsAConfigurationsVersionWithoutReadingTheRest)
+{
+  EXPECT_EQ(decode_version(boost::json::parse(R"({"version": 17, "routes": 5})")), 17U);
+  EXPECT_THROW(static_cast<void>(decode_version(boost::json::parse("{}"))), format_error);
+}
+
 TEST(ConfigurationErrorTest, TreatsAnUnknownKindWithTheMostCare)
 {
   const auto read = decode_configuration(
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -25,7 +25,7 @@
   {
     for (auto* feed : {&reader_, &follower_}) {
       feed->note(record("a", 5));
-      feed->on_read(10, start);
+      feed->on_list(10, start);
     }
   }
 
@@ -97,6 +97,22 @@
   EXPECT_TRUE(reader_.changes_after(0, start).records.empty());
 }
 
+TEST_F(EndpointFeedTest, DoesNotFollowADaemonThatListedAfterARemovalThatItNeverSaw)
+{
+  // Endpoint "a" was removed at 15; a daemon that starts then lists what is left.
+  endpoint_feed started({.notice = 2s, .seed = 3});
+  started.note(record("b", 16));
+  started.on_list(20, start + 500ms);
+  const auto view = started.view(start + 500ms);
+  EXPECT_EQ(follower_.on_peer_view(view, start + 500ms), feed_step::nothing);
+  follower_.on_fetched(view, 10, start + 500ms);
+  EXPECT_EQ(follower_.revision(), 10U);
+  follower_.on_read(20, start + 600ms);
+  started.on_read(25, start + 700ms);
+  EXPECT_EQ(follower_.on_peer_view(started.view(start + 700ms), start + 700ms), feed_step::nothing);
+  EXPECT_EQ(follower_.revision(), 25U);
+}
+
 TEST_F(EndpointFeedTest, AnEndpointThatComesBackAsItWasIsAChange)
 {
   reader_.forget(endpoint_id("a"));
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -36,16 +36,19 @@
 
 TEST(PeerReportTest, EndpointChangesComeBackAsTheyWereSent)
 {
-  const endpoint_changes sent{
-      .view = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
-      .records = {{.id = endpoint_id("e"),
-                   .revision = 44,
-                   .service = "chat",
-                   .address = {.host = "10.0.0.3", .port = 8'000},
-                   .zone = availability_zone("z"),
-                   .places = 8,
-                   .leaving = true,
-                   .reclaimable = true}}};
+  const endpoint_changes sent{.view = {.revision = 50,
+                                       .changed = 44,
+                                       .removals_after = 40,
+                                       .age = std::chrono::milliseconds(70)},
+                              .records = {{.id = endpoint_id("e"),
+                                           .revision = 44,
+                                           .service = "chat",
+                                           .address = {.host = "10.0.0.3", .port = 8'000},
+                                           .zone = availability_zone("z"),
+                                           .places = 8,
+                                           .leaving = true,
+                                           .reclaimable = true}},
+                              .departures = {{.id = endpoint_id("f"), .revision = 45}}};
   EXPECT_EQ(decode_endpoint_changes(encode_endpoint_changes(sent)), sent);
   EXPECT_THROW(static_cast<void>(decode_endpoint_changes("{}")), peer_report_error);
 }
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -1,5 +1,6 @@
 #include "relay/gateway_fixture.h"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -34,10 +35,30 @@
 } // namespace
 
 running_gateway::running_gateway(const settings& s)
-    : options(s), daemon(s, [](daemon::log_line) {}), thread_([this] { daemon.run(); })
+    : options(s), daemon(s, [this](daemon::log_line line) { keep(std::move(line)); }),
+      thread_([this] { daemon.run(); })
 {
 }
 
+void running_gateway::keep(daemon::log_line line)
+{
+  const std::lock_guard lock(mutex_);
+  lines_.push_back(std::move(line));
+}
+
+std::vector<daemon::log_line> running_gateway::lines_of(const std::string& request_id) const
+{
+  const std::pair<std::string, std::string> field("request", request_id);
+  const std::lock_guard lock(mutex_);
+  std::vector<daemon::log_line> out;
+  for (const auto& line : lines_) {
+    if (std::find(line.fields.begin(), line.fields.end(), field) != line.fields.end()) {
+      out.push_back(line);
+    }
+  }
+  return out;
+}
+
 running_gateway::~running_gateway()
 {
   daemon.drain();
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -4,6 +4,7 @@
 #define WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,8 +28,19 @@
   running_gateway(const running_gateway&) = delete;
   running_gateway& operator=(const running_gateway&) = delete;
 
+  // The log lines so far that name the request, oldest first.
+  std::vector<daemon::log_line> lines_of(const std::string& request_id) const;
+
   settings options;
-  gateway_daemon daemon;
+
+ private:
+  void keep(daemon::log_line line);
+
+  mutable std::mutex mutex_;
+  std::vector<daemon::log_line> lines_;
+
+ public:
+  gateway_daemon daemon; // logs as soon as it stands
 
  private:
   std::thread thread_;
