Say what readings of the endpoints find

Two comments, no code: the calls counted before and after stand, their explanation by heartbeats does not. Checked: format; no test was run after it.

--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -31,9 +31,9 @@
 constexpr double configuration_calls_per_second = 4; // of the fleet
 // What a watch may take beyond its wait.
 constexpr milliseconds watch_slack{700};
-// Endpoints write heartbeats all the time, so a reading of their changes has some at once.
+// Heartbeats raise no revision, so most readings find no change; one that comes soon saves a call.
 constexpr milliseconds endpoint_wait{200};
-// How often it is looked whether a reading is due: a peer may have put it off.
+// The shortest pause before it is looked again whether a reading is due: a peer may put it off.
 constexpr milliseconds endpoint_check_period{50};
 // Daemons are found through peers; the store only helps those that know none.
 constexpr milliseconds shortest_daemon_list_period{10'000};
