Stop the peers' server though peers go on calling

Cause, read off the stack of a daemon that had not ended 30 s after SIGTERM: its main thread waited in gRPC's shutdown, which waits for every call without a limit. A peer's call that came between the failing of the waiting calls and the shutdown was kept for a core that had stopped, so nobody finished it. The list of waiting calls now closes: what comes later is answered at once with "stopping".

Calls are now cancelled and their callbacks awaited before the channels go.

--- a/src/peer/peer_side.cc
+++ b/src/peer/peer_side.cc
@@ -1,9 +1,12 @@
 #include "wisteriaflow/peer/peer_side.h"
 
 #include <chrono>
+#include <condition_variable>
 #include <list>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -28,6 +31,12 @@
   return deadline_clock::now() + std::chrono::duration_cast<deadline_clock::duration>(left);
 }
 
+// The peer asks another daemon.
+grpc::Status stopping_status()
+{
+  return {grpc::StatusCode::UNAVAILABLE, "stopping"};
+}
+
 // A peer's call that waits for the core's reply.
 struct waiting_call {
   grpc::ServerUnaryReactor* reactor = nullptr;
@@ -37,9 +46,13 @@
 // The calls that wait, shared by gRPC's threads and the duty's own.
 class waiting_calls {
  public:
-  core::peer_reply_number add(waiting_call call)
+  // Nothing once closed: nobody would finish the call any more.
+  std::optional<core::peer_reply_number> add(waiting_call call)
   {
     const std::scoped_lock lock(mutex_);
+    if (closed_) {
+      return std::nullopt;
+    }
     calls_.emplace(++last_, std::move(call));
     return last_;
   }
@@ -57,9 +70,12 @@
     return call;
   }
 
-  std::map<core::peer_reply_number, waiting_call> take_all()
+  // Takes no further call and returns those that waited. gRPC's shutdown waits for every call
+  // without a limit, so a call added after this would keep the process from ending.
+  std::map<core::peer_reply_number, waiting_call> close()
   {
     const std::scoped_lock lock(mutex_);
+    closed_ = true;
     return std::exchange(calls_, {});
   }
 
@@ -67,6 +83,7 @@
   std::mutex mutex_;
   std::map<core::peer_reply_number, waiting_call> calls_;
   core::peer_reply_number last_ = 0;
+  bool closed_ = false;
 };
 
 // Turns each call into an event for the core.
@@ -118,9 +135,13 @@
     auto* reactor = context->DefaultReactor();
     const auto fill = [out](const core::peer_response& response) { encode(response, *out); };
     const auto reply = waiting_.add({.reactor = reactor, .fill = fill});
+    if (!reply) {
+      reactor->Finish(stopping_status());
+      return reactor;
+    }
     core::event asked =
-        core::peer_asked{.reply = reply, .message = decode(in), .bytes = in.ByteSizeLong()};
-    if (!core_->try_push(std::move(asked)) && waiting_.take(reply).reactor != nullptr) {
+        core::peer_asked{.reply = *reply, .message = decode(in), .bytes = in.ByteSizeLong()};
+    if (!core_->try_push(std::move(asked)) && waiting_.take(*reply).reactor != nullptr) {
       reactor->Finish({grpc::StatusCode::RESOURCE_EXHAUSTED, "the core's ring is full"});
     }
     return reactor;
@@ -130,6 +151,55 @@
   waiting_calls& waiting_;
 };
 
+// The calls to other daemons whose callback has not run to its end.
+class outgoing_calls {
+ public:
+  void add(std::shared_ptr<grpc::ClientContext> context)
+  {
+    const std::scoped_lock lock(mutex_);
+    contexts_.insert(std::move(context));
+    ++unfinished_;
+  }
+
+  // The callback's last step. `context` must be its last reference to the call.
+  void finish(std::shared_ptr<grpc::ClientContext> context)
+  {
+    {
+      const std::scoped_lock lock(mutex_);
+      contexts_.erase(context);
+    }
+    // Outside the lock, since gRPC may run other callbacks in here.
+    context.reset();
+    const std::scoped_lock lock(mutex_);
+    --unfinished_;
+    none_left_.notify_all();
+  }
+
+  // Cancels all and waits for their callbacks, which follow at once. Without this the last
+  // reference to a channel could be dropped by a callback, where gRPC 1.51 frees the queue that
+  // the callback's own thread reads, and the process aborts at its end.
+  void cancel_all()
+  {
+    for (const auto& each : contexts()) {
+      each->TryCancel();
+    }
+    std::unique_lock lock(mutex_);
+    none_left_.wait(lock, [this] { return unfinished_ == 0; });
+  }
+
+ private:
+  std::set<std::shared_ptr<grpc::ClientContext>> contexts()
+  {
+    const std::scoped_lock lock(mutex_);
+    return contexts_;
+  }
+
+  std::mutex mutex_;
+  std::condition_variable none_left_;
+  std::set<std::shared_ptr<grpc::ClientContext>> contexts_;
+  int unfinished_ = 0;
+};
+
 // Channels to other daemons, the least recently used closed first.
 class channel_cache {
  public:
@@ -216,8 +286,9 @@
     if (!server_) {
       return;
     }
-    for (auto& [reply, call] : waiting_.take_all()) {
-      call.reactor->Finish({grpc::StatusCode::UNAVAILABLE, "stopping"});
+    outgoing_.cancel_all();
+    for (auto& [reply, call] : waiting_.close()) {
+      call.reactor->Finish(stopping_status());
     }
     server_->Shutdown(deadline_clock::now());
     server_.reset();
@@ -306,17 +377,22 @@
     state->stub = stub;
     state->context.set_deadline(to_grpc(a.deadline));
     encode(message, state->request);
-    const auto done = [state, number = a.call, ring = core_](const grpc::Status& status) {
+    outgoing_.add({state, &state->context});
+    auto done = [this, state, number = a.call](const grpc::Status& status) mutable {
       core::event e = core::peer_failed{.call = number};
       if (status.ok()) {
         e = core::peer_answered{
             .call = number, .message = decode(state->reply), .bytes = state->reply.ByteSizeLong()};
       }
       // A lost answer is what the core must bear anyway: its own deadline for the call passes.
-      ring->try_push(std::move(e));
+      core_->try_push(std::move(e));
+      auto* context = &state->context;
+      outgoing_.finish({std::move(state), context});
     };
-    invoke(stub.get(), &state->context, &state->request, &state->reply,
-           std::function<void(grpc::Status)>(done));
+    auto* sent = state.get();
+    state.reset();
+    invoke(sent->stub.get(), &sent->context, &sent->request, &sent->reply,
+           std::function<void(grpc::Status)>(std::move(done)));
   }
 
   peer_side_options options_;
@@ -324,6 +400,7 @@
   waiting_calls waiting_;
   service service_;
   channel_cache channels_;
+  outgoing_calls outgoing_;
   std::shared_ptr<daemon::bounded_ring<core::peer_action>> ring_;
   std::unique_ptr<grpc::Server> server_;
   http::socket_address address_;
