Tell ages, quota use, repeats and dropped lines in the gateway's metrics

The lines that a full ring refused were not counted by kind; the next line of the kind now tells them, like those over its budget.

--- a/include/wisteriaflow/daemon/bounded_ring.h
+++ b/include/wisteriaflow/daemon/bounded_ring.h
@@ -75,6 +75,13 @@
     ready_.notify_all();
   }
 
+  // Messages that wait to be popped.
+  [[nodiscard]] std::size_t size() const
+  {
+    const std::scoped_lock lock(mutex_);
+    return buffer_.size();
+  }
+
   [[nodiscard]] bool closed() const
   {
     const std::scoped_lock lock(mutex_);
--- a/include/wisteriaflow/daemon/log_writer.h
+++ b/include/wisteriaflow/daemon/log_writer.h
@@ -8,6 +8,7 @@
 #define WISTERIAFLOW_DAEMON_LOG_WRITER_H_
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <thread>
@@ -26,14 +27,17 @@
   log_writer(const log_writer&) = delete;
   log_writer& operator=(const log_writer&) = delete;
 
-  // Never blocks; a full ring drops the line. Any thread may call it.
-  void write(log_line line)
+  // Never blocks; a full ring drops the line. Returns whether it was kept. Any thread may call it.
+  bool write(log_line line)
   {
-    if (!ring_.try_push(std::move(line))) {
-      ++dropped_;
-    }
+    const bool kept = ring_.try_push(std::move(line));
+    dropped_ += kept ? 0 : 1;
+    return kept;
   }
 
+  // Lines that wait for the output.
+  [[nodiscard]] std::size_t queued() const { return ring_.size(); }
+
   // Lines dropped so far.
   [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
 
--- a/include/wisteriaflow/relay/gateway_daemon.h
+++ b/include/wisteriaflow/relay/gateway_daemon.h
@@ -6,6 +6,7 @@
 #ifndef WISTERIAFLOW_RELAY_GATEWAY_DAEMON_H_
 #define WISTERIAFLOW_RELAY_GATEWAY_DAEMON_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -14,11 +15,16 @@
 
 namespace wisteriaflow::relay {
 
+// Where a daemon's log lines go. Neither call may block.
+struct log_output {
+  std::function<bool(daemon::log_line)> write; // false: the line was dropped
+  std::function<std::size_t()> queued;         // lines that wait for the output
+};
+
 class gateway_daemon {
  public:
-  // Listens at once; throws http_error if an address cannot be bound. `log` takes the log's lines
-  // and must not block.
-  gateway_daemon(const settings& s, std::function<void(daemon::log_line)> log);
+  // Listens at once; throws http_error if an address cannot be bound.
+  gateway_daemon(const settings& s, log_output log);
   ~gateway_daemon();
   gateway_daemon(const gateway_daemon&) = delete;
   gateway_daemon& operator=(const gateway_daemon&) = delete;
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -47,6 +47,7 @@
                                           .deadline = call_.deadline,
                                           .resume_after = call_.last_event},
                                          heard_at_);
+  count_repetition();
   http::stream_observer observer;
   observer.on_head = [this](const http::response& head) { on_head(head); };
   observer.write_bytes = [this, &writer](std::string_view bytes) {
@@ -202,10 +203,28 @@
   }
 }
 
+void attempt::count_repetition()
+{
+  if (call_.history.sent == 0) {
+    return;
+  }
+  const auto& size = call_.description.size;
+  state_.counters.count("repeated_prompt_tokens", {{"service", call_.service}},
+                        size ? static_cast<std::uint64_t>(size->prompt) : 0);
+  if (call_.last_event) {
+    state_.counters.count("resumes", {{"route", call_.route->name}});
+  }
+}
+
 // The endpoint works on the call now.
 void attempt::note_begin()
 {
   const auto clocks = read_clocks();
+  if (!begun_) {
+    begun_ = true;
+    state_.counters.observe("first_event_time", clocks.mono - call_.received_at,
+                            {{"route", call_.route->name}});
+  }
   state_.endpoints.on_first_token(endpoint_.work, clocks.mono);
   if (!call_.counted && !call_.workspace.empty()) {
     call_.counted = true;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -95,6 +95,8 @@
   void note_health(mono_time now);
   void note_trouble(gateway::endpoint_trouble kind, mono_time now);
   void note_begin();
+  // Counts what an attempt after the first costs.
+  void count_repetition();
   attempt_result conclude();
 
   fleet_state& state_;
@@ -107,6 +109,7 @@
   gateway::answer_head head_;
   std::uint64_t events_ = 0;
   bool head_seen_ = false;
+  bool begun_ = false; // the first event, or the head of a whole answer, has come
   bool streaming_ = false;
   bool gap_ = false; // an event was missing
   bool caller_failed_ = false;
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -147,7 +147,11 @@
     co_return std::nullopt;
   }
   const auto decided = co_await peers_.admit(call.workspace, call.quota_units);
-  if (decided.outcome == gateway::quota_outcome::admitted) {
+  const bool admitted = decided.outcome == gateway::quota_outcome::admitted;
+  state_.counters.count(
+      "quota_units", {{"workspace", call.workspace.value()}, {"admitted", admitted ? "yes" : "no"}},
+      static_cast<std::uint64_t>(call.quota_units));
+  if (admitted) {
     co_return std::nullopt;
   }
   co_return refusal{
@@ -193,7 +197,8 @@
     state_.counters.count("callers_gone");
     writer.abort();
   }
-  state_.counters.observe("call_time", std::chrono::steady_clock::now() - call->received_at);
+  state_.counters.observe("call_time", std::chrono::steady_clock::now() - call->received_at,
+                          {{"route", call->route->name}});
 }
 
 asio::awaitable<void> call_relay::try_endpoints(std::shared_ptr<admitted_call> call,
@@ -254,6 +259,7 @@
                                          http::response_writer& writer)
 {
   if (last.how == attempt_result::end::stream_ended && call.answer_begun) {
+    count_answer(call, std::to_string(last.answer.status));
     co_await writer.finish_stream();
     co_return;
   }
@@ -261,6 +267,7 @@
       last.how == attempt_result::end::whole &&
       (last.outcome == attempt_outcome::answered || last.outcome == attempt_outcome::failed);
   if (own_answer && !call.answer_begun) {
+    count_answer(call, std::to_string(last.answer.status));
     co_await writer.send(std::move(last.answer));
     co_return;
   }
@@ -286,9 +293,14 @@
   co_await writer.send(std::move(out));
 }
 
-void call_relay::note_given_up(const admitted_call& call, const std::string& status)
+void call_relay::count_answer(const admitted_call& call, const std::string& status)
 {
   state_.counters.count("answers", {{"route", call.route->name}, {"status", status}});
+}
+
+void call_relay::note_given_up(const admitted_call& call, const std::string& status)
+{
+  count_answer(call, status);
   state_.log.write(daemon::log_level::warn, "call given up",
                    {{"request", call.description.request_id},
                     {"route", call.route->name},
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -66,6 +66,7 @@
   const std::string& draw_service(const gateway::route& r);
   bool may_repeat(const admitted_call& call, const attempt_result& last);
   void note_given_up(const admitted_call& call, const std::string& status);
+  void count_answer(const admitted_call& call, const std::string& status);
   void log_refusal(const http::request& received, const refusal& why);
   void note_attempt(const admitted_call& call, const attempt_result& result);
 
--- a/src/relay/event_log.cc
+++ b/src/relay/event_log.cc
@@ -19,14 +19,19 @@
   }
   if (b.written >= lines_of_a_kind) {
     ++b.left_out;
+    ++left_out_;
     return;
   }
   ++b.written;
   if (b.left_out > 0) {
     fields.emplace_back("lines_left_out", std::to_string(b.left_out));
+  }
+  if (out_({.level = level, .message = std::string(kind), .fields = std::move(fields)})) {
     b.left_out = 0;
+    return;
   }
-  out_({.level = level, .message = std::string(kind), .fields = std::move(fields)});
+  ++b.left_out;
+  ++left_out_;
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -241,6 +241,20 @@
   live_peers_ = std::move(present);
 }
 
+void fleet_state::set_gauges(mono_time now)
+{
+  using seconds = std::chrono::duration<double>;
+  if (configuration_read_at_) {
+    counters.set("configuration_age_seconds", seconds(now - *configuration_read_at_).count());
+  }
+  counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
+  if (endpoints.is_known()) {
+    counters.set("endpoints_age_seconds", seconds(feed.view(now).age).count());
+  }
+  counters.set("log_lines_queued", static_cast<double>(log.queued()));
+  counters.set("log_lines_left_out", static_cast<double>(log.left_out()));
+}
+
 void fleet_state::tick(const clock_reading& now)
 {
   const auto daemons = peers.counted(now.mono);
@@ -253,7 +267,7 @@
     }
   }
   counters.set("peers_live", static_cast<double>(live.size()));
-  counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
+  set_gauges(now.mono);
   log_peer_changes(staying);
   quota.set_fleet({.candidates = std::move(staying), .heard = live.size() + 1, .running = daemons},
                   now.mono);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -44,6 +44,8 @@
     return configuration_;
   }
   [[nodiscard]] std::uint64_t configuration_version() const;
+  // The store was read, and what it holds has been offered.
+  void note_configuration_read(mono_time now) { configuration_read_at_ = now; }
   // The document that the configuration in force was read from, for peers.
   [[nodiscard]] const boost::json::value& configuration_document() const { return document_; }
 
@@ -109,9 +111,12 @@
   // Whether this daemon is among the first `number` live ones, in an order of the job's own.
   [[nodiscard]] bool is_among_first(std::size_t number, std::string_view job, mono_time now) const;
   void log_peer_changes(const std::vector<daemon_id>& live);
+  // How old what is believed is, and the state of the log.
+  void set_gauges(mono_time now);
 
   std::shared_ptr<const gateway::configuration_index> configuration_;
   boost::json::value document_;
+  std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
   std::set<daemon_id> live_peers_; // at the last tick
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -56,9 +56,9 @@
 
 class gateway_daemon::implementation {
  public:
-  implementation(const settings& s, std::function<void(daemon::log_line)> log)
-      : log_(std::move(log)), state_(s, log_), store_(context_, state_),
-        store_sync_(context_, state_, store_), peers_(context_, state_),
+  implementation(const settings& s, log_output log)
+      : log_(std::move(log.write), std::move(log.queued)), state_(s, log_),
+        store_(context_, state_), store_sync_(context_, state_, store_), peers_(context_, state_),
         duties_(context_, state_, store_), relay_(context_, state_, peers_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
@@ -211,7 +211,7 @@
   asio::signal_set signals_;
 };
 
-gateway_daemon::gateway_daemon(const settings& s, std::function<void(daemon::log_line)> log)
+gateway_daemon::gateway_daemon(const settings& s, log_output log)
     : implementation_(std::make_unique<implementation>(s, std::move(log)))
 {
 }
--- a/src/relay/metrics.cc
+++ b/src/relay/metrics.cc
@@ -1,6 +1,6 @@
 #include "relay/metrics.h"
 
-#include <cmath>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <boost/histogram/make_histogram.hpp>
@@ -18,20 +18,26 @@
   return edges;
 }
 
-std::string render(const metric_labels& labels)
+// The labels without their braces.
+std::string join(const metric_labels& labels)
 {
   std::string out;
   for (const auto& [name, value] : labels) {
-    absl::StrAppend(&out, out.empty() ? "{" : ",", name, "=\"", value, "\"");
+    absl::StrAppend(&out, out.empty() ? "" : ",", name, "=\"", value, "\"");
   }
-  return out.empty() ? out : out + "}";
+  return out;
+}
+
+std::string braced(const std::string& labels)
+{
+  return labels.empty() ? labels : "{" + labels + "}";
 }
 
 } // namespace
 
 void metrics::count(const std::string& name, const metric_labels& labels, std::uint64_t n)
 {
-  counters_[name][render(labels)] += n;
+  counters_[name][braced(join(labels))] += n;
 }
 
 void metrics::set(const std::string& name, double value)
@@ -39,18 +45,40 @@
   gauges_[name] = value;
 }
 
-void metrics::observe(const std::string& name, std::chrono::nanoseconds sample)
+void metrics::observe(const std::string& name, std::chrono::nanoseconds sample,
+                      const metric_labels& labels)
 {
-  auto it = latencies_.find(name);
+  std::pair key(name, join(labels));
+  auto it = latencies_.find(key);
   if (it == latencies_.end()) {
     const boost::histogram::axis::variable<double> axis(bucket_edges());
-    it = latencies_.emplace(name, latency_series{latency_histogram(axis)}).first;
+    latency_series made{.labels = key.second, .buckets = latency_histogram(axis)};
+    it = latencies_.emplace(std::move(key), std::move(made)).first;
   }
   const double seconds = std::chrono::duration<double>(sample).count();
   it->second.buckets(seconds);
   it->second.sum += seconds;
 }
 
+void metrics::expose(const std::string& name, const latency_series& series, std::string& out)
+{
+  const auto full_name = absl::StrCat(prefix, name, "_seconds");
+  const std::string bucket_labels = series.labels.empty() ? "" : series.labels + ",";
+  const auto bucket = [&](const auto& upper, double n) {
+    absl::StrAppend(&out, full_name, "_bucket{", bucket_labels, "le=\"", upper, "\"} ", n, "\n");
+  };
+  double below = series.buckets.at(-1); // under the first edge
+  const auto& axis = series.buckets.axis();
+  for (int i = 0; i < axis.size(); ++i) {
+    below += series.buckets.at(i);
+    bucket(axis.bin(i).upper(), below);
+  }
+  const double all = below + series.buckets.at(axis.size());
+  bucket("+Inf", all);
+  absl::StrAppend(&out, full_name, "_sum", braced(series.labels), " ", series.sum, "\n");
+  absl::StrAppend(&out, full_name, "_count", braced(series.labels), " ", all, "\n");
+}
+
 std::string metrics::exposition() const
 {
   std::string out;
@@ -62,18 +90,8 @@
   for (const auto& [name, value] : gauges_) {
     absl::StrAppend(&out, prefix, name, " ", value, "\n");
   }
-  for (const auto& [name, series] : latencies_) {
-    double below = series.buckets.at(-1); // under the first edge
-    const auto& axis = series.buckets.axis();
-    for (int i = 0; i < axis.size(); ++i) {
-      below += series.buckets.at(i);
-      absl::StrAppend(&out, prefix, name, "_seconds_bucket{le=\"", axis.bin(i).upper(), "\"} ",
-                      below, "\n");
-    }
-    const double all = below + series.buckets.at(axis.size());
-    absl::StrAppend(&out, prefix, name, "_seconds_bucket{le=\"+Inf\"} ", all, "\n");
-    absl::StrAppend(&out, prefix, name, "_seconds_sum ", series.sum, "\n");
-    absl::StrAppend(&out, prefix, name, "_seconds_count ", all, "\n");
+  for (const auto& [key, series] : latencies_) {
+    expose(key.first, series, out);
   }
   return out;
 }
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -29,23 +29,28 @@
   void set(const std::string& name, double value);
 
   // Adds a sample to a latency histogram.
-  void observe(const std::string& name, std::chrono::nanoseconds sample);
+  void observe(const std::string& name, std::chrono::nanoseconds sample,
+               const metric_labels& labels = {});
 
   // Everything, one series a line.
   [[nodiscard]] std::string exposition() const;
 
  private:
+  struct latency_series;
+  static void expose(const std::string& name, const latency_series& series, std::string& out);
+
   using latency_histogram =
       boost::histogram::histogram<std::tuple<boost::histogram::axis::variable<double>>>;
 
   struct latency_series {
+    std::string labels; // as rendered, without braces
     latency_histogram buckets;
     double sum = 0; // seconds
   };
 
   std::map<std::string, std::map<std::string, std::uint64_t>> counters_; // by name and labels
   std::map<std::string, double> gauges_;
-  std::map<std::string, latency_series> latencies_;
+  std::map<std::pair<std::string, std::string>, latency_series> latencies_; // by name and labels
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -103,6 +103,7 @@
     }
     if (all.whole) {
       failures = 0;
+      state_.note_configuration_read(std::chrono::steady_clock::now());
       co_await watch_configuration(all.revision);
     }
     co_await pause(store_.backoff(++failures));
@@ -142,6 +143,7 @@
         state_.offer_configuration(c.object.spec, "watch");
       }
     }
+    state_.note_configuration_read(std::chrono::steady_clock::now());
   }
 }
 
--- a/src/tools/wisteriaflow_gatewayd.cc
+++ b/src/tools/wisteriaflow_gatewayd.cc
@@ -35,7 +35,9 @@
   wisteriaflow::daemon::configure_logging(s.log_level);
   wisteriaflow::daemon::log_writer log;
   wisteriaflow::relay::gateway_daemon d(
-      s, [&log](wisteriaflow::daemon::log_line line) { log.write(std::move(line)); });
+      s,
+      {.write = [&log](wisteriaflow::daemon::log_line line) { return log.write(std::move(line)); },
+       .queued = [&log] { return log.queued(); }});
   d.run();
   return EXIT_SUCCESS;
 }
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -47,7 +47,7 @@
   }
 
   boost::asio::io_context context_;
-  event_log log_{[](daemon::log_line) {}};
+  event_log log_{[](daemon::log_line) { return true; }};
   fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
   http::client client_{context_};
   fake_endpoint endpoint_{context_, "i-1"};
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -35,7 +35,12 @@
 } // namespace
 
 running_gateway::running_gateway(const settings& s)
-    : options(s), daemon(s, [this](daemon::log_line line) { keep(std::move(line)); }),
+    : options(s), daemon(s, {.write =
+                                 [this](daemon::log_line line) {
+                                   keep(std::move(line));
+                                   return true;
+                                 },
+                             .queued = [] { return std::size_t{0}; }}),
       thread_([this] { daemon.run(); })
 {
 }
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -39,6 +39,9 @@
     }
   }
 
+  // The first daemon's metrics page.
+  std::string metrics() { return send(gateways_[0]->options.peers, {.target = "/metrics"}).body; }
+
   [[nodiscard]] std::size_t runs() const
   {
     std::size_t n = 0;
@@ -280,12 +283,48 @@
   handle.cancel();
   wait_until([&] { return ended; }, "the caller has left");
   // The daemon counts callers that have gone once it has let go of the endpoint.
-  wait_until(
-      [this] {
-        const auto out = send(gateways_[0]->options.peers, {.target = "/metrics"});
-        return out.body.find("callers_gone_total 1") != std::string::npos;
-      },
-      "the call has ended");
+  wait_until([this] { return metrics().find("callers_gone_total 1") != std::string::npos; },
+             "the call has ended");
+}
+
+TEST_F(GatewayTest, MetricsTellAnswersByRouteAndStatus)
+{
+  start();
+  call("GET", "/safe/1");
+  EXPECT_NE(metrics().find("answers_total{route=\"safe\",status=\"200\"} 1\n"), std::string::npos);
+}
+
+TEST_F(GatewayTest, MetricsTellHowLongCallsOfARouteTook)
+{
+  start();
+  call("GET", "/safe/1");
+  EXPECT_NE(metrics().find("first_event_time_seconds_count{route=\"safe\"} 1\n"),
+            std::string::npos);
+  EXPECT_NE(metrics().find("call_time_seconds_count{route=\"safe\"} 1\n"), std::string::npos);
+}
+
+TEST_F(GatewayTest, MetricsCountAStreamThatGoesOnAtAnotherEndpoint)
+{
+  start();
+  set_moods(endpoint_mood::streams_and_cuts, endpoint_mood::streams);
+  call("POST", "/resumable/1");
+  EXPECT_NE(metrics().find("resumes_total{route=\"resumable\"} 1\n"), std::string::npos);
+}
+
+TEST_F(GatewayTest, MetricsTellHowOldWhatIsBelievedIs)
+{
+  start();
+  wait_until([this] { return metrics().find("configuration_age_seconds ") != std::string::npos; },
+             "the configuration's age is told");
+  EXPECT_NE(metrics().find("endpoints_age_seconds "), std::string::npos);
+}
+
+TEST_F(GatewayTest, MetricsTellWhatWorkspacesUse)
+{
+  start();
+  call("GET", "/safe/1");
+  EXPECT_NE(metrics().find("quota_units_total{workspace=\"hotel\",admitted=\"yes\"} 1\n"),
+            std::string::npos);
 }
 
 TEST_F(GatewayTest, ADrainingDaemonIsNotReadyAndStillAnswers)
--- a/test/relay/metrics_test.cc
+++ b/test/relay/metrics_test.cc
@@ -34,5 +34,16 @@
   EXPECT_NE(text.find("call_time_seconds_count 2\n"), std::string::npos) << text;
 }
 
+TEST(MetricsTest, KeepsALatencyApartForEachLabel)
+{
+  metrics m;
+  m.observe("call_time", 6ms, {{"route", "a"}});
+  m.observe("call_time", 6ms, {{"route", "b"}});
+  const auto text = m.exposition();
+  EXPECT_NE(text.find("call_time_seconds_bucket{route=\"a\",le=\"0.01\"} 1\n"), std::string::npos)
+      << text;
+  EXPECT_NE(text.find("call_time_seconds_count{route=\"b\"} 1\n"), std::string::npos) << text;
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
