Run the gateway as a process in tests, also with a log that nobody reads

The fakes of the users' platform move to where the other fakes live, since two packages of tests use them now.

--- a/test/relay/fake_endpoint.cc
+++ b/test/fakes/fake_endpoint.cc
@@ -1,9 +1,9 @@
-#include "relay/fake_endpoint.h"
+#include "fakes/fake_endpoint.h"
 
 #include <thread>
 #include <utility>
 
-namespace wisteriaflow::relay {
+namespace wisteriaflow::fakes {
 namespace {
 
 constexpr int last_event = 6;
@@ -14,7 +14,7 @@
   return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
 }
 
-int resumed_after(const fakes::fake_request& r)
+int resumed_after(const fake_request& r)
 {
   const auto text = http::find_header(r.fields, "Last-Event-Id", "0");
   return std::stoi(std::string(text));
@@ -22,7 +22,7 @@
 
 } // namespace
 
-http::response fake_endpoint::whole_answer(const fakes::fake_request& r) const
+http::response fake_endpoint::whole_answer(const fake_request& r) const
 {
   const auto id = std::string(http::find_header(r.fields, "Request-Id"));
   http::response out{.fields = {{"Request-Id", id}, {"Keep-Alive", "timeout=5"}}};
@@ -47,7 +47,7 @@
   return out;
 }
 
-boost::asio::awaitable<void> fake_endpoint::serve(fakes::fake_request r, http::response_writer& w)
+boost::asio::awaitable<void> fake_endpoint::serve(fake_request r, http::response_writer& w)
 {
   received.push_back(r);
   on_request();
@@ -70,8 +70,7 @@
   co_await w.send(std::move(out));
 }
 
-boost::asio::awaitable<void> fake_endpoint::stream(const fakes::fake_request& r,
-                                                   http::response_writer& w)
+boost::asio::awaitable<void> fake_endpoint::stream(const fake_request& r, http::response_writer& w)
 {
   http::response head{
       .fields = {{"Request-Id", std::string(http::find_header(r.fields, "Request-Id"))},
@@ -92,4 +91,4 @@
   co_await w.finish_stream();
 }
 
-} // namespace wisteriaflow::relay
+} // namespace wisteriaflow::fakes
--- a/test/relay/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -1,8 +1,8 @@
 // An endpoint of the platform: answers with the request's id and a signature, or misbehaves as
 // told.
 
-#ifndef WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
-#define WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
+#ifndef WISTERIAFLOW_TEST_FAKES_FAKE_ENDPOINT_H_
+#define WISTERIAFLOW_TEST_FAKES_FAKE_ENDPOINT_H_
 
 #include <functional>
 #include <string>
@@ -13,7 +13,7 @@
 
 #include "fakes/fake_server.h"
 
-namespace wisteriaflow::relay {
+namespace wisteriaflow::fakes {
 
 // What the endpoint does with a request.
 enum class endpoint_mood {
@@ -29,7 +29,7 @@
   says_nothing, // holds the request
 };
 
-class fake_endpoint final : public fakes::fake_server {
+class fake_endpoint final : public fake_server {
  public:
   fake_endpoint(boost::asio::io_context& context, std::string id)
       : fake_server(context, 0), id_(std::move(id))
@@ -39,20 +39,20 @@
   endpoint_mood mood = endpoint_mood::answers;
   // Holds up the whole thread for this long before an answer, as a stopped process does.
   std::chrono::milliseconds stall{0};
-  std::vector<fakes::fake_request> received;
+  std::vector<fake_request> received;
   // Called with each request, before the mood is looked at.
   std::function<void()> on_request = [] {};
 
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
-  boost::asio::awaitable<void> serve(fakes::fake_request r, http::response_writer& w) override;
-  boost::asio::awaitable<void> stream(const fakes::fake_request& r, http::response_writer& w);
-  [[nodiscard]] http::response whole_answer(const fakes::fake_request& r) const;
+  boost::asio::awaitable<void> serve(fake_request r, http::response_writer& w) override;
+  boost::asio::awaitable<void> stream(const fake_request& r, http::response_writer& w);
+  [[nodiscard]] http::response whole_answer(const fake_request& r) const;
 
   std::string id_;
 };
 
-} // namespace wisteriaflow::relay
+} // namespace wisteriaflow::fakes
 
-#endif // WISTERIAFLOW_TEST_RELAY_FAKE_ENDPOINT_H_
+#endif // WISTERIAFLOW_TEST_FAKES_FAKE_ENDPOINT_H_
--- a/test/relay/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -1,4 +1,4 @@
-#include "relay/fake_store.h"
+#include "fakes/fake_store.h"
 
 #include <utility>
 
@@ -6,12 +6,10 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
-namespace wisteriaflow::relay {
+namespace wisteriaflow::fakes {
 namespace {
 
 namespace json = boost::json;
-using fakes::fake_reply;
-using fakes::fake_request;
 
 // A watch without changes is answered after this.
 constexpr std::chrono::milliseconds watch_pause{20};
@@ -132,4 +130,4 @@
   return {.body = render(name, o)};
 }
 
-} // namespace wisteriaflow::relay
+} // namespace wisteriaflow::fakes
--- a/test/relay/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -1,8 +1,8 @@
 // The platform's store as far as the gateway uses it: objects by kind and name at one revision
 // counter, lists, watches that return at once, conditional writes.
 
-#ifndef WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
-#define WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
+#ifndef WISTERIAFLOW_TEST_FAKES_FAKE_STORE_H_
+#define WISTERIAFLOW_TEST_FAKES_FAKE_STORE_H_
 
 #include <cstdint>
 #include <map>
@@ -16,9 +16,9 @@
 
 #include "fakes/fake_server.h"
 
-namespace wisteriaflow::relay {
+namespace wisteriaflow::fakes {
 
-class fake_store final : public fakes::fake_server {
+class fake_store final : public fake_server {
  public:
   explicit fake_store(boost::asio::io_context& context)
       : fake_server(context, 0), content_(std::make_shared<content>())
@@ -49,14 +49,13 @@
     bool deleted = false;
   };
 
-  boost::asio::awaitable<void> serve(fakes::fake_request received,
-                                     http::response_writer& w) override;
-  fakes::fake_reply answer(const fakes::fake_request& received);
-  fakes::fake_reply list(const std::string& kind);
-  fakes::fake_reply changes(const std::string& kind, std::uint64_t after);
-  fakes::fake_reply create(const std::string& kind, const boost::json::value& body);
-  fakes::fake_reply replace(const std::string& kind, const std::string& name,
-                            const boost::json::value& body);
+  boost::asio::awaitable<void> serve(fake_request received, http::response_writer& w) override;
+  fake_reply answer(const fake_request& received);
+  fake_reply list(const std::string& kind);
+  fake_reply changes(const std::string& kind, std::uint64_t after);
+  fake_reply create(const std::string& kind, const boost::json::value& body);
+  fake_reply replace(const std::string& kind, const std::string& name,
+                     const boost::json::value& body);
   static boost::json::value render(const std::string& name, const object& o);
 
   struct content {
@@ -67,6 +66,6 @@
   std::shared_ptr<content> content_;
 };
 
-} // namespace wisteriaflow::relay
+} // namespace wisteriaflow::fakes
 
-#endif // WISTERIAFLOW_TEST_RELAY_FAKE_STORE_H_
+#endif // WISTERIAFLOW_TEST_FAKES_FAKE_STORE_H_
--- /dev/null
+++ b/test/gateway_system/fault_proxy.cc
@@ -0,0 +1,141 @@
+#include "gateway_system/fault_proxy.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace wisteriaflow::gateway_system_tests {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds delay{150};
+constexpr std::size_t piece_size = 16'384; // bytes
+
+} // namespace
+
+struct fault_proxy::connection {
+  tcp::socket client;
+  tcp::socket server;
+  std::shared_ptr<network_fault> fault;
+  bool lost_bytes = false;
+
+  // Drops the piece if the network does; what follows a lost piece must be lost, too.
+  bool loses(bool to_client)
+  {
+    const bool lost =
+        *fault == network_fault::silent || (*fault == network_fault::answers_lost && to_client);
+    lost_bytes = lost_bytes || lost;
+    return lost_bytes;
+  }
+
+  void close()
+  {
+    error_code ec;
+    client.close(ec);
+    server.close(ec);
+  }
+
+  void reset()
+  {
+    error_code ec;
+    const asio::socket_base::linger reset_on_close(true, 0);
+    client.set_option(reset_on_close, ec);
+    server.set_option(reset_on_close, ec);
+    close();
+  }
+};
+
+fault_proxy::fault_proxy(asio::io_context& context, const std::string& host,
+                         http::socket_address target)
+    : context_(context), acceptor_(context, {asio::ip::make_address(host), 0}),
+      target_(asio::ip::make_address(target.host), target.port)
+{
+  asio::co_spawn(context_, accept(), asio::detached);
+}
+
+fault_proxy::~fault_proxy()
+{
+  reset_connections();
+}
+
+http::socket_address fault_proxy::address() const
+{
+  const auto bound = acceptor_.local_endpoint();
+  return {.host = bound.address().to_string(), .port = bound.port()};
+}
+
+void fault_proxy::reset_connections()
+{
+  for (const auto& each : connections_) {
+    if (const auto c = each.lock()) {
+      c->reset();
+    }
+  }
+  connections_.clear();
+}
+
+asio::awaitable<void> fault_proxy::accept()
+{
+  for (;;) {
+    error_code ec;
+    auto client = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      co_return;
+    }
+    tcp::socket server(context_);
+    co_await server.async_connect(target_, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      continue; // the client's connection closes with its socket
+    }
+    const auto c = std::make_shared<connection>(
+        connection{.client = std::move(client), .server = std::move(server), .fault = fault_});
+    std::erase_if(connections_, [](const auto& each) { return each.expired(); });
+    connections_.push_back(c);
+    asio::co_spawn(context_, carry(c, false), asio::detached);
+    asio::co_spawn(context_, carry(c, true), asio::detached);
+  }
+}
+
+asio::awaitable<void> fault_proxy::carry(std::shared_ptr<connection> c, bool to_client)
+{
+  auto& from = to_client ? c->server : c->client;
+  auto& to = to_client ? c->client : c->server;
+  std::array<char, piece_size> buf{};
+  error_code ec;
+  auto token = asio::redirect_error(asio::use_awaitable, ec);
+  asio::steady_timer timer(from.get_executor());
+  for (;;) {
+    const auto n = co_await from.async_read_some(asio::buffer(buf), token);
+    if (ec) {
+      break;
+    }
+    if (c->loses(to_client)) {
+      continue;
+    }
+    if (*c->fault == network_fault::delayed) {
+      timer.expires_after(delay);
+      co_await timer.async_wait(token);
+    }
+    co_await asio::async_write(to, asio::buffer(buf.data(), n), token);
+    if (ec) {
+      break;
+    }
+  }
+  // An end is lost like bytes are.
+  if (!c->loses(to_client)) {
+    c->close();
+  }
+}
+
+} // namespace wisteriaflow::gateway_system_tests
--- /dev/null
+++ b/test/gateway_system/gateway_fleet.cc
@@ -0,0 +1,169 @@
+#include "gateway_system/gateway_fleet.h"
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+namespace wisteriaflow::gateway_system_tests {
+namespace {
+
+using boost::asio::ip::tcp;
+namespace json = boost::json;
+
+constexpr std::chrono::seconds time_to_start{2};
+constexpr int places = 64;
+
+std::string make_folder()
+{
+  std::string name = "/tmp/wisteriaflow-gateway-XXXXXX";
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("cannot make " + name);
+  }
+  return name;
+}
+
+// 127.x.y.1 by the process id, so that tests beside this one cannot take a port between its choice
+// and the daemon's start.
+std::string own_loopback_address()
+{
+  const auto pid = getpid();
+  return "127." + std::to_string(1 + pid / 256 % 254) + "." + std::to_string(pid % 256) + ".1";
+}
+
+json::object route(const std::string& name, const std::string& kind, bool resumable)
+{
+  return {{"name", name},
+          {"host", gateway_fleet::host},
+          {"pathPrefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeoutMs", gateway_fleet::route_timeout.count()},
+          {"targetLatencyMs", 300},
+          {"targetGapMs", 300},
+          {"service", "chat"},
+          {"maxAttempts", 2},
+          {"resumable", resumable}};
+}
+
+} // namespace
+
+gateway_fleet::gateway_fleet(boost::asio::io_context& context)
+    : context_(context), folder_(make_folder()), address_(own_loopback_address()), store_(context)
+{
+  write_configuration();
+}
+
+gateway_fleet::~gateway_fleet()
+{
+  daemons_.clear();
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec); // what stays is a few logs
+}
+
+http::socket_address gateway_fleet::free_address() const
+{
+  const tcp::acceptor bound(context_, {boost::asio::ip::make_address(address_), 0});
+  return {.host = address_, .port = bound.local_endpoint().port()};
+}
+
+std::string gateway_fleet::settings_of(const gateway_process& d) const
+{
+  std::string seeds;
+  for (const auto& [id, other] : daemons_) {
+    seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
+  }
+  return "[daemon]\nid = " + d.id +
+         "\navailability_zone = z\n[listen]\ncallers = " + to_string(d.callers) +
+         "\naddresses = " + to_string(free_address()) + "\nreadiness = " + to_string(d.readiness) +
+         "\npeers = " + to_string(d.peers) + (seeds.empty() ? "" : "\n[peers]\nseeds = " + seeds) +
+         "\n[store]\naddress = " + to_string(d.way_to_store->address()) +
+         "\n[drain]\ngrace_s = " + std::to_string(drain_grace.count()) +
+         "\nendpoint_notice_ms = " + std::to_string(endpoint_notice.count()) +
+         "\n[retries]\nratio = 0.2\nslack = 100\n";
+}
+
+gateway_process& gateway_fleet::start_daemon(const std::string& log)
+{
+  auto d = std::make_unique<gateway_process>();
+  d->id = "d" + std::to_string(++last_daemon_);
+  d->callers = free_address();
+  d->readiness = free_address();
+  d->peers = free_address();
+  d->way_to_store = std::make_unique<fault_proxy>(context_, address_, store_.address());
+  d->disturbed_until = std::chrono::steady_clock::now() + time_to_start;
+  const auto file = folder_ + "/" + d->id + ".ini";
+  std::ofstream(file) << settings_of(*d);
+  d->running = std::make_unique<system_tests::process>(
+      std::vector<std::string>{WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd",
+                               "--config=" + file},
+      log.empty() ? folder_ + "/" + d->id + ".log" : log);
+  return *daemons_.emplace(d->id, std::move(d)).first->second;
+}
+
+proxied_endpoint& gateway_fleet::add_endpoint()
+{
+  const auto id = "i-" + std::to_string(++last_endpoint_);
+  proxied_endpoint made;
+  made.endpoint = std::make_unique<counting_endpoint>(context_, id, last_endpoint_);
+  made.way = std::make_unique<fault_proxy>(context_, address_, made.endpoint->address());
+  auto& kept = endpoints_.emplace(id, std::move(made)).first->second;
+  write_endpoint(kept, "ready");
+  return kept;
+}
+
+void gateway_fleet::write_endpoint(const proxied_endpoint& e, const std::string& state)
+{
+  store_.put("servers", e.endpoint->id(),
+             {{"service", "chat"},
+              {"address", to_string(e.way->address())},
+              {"zone", "z"},
+              {"slots", places},
+              {"state", state}});
+}
+
+counting_endpoint& gateway_fleet::retire(const std::string& id)
+{
+  const auto it = endpoints_.find(id);
+  retired_.push_back(std::move(it->second));
+  endpoints_.erase(it);
+  return *retired_.back().endpoint;
+}
+
+std::vector<const counting_endpoint*> gateway_fleet::all_endpoints() const
+{
+  std::vector<const counting_endpoint*> out;
+  for (const auto& [id, each] : endpoints_) {
+    out.push_back(each.endpoint.get());
+  }
+  for (const auto& each : retired_) {
+    out.push_back(each.endpoint.get());
+  }
+  return out;
+}
+
+std::uint64_t gateway_fleet::write_configuration()
+{
+  ++version_;
+  json::array routes = {route("safe", "safe", false), route("unsafe", "unsafe", false),
+                        route("stream", "streaming", false), route("resumable", "streaming", true)};
+  for (std::uint64_t i = 1; i <= version_; ++i) {
+    routes.push_back(route("extra-" + std::to_string(i), "safe", false));
+  }
+  const json::value workspace = {{"name", "hotel"}, {"apiKeys", json::array{"k1"}}};
+  store_.put("config", "main",
+             {{"version", version_},
+              {"routes", std::move(routes)},
+              {"services", json::array{{{"name", "chat"}}}},
+              {"tenants", json::array{workspace}}});
+  return version_;
+}
+
+} // namespace wisteriaflow::gateway_system_tests
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -3,9 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include "fakes/fake_endpoint.h"
 #include "fakes/run.h"
 #include "relay/attempt.h"
-#include "relay/fake_endpoint.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -50,7 +50,7 @@
   event_log log_{[](daemon::log_line) { return true; }};
   fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
   http::client client_{context_};
-  fake_endpoint endpoint_{context_, "i-1"};
+  fakes::fake_endpoint endpoint_{context_, "i-1"};
   null_writer writer_;
   gateway::route route_{.target_latency = 10ms, .max_attempts = 2};
   admitted_call call_;
@@ -70,7 +70,7 @@
 
 TEST_F(AttemptTest, EndsWhenTheEndpointSaysNothing)
 {
-  endpoint_.mood = endpoint_mood::says_nothing;
+  endpoint_.mood = fakes::endpoint_mood::says_nothing;
   attempt_result result;
   auto task = [&]() -> boost::asio::awaitable<void> {
     const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -13,13 +13,17 @@
 #include <boost/json/value.hpp>
 #include <gtest/gtest.h>
 
-#include "relay/fake_endpoint.h"
-#include "relay/fake_store.h"
+#include "fakes/fake_endpoint.h"
+#include "fakes/fake_store.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/relay/gateway_daemon.h"
 
 namespace wisteriaflow::relay {
 
+using fakes::endpoint_mood;
+using fakes::fake_endpoint;
+using fakes::fake_store;
+
 // A daemon that runs until it is destroyed.
 class running_gateway {
  public:
--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -90,15 +90,19 @@
   pid_ = 0;
 }
 
-bool process::await_end()
+std::optional<bool> process::ended()
 {
   int status = 0;
-  const bool ended = eventually([&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
-  if (!ended) {
-    return false;
+  if (pid_ != 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+    pid_ = 0;
+    ended_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   }
-  pid_ = 0;
-  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  return ended_;
+}
+
+bool process::await_end()
+{
+  return eventually([this] { return ended().has_value(); }) && *ended_;
 }
 
 } // namespace wisteriaflow::system_tests
--- a/test/system/process.h
+++ b/test/system/process.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,12 +34,16 @@
   // Waits up to half a minute for the process to end by itself; returns whether it ended with 0.
   bool await_end();
 
+  // Whether it ended with 0; nothing while it runs. Does not wait.
+  [[nodiscard]] std::optional<bool> ended();
+
   // What it has written so far.
   [[nodiscard]] std::string output() const;
 
  private:
   std::string log_;
   pid_t pid_ = 0; // 0: reaped
+  std::optional<bool> ended_;
 };
 
 } // namespace wisteriaflow::system_tests
