Run gateway daemons under random faults, and compare answers with runs

The soak drove the product's own daemon only. It now has a twin for gateways: four processes, five endpoints, every way through a proxy. Daemons are killed, terminated and paused, endpoints leave, crash and misbehave, ways are delayed, reset, silenced or lose answers, the store is away, configurations change; all of it overlaps. Callers go on at a daemon for as long as they may keep its address. What callers got is compared with what endpoints ran: once, whole, signed, never run after a promise of not having run, no call without an answer at a sound daemon, no known route lost, no request to an endpoint after its notice, an end with 0 within the grace, service again after the faults. Twelve seconds with a fixed seed are a test.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -78,6 +78,19 @@
                    fake_plain_service)
 endif()
 
+# The same for gateway daemons. A short run with a fixed seed is a test.
+set(gateway_soak_sources test/gateway_system/gateway_soak_main.cc test/system/process.cc)
+foreach(part counting_endpoint fault_proxy gateway_fleet soak_calls)
+  list(APPEND gateway_soak_sources test/gateway_system/${part}.cc)
+endforeach()
+add_executable(gateway_soak ${gateway_soak_sources})
+target_include_directories(gateway_soak PRIVATE test src)
+target_link_libraries(gateway_soak PRIVATE wisteriaflow_fakes absl::flags absl::flags_parse)
+target_compile_definitions(gateway_soak PRIVATE WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
+add_dependencies(gateway_soak wisteriaflow-gatewayd)
+add_test(NAME GatewaySoak.KeepsEveryPromise COMMAND gateway_soak --minutes=0.2 --seed=1)
+set_tests_properties(GatewaySoak.KeepsEveryPromise PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
 # Benches are built with everything else and run by hand or by bench/run.
 file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cc)
 foreach(bench ${benches})
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,13 +28,11 @@
   http::socket_address peers;
   std::unique_ptr<fault_proxy> way_to_store;
   std::unique_ptr<system_tests::process> running;
-  mono_time disturbed_until; // a signal, or a fault on its way to the store, was felt up to here
-  bool stopping = false;     // told to end
+  mono_time disturbed_until; // a signal, or a fault on its way to the store, is felt up to here
+  std::optional<mono_time> told_to_end_at; // by SIGTERM, which is no disturbance
+  bool gone = false;                       // the process has ended
 
-  [[nodiscard]] bool is_calm_since(mono_time then) const
-  {
-    return disturbed_until < then && !stopping;
-  }
+  [[nodiscard]] bool is_calm_since(mono_time then) const { return disturbed_until < then; }
 };
 
 // An endpoint with the proxy before it.
