One INI reader, one fetch from a peer, one rendezvous rank; check the gateway's keys and log level

Logic that stood twice: both settings readers parsed INI and worded errors by themselves; two fetches from peers guarded, failed and logged alike; the rank of a daemon for a shared job was computed in two places; what a list makes the feed forget was a call of its own that callers had to remember. On the way the gateway's settings learned what the other daemon's know: a key that does not exist stops the start, and so does a log level that does not exist. A configuration of a peer that is not JSON was dropped without a line; it is logged now.

--- a/include/wisteriaflow/base/hash.h
+++ b/include/wisteriaflow/base/hash.h
@@ -4,7 +4,9 @@
 #ifndef WISTERIAFLOW_BASE_HASH_H_
 #define WISTERIAFLOW_BASE_HASH_H_
 
+#include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string_view>
@@ -30,6 +32,15 @@
 // score owns the key, and losing a member moves only that member's keys.
 [[nodiscard]] std::uint64_t rendezvous_score(std::uint64_t key, std::string_view member);
 
+// How many of `others` own `key` before `self` does.
+template <typename ids, typename id>
+[[nodiscard]] std::size_t rendezvous_rank(std::uint64_t key, const id& self, const ids& others)
+{
+  const auto own = rendezvous_score(key, self.value());
+  const auto before = [&](const id& other) { return rendezvous_score(key, other.value()) > own; };
+  return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), before));
+}
+
 } // namespace wisteriaflow
 
 template <> struct std::hash<wisteriaflow::hash128> {
--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -70,8 +70,10 @@
   // Whether this daemon is one of the few that read for the others.
   void set_reader(bool reader) { is_reader_ = reader; }
 
-  // The whole list stood so at `revision` when the store was asked, and has been noted.
-  void on_list(std::uint64_t revision, mono_time asked_at);
+  // The store was listed whole at `revision`, and its endpoints have been noted. Those that are not
+  // among `known` any more are forgotten.
+  void on_list(const std::map<endpoint_id, endpoint_record>& known, std::uint64_t revision,
+               mono_time asked_at);
 
   // The store stood at `revision` when it was asked, and all changes up to there have been noted.
   void on_read(std::uint64_t revision, mono_time asked_at);
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -44,6 +44,7 @@
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/base/ini_file.h"
 #include "wisteriaflow/base/text.h"
 #include "wisteriaflow/base/time.h"
 
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -20,18 +20,6 @@
 constexpr std::chrono::milliseconds audit_retry{2'000};
 constexpr unsigned audit_tries = 30;
 
-// How many of `daemons` rank before `self` for `name`.
-std::size_t rank_of(const daemon_id& self, const std::vector<daemon_id>& daemons,
-                    const std::string& name)
-{
-  const auto key = hash64_of(name);
-  const auto own = rendezvous_score(key, self.value());
-  const auto before = [&](const daemon_id& other) {
-    return rendezvous_score(key, other.value()) > own;
-  };
-  return static_cast<std::size_t>(std::count_if(daemons.begin(), daemons.end(), before));
-}
-
 objects::audit_change audit_change_of(objects::change_kind kind)
 {
   switch (kind) {
@@ -195,9 +183,9 @@
 void configuration::audit(objects::audit_record record)
 {
   const bool shared = record.change != objects::audit_change::action;
-  const auto rank =
-      shared ? rank_of(context_.options().self, fleet_.live_daemon_ids(), objects::name_of(record))
-             : 0;
+  const auto rank = shared ? rendezvous_rank(hash64_of(objects::name_of(record)),
+                                             context_.options().self, fleet_.live_daemon_ids())
+                           : 0;
   if (rank >= audit_writers) {
     return;
   }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -4,14 +4,11 @@
 #include <array>
 #include <charconv>
 #include <fstream>
-#include <map>
 #include <optional>
 #include <sstream>
 #include <variant>
 
-#include <boost/property_tree/ini_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
-
+#include "wisteriaflow/base/ini_file.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/message.h"
 
@@ -272,49 +269,24 @@
   }
 };
 
-using key_name = std::pair<std::string, std::string>;
-
-// The message of an error: file, section, key, value and what is wrong with it.
-std::string fault_text(const std::string& file, const key_name& where, const std::string& value,
-                       const std::string& problem)
+ini_values read_values(std::istream& in, const std::string& name)
 {
-  std::string out = file;
-  out += ": section [" + where.first + "], key '" + where.second;
-  out += "' = '" + value + "': " + problem;
-  return out;
-}
-
-// The file's values by section and key; rejects keys that no definition names.
-std::map<key_name, std::string> read_values(std::istream& in, const std::string& name)
-{
-  boost::property_tree::ptree tree;
   try {
-    boost::property_tree::read_ini(in, tree);
-  } catch (const boost::property_tree::ini_parser_error& e) {
-    throw settings_error(name + ": line " + std::to_string(e.line()) + ": " + e.message());
-  }
-  std::map<key_name, std::string> values;
-  for (const auto& [section, keys] : tree) {
-    if (keys.empty()) {
-      throw settings_error(fault_text(name, {"", section}, keys.data(),
-                                      "stands outside any section; allowed: keys below [section]"));
-    }
-    for (const auto& [key, value] : keys) {
-      values[{section, key}] = value.data();
-    }
+    return read_ini(in, name);
+  } catch (const ini_error& e) {
+    throw settings_error(e.what());
   }
-  return values;
 }
 
-void reject_unknown(const std::map<key_name, std::string>& values, const std::string& name)
+void reject_unknown(const ini_values& values, const std::string& name)
 {
   for (const auto& [where, value] : values) {
     const auto is_here = [&where = where](const definition& d) {
-      return d.section == where.first && d.key == where.second;
+      return d.section == where.section && d.key == where.key;
     };
     if (std::none_of(definitions().begin(), definitions().end(), is_here)) {
       throw settings_error(
-          fault_text(name, where, value, "unknown key; docs/REFERENCE.md lists them"));
+          ini_fault(name, where, value, "unknown key; docs/REFERENCE.md lists them"));
     }
   }
 }
@@ -355,7 +327,7 @@
     const auto& value = it == values.end() ? d.fallback : it->second;
     if (!std::visit(apply_rule{out, value}, d.allowed)) {
       const auto allowed = "allowed: " + std::visit(describe_rule{}, d.allowed);
-      throw settings_error(fault_text(name, {d.section, d.key}, value, allowed));
+      throw settings_error(ini_fault(name, {d.section, d.key}, value, allowed));
     }
   }
   check_together(out, name);
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -32,8 +32,10 @@
   due_at_ = read_at + milliseconds(static_cast<std::int64_t>(pause));
 }
 
-void endpoint_feed::on_list(std::uint64_t revision, mono_time asked_at)
+void endpoint_feed::on_list(const std::map<endpoint_id, endpoint_record>& known,
+                            std::uint64_t revision, mono_time asked_at)
 {
+  retain(known);
   removals_after_ = revision;
   move_to(revision, asked_at);
 }
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -124,14 +124,13 @@
 
 bool fleet_state::is_among_first(std::size_t number, std::string_view job, mono_time now) const
 {
-  const auto key = hash64_of(job);
-  const auto own_score = rendezvous_score(key, options.id.value());
-  std::size_t before = 0;
+  std::vector<daemon_id> staying;
   for (const auto& peer : peers.live(now)) {
-    const bool better = rendezvous_score(key, peer.id.value()) > own_score;
-    before += better && !peer.leaving ? 1 : 0;
+    if (!peer.leaving) {
+      staying.push_back(peer.id);
+    }
   }
-  return before < number;
+  return rendezvous_rank(hash64_of(job), options.id, staying) < number;
 }
 
 bool fleet_state::competes_for_duties(mono_time now) const
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -105,10 +105,10 @@
       rounds_.on_answer(peer, std::chrono::steady_clock::now());
       state_.absorb(told, read_clocks());
       if (told.configuration_version > state_.configuration_version()) {
-        asio::co_spawn(context_, fetch_configuration(peer), asio::detached);
+        fetch_configuration(peer);
       }
       if (state_.feed.on_peer_view(told.endpoints, asked_at) == gateway::feed_step::fetch) {
-        asio::co_spawn(context_, fetch_endpoints(peer), asio::detached);
+        fetch_endpoints(peer);
       }
     }
   } catch (const http::http_error& e) {
@@ -120,55 +120,56 @@
   asked_.erase(peer);
 }
 
-asio::awaitable<void> peer_sync::fetch_configuration(http::socket_address peer)
+asio::awaitable<void> peer_sync::fetch(http::socket_address peer, fetch_kind kind)
 {
-  if (fetching_) {
+  if (!fetches_.insert(kind.what).second) {
     co_return;
   }
-  fetching_ = true;
+  http::request message{.target = kind.target};
   try {
-    http::request message{.target = std::string(configuration_target)};
     const auto deadline = std::chrono::steady_clock::now() + fetch_timeout;
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
-    boost::system::error_code ec;
-    const auto document = boost::json::parse(reply.body, ec);
-    if (reply.status == http::status::ok && !ec) {
-      state_.offer_configuration(document, "peer");
+    if (reply.status == http::status::ok) {
+      kind.take(reply.body);
     }
-  } catch (const http::http_error& e) {
-    state_.log.write(daemon::log_level::warn, "configuration not fetched",
+  } catch (const error& e) {
+    state_.log.write(daemon::log_level::warn, kind.what + " not fetched",
                      {{"peer", to_string(peer)}, {"reason", e.what()}});
   }
-  fetching_ = false;
+  fetches_.erase(kind.what);
 }
 
-asio::awaitable<void> peer_sync::fetch_endpoints(http::socket_address peer)
+void peer_sync::fetch_configuration(const http::socket_address& peer)
+{
+  fetch_kind kind{.what = "configuration", .target = std::string(configuration_target)};
+  kind.take = [this](const std::string& body) {
+    boost::system::error_code ec;
+    const auto document = boost::json::parse(body, ec);
+    if (ec) {
+      throw gateway::peer_report_error("not JSON: " + ec.message());
+    }
+    state_.offer_configuration(document, "peer");
+  };
+  asio::co_spawn(context_, fetch(peer, std::move(kind)), asio::detached);
+}
+
+void peer_sync::fetch_endpoints(const http::socket_address& peer)
 {
-  if (fetching_endpoints_) {
-    co_return;
-  }
-  fetching_endpoints_ = true;
   const auto after = state_.feed.revision();
-  http::request message{.target =
-                            std::string(endpoints_target) + "?after=" + std::to_string(after)};
-  try {
-    const auto asked_at = std::chrono::steady_clock::now();
-    const auto reply = co_await client_.call(peer, std::move(message), asked_at + fetch_timeout);
-    if (reply.status == http::status::ok) {
-      const auto changes = gateway::decode_endpoint_changes(reply.body);
-      const auto now = std::chrono::steady_clock::now();
-      state_.take_departures(changes.departures, now);
-      for (const auto& r : changes.records) {
-        state_.endpoints.apply(r, now);
-        state_.feed.note_fetched(r);
-      }
-      state_.feed.on_fetched(changes.view, after, asked_at);
+  const auto asked_at = std::chrono::steady_clock::now();
+  fetch_kind kind{.what = "endpoints",
+                  .target = std::string(endpoints_target) + "?after=" + std::to_string(after)};
+  kind.take = [this, after, asked_at](const std::string& body) {
+    const auto changes = gateway::decode_endpoint_changes(body);
+    const auto now = std::chrono::steady_clock::now();
+    state_.take_departures(changes.departures, now);
+    for (const auto& r : changes.records) {
+      state_.endpoints.apply(r, now);
+      state_.feed.note_fetched(r);
     }
-  } catch (const error& e) {
-    state_.log.write(daemon::log_level::warn, "endpoints not fetched",
-                     {{"peer", to_string(peer)}, {"reason", e.what()}});
-  }
-  fetching_endpoints_ = false;
+    state_.feed.on_fetched(changes.view, after, asked_at);
+  };
+  asio::co_spawn(context_, fetch(peer, std::move(kind)), asio::detached);
 }
 
 asio::awaitable<gateway::quota_decision> peer_sync::admit(workspace_id workspace, double units)
@@ -216,7 +217,7 @@
   state_.absorb(told, read_clocks());
   rounds_.on_answer(told.self.peer_address, std::chrono::steady_clock::now());
   if (told.configuration_version > state_.configuration_version()) {
-    asio::co_spawn(context_, fetch_configuration(told.self.peer_address), asio::detached);
+    fetch_configuration(told.self.peer_address);
   }
   return {.status = http::status::ok, .body = encode_peer_report(state_.report(read_clocks()))};
 }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -3,7 +3,10 @@
 #ifndef WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 #define WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 
+#include <functional>
+#include <optional>
 #include <set>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -35,9 +38,15 @@
   ask_owner(daemon_id owner, gateway::quota_question question);
   http::response answer_report(const http::request& asked);
   http::response answer_quota(const http::request& asked);
-  boost::asio::awaitable<void> fetch_configuration(http::socket_address peer);
-  // The endpoints' changes that a peer knows of and this daemon does not.
-  boost::asio::awaitable<void> fetch_endpoints(http::socket_address peer);
+  // Something that a peer knows of and this daemon does not.
+  struct fetch_kind {
+    std::string what; // for the log; one of a kind is fetched at a time
+    std::string target;
+    std::function<void(const std::string& body)> take; // throws error if it is unreadable
+  };
+  boost::asio::awaitable<void> fetch(http::socket_address peer, fetch_kind kind);
+  void fetch_configuration(const http::socket_address& peer);
+  void fetch_endpoints(const http::socket_address& peer);
   http::response answer_endpoints(const http::request& asked);
   // Starts one round of the exchange, which may have to spread news.
   void ask_peers(bool news);
@@ -52,8 +61,7 @@
   std::set<http::socket_address> asked_; // exchanges under way
   gateway::peer_rounds rounds_;
   bool hurried_ = false;
-  bool fetching_ = false; // a configuration
-  bool fetching_endpoints_ = false;
+  std::set<std::string> fetches_; // under way, by what they fetch
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/settings.cc
+++ b/src/relay/settings.cc
@@ -1,12 +1,10 @@
 #include "wisteriaflow/relay/settings.h"
 
 #include <fstream>
+#include <set>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-#include <boost/property_tree/ini_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
-
+#include "wisteriaflow/base/ini_file.h"
 #include "wisteriaflow/base/text.h"
 #include "wisteriaflow/http/errors.h"
 
@@ -21,9 +19,20 @@
   reader(std::istream& in, std::string name) : name_(std::move(name))
   {
     try {
-      boost::property_tree::read_ini(in, tree_);
-    } catch (const boost::property_tree::ini_parser_error& e) {
-      throw settings_error(absl::StrCat(name_, ": line ", e.line(), ": ", e.message()));
+      values_ = read_ini(in, name_);
+    } catch (const ini_error& e) {
+      throw settings_error(e.what());
+    }
+  }
+
+  // Throws settings_error if the file has a key that nothing asked for.
+  void reject_unknown() const
+  {
+    for (const auto& [where, value] : values_) {
+      if (!asked_.contains(where)) {
+        throw settings_error(
+            ini_fault(name_, where, value, "unknown key; docs/REFERENCE.md lists them"));
+      }
     }
   }
 
@@ -36,9 +45,13 @@
     return *value;
   }
 
-  [[nodiscard]] std::string text(const char* section, const char* key, const char* fallback) const
+  [[nodiscard]] std::string log_level(const char* section, const char* key) const
   {
-    return find(section, key).value_or(fallback);
+    auto value = find(section, key).value_or("info");
+    if (value != "debug" && value != "info" && value != "warn" && value != "error") {
+      fail(section, key, value, "debug, info, warn, error");
+    }
+    return value;
   }
 
   [[nodiscard]] http::socket_address address(const char* section, const char* key) const
@@ -99,15 +112,10 @@
  private:
   [[nodiscard]] std::optional<std::string> find(const char* section, const char* key) const
   {
-    const auto part = tree_.find(section);
-    if (part == tree_.not_found()) {
-      return std::nullopt;
-    }
-    const auto value = part->second.find(key);
-    if (value == part->second.not_found()) {
-      return std::nullopt;
-    }
-    return value->second.data();
+    const ini_key where{.section = section, .key = key};
+    asked_.insert(where);
+    const auto it = values_.find(where);
+    return it == values_.end() ? std::nullopt : std::optional(it->second);
   }
 
   [[nodiscard]] http::socket_address parse_address(const char* section, const char* key,
@@ -123,12 +131,13 @@
   [[noreturn]] void fail(const char* section, const char* key, const std::string& value,
                          const char* allowed) const
   {
-    throw settings_error(absl::StrCat(name_, ": section [", section, "], key '", key, "' = '",
-                                      value, "': allowed: ", allowed));
+    throw settings_error(ini_fault(name_, {.section = section, .key = key}, value,
+                                   std::string("allowed: ") + allowed));
   }
 
   std::string name_;
-  boost::property_tree::ptree tree_;
+  ini_values values_;
+  mutable std::set<ini_key> asked_;
 };
 
 } // namespace
@@ -140,7 +149,7 @@
   settings out;
   out.id = daemon_id(from.text("daemon", "id"));
   out.zone = availability_zone(from.text("daemon", "availability_zone"));
-  out.log_level = from.text("daemon", "log_level", "info");
+  out.log_level = from.log_level("daemon", "log_level");
   out.callers = from.address("listen", "callers");
   out.addresses = from.address("listen", "addresses");
   out.readiness = from.address("listen", "readiness");
@@ -158,6 +167,7 @@
   out.lease_duration = from.time("duties", "lease_ms", 1ms, 3s);
   out.usage_window = from.time("duties", "usage_window_s", 1s, 5s);
   out.usage_deadline = from.time("duties", "usage_deadline_s", 1s, 10s);
+  from.reject_unknown();
   return out;
 }
 
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -155,7 +155,7 @@
     if (all.whole) {
       failures = 0;
       take_endpoints(all);
-      state_.feed.on_list(all.revision, asked_at);
+      state_.feed.on_list(state_.endpoints.all(), all.revision, asked_at);
       co_await watch_endpoints();
     }
     co_await pause(store_.backoff(++failures));
@@ -208,7 +208,6 @@
     }
   }
   state_.endpoints.replace_all(records, all.revision, std::chrono::steady_clock::now());
-  state_.feed.retain(state_.endpoints.all());
   for (const auto& r : records) {
     state_.feed.note(r);
   }
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -25,7 +25,7 @@
   {
     for (auto* feed : {&reader_, &follower_}) {
       feed->note(record("a", 5));
-      feed->on_list(10, start);
+      feed->on_list({{endpoint_id("a"), record("a", 5)}}, 10, start);
     }
   }
 
@@ -102,7 +102,7 @@
   // Endpoint "a" was removed at 15; a daemon that starts then lists what is left.
   endpoint_feed started({.notice = 2s, .seed = 3});
   started.note(record("b", 16));
-  started.on_list(20, start + 500ms);
+  started.on_list({{endpoint_id("b"), record("b", 16)}}, 20, start + 500ms);
   const auto view = started.view(start + 500ms);
   EXPECT_EQ(follower_.on_peer_view(view, start + 500ms), feed_step::nothing);
   follower_.on_fetched(view, 10, start + 500ms);
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -74,14 +74,15 @@
   return {.host = address_, .port = bound.local_endpoint().port()};
 }
 
-std::string gateway_fleet::settings_of(const gateway_process& d) const
+std::string gateway_fleet::settings_of(const gateway_process& d,
+                                       const daemon_options& options) const
 {
   std::string seeds;
   for (const auto& [id, other] : daemons_) {
     seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
   }
-  return "[daemon]\nid = " + d.id +
-         "\navailability_zone = z\n[listen]\ncallers = " + to_string(d.callers) +
+  return "[daemon]\nid = " + d.id + "\navailability_zone = z\nlog_level = " + options.log_level +
+         "\n[listen]\ncallers = " + to_string(d.callers) +
          "\naddresses = " + to_string(free_address()) + "\nreadiness = " + to_string(d.readiness) +
          "\npeers = " + to_string(d.peers) + (seeds.empty() ? "" : "\n[peers]\nseeds = " + seeds) +
          "\n[store]\naddress = " + to_string(d.way_to_store->address()) +
@@ -90,7 +91,7 @@
          "\n[retries]\nratio = 0.2\nslack = 100\n";
 }
 
-gateway_process& gateway_fleet::start_daemon(const std::string& log)
+gateway_process& gateway_fleet::start_daemon(const daemon_options& options)
 {
   auto d = std::make_unique<gateway_process>();
   d->id = "d" + std::to_string(++last_daemon_);
@@ -100,11 +101,11 @@
   d->way_to_store = std::make_unique<fault_proxy>(context_, address_, store_.address());
   d->disturbed_until = std::chrono::steady_clock::now() + time_to_start;
   const auto file = folder_ + "/" + d->id + ".ini";
-  std::ofstream(file) << settings_of(*d);
+  std::ofstream(file) << settings_of(*d, options);
   d->running = std::make_unique<system_tests::process>(
       std::vector<std::string>{WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd",
                                "--config=" + file},
-      log.empty() ? folder_ + "/" + d->id + ".log" : log);
+      options.log.empty() ? folder_ + "/" + d->id + ".log" : options.log);
   return *daemons_.emplace(d->id, std::move(d)).first->second;
 }
 
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -41,6 +41,11 @@
   std::unique_ptr<fault_proxy> way;
 };
 
+struct daemon_options {
+  std::string log; // a file for the output; empty: one that is removed at the end
+  std::string log_level = "info";
+};
+
 // Not thread-safe.
 class gateway_fleet {
  public:
@@ -55,9 +60,9 @@
   gateway_fleet(const gateway_fleet&) = delete;
   gateway_fleet& operator=(const gateway_fleet&) = delete;
 
-  // Starts a daemon under a new name, at new ports, with its output in `log` (empty: a file that is
-  // removed at the end). It gets 2 s to become ready before it counts as undisturbed.
-  gateway_process& start_daemon(const std::string& log = "");
+  // Starts a daemon under a new name, at new ports. It gets 2 s to become ready before it counts as
+  // undisturbed.
+  gateway_process& start_daemon(const daemon_options& options = {});
   // Adds an endpoint of the one service and writes it to the store.
   proxied_endpoint& add_endpoint();
   void write_endpoint(const proxied_endpoint& e, const std::string& state);
@@ -76,7 +81,8 @@
 
  private:
   [[nodiscard]] http::socket_address free_address() const;
-  [[nodiscard]] std::string settings_of(const gateway_process& d) const;
+  [[nodiscard]] std::string settings_of(const gateway_process& d,
+                                        const daemon_options& options) const;
 
   boost::asio::io_context& context_;
   std::string folder_;
--- a/test/gateway_system/gateway_process_test.cc
+++ b/test/gateway_system/gateway_process_test.cc
@@ -55,7 +55,7 @@
   void start(const std::string& log = "")
   {
     fleet_.add_endpoint();
-    daemon_ = &fleet_.start_daemon(log);
+    daemon_ = &fleet_.start_daemon({.log = log});
     const auto deadline = std::chrono::steady_clock::now() + 60s;
     while (status_of(daemon_->readiness, {.target = "/ready"}) != 200) {
       ASSERT_LT(std::chrono::steady_clock::now(), deadline) << "the daemon does not become ready";
--- a/test/relay/settings_test.cc
+++ b/test/relay/settings_test.cc
@@ -85,5 +85,18 @@
             "file.ini: section [retries], key 'ratio' = '-1': allowed: a number, 0 or more");
 }
 
+TEST(GatewaySettingsTest, RejectsAnUnknownKey)
+{
+  const auto fault = fault_of(with("grace_s = 8", "grace = 8"));
+  EXPECT_EQ(fault, "file.ini: section [drain], key 'grace' = '8': unknown key; "
+                   "docs/REFERENCE.md lists them");
+}
+
+TEST(GatewaySettingsTest, RejectsALogLevelThatDoesNotExist)
+{
+  const auto fault = fault_of(with("id = front-1", "id = front-1\nlog_level = loud"));
+  EXPECT_NE(fault.find("key 'log_level' = 'loud': allowed: "), std::string::npos) << fault;
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
--- a/test/system/process.h
+++ b/test/system/process.h
@@ -25,6 +25,9 @@
   // with the output so far, if the program ends before or takes over half a minute.
   [[nodiscard]] std::string await_line(const std::string& start) const;
 
+  // The process id; 0 once it has been reaped.
+  [[nodiscard]] pid_t id() const { return pid_; }
+
   // Sends a signal; nothing if the process has been reaped.
   void signal(int number) const;
 
