Say in the log when an attempt got no answer at all

Cause: the line of a failed attempt named the status of an answer that had not come, and a message without one stands at 200. The status is "none" now until a head has come.

The test for a lost answer says so; it failed before ("200"). Only the log's text changes.

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -95,7 +95,7 @@
     result_.reason = "an event is missing";
   }
   const bool whole = result_.how == end::whole || result_.how == end::stream_ended;
-  if (head_seen_ && (whole || head_.not_run)) {
+  if (result_.head_came && (whole || head_.not_run)) {
     // A promise of not having run stands even if the rest of the answer was lost.
     result_.outcome = gateway::judge(head_, call_.description.request_id);
   }
@@ -140,7 +140,7 @@
 void attempt::on_head(const http::response& head)
 {
   heard_at_ = std::chrono::steady_clock::now();
-  head_seen_ = true;
+  result_.head_came = true;
   head_ = adapter::decode_answer(head);
   result_.answer = head;
   const auto outcome = gateway::judge(head_, call_.description.request_id);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -66,7 +66,8 @@
   bool timed_out = false;
   std::string reason; // of a failure
   gateway::attempt_outcome outcome = gateway::attempt_outcome::broken;
-  http::response answer; // head, and the body if it is whole
+  bool head_came = false;
+  http::response answer; // head, and the body if it is whole; says nothing if no head came
 };
 
 // Sends `call` to one endpoint. Lives for one call of `run`.
@@ -108,7 +109,6 @@
   gateway::event_splitter splitter_;
   gateway::answer_head head_;
   std::uint64_t events_ = 0;
-  bool head_seen_ = false;
   bool begun_ = false; // the first event, or the head of a whole answer, has come
   bool streaming_ = false;
   bool gap_ = false; // an event was missing
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -352,7 +352,7 @@
                        {"attempt", std::to_string(call.history.sent + 1)},
                        {"since_arrival_ms", std::to_string(elapsed.count())},
                        {"configuration", std::to_string(call.configuration->version())},
-                       {"status", std::to_string(result.answer.status)},
+                       {"status", result.head_came ? std::to_string(result.answer.status) : "none"},
                        {"silent", result.silent ? "yes" : "no"},
                        {"events", std::to_string(call.last_event.value_or(0))}};
   add_reason(fields, result);
--- a/test/relay/failure_cause_test.cc
+++ b/test/relay/failure_cause_test.cc
@@ -61,6 +61,7 @@
   start(endpoint_mood::cuts);
   EXPECT_EQ(send_and_keep_id("/unsafe/1"), 502);
   EXPECT_EQ(value("attempt failed", "endpoint"), "i-1");
+  EXPECT_EQ(value("attempt failed", "status"), "none");
   EXPECT_NE(value("attempt failed", "reason").find("broke off"), std::string::npos);
   EXPECT_EQ(value("call given up", "status"), "502");
 }
