Give each server of a test a loopback address of its own

Cause: 3 of 66 runs of the gateway soak said "did not end with 0" of a daemon. With the exit code and the last lines kept, the same showed again in one of 8 runs: the daemon could not listen, "Address already in use". Ports are chosen before the process starts, and on a host that others connect to as well the kernel may give the port to one of their connections meanwhile. Each server now has a host of its own, all its ports are chosen at once, and the soak tells the end of the log of a daemon that did not end with 0. The gateway tests choose theirs in the same way.

--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -9,14 +9,14 @@
 #include <stdexcept>
 #include <utility>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include "fakes/free_addresses.h"
+
 namespace wisteriaflow::gateway_system_tests {
 namespace {
 
-using boost::asio::ip::tcp;
 namespace json = boost::json;
 
 constexpr std::chrono::seconds time_to_start{2};
@@ -31,14 +31,6 @@
   return name;
 }
 
-// 127.x.y.1 by the process id, so that tests beside this one cannot take a port between its choice
-// and the daemon's start.
-std::string own_loopback_address()
-{
-  const auto pid = getpid();
-  return "127." + std::to_string(1 + pid / 256 % 254) + "." + std::to_string(pid % 256) + ".1";
-}
-
 json::object route(const std::string& name, const std::string& kind, bool resumable)
 {
   return {{"name", name},
@@ -56,7 +48,8 @@
 } // namespace
 
 gateway_fleet::gateway_fleet(boost::asio::io_context& context)
-    : context_(context), folder_(make_folder()), address_(own_loopback_address()), store_(context)
+    : context_(context), folder_(make_folder()), proxies_host_(fakes::own_loopback_host(0)),
+      store_(context)
 {
   write_configuration();
 }
@@ -68,12 +61,6 @@
   std::filesystem::remove_all(folder_, ec); // what stays is a few logs
 }
 
-http::socket_address gateway_fleet::free_address() const
-{
-  const tcp::acceptor bound(context_, {boost::asio::ip::make_address(address_), 0});
-  return {.host = address_, .port = bound.local_endpoint().port()};
-}
-
 std::string gateway_fleet::settings_of(const gateway_process& d,
                                        const daemon_options& options) const
 {
@@ -83,7 +70,7 @@
   }
   return "[daemon]\nid = " + d.id + "\navailability_zone = z\nlog_level = " + options.log_level +
          "\n[listen]\ncallers = " + to_string(d.callers) +
-         "\naddresses = " + to_string(free_address()) + "\nreadiness = " + to_string(d.readiness) +
+         "\naddresses = " + to_string(d.addresses) + "\nreadiness = " + to_string(d.readiness) +
          "\npeers = " + to_string(d.peers) + (seeds.empty() ? "" : "\n[peers]\nseeds = " + seeds) +
          "\n[store]\naddress = " + to_string(d.way_to_store->address()) +
          "\n[drain]\ngrace_s = " + std::to_string(drain_grace.count()) +
@@ -95,10 +82,13 @@
 {
   auto d = std::make_unique<gateway_process>();
   d->id = "d" + std::to_string(++last_daemon_);
-  d->callers = free_address();
-  d->readiness = free_address();
-  d->peers = free_address();
-  d->way_to_store = std::make_unique<fault_proxy>(context_, address_, store_.address());
+  const auto free =
+      fakes::free_addresses(fakes::own_loopback_host(static_cast<unsigned>(last_daemon_)), 4);
+  d->callers = free[0];
+  d->readiness = free[1];
+  d->peers = free[2];
+  d->addresses = free[3];
+  d->way_to_store = std::make_unique<fault_proxy>(context_, proxies_host_, store_.address());
   d->disturbed_until = std::chrono::steady_clock::now() + time_to_start;
   const auto file = folder_ + "/" + d->id + ".ini";
   std::ofstream(file) << settings_of(*d, options);
@@ -114,7 +104,7 @@
   const auto id = "i-" + std::to_string(++last_endpoint_);
   proxied_endpoint made;
   made.endpoint = std::make_unique<counting_endpoint>(context_, id, last_endpoint_);
-  made.way = std::make_unique<fault_proxy>(context_, address_, made.endpoint->address());
+  made.way = std::make_unique<fault_proxy>(context_, proxies_host_, made.endpoint->address());
   auto& kept = endpoints_.emplace(id, std::move(made)).first->second;
   write_endpoint(kept, "ready");
   return kept;
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -26,6 +26,7 @@
   http::socket_address callers;
   http::socket_address readiness;
   http::socket_address peers;
+  http::socket_address addresses; // for the question which daemons to use
   std::unique_ptr<fault_proxy> way_to_store;
   std::unique_ptr<system_tests::process> running;
   mono_time disturbed_until; // a signal, or a fault on its way to the store, is felt up to here
@@ -80,13 +81,12 @@
   counting_endpoint& retire(const std::string& id);
 
  private:
-  [[nodiscard]] http::socket_address free_address() const;
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
 
   boost::asio::io_context& context_;
   std::string folder_;
-  std::string address_; // of the daemons: a loopback address of this process's own
+  std::string proxies_host_;
   fakes::fake_store store_;
   std::map<std::string, std::unique_ptr<gateway_process>> daemons_;
   std::map<std::string, proxied_endpoint> endpoints_;
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -5,6 +5,8 @@
 //
 // Ends with 1 if a promise was broken. Clocks are not stepped: that needs rights over the machine.
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -44,6 +46,7 @@
 // After a harm a daemon reads the store, or hears from a peer, within this.
 constexpr milliseconds time_to_hear{1'500};
 constexpr milliseconds look_period{50};
+constexpr std::size_t tail_told = 500; // bytes of a log
 
 class soak {
  public:
@@ -197,7 +200,9 @@
       co_await sleep(look_period);
     }
     if (!d->running->ended().value_or(false)) {
-      calls_.fail(d->id + " did not end with 0");
+      const auto told = d->running->output();
+      calls_.fail(d->id + " did not end with 0: " +
+                  told.substr(told.size() - std::min(told.size(), tail_told)));
     }
     d->gone = true;
   }
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -4,25 +4,16 @@
 #include <atomic>
 #include <utility>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include "fakes/free_addresses.h"
 #include "fakes/run.h"
 
 namespace wisteriaflow::relay {
 namespace {
 
 using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
-
-// A port that was free a moment ago.
-http::socket_address free_address()
-{
-  boost::asio::io_context context;
-  const tcp::acceptor bound(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return {.host = "127.0.0.1", .port = bound.local_endpoint().port()};
-}
 
 boost::json::object route(const std::string& name, const std::string& kind, bool resumable)
 {
@@ -77,12 +68,14 @@
 
 running_gateway& gateway_fixture::start_gateway(fake_store& store)
 {
+  const auto number = static_cast<unsigned>(gateways_.size());
+  const auto free = fakes::free_addresses(fakes::own_loopback_host(number), 4);
   settings s{.id = daemon_id("d" + std::to_string(gateways_.size())),
              .zone = availability_zone("z"),
-             .callers = free_address(),
-             .addresses = free_address(),
-             .readiness = free_address(),
-             .peers = free_address(),
+             .callers = free[0],
+             .addresses = free[1],
+             .readiness = free[2],
+             .peers = free[3],
              .store = store.address(),
              .drain_grace = 1'500ms,
              .retry_ratio = 0.2,
