--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -118,6 +118,7 @@
         {"the store is away", &soak::take_store_away, 1},
         {"a new configuration", &soak::change_configuration, 2}};
     std::vector<double> weights;
+    weights.reserve(kinds.size());
     for (const auto& each : kinds) {
       weights.push_back(each.weight);
     }
