See calls without an answer in the gateway's soak

Cause: a response that nobody filled in stands at status 200, so the soak counted a call without any answer as one cut short, and its check that a sound daemon answers every call looked at none. Found when its code was read once more; no run had shown it. The same default had put "status 200" into the log of failed attempts.

--- a/test/gateway_system/soak_calls.h
+++ b/test/gateway_system/soak_calls.h
@@ -30,8 +30,8 @@
   std::string route; // safe, unsafe, stream or resumable
   std::string daemon;
   mono_time started_at;
-  http::response answer; // status 0: none
-  bool whole = false;    // the answer ended properly
+  http::response answer{.status = 0}; // 0: no head came
+  bool whole = false;                 // the answer ended properly
 };
 
 // Not thread-safe.
