Count what waits as demand; choose for plain calls by own calls; look at all beliefs

Change: demand_meter, a pure class split off endpoint_pool, adds the prompts that wait, to be drained in two seconds, bounded by what is sent. With it the memory of the highest demand can be halved (6 s) and the extra hold of on-demand endpoints goes.

Cause: peers' news are up to a second old, a call lasts 60 ms; 80 daemons ran to the same of five endpoints, which turned a quarter away. Change: choose_plain goes by the daemon's own calls, equals drawn.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -26,6 +26,7 @@
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/call.h"
+#include "wisteriaflow/gateway/demand_meter.h"
 #include "wisteriaflow/gateway/shared_prefix.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/routing/choose_endpoint.h"
@@ -72,18 +73,9 @@
 
 using endpoint_work_map = std::map<endpoint_id, endpoint_work>;
 
-// Prompt tokens a second that one daemon sends to a service's endpoints to be computed, by service.
-using prefill_demand = std::map<std::string, double, std::less<>>;
-
 struct endpoint_pool_options {
   availability_zone zone;
   std::uint64_t seed = 0;
-  // Prompts sent are smoothed into a rate over the time in which the fleet sends so many, within
-  // these bounds: they differ by a factor of ten, so a rate of fewer is mostly noise, and a longer
-  // time only delays the answer to growth.
-  double smoothed_prompts = 130;
-  std::chrono::milliseconds longest_smoothing{3'000};
-  std::chrono::milliseconds shortest_smoothing{1'000};
   // Departures are passed on to peers for this long; well above the time that gossip takes.
   std::chrono::milliseconds departure_told{10'000};
   // A peer's work counts for this long after it was told: peers of a large fleet are heard every
@@ -177,10 +169,11 @@
   void on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now);
 
   // The same for prompt tokens. `refresh_loads` brings the own figure up to date.
-  [[nodiscard]] const prefill_demand& own_prefill() const { return prefill_; }
+  [[nodiscard]] const prefill_demand& own_prefill() const { return meter_.own(); }
   void on_peer_prefill(const daemon_id& peer, prefill_demand demand, mono_time now);
 
-  // Endpoints of `service` that the whole fleet's prompts would keep busy all the time.
+  // Endpoints of `service` that the whole fleet's prompts, sent and waiting, would keep busy all
+  // the time; see demand_meter.h.
   [[nodiscard]] double busy_endpoints(std::string_view service, mono_time now) const;
 
   // Takes the peers' work into account. Call after news of it.
@@ -211,6 +204,9 @@
                                                mono_time now);
   // Daemons whose work is known, this one included.
   [[nodiscard]] std::size_t live_daemons(mono_time now) const;
+  std::optional<pooled_endpoint> choose_for_plain(const endpoint_wish& wish,
+                                                  const std::vector<routing::endpoint_slot>& open,
+                                                  mono_time now);
   // Where the endpoint in `slot` may copy the prompt's shared parts from.
   [[nodiscard]] std::optional<http::socket_address>
   prefix_source_for(routing::endpoint_slot slot, const prompt_blocks& prompt,
@@ -223,9 +219,6 @@
   void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
   [[nodiscard]] bool is_departed(const endpoint_record& record) const;
-  void measure_prefill(mono_time now);
-  [[nodiscard]] double smoothing_seconds(mono_time now) const;
-  void note_prefill_speed(const routing::sent_work& work, mono_time now);
   [[nodiscard]] endpoint_work total_work(const endpoint_id& id, mono_time now) const;
 
   struct departure_entry {
@@ -241,12 +234,7 @@
   std::map<daemon_id, peer_work> peers_;
   std::map<endpoint_id, endpoint_work> own_;
   std::map<endpoint_id, health> health_;
-  prefill_demand prefill_;
-  double prompts_sent_ = 0;                                   // since the last refresh
-  double prompt_rate_ = 0;                                    // a second, of this daemon
-  prefill_demand prefill_sent_;                               // tokens since the last refresh
-  std::map<std::string, double, std::less<>> prefill_speeds_; // tokens/s, by service
-  std::optional<mono_time> refreshed_at_;
+  demand_meter meter_;
   routing::endpoint_table table_;
   routing::prefix_belief prefixes_;
   prefix_spread spread_;
--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -72,9 +72,12 @@
   // With one on-demand endpoint, its crash could leave none.
   unsigned fewest_on_demand = 2;
   unsigned fewest_reclaimable = 1; // in each zone
-  // The demand counts with its highest value of this time, so that a lull does not give away what
-  // the next wave needs.
-  std::chrono::milliseconds demand_memory{12'000};
+  // The demand counts with its highest value of this time: a little over the time in which
+  // endpoints start, so that a lull gives nothing away that would be missed before it could be
+  // replaced. Twice as long, with on-demand endpoints kept four seconds longer still, cost 0.013 of
+  // worth more for endpoints at the same service (six days of three seeds each, simulated
+  // endpoints).
+  std::chrono::milliseconds demand_memory{6'000};
   // A zone that had none is asked again after this.
   std::chrono::milliseconds sold_out_pause{1'500};
   // Before any work is seen the present endpoints are taken to be busy for this part of their time:
@@ -89,8 +92,6 @@
   double settled_growth = 0.05;
   // For how long the guess counts beside the first work, which is measured with a delay.
   std::chrono::milliseconds guess_memory{6'000};
-  // On-demand endpoints are given back once fewer have been enough for this long.
-  std::chrono::milliseconds release_after{4'000};
   // An order whose endpoints have not come this long after they should is sent again.
   std::chrono::milliseconds repeat_after{3'000};
 };
@@ -135,8 +136,6 @@
   bool has_settled(const scaling_input& in, mono_time now);
   double recent_busy(const scaling_input& in, mono_time now);
   targets targets_of(const scaling_input& in, mono_time now);
-  // Lowers the number only after it has been enough for a while.
-  unsigned settle(const std::string& service, unsigned wanted, mono_time now);
   void order_reclaimable(const scaling_input& in, unsigned in_zone, mono_time now,
                          std::vector<endpoint_order>& to);
   void order_on_demand(const scaling_input& in, unsigned total, mono_time now,
@@ -148,7 +147,6 @@
   scaling_planner_options options_;
   std::map<order_subject, sent_order> orders_;
   std::map<std::string, peak> peaks_;       // by service
-  std::map<std::string, held_number> held_; // on-demand endpoints, by service
   std::map<std::string, held_number> seen_; // most endpoints present before any work, by service
 };
 
--- /dev/null
+++ b/src/gateway/demand_meter.cc
@@ -0,0 +1,88 @@
+#include "wisteriaflow/gateway/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriaflow::gateway {
+namespace {
+
+double seconds(mono_time::duration d)
+{
+  return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+demand_meter::service_state& demand_meter::state_of(std::string_view service)
+{
+  const auto it = services_.find(service);
+  if (it != services_.end()) {
+    return it->second;
+  }
+  return services_.emplace(service, service_state{.speed = options_.initial_speed}).first->second;
+}
+
+void demand_meter::on_sent(std::string_view service, int tokens)
+{
+  constexpr double gain = 0.05; // of the mean: about the last 20 prompts
+  auto& it = state_of(service);
+  it.sent_tokens += tokens;
+  it.mean_tokens += it.mean_tokens > 0 ? gain * (tokens - it.mean_tokens) : tokens;
+  ++prompts_sent_;
+}
+
+// Only a large prompt that met no queue tells the engine's speed: in a small one the time is mostly
+// that of the way and of a step. Even so most samples are too low, since other work shares the
+// engine, and a few too high, where more was cached than is known here: an upper quantile is taken,
+// by stochastic approximation.
+void demand_meter::on_first_token(std::string_view service, const routing::sent_work& work,
+                                  mono_time now)
+{
+  constexpr int fewest_tokens = 3'000;
+  constexpr double quantile = 0.75;
+  constexpr double step = 0.06; // of the present estimate
+  const double elapsed = seconds(now - work.sent_at);
+  if (!work.found_idle || work.prefill_tokens < fewest_tokens || elapsed <= 0) {
+    return;
+  }
+  auto& speed = state_of(service).speed;
+  const bool above = work.prefill_tokens / elapsed > speed;
+  speed *= 1 + step * (above ? quantile : quantile - 1);
+}
+
+double demand_meter::smoothing_seconds(std::size_t daemons) const
+{
+  const double fleet_rate = prompt_rate_ * static_cast<double>(daemons);
+  return std::clamp(options_.smoothed_prompts / std::max(fleet_rate, 1.0),
+                    seconds(options_.shortest_smoothing), seconds(options_.longest_smoothing));
+}
+
+void demand_meter::refresh(std::size_t daemons, mono_time now)
+{
+  const double elapsed = refreshed_at_ ? seconds(now - *refreshed_at_) : 0;
+  refreshed_at_ = now;
+  if (elapsed <= 0) {
+    return;
+  }
+  const double rate_kept = std::exp(-elapsed / seconds(options_.longest_smoothing));
+  prompt_rate_ = rate_kept * prompt_rate_ + (1 - rate_kept) * prompts_sent_ / elapsed;
+  prompts_sent_ = 0;
+  const double kept = std::exp(-elapsed / smoothing_seconds(daemons));
+  for (auto& [service, it] : services_) {
+    rates_[service] = kept * rates_[service] + (1 - kept) * it.sent_tokens / elapsed;
+    it.sent_tokens = 0;
+  }
+}
+
+double demand_meter::busy_endpoints(std::string_view service, const fleet_demand& demand) const
+{
+  const auto it = services_.find(service);
+  const double speed = it == services_.end() ? options_.initial_speed : it->second.speed;
+  const double mean = it == services_.end() ? 0 : it->second.mean_tokens;
+  const double waiting = static_cast<double>(demand.waiting) * mean;
+  const double backlog =
+      std::min(waiting / seconds(options_.drain_time), options_.most_backlog * demand.sent);
+  return (demand.sent + backlog) / speed;
+}
+
+} // namespace wisteriaflow::gateway
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/gateway/plain_choice.h"
 
 namespace wisteriaflow::gateway {
 namespace {
@@ -16,8 +17,8 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
-    : options_(std::move(options)), table_({.initial_prefill_rate = initial_prefill_rate}),
-      prefixes_({}), random_(options_.seed)
+    : options_(std::move(options)), meter_({.initial_speed = initial_prefill_rate}),
+      table_({.initial_prefill_rate = initial_prefill_rate}), prefixes_({}), random_(options_.seed)
 {
   routing_.availability_zone = options_.zone;
   routing_.tokens_per_block = tokens_per_block;
@@ -241,6 +242,9 @@
 std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
 {
   const auto candidates = candidates_for(wish, now);
+  if (!wish.size && wish.prompt.empty()) {
+    return choose_for_plain(wish, candidates.open, now);
+  }
   const auto prompt = split_prompt(wish.prompt);
   const auto& blocks = prompt.hashes;
   const auto size = wish.size.value_or(token_size{});
@@ -272,6 +276,22 @@
   return take(slot, static_cast<int>(size.prompt), blocks, wish, now);
 }
 
+std::optional<pooled_endpoint>
+endpoint_pool::choose_for_plain(const endpoint_wish& wish,
+                                const std::vector<routing::endpoint_slot>& open, mono_time now)
+{
+  std::vector<plain_candidate> candidates;
+  candidates.reserve(open.size());
+  for (const auto slot : open) {
+    const auto& id = table_.at(slot).description.id;
+    const auto own = own_.find(id);
+    const auto calls = own == own_.end() ? 0 : own->second.waiting + own->second.running;
+    candidates.push_back({.own_calls = calls, .places = records_.at(id).places});
+  }
+  const auto best = choose_plain(candidates, random_);
+  return best ? std::optional(take(open[*best], 0, {}, wish, now)) : std::nullopt;
+}
+
 // Endpoints that leave are no source, though they still hold much: one that is gone before it has
 // answered holds the prompt up for seconds. With them 0.042 of worth less over six days of three
 // seeds each, and 17 failed calls of 445 in place of 1 on the day with four zones lost.
@@ -280,10 +300,10 @@
                                  const std::vector<routing::endpoint_slot>& open,
                                  mono_time now) const
 {
-  if (!prompt.shared_key) {
+  if (!prompt.shared_key || open.empty()) {
     return std::nullopt;
   }
-  std::vector<std::uint32_t> matched(open.empty() ? 0 : open.back() + std::size_t{1});
+  std::vector<std::uint32_t> matched(*std::max_element(open.begin(), open.end()) + std::size_t{1});
   prefixes_.match(prompt.hashes, now, matched);
   std::vector<prefix_holder> holders;
   for (const auto other : open) {
@@ -302,8 +322,9 @@
 {
   const auto& id = table_.at(slot).description.id;
   prefixes_.on_sent(slot, blocks, now);
-  prefill_sent_[std::string(wish.service)] += prefill;
-  prompts_sent_ += wish.size ? 1 : 0;
+  if (wish.size) {
+    meter_.on_sent(wish.service, prefill);
+  }
   ++own_[id].waiting;
   return {.id = id, .address = records_.at(id).address, .work = table_.on_sent(slot, prefill, now)};
 }
@@ -315,10 +336,11 @@
   }
   const auto& slots = table_.slots();
   if (std::binary_search(slots.begin(), slots.end(), work.slot)) {
-    auto& own = own_[table_.at(work.slot).description.id];
+    const auto& id = table_.at(work.slot).description.id;
+    auto& own = own_[id];
     own.waiting -= std::min<std::uint32_t>(1, own.waiting);
     ++own.running;
-    note_prefill_speed(work, now);
+    meter_.on_first_token(records_.at(id).service, work, now);
   }
   table_.on_first_token(work, now);
 }
@@ -406,7 +428,7 @@
 
 void endpoint_pool::refresh_loads(mono_time now)
 {
-  measure_prefill(now);
+  meter_.refresh(live_daemons(now), now);
   for (const auto& [id, r] : records_) {
     const auto total = total_work(id, now);
     table_.on_report(*table_.find(id), {.running = static_cast<int>(total.running),
@@ -423,65 +445,20 @@
   told.valid_until = now + options_.work_valid;
 }
 
-double endpoint_pool::smoothing_seconds(mono_time now) const
-{
-  const double longest = std::chrono::duration<double>(options_.longest_smoothing).count();
-  const double shortest = std::chrono::duration<double>(options_.shortest_smoothing).count();
-  const double fleet_rate = prompt_rate_ * static_cast<double>(live_daemons(now));
-  return std::clamp(options_.smoothed_prompts / std::max(fleet_rate, 1.0), shortest, longest);
-}
-
-// Smooths what was sent since the last call into a rate.
-void endpoint_pool::measure_prefill(mono_time now)
-{
-  const double elapsed =
-      refreshed_at_ ? std::chrono::duration<double>(now - *refreshed_at_).count() : 0;
-  refreshed_at_ = now;
-  if (elapsed <= 0) {
-    return;
-  }
-  const double longest = std::chrono::duration<double>(options_.longest_smoothing).count();
-  const double rate_kept = std::exp(-elapsed / longest);
-  prompt_rate_ = rate_kept * prompt_rate_ + (1 - rate_kept) * prompts_sent_ / elapsed;
-  prompts_sent_ = 0;
-  const double kept = std::exp(-elapsed / smoothing_seconds(now));
-  for (auto& [service, tokens] : prefill_sent_) {
-    prefill_[service] = kept * prefill_[service] + (1 - kept) * tokens / elapsed;
-    tokens = 0;
-  }
-}
-
-// Only a large prompt that met no queue tells the engine's speed: in a small one the time is mostly
-// that of the way and of a step. Even so most samples are too low, since other work shares the
-// engine, and a few too high, where more was cached than is known here: an upper quantile is taken,
-// by stochastic approximation.
-void endpoint_pool::note_prefill_speed(const routing::sent_work& work, mono_time now)
-{
-  constexpr int fewest_tokens = 3'000;
-  constexpr double quantile = 0.75;
-  constexpr double step = 0.06; // of the present estimate
-  const double elapsed = std::chrono::duration<double>(now - work.sent_at).count();
-  if (!work.found_idle || work.prefill_tokens < fewest_tokens || elapsed <= 0) {
-    return;
-  }
-  const auto& service = records_.at(table_.at(work.slot).description.id).service;
-  auto& speed = prefill_speeds_.try_emplace(service, initial_prefill_rate).first->second;
-  const bool above = work.prefill_tokens / elapsed > speed;
-  speed *= 1 + step * (above ? quantile : quantile - 1);
-}
-
 double endpoint_pool::busy_endpoints(std::string_view service, mono_time now) const
 {
-  const auto demand_in = [service](const prefill_demand& d) {
+  const auto rate_in = [service](const prefill_demand& d) {
     const auto it = d.find(service);
     return it == d.end() ? 0.0 : it->second;
   };
-  double tokens = demand_in(prefill_);
+  fleet_demand demand{.sent = rate_in(meter_.own())};
   for (const auto& [peer, told] : peers_) {
-    tokens += now < told.valid_until ? demand_in(told.prefill) : 0;
+    demand.sent += now < told.valid_until ? rate_in(told.prefill) : 0;
+  }
+  for (const auto* r : serving(service)) {
+    demand.waiting += total_work(r->id, now).waiting;
   }
-  const auto speed = prefill_speeds_.find(service);
-  return tokens / (speed == prefill_speeds_.end() ? initial_prefill_rate : speed->second);
+  return meter_.busy_endpoints(service, demand);
 }
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -82,17 +82,7 @@
   const auto reclaimable_serving = serving_of_kind(in, true);
   const auto short_of =
       comfortable > least + reclaimable_serving ? comfortable - least - reclaimable_serving : 0;
-  return {.on_demand = settle(in.service, least + short_of, now),
-          .reclaimable = std::min(in_zone, in.limits.most)};
-}
-
-unsigned scaling_planner::settle(const std::string& service, unsigned wanted, mono_time now)
-{
-  auto& it = held_[service];
-  if (wanted >= it.number || now >= it.until) {
-    it = {.number = wanted, .until = now + options_.release_after};
-  }
-  return it.number;
+  return {.on_demand = least + short_of, .reclaimable = std::min(in_zone, in.limits.most)};
 }
 
 bool scaling_planner::is_sold_out(const order_subject& subject, mono_time now) const
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -360,15 +360,15 @@
 TEST_F(PrefixSourceTest, HasReadThePrefixesThatMoveToNewEndpoints)
 {
   constexpr std::uint64_t prefixes = 60;
-  list({at("a", "10.0.0.1"), at("b", "10.0.0.2"), at("c", "10.0.0.3")}, 5);
+  list({at("c", "10.0.0.3"), at("b", "10.0.0.2"), at("a", "10.0.0.1")}, 5);
   std::map<std::uint64_t, std::set<std::string>> readers;
   for (std::uint64_t p = 0; p < prefixes; ++p) {
     const auto chosen = choose({}, {{p, 4'096}, {1'000 + p, 512}});
     readers[p].insert(chosen->address.host);
     pool_.on_finished(chosen->work, 10, start);
   }
-  list({at("a", "10.0.0.1"), at("b", "10.0.0.2"), at("c", "10.0.0.3"), at("d", "10.0.0.4"),
-        at("e", "10.0.0.5")},
+  list({at("e", "10.0.0.5"), at("d", "10.0.0.4"), at("c", "10.0.0.3"), at("b", "10.0.0.2"),
+        at("a", "10.0.0.1")},
        6);
   int moved = 0;
   for (std::uint64_t p = 0; p < prefixes; ++p) {
