Give back only endpoints that serve beyond what is wanted

Cause: when a zone's loss raised the number of on-demand endpoints, their division among the zones was made anew, and those that served in the dearest zone were given back at once while others in cheaper ones had four seconds to start.

Change: the division is what new orders aim at; a zone gives back only out of the surplus of what serves over what is wanted in all, the dearest first.

--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -138,6 +138,12 @@
   targets targets_of(const scaling_input& in, mono_time now);
   void order_reclaimable(const scaling_input& in, unsigned in_zone, mono_time now,
                          std::vector<endpoint_order>& to);
+  // How `total` on-demand endpoints are best divided among the zones.
+  [[nodiscard]] std::map<availability_zone, unsigned>
+  spread_on_demand(const scaling_input& in, unsigned total, mono_time now) const;
+  // Orders that division, but gives back only what serves beyond `total`: the endpoints that are to
+  // stand elsewhere have to start first. In a zone's loss on a fleet of 90, moving to cheaper zones
+  // at once gave back 11 of the 30 on-demand endpoints that were left.
   void order_on_demand(const scaling_input& in, unsigned total, mono_time now,
                        std::vector<endpoint_order>& to);
   void add_order(const endpoint_order& order, const scaling_input& in, mono_time now,
--- a/src/gateway/scaling_planner.cc
+++ b/src/gateway/scaling_planner.cc
@@ -124,24 +124,46 @@
   }
 }
 
-void scaling_planner::order_on_demand(const scaling_input& in, unsigned total, mono_time now,
-                                      std::vector<endpoint_order>& to)
+std::map<availability_zone, unsigned>
+scaling_planner::spread_on_demand(const scaling_input& in, unsigned total, mono_time now) const
 {
   // Half of them in the cheapest zone at the most, so that one zone's trouble leaves the other
   // half.
   const unsigned in_zone = std::max(1U, (total + 1) / 2);
+  std::map<availability_zone, unsigned> out;
   unsigned left = total;
   for (const auto& zone : zones_by_price(in.limits)) {
     const order_subject subject{.service = in.service, .zone = zone, .reclaimable = false};
     const auto reclaimable =
         serving_of(in, {.service = in.service, .zone = zone, .reclaimable = true});
     const unsigned room = in.limits.most - std::min(in.limits.most, reclaimable);
-    const auto present = serving_of(in, subject);
     auto wanted = std::min({in_zone, left, room});
     if (is_sold_out(subject, now)) {
-      wanted = std::min(wanted, present); // the next zone has to stand in
+      wanted = std::min(wanted, serving_of(in, subject)); // the next zone has to stand in
     }
     left -= wanted;
+    out[zone] = wanted;
+  }
+  return out;
+}
+
+void scaling_planner::order_on_demand(const scaling_input& in, unsigned total, mono_time now,
+                                      std::vector<endpoint_order>& to)
+{
+  const auto spread = spread_on_demand(in, total, now);
+  const auto serving = serving_of_kind(in, false);
+  unsigned surplus = serving > total ? serving - total : 0;
+  auto zones = zones_by_price(in.limits);
+  std::reverse(zones.begin(), zones.end()); // the dearest are given back first
+  for (const auto& zone : zones) {
+    const order_subject subject{.service = in.service, .zone = zone, .reclaimable = false};
+    const auto present = serving_of(in, subject);
+    auto wanted = spread.at(zone);
+    if (wanted < present) {
+      const auto given_back = std::min(present - wanted, surplus);
+      surplus -= given_back;
+      wanted = present - given_back;
+    }
     add_order({.subject = subject, .wanted = wanted}, in, now, to);
   }
 }
--- /dev/null
+++ b/test/gateway/zone_loss_replay_test.cc
@@ -0,0 +1,170 @@
+// Replays the loss of zone after zone: the planner orders endpoints from a stand-in for the cloud,
+// which takes all reclaimable ones of a zone away after a notice and has none to offer for a while.
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/scaling_planner.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+struct zone_loss {
+  availability_zone zone;
+  mono_time notice_at;
+};
+
+struct replay_options {
+  double busy = 0; // endpoints that the work keeps busy
+  unsigned most = 6;
+  std::map<availability_zone, double> prices = {
+      {availability_zone("a"), 0.85}, {availability_zone("b"), 1.2}, {availability_zone("c"), 1.0}};
+  std::vector<zone_loss> losses;
+  std::chrono::milliseconds dry_time{14'000}; // after a notice: no reclaimable ones anywhere
+};
+
+class cloud {
+ public:
+  explicit cloud(const replay_options& options) : options_(options) {}
+
+  // Runs until `end` and returns the endpoints that served in each half second.
+  std::vector<unsigned> run(mono_time end)
+  {
+    std::vector<unsigned> served;
+    for (auto now = start; now < end; now += 500ms) {
+      begin_losses(now);
+      const auto in = input(now);
+      served.push_back(serving(now));
+      for (const auto& order : planner_.plan(in, now)) {
+        planner_.on_answer(order, take(order, now), now);
+      }
+    }
+    return served;
+  }
+
+  // On-demand and reclaimable endpoints that serve or start.
+  [[nodiscard]] unsigned present(bool reclaimable) const
+  {
+    unsigned sum = 0;
+    for (const auto& [subject, since] : endpoints_) {
+      sum += subject.reclaimable == reclaimable ? static_cast<unsigned>(since.size()) : 0;
+    }
+    return sum;
+  }
+
+ private:
+  void begin_losses(mono_time now)
+  {
+    for (const auto& loss : options_.losses) {
+      if (loss.notice_at == now) {
+        endpoints_[{.service = "chat", .zone = loss.zone, .reclaimable = true}].clear();
+        dry_until_ = now + options_.dry_time;
+      }
+    }
+  }
+
+  scaling_input input(mono_time now) const
+  {
+    scaling_input in{.service = "chat",
+                     .limits = {.least = 1,
+                                .most = options_.most,
+                                .start_time = start_time,
+                                .reclaimable_price = 0.22,
+                                .zone_prices = options_.prices},
+                     .busy = options_.busy};
+    for (const auto& [subject, since] : endpoints_) {
+      in.serving[subject] = serving_in(since, now);
+    }
+    return in;
+  }
+
+  static unsigned serving_in(const std::vector<mono_time>& since, mono_time now)
+  {
+    return static_cast<unsigned>(
+        std::count_if(since.begin(), since.end(), [now](auto at) { return at <= now; }));
+  }
+
+  unsigned serving(mono_time now) const
+  {
+    unsigned sum = 0;
+    for (const auto& [subject, since] : endpoints_) {
+      sum += serving_in(since, now);
+    }
+    return sum;
+  }
+
+  order_answer take(const endpoint_order& order, mono_time now)
+  {
+    auto& since = endpoints_[order.subject];
+    if (order.subject.reclaimable && order.wanted > since.size() && now < dry_until_) {
+      return order_answer::sold_out;
+    }
+    since.resize(order.wanted, now + start_time);
+    return order_answer::taken;
+  }
+
+  static constexpr std::chrono::milliseconds start_time{4'000};
+
+  replay_options options_;
+  scaling_planner planner_{{}};
+  std::map<order_subject, std::vector<mono_time>> endpoints_; // when each begins to serve
+  mono_time dry_until_ = start;
+};
+
+// Three zones' losses within fifteen seconds, before 58 busy endpoints.
+replay_options large_fleet()
+{
+  return {.busy = 58,
+          .most = 60,
+          .losses = {{availability_zone("b"), start + 20s},
+                     {availability_zone("c"), start + 26s},
+                     {availability_zone("a"), start + 40s}}};
+}
+
+unsigned fewest(const std::vector<unsigned>& served, mono_time from, mono_time to)
+{
+  const auto index = [](mono_time at) { return (at - start) / 500ms; };
+  return *std::min_element(served.begin() + index(from), served.begin() + index(to));
+}
+
+TEST(ZoneLossReplayTest, WhatServesIsNotGivenBackWhileOthersStart)
+{
+  auto options = large_fleet();
+  cloud c(options);
+  const auto served = c.run(start + 50s);
+  // After the last notice the on-demand endpoints of all zones are what is left.
+  const auto before_notice =
+      served[static_cast<std::size_t>((options.losses[2].notice_at - start) / 500ms) - 1];
+  const auto left = fewest(served, options.losses[2].notice_at, options.losses[2].notice_at + 4s);
+  options.losses.pop_back();
+  cloud spared(options);
+  spared.run(options.losses[1].notice_at + 13s);
+  EXPECT_GE(left, spared.present(false)) << "of " << before_notice;
+}
+
+TEST(ZoneLossReplayTest, ReclaimableEndpointsTakeOverAgainAfterTheLoss)
+{
+  cloud c(large_fleet());
+  c.run(start + 110s);
+  EXPECT_GT(c.present(true), c.present(false));
+}
+
+TEST(ZoneLossReplayTest, AFewEndpointsServeThroughAllLosses)
+{
+  cloud c({.busy = 2,
+           .losses = {{availability_zone("c"), start + 20s},
+                      {availability_zone("b"), start + 24s},
+                      {availability_zone("a"), start + 25s}}});
+  const auto served = c.run(start + 60s);
+  EXPECT_GE(fewest(served, start + 10s, start + 60s), 2U);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
