Refuse at once what the queue makes unservable, and spread the returns

Cause: a call for which every endpoint's queue was longer than its deadline was sent to the least bad one all the same, to wait there in vain; and all refused calls were told to come back after the same 250 ms.

Change: the pool refuses such a call at once if it has certainly not run, with the time at which the queue will have drained so far. A call that looks too late for its own size only is still tried, since rates are estimates and large prompts must not starve. What is refused counts as demand. return_time, a pure function, gives each refused call a time of its own, the more urgent ranks first. The log line of a call given up tells in how many milliseconds room was expected.

Found by its test: the wait behind some 1,400 calls came out infinite (the smooth maximum overflowed), so an enormous report made every comparison meaningless.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -21,6 +21,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "wisteriaflow/base/ids.h"
@@ -99,6 +100,9 @@
   mono_time target;
   mono_time deadline;
   std::span<const endpoint_id> excluded;
+  // Whether the caller may still be told that the call was not run. If not, it is sent to the least
+  // bad endpoint though it may come too late.
+  bool may_be_refused = true;
 };
 
 // The endpoint of one attempt. `work` is handed back as the attempt goes on.
@@ -110,6 +114,9 @@
   std::optional<http::socket_address> prefix_source = std::nullopt;
 };
 
+// An endpoint, or why there is none and when there may be one.
+using pool_choice = std::variant<pooled_endpoint, routing::no_endpoint>;
+
 // Not thread-safe.
 class endpoint_pool {
  public:
@@ -151,8 +158,9 @@
   // Departures to pass on to peers.
   [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now) const;
 
-  // The endpoint for one attempt, whose work is counted from now on; nothing if none takes it.
-  [[nodiscard]] std::optional<pooled_endpoint> choose(const endpoint_wish& wish, mono_time now);
+  // The endpoint for one attempt, whose work is counted from now on. None if no endpoint takes new
+  // work, or if what waits at all of them makes the deadline unreachable.
+  [[nodiscard]] pool_choice choose(const endpoint_wish& wish, mono_time now);
 
   // The attempt's first event or whole answer has come.
   void on_first_token(routing::sent_work& work, mono_time now);
@@ -204,9 +212,8 @@
                                                mono_time now);
   // Daemons whose work is known, this one included.
   [[nodiscard]] std::size_t live_daemons(mono_time now) const;
-  std::optional<pooled_endpoint> choose_for_plain(const endpoint_wish& wish,
-                                                  const std::vector<routing::endpoint_slot>& open,
-                                                  mono_time now);
+  pool_choice choose_for_plain(const endpoint_wish& wish,
+                               const std::vector<routing::endpoint_slot>& open, mono_time now);
   // Where the endpoint in `slot` may copy the prompt's shared parts from.
   [[nodiscard]] std::optional<http::socket_address>
   prefix_source_for(routing::endpoint_slot slot, const prompt_blocks& prompt,
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -110,6 +110,9 @@
   // When the queue of the best candidate will have drained so far that a request like this one
   // meets its deadline: a truthful Retry-After. Absent if there is no candidate.
   std::optional<mono_time> retry_at;
+  // An idle endpoint would meet the deadline: it is the queue that makes the request late, and not
+  // its size, of which the rates may be wrong.
+  bool only_queued = false;
 
   friend bool operator==(const no_endpoint&, const no_endpoint&) = default;
 };
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -14,6 +14,13 @@
 // Until an endpoint's own rate is measured.
 constexpr double initial_prefill_rate = 30'000; // tokens/s
 
+// Tokens of a prompt beyond its shared parts.
+int own_tokens(const token_size& size, const prompt_blocks& prompt)
+{
+  const auto shared = static_cast<int>(prompt.shared) * tokens_per_block;
+  return std::max(0, static_cast<int>(size.prompt) - shared);
+}
+
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
@@ -214,9 +221,7 @@
   if (!prompt.shared_key) {
     return {};
   }
-  const auto own_tokens =
-      static_cast<double>(size.prompt) - static_cast<double>(prompt.shared) * tokens_per_block;
-  const double busy = std::max(0.0, own_tokens) / initial_prefill_rate;
+  const double busy = own_tokens(size, prompt) / initial_prefill_rate;
   const auto wanted = spread_.homes_of(*prompt.shared_key, busy, live_daemons(now), now);
   std::vector<std::pair<std::uint64_t, routing::endpoint_slot>> scores;
   scores.reserve(open.size());
@@ -239,7 +244,7 @@
   return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
 }
 
-std::optional<pooled_endpoint> endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
+pool_choice endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
 {
   const auto candidates = candidates_for(wish, now);
   if (!wish.size && wish.prompt.empty()) {
@@ -264,11 +269,17 @@
     out.prefix_source = prefix_source_for(chosen->slot, prompt, candidates.open, now);
     return out;
   }
-  // All look too slow or are in trouble: the least bad is tried, since a refusal helps nobody.
-  const auto& rest = candidates.open.empty() ? candidates.left_out : candidates.open;
-  if (rest.empty()) {
-    return std::nullopt;
+  const auto& none = std::get<routing::no_endpoint>(made);
+  if (candidates.open.empty()) {
+    return none;
+  }
+  if (none.only_queued && wish.may_be_refused) {
+    // It is demand all the same: a fleet that turns calls away is short of endpoints.
+    meter_.on_sent(wish.service, own_tokens(size, prompt));
+    return none;
   }
+  // All look too slow for its size, or it may have run: the least bad is tried.
+  const auto& rest = candidates.open;
   const auto slot = *std::min_element(rest.begin(), rest.end(), [this](auto a, auto b) {
     return std::pair(left_out_until(a), table_.at(a).crowding()) <
            std::pair(left_out_until(b), table_.at(b).crowding());
@@ -276,9 +287,9 @@
   return take(slot, static_cast<int>(size.prompt), blocks, wish, now);
 }
 
-std::optional<pooled_endpoint>
-endpoint_pool::choose_for_plain(const endpoint_wish& wish,
-                                const std::vector<routing::endpoint_slot>& open, mono_time now)
+pool_choice endpoint_pool::choose_for_plain(const endpoint_wish& wish,
+                                            const std::vector<routing::endpoint_slot>& open,
+                                            mono_time now)
 {
   std::vector<plain_candidate> candidates;
   candidates.reserve(open.size());
@@ -289,7 +300,10 @@
     candidates.push_back({.own_calls = calls, .places = records_.at(id).places});
   }
   const auto best = choose_plain(candidates, random_);
-  return best ? std::optional(take(open[*best], 0, {}, wish, now)) : std::nullopt;
+  if (!best) {
+    return routing::no_endpoint{};
+  }
+  return take(open[*best], 0, {}, wish, now);
 }
 
 // Endpoints that leave are no source, though they still hold much: one that is gone before it has
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "messages.h"
+#include "wisteriaflow/gateway/return_time.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
 
@@ -23,8 +24,8 @@
 constexpr std::size_t idle_connections = 8;
 // Endpoints that cannot be connected to are passed over so often before the call is given up.
 constexpr unsigned most_connect_failures = 4;
-// When to come back after a refusal for want of an endpoint: about the time in which a trouble is
-// noticed by all daemons.
+// When to come back to a daemon that knows no configuration or no endpoint yet: it reads both
+// within a few exchanges with the store or a peer.
 constexpr milliseconds retry_pause{250};
 // A stream that begins later than this after the order to end may not be over before the process
 // is killed; it is refused, to be sent to another daemon at once.
@@ -209,13 +210,14 @@
       writer.abort();
       co_return;
     }
-    auto endpoint = choose(*call);
-    if (!endpoint) {
-      co_await give_up(*call, writer);
+    auto choice = choose(*call);
+    if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
+      co_await give_up(*call, writer, none->retry_at);
       co_return;
     }
-    call->excluded.push_back(endpoint->id);
-    attempt one(context_, state_, client_, *call, std::move(*endpoint));
+    auto& endpoint = std::get<gateway::pooled_endpoint>(choice);
+    call->excluded.push_back(endpoint.id);
+    attempt one(context_, state_, client_, *call, std::move(endpoint));
     auto result = co_await one.run(writer);
     note_attempt(*call, result);
     if (result.how == attempt_result::end::caller_lost) {
@@ -274,11 +276,12 @@
   co_await give_up(call, writer);
 }
 
-asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer)
+asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer,
+                                          std::optional<mono_time> open_at)
 {
   const auto now = std::chrono::steady_clock::now();
   const int status = gateway::final_status(call.history);
-  note_given_up(call, call.answer_begun ? "cut short" : std::to_string(status));
+  note_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), open_at, now);
   if (call.answer_begun) {
     // The caller must see that the answer is not whole.
     writer.abort();
@@ -287,9 +290,13 @@
   if (!call.history.may_have_run) {
     state_.quota.give_back(call.workspace, call.quota_units, now);
   }
-  const auto retry_at =
-      status == http::status::unavailable ? std::optional(now + retry_pause) : std::nullopt;
-  auto out = adapter::refusal(status, "no endpoint answered", retry_at, now);
+  std::optional<mono_time> retry_at;
+  if (status == http::status::unavailable) {
+    retry_at =
+        gateway::return_time({.now = now, .open_at = open_at, .rank = call.priority}, random_);
+  }
+  const auto* reason = open_at ? "too much waits at the endpoints" : "no endpoint answered";
+  auto out = adapter::refusal(status, reason, retry_at, now);
   co_await writer.send(std::move(out));
 }
 
@@ -298,20 +305,26 @@
   state_.counters.count("answers", {{"route", call.route->name}, {"status", status}});
 }
 
-void call_relay::note_given_up(const admitted_call& call, const std::string& status)
+void call_relay::note_given_up(const admitted_call& call, const std::string& status,
+                               std::optional<mono_time> open_at, mono_time now)
 {
   count_answer(call, status);
-  state_.log.write(daemon::log_level::warn, "call given up",
-                   {{"request", call.description.request_id},
-                    {"route", call.route->name},
-                    {"status", status},
-                    {"attempts", std::to_string(call.history.sent)},
-                    {"connect_failures", std::to_string(call.connect_failures)},
-                    {"configuration", std::to_string(call.configuration->version())},
-                    {"serving", std::to_string(state_.endpoints.serving(call.service).size())}});
+  log_fields fields = {{"request", call.description.request_id},
+                       {"route", call.route->name},
+                       {"status", status},
+                       {"attempts", std::to_string(call.history.sent)},
+                       {"connect_failures", std::to_string(call.connect_failures)},
+                       {"configuration", std::to_string(call.configuration->version())},
+                       {"serving", std::to_string(state_.endpoints.serving(call.service).size())}};
+  if (open_at) {
+    const auto wait = std::chrono::duration_cast<milliseconds>(*open_at - now);
+    fields.emplace_back("room_in_ms", std::to_string(wait.count()));
+    state_.counters.count("refusals", {{"reason", "deadline unreachable"}});
+  }
+  state_.log.write(daemon::log_level::warn, "call given up", std::move(fields));
 }
 
-std::optional<gateway::pooled_endpoint> call_relay::choose(const admitted_call& call)
+gateway::pool_choice call_relay::choose(const admitted_call& call)
 {
   const auto now = std::chrono::steady_clock::now();
   if (call.history.sent == 0 && call.connect_failures == 0) {
@@ -323,7 +336,8 @@
                                   .size = d.size,
                                   .target = call.received_at + call.route->target_latency,
                                   .deadline = call.deadline,
-                                  .excluded = call.excluded},
+                                  .excluded = call.excluded,
+                                  .may_be_refused = !call.history.may_have_run},
                                  now);
 }
 
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -61,11 +61,14 @@
                                              http::response_writer& writer);
   boost::asio::awaitable<void> finish(admitted_call& call, attempt_result& last,
                                       http::response_writer& writer);
-  boost::asio::awaitable<void> give_up(admitted_call& call, http::response_writer& writer);
-  std::optional<gateway::pooled_endpoint> choose(const admitted_call& call);
+  // `open_at`: when there will be room for it, if that is known.
+  boost::asio::awaitable<void> give_up(admitted_call& call, http::response_writer& writer,
+                                       std::optional<mono_time> open_at = std::nullopt);
+  gateway::pool_choice choose(const admitted_call& call);
   const std::string& draw_service(const gateway::route& r);
   bool may_repeat(const admitted_call& call, const attempt_result& last);
-  void note_given_up(const admitted_call& call, const std::string& status);
+  void note_given_up(const admitted_call& call, const std::string& status,
+                     std::optional<mono_time> open_at, mono_time now);
   void count_answer(const admitted_call& call, const std::string& status);
   void log_refusal(const http::request& received, const refusal& why);
   void note_attempt(const admitted_call& call, const attempt_result& result);
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -248,8 +248,11 @@
     return {.reason = no_endpoint_reason::no_candidate};
   }
   // The queue drains as time passes: what is missing now will be gone after as long.
-  const double missing = c.fastest->parts.first_token() - seconds(request.deadline - now);
-  return {.reason = no_endpoint_reason::deadline_unreachable, .retry_at = after(now, missing)};
+  const auto& parts = c.fastest->parts;
+  const double left = seconds(request.deadline - now);
+  return {.reason = no_endpoint_reason::deadline_unreachable,
+          .retry_at = after(now, parts.first_token() - left),
+          .only_queued = parts.first_token() - parts.queue <= left};
 }
 
 } // namespace
--- a/src/routing/endpoint_table.cc
+++ b/src/routing/endpoint_table.cc
@@ -24,6 +24,11 @@
   if (uncertainty <= 0) {
     return std::max(0, over);
   }
+  // Far beyond full the two are the same, and the exponential would be infinite.
+  constexpr double far_beyond = 30;
+  if (over > far_beyond * uncertainty) {
+    return over;
+  }
   return uncertainty * std::log1p(std::exp(over / uncertainty));
 }
 
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -24,6 +24,12 @@
           .leaving = leaving};
 }
 
+std::optional<pooled_endpoint> endpoint_of(pool_choice choice)
+{
+  auto* found = std::get_if<pooled_endpoint>(&choice);
+  return found == nullptr ? std::nullopt : std::optional(std::move(*found));
+}
+
 class EndpointPoolTest : public testing::Test {
  protected:
   void list(std::vector<endpoint_record> all, std::uint64_t revision, mono_time now = start)
@@ -34,13 +40,13 @@
   std::optional<pooled_endpoint> choose(std::vector<endpoint_id> excluded = {},
                                         std::vector<prompt_part> prompt = {})
   {
-    return pool_.choose({.service = "chat",
-                         .prompt = prompt,
-                         .size = token_size{.prompt = 4'000, .output = 10},
-                         .target = start + 1s,
-                         .deadline = start + 10s,
-                         .excluded = excluded},
-                        start);
+    return endpoint_of(pool_.choose({.service = "chat",
+                                     .prompt = prompt,
+                                     .size = token_size{.prompt = 4'000, .output = 10},
+                                     .target = start + 1s,
+                                     .deadline = start + 10s,
+                                     .excluded = excluded},
+                                    start));
   }
 
   endpoint_pool pool_{{.zone = availability_zone("z"), .seed = 1}};
@@ -274,12 +280,12 @@
     endpoint_pool pool({.zone = availability_zone("z"), .seed = daemon});
     pool.replace_all(all, 5, start);
     const std::vector<prompt_part> prompt{{7, 5'000}, {100 + daemon, 1'000}};
-    const auto one = pool.choose({.service = "chat",
-                                  .prompt = prompt,
-                                  .size = token_size{.prompt = 6'000, .output = 10},
-                                  .target = start + 1s,
-                                  .deadline = start + 10s},
-                                 start);
+    const auto one = endpoint_of(pool.choose({.service = "chat",
+                                              .prompt = prompt,
+                                              .size = token_size{.prompt = 6'000, .output = 10},
+                                              .target = start + 1s,
+                                              .deadline = start + 10s},
+                                             start));
     chosen.insert(one->id);
   }
   EXPECT_EQ(chosen.size(), 1U);
@@ -321,6 +327,64 @@
   EXPECT_GT(busy_after_two_seconds(1'200, 2'000), 1.3 * busy_after_two_seconds(12, 200'000));
 }
 
+// One endpoint is left and the whole fleet waits there.
+class OverloadedPoolTest : public EndpointPoolTest {
+ protected:
+  OverloadedPoolTest()
+  {
+    list({record("a", 1)}, 5);
+    pool_.on_peer_work(daemon_id("p"), {{endpoint_id("a"), {.waiting = 2'000}}}, start);
+    pool_.refresh_loads(start);
+  }
+
+  pool_choice wish(std::uint64_t prompt_tokens, bool may_be_refused = true)
+  {
+    return pool_.choose({.service = "chat",
+                         .size = token_size{.prompt = prompt_tokens, .output = 10},
+                         .target = start + 1s,
+                         .deadline = start + 3s,
+                         .may_be_refused = may_be_refused},
+                        start);
+  }
+};
+
+TEST_F(OverloadedPoolTest, RefusesAtOnceWhatCannotBeServedInTimeAndSaysWhenThereIsRoom)
+{
+  const auto made = wish(1'000);
+  const auto* none = std::get_if<routing::no_endpoint>(&made);
+  ASSERT_TRUE(none);
+  EXPECT_EQ(none->reason, routing::no_endpoint_reason::deadline_unreachable);
+  EXPECT_GT(none->retry_at, start);
+  EXPECT_TRUE(pool_.own_work().empty());
+}
+
+TEST_F(OverloadedPoolTest, CountsWhatItRefusesAsDemand)
+{
+  for (int i = 0; i < 100; ++i) {
+    static_cast<void>(wish(1'000));
+  }
+  pool_.refresh_loads(start + 500ms);
+  EXPECT_GT(pool_.busy_endpoints("chat", start + 500ms), 0.5);
+}
+
+TEST_F(OverloadedPoolTest, SendsWhatMayHaveRunAlready)
+{
+  EXPECT_TRUE(endpoint_of(wish(1'000, false)));
+}
+
+TEST_F(OverloadedPoolTest, ServesAgainOnceTheQueueHasDrained)
+{
+  pool_.on_peer_work(daemon_id("p"), {{endpoint_id("a"), {.waiting = 1}}}, start);
+  pool_.refresh_loads(start);
+  EXPECT_TRUE(endpoint_of(wish(1'000)));
+}
+
+// Rates are estimates: a prompt that looks too large for any endpoint is tried all the same.
+TEST_F(OverloadedPoolTest, DoesNotRefusePromptsForTheirSize)
+{
+  EXPECT_TRUE(endpoint_of(wish(400'000)));
+}
+
 class PrefixSourceTest : public EndpointPoolTest {
  protected:
   static endpoint_record at(const char* id, const char* host, bool leaving = false)
--- a/test/gateway/plain_service_replay_test.cc
+++ b/test/gateway/plain_service_replay_test.cc
@@ -91,8 +91,10 @@
   void call(mono_time now)
   {
     const std::size_t daemon = rng_() % daemons_.size();
-    auto chosen = daemons_[daemon]->choose(
+    const auto choice = daemons_[daemon]->choose(
         {.service = "app", .target = now + 300ms, .deadline = now + 3s}, now);
+    const auto* chosen = std::get_if<pooled_endpoint>(&choice);
+    ASSERT_TRUE(chosen);
     ++result_.calls;
     auto& open = open_[chosen->id];
     if (open >= options_.places + options_.queue) {
--- /dev/null
+++ b/test/gateway/return_time_test.cc
@@ -0,0 +1,74 @@
+#include <algorithm>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/return_time.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+
+class ReturnTimeTest : public testing::Test {
+ protected:
+  mono_time at(std::optional<mono_time> open_at, int rank)
+  {
+    return return_time({.now = start, .open_at = open_at, .rank = rank}, rng_);
+  }
+
+  std::mt19937_64 rng_{1};
+};
+
+TEST_F(ReturnTimeTest, IsNotBeforeThereIsRoom)
+{
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_GE(at(start + 800ms, i % 4), start + 800ms);
+  }
+}
+
+TEST_F(ReturnTimeTest, IsLaterThanNowThoughTheTimeHasPassed)
+{
+  EXPECT_GT(at(start - 5s, 0), start);
+}
+
+TEST_F(ReturnTimeTest, IsSoonWhereNothingIsKnown)
+{
+  EXPECT_LE(at(std::nullopt, 0), start + 400ms);
+}
+
+TEST_F(ReturnTimeTest, LetsTheMoreUrgentComeFirst)
+{
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_LT(at(start + 1s, 0), at(start + 1s, 1));
+    EXPECT_LT(at(start + 1s, 1), at(start + 1s, 2));
+  }
+}
+
+TEST_F(ReturnTimeTest, TakesAnOddRankForTheNearestOne)
+{
+  EXPECT_LT(at(start + 1s, -7), start + 1'501ms);
+  EXPECT_LE(at(start + 1s, 1'000'000), start + 3s);
+}
+
+// 600 calls of three ranks are refused in one moment, with room in a second.
+TEST_F(ReturnTimeTest, ACrowdThatWasRefusedTogetherDoesNotReturnTogether)
+{
+  constexpr int calls = 600;
+  std::vector<mono_time> returns;
+  for (int i = 0; i < calls; ++i) {
+    returns.push_back(at(start + 1s, i % 3));
+  }
+  std::sort(returns.begin(), returns.end());
+  std::ptrdiff_t most = 0;
+  for (auto it = returns.begin(); it != returns.end(); ++it) {
+    const auto end = std::upper_bound(it, returns.end(), *it + 100ms);
+    most = std::max(most, end - it);
+  }
+  EXPECT_LT(most, calls / 8) << "within 100 ms";
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -42,8 +42,8 @@
                                      .places = 4};
     const auto now = std::chrono::steady_clock::now();
     state_.endpoints.apply(r, now);
-    return *state_.endpoints.choose({.service = "chat", .target = now + 1s, .deadline = now + 2s},
-                                    now);
+    return std::get<gateway::pooled_endpoint>(state_.endpoints.choose(
+        {.service = "chat", .target = now + 1s, .deadline = now + 2s}, now));
   }
 
   boost::asio::io_context context_;
--- a/test/routing/endpoint_table_test.cc
+++ b/test/routing/endpoint_table_test.cc
@@ -40,6 +40,14 @@
   EXPECT_EQ(table_.at(slot_).running_now(), 2);
 }
 
+TEST_F(EndpointTableTest, TheWaitBehindThousandsIsFinite)
+{
+  table_.on_report(slot_, {.waiting = 5'000, .max_running = 8, .measured_at = start});
+  const double longest = 5'000 * 10; // seconds, at ten for each
+  EXPECT_GT(table_.at(slot_).queue_seconds({.now = start}), 1);
+  EXPECT_LT(table_.at(slot_).queue_seconds({.now = start}), longest);
+}
+
 TEST_F(EndpointTableTest, IgnoresAReportOlderThanTheOneHeld)
 {
   table_.on_report(slot_, {.waiting = 5, .max_running = 8, .measured_at = start});
