--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -36,6 +36,7 @@
       silence_(context), heard_at_(std::chrono::steady_clock::now())
 {
   result_.endpoint = endpoint_.id;
+  result_.prefix_source = endpoint_.prefix_source;
 }
 
 asio::awaitable<attempt_result> attempt::run(http::response_writer& writer)
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -62,6 +62,8 @@
 
   end how = end::cut;
   endpoint_id endpoint;
+  // Whom the endpoint was told to copy the prompt's shared parts from.
+  std::optional<http::socket_address> prefix_source;
   bool silent = false;
   bool timed_out = false;
   std::string reason; // of a failure
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -369,6 +369,9 @@
                        {"status", result.head_came ? std::to_string(result.answer.status) : "none"},
                        {"silent", result.silent ? "yes" : "no"},
                        {"events", std::to_string(call.last_event.value_or(0))}};
+  if (result.prefix_source) {
+    fields.emplace_back("prefix_source", to_string(*result.prefix_source));
+  }
   add_reason(fields, result);
   if (result.how == attempt_result::end::caller_lost) {
     state_.log.write(daemon::log_level::info, "caller left", std::move(fields));
