--- a/include/wisteriaflow/gateway/demand_meter.h
+++ b/include/wisteriaflow/gateway/demand_meter.h
@@ -3,10 +3,10 @@
 // One daemon counts the prompt tokens that it sends to be computed and how fast engines compute
 // them, and tells its peers the rate. With theirs, the demand is
 //
-//   (tokens sent a second + tokens that wait / drain time) / tokens an endpoint computes a second
+//   (tokens sent a second + backlog / drain time) / tokens an endpoint computes a second
 //
-// What waits counts, since a fleet that is short of endpoints is sent no more than before, yet
-// needs more than it gets.
+// where the backlog is what waits beyond the ordinary. It counts, since a fleet that is short of
+// endpoints is sent no more than before, yet needs more than it gets.
 //
 //   demand_meter meter({});
 //   meter.on_sent("chat", 1'200);
@@ -40,7 +40,10 @@
   double smoothed_prompts = 130;
   std::chrono::milliseconds longest_smoothing{3'000};
   std::chrono::milliseconds shortest_smoothing{1'000};
-  // What waits is to be computed within this time beside what comes.
+  // What a fleet that keeps up has waiting at any moment, as time of what is sent to it: about the
+  // median time to the first token of large prompts. It is no backlog.
+  std::chrono::milliseconds ordinary_wait{200};
+  // What waits beyond that is to be computed within this time beside what comes.
   std::chrono::milliseconds drain_time{2'000};
   // What waits counts up to this part of what is sent: calls at an endpoint that has gone silent
   // wait as well, and need no other.
--- a/src/gateway/demand_meter.cc
+++ b/src/gateway/demand_meter.cc
@@ -75,8 +75,10 @@
 {
   const auto it = services_.find(service);
   const double speed = it == services_.end() ? options_.initial_speed : it->second.speed;
+  const double beyond =
+      std::max(0.0, demand.waiting - demand.sent * seconds(options_.ordinary_wait));
   const double backlog =
-      std::min(demand.waiting / seconds(options_.drain_time), options_.most_backlog * demand.sent);
+      std::min(beyond / seconds(options_.drain_time), options_.most_backlog * demand.sent);
   return (demand.sent + backlog) / speed;
 }
 
