Drop a needless alias; say when others' prompts are taken as average

Found by reading the change once more: the candidates left to try had two names since refusals moved before them, and the comment on the queue did not know of reports that tell the tokens. Behaviour is as it was.

--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -279,11 +279,11 @@
     return none;
   }
   // All look too slow for its size, or it may have run: the least bad is tried.
-  const auto& rest = candidates.open;
-  const auto slot = *std::min_element(rest.begin(), rest.end(), [this](auto a, auto b) {
-    return std::pair(left_out_until(a), table_.at(a).crowding()) <
-           std::pair(left_out_until(b), table_.at(b).crowding());
-  });
+  const auto slot =
+      *std::min_element(candidates.open.begin(), candidates.open.end(), [this](auto a, auto b) {
+        return std::pair(left_out_until(a), table_.at(a).crowding()) <
+               std::pair(left_out_until(b), table_.at(b).crowding());
+      });
   return take(slot, static_cast<int>(size.prompt), blocks, wish, now);
 }
 
--- a/src/routing/endpoint_table.cc
+++ b/src/routing/endpoint_table.cc
@@ -67,7 +67,8 @@
 {
   const int waiting = model.own_work ? waiting_now() : report.waiting;
   const int running = model.own_work ? running_now() : report.running;
-  // Own attempts are known to the token; those of other daemons are taken as average ones.
+  // Own attempts are known to the token; those of other daemons are taken as average ones where the
+  // report does not tell their tokens.
   const int own = model.own_work ? own_waiting : 0;
   const auto own_tokens = model.own_work ? static_cast<double>(own_waiting_tokens) : 0.0;
   const double others =
