Tell callers of a large fleet different daemons, and the same ones again

Cause: an answer to a caller holds up to 64 addresses, and the first 64 daemons by name were told to everybody. Of 195 daemons 131 got no call, and the calls of all six zones went to two zones' daemons of 0.12 cores each.

Ruled out: a random draw for each answer. Callers leave open connections to addresses that are missing from a newer answer, so each draw would cost them their connections.

Change: the daemons are ranked for each zone of callers by rendezvous hashing, half of the answer from the callers' own zone at the most. A daemon's end changes one address; a zone's loss leaves half.

--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -21,6 +21,7 @@
 #include "relay/peer_sync.h"
 #include "relay/store_client.h"
 #include "relay/store_sync.h"
+#include "wisteriaflow/gateway/caller_addresses.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
 
@@ -155,27 +156,20 @@
   asio::awaitable<void> answer_addresses(http::request asked, http::response_writer& writer)
   {
     http::response out{.status = http::status::not_found};
-    if (adapter::is_address_question(asked)) {
-      const auto addresses = addresses_for_callers();
+    if (const auto question = adapter::decode_address_question(asked)) {
+      const auto addresses = addresses_for(question->zone);
       out = addresses.empty() ? http::response{.status = http::status::unavailable}
                               : adapter::encode_addresses(addresses, addresses_valid);
     }
     co_await writer.send(std::move(out));
   }
 
-  std::vector<http::socket_address> addresses_for_callers() const
+  std::vector<http::socket_address> addresses_for(const availability_zone& zone) const
   {
     constexpr std::size_t most = 64; // that an answer may hold
-    std::vector<http::socket_address> out;
-    if (state_.is_ready()) {
-      out.push_back(state_.options.callers);
-    }
-    for (const auto& peer : state_.peers.live(std::chrono::steady_clock::now())) {
-      if (peer.ready && out.size() < most) {
-        out.push_back(peer.caller_address);
-      }
-    }
-    return out;
+    auto daemons = state_.peers.live(std::chrono::steady_clock::now());
+    daemons.push_back(state_.self_contact());
+    return gateway::addresses_for_callers(zone.empty() ? state_.options.zone : zone, daemons, most);
   }
 
   asio::awaitable<void> answer_metrics(http::request asked, http::response_writer& writer)
--- a/test/adapter/messages_test.cc
+++ b/test/adapter/messages_test.cc
@@ -151,6 +151,22 @@
   EXPECT_EQ(http::find_header(refusal(502, "x", std::nullopt, start).fields, "Retry-After"), "");
 }
 
+TEST(AddressesTest, AQuestionTellsTheCallersZone)
+{
+  const auto asked = decode_address_question({.target = "/resolve?name=x&region=r&zone=z-1"});
+  EXPECT_EQ(asked, (address_question{.zone = availability_zone("z-1")}));
+}
+
+TEST(AddressesTest, AQuestionWithoutAZoneIsOneAllTheSame)
+{
+  EXPECT_EQ(decode_address_question({.target = "/resolve?name=x"}), address_question{});
+}
+
+TEST(AddressesTest, AnotherTargetIsNoQuestion)
+{
+  EXPECT_FALSE(decode_address_question({.target = "/other?zone=z-1"}));
+}
+
 TEST(AddressesTest, AnswersWithAddressesAndHowLongTheyHold)
 {
   const auto out = encode_addresses({{.host = "10.1.0.14", .port = 8221}}, 2s);
