--- /dev/null
+++ b/bench/gateway_control_bench.cc
@@ -0,0 +1,208 @@
+// What one gateway daemon's control costs in fleets of different sizes: the pure part of an
+// exchange of reports, of a tick and of a choice, without sockets.
+//
+//   gateway_control_bench                               every size
+//   gateway_control_bench --benchmark_filter=/195       one size
+//
+// Each peer has calls at seven endpoints, and counts of nineteen workspaces in three windows.
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "relay/event_log.h"
+#include "relay/fleet_state.h"
+#include "wisteriaflow/base/deflate.h"
+#include "wisteriaflow/gateway/peer_report.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned calls_of_a_daemon = 7;
+constexpr unsigned workspaces = 19;
+constexpr unsigned windows = 3;
+constexpr unsigned departures = 20;
+constexpr std::size_t report_limit = std::size_t{1} << 20U;
+
+daemon_id daemon_name(unsigned n)
+{
+  return daemon_id("front-akl-" + std::to_string(n % 6) + "-" + std::to_string(n));
+}
+
+endpoint_id endpoint_name(unsigned n)
+{
+  return endpoint_id("i-7f3a91c2" + std::to_string(n));
+}
+
+// One daemon that knows `daemons` peers and two thirds as many endpoints.
+class known_fleet {
+ public:
+  explicit known_fleet(unsigned daemons)
+      : daemons_(daemons), log_([](const daemon::log_line&) { return true; }),
+        state_(settings_of(0), log_), now_(read_clocks())
+  {
+    std::vector<gateway::endpoint_record> listed;
+    for (unsigned n = 0; n < endpoints(); ++n) {
+      listed.push_back({.id = endpoint_name(n),
+                        .revision = 1,
+                        .service = "models",
+                        .address = {.host = "10.9.0.1", .port = static_cast<std::uint16_t>(n + 1)},
+                        .zone = availability_zone("akl-a"),
+                        .places = 12});
+    }
+    state_.endpoints.replace_all(listed, 1, now_.mono);
+    for (unsigned n = 1; n < daemons_; ++n) {
+      hear(n);
+    }
+    state_.tick(now_);
+  }
+
+  [[nodiscard]] unsigned endpoints() const { return daemons_ * 2 / 3; }
+  [[nodiscard]] fleet_state& state() { return state_; }
+
+  // Time goes on, so that each round differs from the one before.
+  void pass(std::chrono::milliseconds time)
+  {
+    now_.mono += time;
+    now_.wall += time;
+  }
+
+  [[nodiscard]] const clock_reading& now() const { return now_; }
+
+  [[nodiscard]] gateway::peer_report report_of(unsigned n) const
+  {
+    gateway::peer_report out{
+        .self = {.id = daemon_name(n),
+                 .incarnation = 1,
+                 .peer_address = {.host = "10.1.0.1", .port = static_cast<std::uint16_t>(n)},
+                 .caller_address = {.host = "10.1.0.1", .port = 80},
+                 .zone = availability_zone("akl-a"),
+                 .ready = true},
+        .clock = now_.wall,
+        .prefill = {{"models", 1'000.0}}};
+    for (unsigned i = 0; i < calls_of_a_daemon; ++i) {
+      const auto id = endpoint_name((n * calls_of_a_daemon + i * 5 + told_) % endpoints());
+      out.work[id] = {.waiting = 1, .running = 1, .waiting_tokens = 1'000 + n};
+    }
+    for (unsigned i = 0; i < departures; ++i) {
+      out.departures.push_back({.id = endpoint_id("gone-" + std::to_string(i)), .revision = 5});
+    }
+    for (unsigned w = 0; w < windows; ++w) {
+      gateway::usage_row row{.source = {.daemon = daemon_name(n), .incarnation = 1},
+                             .window = window() - w};
+      for (unsigned i = 0; i < workspaces; ++i) {
+        row.counts[workspace_id("workspace" + std::to_string(i))] = i + told_;
+      }
+      out.usage.push_back(std::move(row));
+    }
+    return out;
+  }
+
+  // The next peer's report arrives.
+  void hear_next()
+  {
+    ++told_;
+    hear(1 + told_ % (daemons_ - 1));
+  }
+
+ private:
+  static settings settings_of(unsigned n)
+  {
+    settings out{.id = daemon_name(n), .zone = availability_zone("akl-a")};
+    out.usage_window = 5'000ms;
+    return out;
+  }
+
+  [[nodiscard]] gateway::usage_window window() const
+  {
+    return static_cast<gateway::usage_window>(to_unix_ms(now_.wall) / 5'000);
+  }
+
+  void hear(unsigned n) { state_.absorb(report_of(n), now_); }
+
+  unsigned daemons_;
+  unsigned told_ = 0;
+  event_log log_;
+  fleet_state state_;
+  clock_reading now_;
+};
+
+void set_sizes(benchmark::internal::Benchmark* b)
+{
+  b->Arg(18)->Arg(80)->Arg(195)->Arg(390)->Unit(benchmark::kMicrosecond);
+}
+
+void make_report(benchmark::State& state)
+{
+  known_fleet fleet(static_cast<unsigned>(state.range(0)));
+  std::size_t bytes = 0;
+  for (auto _ : state) {
+    fleet.pass(10ms);
+    const auto packed = deflate(encode_peer_report(fleet.state().report(fleet.now())));
+    bytes = packed.size();
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(make_report)->Apply(set_sizes);
+
+void read_report(benchmark::State& state)
+{
+  known_fleet fleet(static_cast<unsigned>(state.range(0)));
+  const auto packed = deflate(encode_peer_report(fleet.report_of(3)));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(gateway::decode_peer_report(inflate(packed, report_limit)));
+  }
+  state.counters["bytes"] = static_cast<double>(packed.size());
+}
+BENCHMARK(read_report)->Apply(set_sizes);
+
+void absorb_report(benchmark::State& state)
+{
+  known_fleet fleet(static_cast<unsigned>(state.range(0)));
+  for (auto _ : state) {
+    fleet.pass(10ms);
+    fleet.hear_next();
+  }
+}
+BENCHMARK(absorb_report)->Apply(set_sizes);
+
+void tick(benchmark::State& state)
+{
+  known_fleet fleet(static_cast<unsigned>(state.range(0)));
+  for (auto _ : state) {
+    fleet.pass(10ms);
+    fleet.hear_next();
+    fleet.state().tick(fleet.now());
+  }
+}
+BENCHMARK(tick)->Apply(set_sizes);
+
+void choose(benchmark::State& state)
+{
+  known_fleet fleet(static_cast<unsigned>(state.range(0)));
+  const std::vector<gateway::prompt_part> prompt = {
+      {.id = 1, .tokens = 512}, {.id = 2, .tokens = 4'000}, {.id = 3, .tokens = 1'000}};
+  for (auto _ : state) {
+    fleet.pass(10ms);
+    auto chosen =
+        fleet.state().endpoints.choose({.service = "models",
+                                        .prompt = prompt,
+                                        .size = gateway::token_size{.prompt = 5'512, .output = 300},
+                                        .target = fleet.now().mono + 1s,
+                                        .deadline = fleet.now().mono + 10s},
+                                       fleet.now().mono);
+    if (auto* it = std::get_if<gateway::pooled_endpoint>(&chosen)) {
+      fleet.state().endpoints.on_finished(it->work, 0, fleet.now().mono);
+    }
+  }
+}
+BENCHMARK(choose)->Apply(set_sizes);
+
+} // namespace
+} // namespace wisteriaflow::relay
+
+BENCHMARK_MAIN();
--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -28,6 +28,8 @@
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/demand_meter.h"
+#include "wisteriaflow/gateway/endpoint_work.h"
+#include "wisteriaflow/gateway/peers_work.h"
 #include "wisteriaflow/gateway/shared_prefix.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/routing/choose_endpoint.h"
@@ -64,19 +66,6 @@
   broken, // no connection, a cut, garbage, silence
 };
 
-// Requests of one daemon at an endpoint.
-struct endpoint_work {
-  std::uint32_t waiting = 0; // no byte of an answer yet
-  std::uint32_t running = 0;
-  // Prompt tokens of those that wait, to be computed. Prompts differ by a factor of a hundred: with
-  // the number alone a daemon takes a peer's 40,000 tokens for an average prompt and queues behind.
-  std::uint64_t waiting_tokens = 0;
-
-  friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
-};
-
-using endpoint_work_map = std::map<endpoint_id, endpoint_work>;
-
 struct endpoint_pool_options {
   availability_zone zone;
   std::uint64_t seed = 0;
@@ -185,18 +174,12 @@
 
   // Endpoints of `service` that the whole fleet's prompts, sent and waiting, would keep busy all
   // the time; see demand_meter.h.
-  [[nodiscard]] double busy_endpoints(std::string_view service, mono_time now) const;
+  [[nodiscard]] double busy_endpoints(std::string_view service, mono_time now);
 
-  // Takes the peers' work into account. Call after news of it.
+  // Takes the peers' work into account, as far as it still counts. Call a few times a second.
   void refresh_loads(mono_time now);
 
  private:
-  struct peer_work {
-    endpoint_work_map work;
-    prefill_demand prefill;
-    mono_time valid_until;
-  };
-
   struct health {
     double trouble = 0; // score
     mono_time left_out_until;
@@ -214,7 +197,7 @@
                                                const std::vector<routing::endpoint_slot>& open,
                                                mono_time now);
   // Daemons whose work is known, this one included.
-  [[nodiscard]] std::size_t live_daemons(mono_time now) const;
+  [[nodiscard]] std::size_t live_daemons() const { return 1 + peers_.number(); }
   pool_choice choose_for_plain(const endpoint_wish& wish,
                                const std::vector<routing::endpoint_slot>& open, mono_time now);
   // Where the endpoint in `slot` may copy the prompt's shared parts from.
@@ -229,7 +212,6 @@
   void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
   [[nodiscard]] bool is_departed(const endpoint_record& record) const;
-  [[nodiscard]] endpoint_work peers_work(const endpoint_id& id, mono_time now) const;
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
   void end_wait(endpoint_work& own, const routing::sent_work& work);
@@ -244,7 +226,7 @@
   std::map<endpoint_id, endpoint_record> records_;
   std::map<endpoint_id, std::uint64_t> held_removals_; // with the revision of the removal
   std::map<endpoint_id, departure_entry> departures_;
-  std::map<daemon_id, peer_work> peers_;
+  peers_work peers_;
   std::map<endpoint_id, endpoint_work> own_;
   std::map<endpoint_id, health> health_;
   demand_meter meter_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -84,6 +84,10 @@
 // Throws peer_report_error.
 [[nodiscard]] endpoint_changes decode_endpoint_changes(std::string_view text);
 
+// The report as it stands `age` after it was made: a daemon encodes one for all who ask within a
+// short time, so what it tells of time has moved on when it is sent.
+[[nodiscard]] peer_report aged_by(peer_report report, std::chrono::milliseconds age);
+
 [[nodiscard]] std::string encode_peer_report(const peer_report& report);
 
 // Throws peer_report_error.
--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -58,7 +58,7 @@
   };
 
   [[nodiscard]] standing standing_of(const http::socket_address& peer) const;
-  [[nodiscard]] bool is_due(const http::socket_address& peer, mono_time now) const;
+  [[nodiscard]] bool is_due(const standing& it, mono_time now) const;
   std::vector<http::socket_address> ask_first(std::vector<http::socket_address> known);
 
   peer_rounds_options options_;
--- a/include/wisteriaflow/gateway/usage_counts.h
+++ b/include/wisteriaflow/gateway/usage_counts.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,9 +58,12 @@
   // Joins a peer's row.
   void absorb(const usage_row& row);
 
-  // Rows of this daemon and of the sources that `is_silent` names.
-  [[nodiscard]] std::vector<usage_row>
-  rows(const std::function<bool(const daemon_id&)>& is_silent) const;
+  // Rows to tell a peer: this daemon's own, and of those of the sources that `is_silent` names up
+  // to `most_of_others`, others at each call in turn. When half of a fleet of 195 dies at once, all
+  // of theirs would be 300 rows in every report; in turn whoever reports the usage hears of them
+  // all within a second, from many.
+  [[nodiscard]] std::vector<usage_row> rows(const std::function<bool(const daemon_id&)>& is_silent,
+                                            std::size_t most_of_others);
 
   // The fleet's counts in `window`, as far as they were heard of.
   [[nodiscard]] window_counts total(usage_window window) const;
@@ -72,6 +76,7 @@
   std::chrono::milliseconds window_length_;
   usage_window kept_;
   std::map<usage_window, std::map<usage_source, window_counts>> windows_;
+  std::size_t next_of_others_ = 0; // row to tell
 };
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -24,7 +24,8 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
-    : options_(std::move(options)), meter_({.initial_speed = initial_prefill_rate}),
+    : options_(std::move(options)), peers_(options_.work_valid),
+      meter_({.initial_speed = initial_prefill_rate}),
       table_({.initial_prefill_rate = initial_prefill_rate}), prefixes_({}), random_(options_.seed)
 {
   routing_.availability_zone = options_.zone;
@@ -222,7 +223,7 @@
     return {};
   }
   const double busy = own_tokens(size, prompt) / initial_prefill_rate;
-  const auto wanted = spread_.homes_of(*prompt.shared_key, busy, live_daemons(now), now);
+  const auto wanted = spread_.homes_of(*prompt.shared_key, busy, live_daemons(), now);
   std::vector<std::pair<std::uint64_t, routing::endpoint_slot>> scores;
   scores.reserve(open.size());
   for (const auto slot : open) {
@@ -238,12 +239,6 @@
   return out;
 }
 
-std::size_t endpoint_pool::live_daemons(mono_time now) const
-{
-  const auto is_live = [now](const auto& it) { return now < it.second.valid_until; };
-  return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
-}
-
 pool_choice endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
 {
   const auto candidates = candidates_for(wish, now);
@@ -428,9 +423,7 @@
 
 void endpoint_pool::on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time now)
 {
-  auto& told = peers_[peer];
-  told.work = std::move(work);
-  told.valid_until = now + options_.work_valid;
+  peers_.on_work(peer, std::move(work), now);
 }
 
 endpoint_work endpoint_pool::own_work_at(const endpoint_id& id) const
@@ -439,26 +432,13 @@
   return it == own_.end() ? endpoint_work{} : it->second;
 }
 
-endpoint_work endpoint_pool::peers_work(const endpoint_id& id, mono_time now) const
-{
-  endpoint_work total;
-  for (const auto& [peer, told] : peers_) {
-    const auto it = told.work.find(id);
-    if (now < told.valid_until && it != told.work.end()) {
-      total.waiting += it->second.waiting;
-      total.running += it->second.running;
-      total.waiting_tokens += it->second.waiting_tokens;
-    }
-  }
-  return total;
-}
-
 void endpoint_pool::refresh_loads(mono_time now)
 {
-  meter_.refresh(live_daemons(now), now);
+  peers_.expire(now);
+  meter_.refresh(live_daemons(), now);
   for (const auto& [id, r] : records_) {
     const auto own = own_work_at(id);
-    const auto peers = peers_work(id, now);
+    const auto peers = peers_.at(id);
     table_.on_report(*table_.find(id),
                      {.running = static_cast<int>(own.running + peers.running),
                       .waiting = static_cast<int>(own.waiting + peers.waiting),
@@ -470,24 +450,18 @@
 
 void endpoint_pool::on_peer_prefill(const daemon_id& peer, prefill_demand demand, mono_time now)
 {
-  auto& told = peers_[peer];
-  told.prefill = std::move(demand);
-  told.valid_until = now + options_.work_valid;
+  peers_.on_prefill(peer, std::move(demand), now);
 }
 
-double endpoint_pool::busy_endpoints(std::string_view service, mono_time now) const
+double endpoint_pool::busy_endpoints(std::string_view service, mono_time now)
 {
-  const auto rate_in = [service](const prefill_demand& d) {
-    const auto it = d.find(service);
-    return it == d.end() ? 0.0 : it->second;
-  };
-  fleet_demand demand{.sent = rate_in(meter_.own())};
-  for (const auto& [peer, told] : peers_) {
-    demand.sent += now < told.valid_until ? rate_in(told.prefill) : 0;
-  }
+  peers_.expire(now);
+  const auto own = meter_.own().find(service);
+  fleet_demand demand{.sent = peers_.prefill(service)};
+  demand.sent += own == meter_.own().end() ? 0 : own->second;
   for (const auto* r : serving(service)) {
-    demand.waiting += static_cast<double>(own_work_at(r->id).waiting_tokens +
-                                          peers_work(r->id, now).waiting_tokens);
+    demand.waiting +=
+        static_cast<double>(own_work_at(r->id).waiting_tokens + peers_.at(r->id).waiting_tokens);
   }
   return meter_.busy_endpoints(service, demand);
 }
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -212,6 +212,16 @@
 
 } // namespace
 
+peer_report aged_by(peer_report report, std::chrono::milliseconds age)
+{
+  report.clock += age;
+  report.endpoints.age += age;
+  for (auto& h : report.heard) {
+    h.age += age;
+  }
+  return report;
+}
+
 std::string encode_peer_report(const peer_report& report)
 {
   json::array known;
--- a/src/gateway/peer_rounds.cc
+++ b/src/gateway/peer_rounds.cc
@@ -16,9 +16,8 @@
   return it == standings_.end() ? standing{} : it->second;
 }
 
-bool peer_rounds::is_due(const http::socket_address& peer, mono_time now) const
+bool peer_rounds::is_due(const standing& it, mono_time now) const
 {
-  const auto it = standing_of(peer);
   if (now < it.answered_at + options_.period / 2) {
     return false;
   }
@@ -39,14 +38,28 @@
                                                     mono_time now)
 {
   ++round_;
-  std::erase_if(known, [&](const auto& peer) { return !is_due(peer, now); });
   std::shuffle(known.begin(), known.end(), random_);
+  struct due_peer {
+    mono_time answered_at;
+    http::socket_address address;
+  };
+  std::vector<due_peer> due;
+  for (auto& peer : known) {
+    const auto it = standing_of(peer);
+    if (is_due(it, now)) {
+      due.push_back({.answered_at = it.answered_at, .address = std::move(peer)});
+    }
+  }
   // Drawn at random, the last of 62 peers was heard after 6.5 s on the mean, too late for the
   // counts of a usage window; in turn it is 3.1 s at most.
-  std::stable_sort(known.begin(), known.end(), [this](const auto& a, const auto& b) {
-    return standing_of(a).answered_at < standing_of(b).answered_at;
-  });
-  return ask_first(std::move(known));
+  const auto asked = std::min(due.size(), options_.fanout);
+  std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(asked), due.end(),
+                    [](const auto& a, const auto& b) { return a.answered_at < b.answered_at; });
+  std::vector<http::socket_address> out;
+  for (std::size_t i = 0; i < asked; ++i) {
+    out.push_back(std::move(due[i].address));
+  }
+  return ask_first(std::move(out));
 }
 
 std::vector<http::socket_address>
--- a/src/gateway/usage_counts.cc
+++ b/src/gateway/usage_counts.cc
@@ -38,17 +38,23 @@
   }
 }
 
-std::vector<usage_row>
-usage_counts::rows(const std::function<bool(const daemon_id&)>& is_silent) const
+std::vector<usage_row> usage_counts::rows(const std::function<bool(const daemon_id&)>& is_silent,
+                                          std::size_t most_of_others)
 {
   std::vector<usage_row> out;
+  std::vector<usage_row> others;
   for (const auto& [window, sources] : windows_) {
     for (const auto& [source, counts] : sources) {
-      if (source == self_ || source.daemon == self_.daemon || is_silent(source.daemon)) {
+      if (source == self_) {
         out.push_back({.source = source, .window = window, .counts = counts});
+      } else if (source.daemon == self_.daemon || is_silent(source.daemon)) {
+        others.push_back({.source = source, .window = window, .counts = counts});
       }
     }
   }
+  for (std::size_t i = 0; i < std::min(most_of_others, others.size()); ++i) {
+    out.push_back(std::move(others[next_of_others_++ % others.size()]));
+  }
   return out;
 }
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -22,6 +22,7 @@
 // ages, sixty daemons' ages pass through each daemon four times a round.
 constexpr std::size_t contacts_told = 8;
 constexpr std::size_t ages_told = 16;
+constexpr std::size_t usage_rows_told = 16; // of daemons that fell silent
 
 std::uint64_t start_time()
 {
@@ -206,7 +207,7 @@
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
           .endpoints = endpoint_view(now.mono),
-          .usage = usage.rows(is_silent)};
+          .usage = usage.rows(is_silent, usage_rows_told)};
 }
 
 void fleet_state::absorb(const gateway::peer_report& told, const clock_reading& now)
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -33,12 +33,24 @@
 // Of an unpacked report, in bytes. The largest seen, of 63 daemons, has 5 KB.
 constexpr std::size_t report_limit = std::size_t{1} << 20U;
 
+// One report serves all who are asked or ask within this time: a quarter of a period. In a large
+// fleet that is every fourth, and encoding and packing is half of the cost of an exchange.
+constexpr milliseconds report_reuse{100};
+// How long ago the report in a message was made, in ms.
+constexpr std::string_view report_age_field = "Report-Age-Ms";
+
 constexpr std::string_view report_target = "/report";
 constexpr std::string_view quota_target = "/quota";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // ?after=REVISION of the store
 constexpr std::string_view metrics_target = "/metrics";
 
+http::header age_field(mono_time made_at, mono_time now)
+{
+  const auto age = std::chrono::ceil<milliseconds>(now - made_at);
+  return {.name = std::string(report_age_field), .value = std::to_string(age.count())};
+}
+
 } // namespace
 
 peer_sync::peer_sync(asio::io_context& context, fleet_state& state)
@@ -75,6 +87,7 @@
 
 void peer_sync::hurry()
 {
+  made_.reset(); // the next report has to tell the news
   if (!hurried_) {
     hurried_ = true;
     wait_.cancel();
@@ -84,21 +97,23 @@
 void peer_sync::ask_peers(bool news)
 {
   const auto now = std::chrono::steady_clock::now();
-  // One report for all: encoding it costs more than sending it.
-  const auto report = std::make_shared<const std::string>(packed_report());
   auto known = state_.peers.addresses_to_ask(now);
   std::erase_if(known, [this](const auto& peer) { return asked_.contains(peer); });
   const auto peers =
       news ? rounds_.next_for_news(std::move(known)) : rounds_.next(std::move(known), now);
   for (const auto& peer : peers) {
     asked_.insert(peer);
-    asio::co_spawn(context_, exchange(peer, report), asio::detached);
+    asio::co_spawn(context_, exchange(peer), asio::detached);
   }
 }
 
-std::string peer_sync::packed_report()
+const peer_sync::made_report& peer_sync::current_report()
 {
-  return deflate(encode_peer_report(state_.report(read_clocks())));
+  const auto now = read_clocks();
+  if (!made_ || now.mono >= made_->made_at + report_reuse) {
+    made_ = {.packed = deflate(encode_peer_report(state_.report(now))), .made_at = now.mono};
+  }
+  return *made_;
 }
 
 void peer_sync::count_report(const std::string& body, const char* direction)
@@ -106,27 +121,35 @@
   state_.counters.count("peer_report_bytes", {{"direction", direction}}, body.size());
 }
 
-gateway::peer_report peer_sync::unpack_report(const std::string& body)
+gateway::peer_report peer_sync::unpack_report(const std::string& body, const http::headers& fields)
 {
   count_report(body, "received");
+  // Peers of an earlier version make each report for its message.
+  const auto age = parse_number<std::uint32_t>(http::find_header(fields, report_age_field, "0"));
+  if (!age) {
+    throw gateway::peer_report_error("report of unreadable age");
+  }
   try {
-    return gateway::decode_peer_report(inflate(body, report_limit));
+    return aged_by(gateway::decode_peer_report(inflate(body, report_limit)), milliseconds(*age));
   } catch (const deflate_error& e) {
     throw gateway::peer_report_error(e.what());
   }
 }
 
-asio::awaitable<void> peer_sync::exchange(http::socket_address peer,
-                                          std::shared_ptr<const std::string> report)
+asio::awaitable<void> peer_sync::exchange(http::socket_address peer)
 {
-  http::request message{.method = "POST", .target = std::string(report_target), .body = *report};
-  count_report(*report, "sent");
+  const auto& report = current_report();
+  const auto asked_at = std::chrono::steady_clock::now();
+  http::request message{.method = "POST",
+                        .target = std::string(report_target),
+                        .fields = {age_field(report.made_at, asked_at)},
+                        .body = report.packed};
+  count_report(message.body, "sent");
   try {
-    const auto asked_at = std::chrono::steady_clock::now();
     const auto deadline = asked_at + exchange_timeout;
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
     if (reply.status == http::status::ok) {
-      const auto told = unpack_report(reply.body);
+      const auto told = unpack_report(reply.body, reply.fields);
       rounds_.on_answer(peer, std::chrono::steady_clock::now());
       state_.absorb(told, read_clocks());
       if (told.configuration_version > state_.configuration_version()) {
@@ -238,15 +261,17 @@
 
 http::response peer_sync::answer_report(const http::request& asked)
 {
-  const auto told = unpack_report(asked.body);
+  const auto told = unpack_report(asked.body, asked.fields);
   state_.absorb(told, read_clocks());
   rounds_.on_answer(told.self.peer_address, std::chrono::steady_clock::now());
   if (told.configuration_version > state_.configuration_version()) {
     fetch_configuration(told.self.peer_address);
   }
-  auto report = packed_report();
-  count_report(report, "sent");
-  return {.status = http::status::ok, .body = std::move(report)};
+  const auto& report = current_report();
+  count_report(report.packed, "sent");
+  return {.status = http::status::ok,
+          .fields = {age_field(report.made_at, std::chrono::steady_clock::now())},
+          .body = report.packed};
 }
 
 http::response peer_sync::answer_quota(const http::request& asked)
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -4,7 +4,6 @@
 #define WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -34,12 +33,16 @@
  private:
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> serve(http::request asked, http::response_writer& writer);
-  boost::asio::awaitable<void> exchange(http::socket_address peer,
-                                        std::shared_ptr<const std::string> report);
-  // Packed, since the ids and names in it repeat.
-  std::string packed_report();
+  boost::asio::awaitable<void> exchange(http::socket_address peer);
+  // This daemon's report, packed, since the ids and names in it repeat.
+  struct made_report {
+    std::string packed;
+    mono_time made_at;
+  };
+  const made_report& current_report();
   void count_report(const std::string& body, const char* direction);
-  gateway::peer_report unpack_report(const std::string& body); // throws peer_report_error
+  gateway::peer_report unpack_report(const std::string& body,
+                                     const http::headers& fields); // throws peer_report_error
   boost::asio::awaitable<std::optional<gateway::quota_grant>>
   ask_owner(daemon_id owner, gateway::quota_question question);
   http::response answer_report(const http::request& asked);
@@ -66,6 +69,7 @@
   boost::asio::steady_timer wait_;
   std::set<http::socket_address> asked_; // exchanges under way
   gateway::peer_rounds rounds_;
+  std::optional<made_report> made_;
   bool hurried_ = false;
   std::set<std::string> fetches_; // under way, by what they fetch
 };
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -67,5 +67,19 @@
   EXPECT_EQ(decode_quota_grant(encode_quota_grant(grant)), grant);
 }
 
+using namespace std::chrono_literals;
+
+TEST(PeerReportAgeTest, WhatItTellsOfTimeMovesOnWithItsAge)
+{
+  peer_report made;
+  made.clock = wall_time{100s};
+  made.heard = {{.id = daemon_id("a"), .age = 200ms}};
+  made.endpoints.age = 300ms;
+  const auto sent = aged_by(made, 50ms);
+  EXPECT_EQ(sent.clock, wall_time{100'050ms});
+  EXPECT_EQ(sent.heard.front().age, 250ms);
+  EXPECT_EQ(sent.endpoints.age, 350ms);
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
--- a/test/gateway/usage_counts_test.cc
+++ b/test/gateway/usage_counts_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "wisteriaflow/gateway/usage_counts.h"
@@ -49,8 +51,35 @@
 TEST_F(UsageCountsTest, PassesOnTheRowsOfSilentDaemons)
 {
   counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 4}}});
-  EXPECT_TRUE(counts_.rows([](const daemon_id&) { return false; }).empty());
-  EXPECT_EQ(counts_.rows([](const daemon_id&) { return true; }).size(), 1U);
+  EXPECT_TRUE(counts_.rows([](const daemon_id&) { return false; }, 16).empty());
+  EXPECT_EQ(counts_.rows([](const daemon_id&) { return true; }, 16).size(), 1U);
+}
+
+TEST_F(UsageCountsTest, TellsTheRowsOfManySilentDaemonsInTurn)
+{
+  constexpr std::uint64_t silent_daemons = 100;
+  for (std::uint64_t n = 0; n < silent_daemons; ++n) {
+    counts_.absorb({.source = {.daemon = daemon_id("s" + std::to_string(n)), .incarnation = 7},
+                    .window = window_,
+                    .counts = {{hotel, n + 1}}});
+  }
+  std::set<usage_source> told;
+  for (int reports = 0; reports < 7; ++reports) {
+    const auto rows = counts_.rows([](const daemon_id&) { return true; }, 16);
+    EXPECT_EQ(rows.size(), 16U);
+    for (const auto& r : rows) {
+      told.insert(r.source);
+    }
+  }
+  EXPECT_EQ(told.size(), silent_daemons);
+}
+
+TEST_F(UsageCountsTest, TellsAllOfItsOwnRowsBesideThoseOfOthers)
+{
+  counts_.began(hotel, at_);
+  counts_.began(hotel, at_ + 5s);
+  counts_.absorb({.source = other, .window = window_, .counts = {{hotel, 4}}});
+  EXPECT_EQ(counts_.rows([](const daemon_id&) { return true; }, 1).size(), 3U);
 }
 
 TEST_F(UsageCountsTest, ForgetsWindowsThatAreNoLongerReported)
