Take an endpoint that starts again for a new one, and no broken entry for an endpoint

Cause: a server may start again under the id that it had, and then knows nothing of before. Its new process inherited believed prefixes, waiting work, trouble and the departure of the one before; ends of old calls were counted at it, since a slot of the table is reused at once. Entries may come from another writer: a missing or unknown state counted as ready, an entry that had become unreadable left the earlier one in use, and one with bytes that cannot be read made its whole page unreadable.

Ruled out: ordering two processes by the time at which they started. Clocks of instances differ; the store's revision orders entries, and the start only tells whether the process is the same. A removal gets the revision before the next entry of the same page, so that a server that ends and starts again between two readings is not taken for gone.

Change: records carry an incarnation, also between daemons; a new one is a new endpoint; a call at the process before ends with the next look at its silence, not at its deadline. What a choice needs of an entry has to be there, of its type and in range, or the entry names no endpoint and withdraws what it named; a page is read item by item where it cannot be read whole. Told once for each entry and revision, and counted.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -42,6 +42,10 @@
 struct endpoint_record {
   endpoint_id id;
   std::uint64_t revision = 0; // of the store, at which this was true
+  // When its process started, in Unix milliseconds by its own clock; 0: not told. Only a difference
+  // says something, that it is another process: the clocks of two instances may differ, and the
+  // revision tells which of two descriptions is the newer.
+  std::uint64_t incarnation = 0;
   std::string service;
   http::socket_address address;
   availability_zone zone;
@@ -100,6 +104,7 @@
 // The endpoint of one attempt. `work` is handed back as the attempt goes on.
 struct pooled_endpoint {
   endpoint_id id;
+  std::uint64_t incarnation = 0; // of the endpoint; see endpoint_record
   http::socket_address address;
   routing::sent_work work;
   // Another endpoint that probably holds the prompt's shared parts, to copy them from.
@@ -123,7 +128,8 @@
   // The store has no entry any more.
   void remove(const endpoint_departure& gone, mono_time now);
 
-  // A peer's word that an endpoint leaves. True if it is news for an endpoint in use here.
+  // Word that an endpoint leaves, from a peer or since its entry has become unusable. True if it is
+  // news for an endpoint in use here.
   bool on_departure(const endpoint_departure& heard, mono_time now);
 
   // Until `deadline`, an entry that vanishes may only have lapsed with the store and is kept; what
@@ -154,6 +160,9 @@
   // work, or if what waits at all of them makes the deadline unreachable.
   [[nodiscard]] pool_choice choose(const endpoint_wish& wish, mono_time now);
 
+  // Whether the endpoint has started anew since it was chosen: what it ran then is lost.
+  [[nodiscard]] bool has_restarted(const pooled_endpoint& chosen) const;
+
   // The attempt's first event or whole answer has come.
   void on_first_token(routing::sent_work& work, mono_time now);
 
--- a/include/wisteriaflow/gateway/peers_work.h
+++ b/include/wisteriaflow/gateway/peers_work.h
@@ -36,6 +36,9 @@
   void on_work(const daemon_id& peer, endpoint_work_map work, mono_time now);
   void on_prefill(const daemon_id& peer, prefill_demand demand, mono_time now);
 
+  // The endpoint has started anew: what peers told of it was of the process before.
+  void forget(const endpoint_id& id);
+
   // Takes out what no longer counts at `now`.
   void expire(mono_time now);
 
--- a/include/wisteriaflow/routing/endpoint_table.h
+++ b/include/wisteriaflow/routing/endpoint_table.h
@@ -60,7 +60,8 @@
 // One attempt that this daemon has sent to an endpoint; the caller keeps it until the attempt ends.
 struct sent_work {
   endpoint_slot slot = 0;
-  int prefill_tokens = 0; // tokens that the endpoint was expected to compute
+  std::uint64_t occupant = 0; // of the slot; see endpoint_table::holds
+  int prefill_tokens = 0;     // tokens that the endpoint was expected to compute
   mono_time sent_at;
   std::optional<mono_time> first_token_at;
   bool found_idle = false; // a batch place was free and nothing known to wait when it was sent
@@ -91,6 +92,7 @@
 // The state kept of one endpoint. Read through `endpoint_table::at`.
 struct endpoint_state {
   endpoint_description description;
+  std::uint64_t occupant = 0; // number of this use of the slot
   load_report report;
   bool leaving = false;
   int connect_failures = 0;
@@ -133,6 +135,11 @@
   // Slots in use, in ascending order.
   [[nodiscard]] const std::vector<endpoint_slot>& slots() const { return used_; }
 
+  // Whether the endpoint that `work` was sent to is still in the table. Its slot may have been
+  // given to another, or to the same one after a restart: what becomes of the work says nothing of
+  // that.
+  [[nodiscard]] bool holds(const sent_work& work) const;
+
   // A report older than the one held is ignored.
   void on_report(endpoint_slot slot, const load_report& report);
 
@@ -171,6 +178,7 @@
   std::vector<std::optional<endpoint_state>> states_;
   std::vector<endpoint_slot> used_;
   std::unordered_map<endpoint_id, endpoint_slot> by_id_;
+  std::uint64_t occupants_ = 0; // so far
 };
 
 } // namespace wisteriaflow::routing
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -21,6 +21,12 @@
   return std::max(0, static_cast<int>(size.prompt) - shared);
 }
 
+bool is_restart(const endpoint_record& before, const endpoint_record& now)
+{
+  const bool told = before.incarnation != 0 && now.incarnation != 0;
+  return told && before.incarnation != now.incarnation;
+}
+
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
@@ -63,6 +69,11 @@
   if (known != records_.end() && changed.revision < known->second.revision) {
     return;
   }
+  if (known != records_.end() && is_restart(known->second, changed)) {
+    // Nothing that was believed or counted of the process before holds for this one.
+    peers_.forget(changed.id);
+    erase(changed.id);
+  }
   held_removals_.erase(changed.id);
   auto record = changed;
   record.leaving = record.leaving || is_departed(record);
@@ -337,7 +348,11 @@
   auto& own = own_[id];
   ++own.waiting;
   own.waiting_tokens += static_cast<std::uint64_t>(std::max(0, prefill));
-  return {.id = id, .address = records_.at(id).address, .work = table_.on_sent(slot, prefill, now)};
+  const auto& record = records_.at(id);
+  return {.id = id,
+          .incarnation = record.incarnation,
+          .address = record.address,
+          .work = table_.on_sent(slot, prefill, now)};
 }
 
 void endpoint_pool::end_wait(endpoint_work& own, const routing::sent_work& work)
@@ -347,13 +362,18 @@
   own.waiting_tokens -= std::min(tokens, own.waiting_tokens);
 }
 
+bool endpoint_pool::has_restarted(const pooled_endpoint& chosen) const
+{
+  const auto it = records_.find(chosen.id);
+  return it != records_.end() && is_restart({.incarnation = chosen.incarnation}, it->second);
+}
+
 void endpoint_pool::on_first_token(routing::sent_work& work, mono_time now)
 {
   if (work.first_token_at) {
     return;
   }
-  const auto& slots = table_.slots();
-  if (std::binary_search(slots.begin(), slots.end(), work.slot)) {
+  if (table_.holds(work)) {
     const auto& id = table_.at(work.slot).description.id;
     auto& own = own_[id];
     end_wait(own, work);
@@ -366,8 +386,7 @@
 void endpoint_pool::on_finished(const routing::sent_work& work, std::uint64_t output_tokens,
                                 mono_time now)
 {
-  const auto& slots = table_.slots();
-  if (std::binary_search(slots.begin(), slots.end(), work.slot)) {
+  if (table_.holds(work)) {
     auto& own = own_[table_.at(work.slot).description.id];
     if (work.first_token_at) {
       own.running -= std::min<std::uint32_t>(1, own.running);
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -155,16 +155,23 @@
 
 json::value encode(const endpoint_record& r)
 {
-  return {{"id", r.id.value()},     {"revision", r.revision},
-          {"service", r.service},   {"address", to_string(r.address)},
-          {"zone", r.zone.value()}, {"places", r.places},
-          {"leaving", r.leaving},   {"reclaimable", r.reclaimable}};
+  return {{"id", r.id.value()},   {"revision", r.revision}, {"incarnation", r.incarnation},
+          {"service", r.service}, {"zone", r.zone.value()}, {"address", to_string(r.address)},
+          {"places", r.places},   {"leaving", r.leaving},   {"reclaimable", r.reclaimable}};
+}
+
+// Peers of an earlier version do not tell when an endpoint started.
+std::uint64_t decode_incarnation(const json::value& from)
+{
+  const auto* told = from.as_object().if_contains("incarnation");
+  return told == nullptr ? 0 : told->to_number<std::uint64_t>();
 }
 
 endpoint_record decode_record(const json::value& from)
 {
   return {.id = endpoint_id(text_at(from, "id")),
           .revision = number_at(from, "revision"),
+          .incarnation = decode_incarnation(from),
           .service = text_at(from, "service"),
           .address = http::parse_socket_address(text_at(from, "address")),
           .zone = availability_zone(text_at(from, "zone")),
--- a/src/gateway/peers_work.cc
+++ b/src/gateway/peers_work.cc
@@ -43,6 +43,14 @@
   told.valid_until = now + valid_for_;
 }
 
+void peers_work::forget(const endpoint_id& id)
+{
+  for (auto& [peer, told] : told_) {
+    told.work.erase(id);
+  }
+  totals_.erase(id);
+}
+
 void peers_work::expire(mono_time now)
 {
   boost::unordered::erase_if(told_, [&](const auto& it) {
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -72,7 +72,7 @@
     result_.timed_out = true;
     result_.reason = e.what();
   } catch (const http::http_error& e) {
-    result_.reason = e.what();
+    result_.reason = result_.reason.empty() ? e.what() : result_.reason;
   }
   silence_.disarm();
   call_.exchange.reset();
@@ -114,6 +114,9 @@
 // Tells the pool how the endpoint did.
 void attempt::note_health(mono_time now)
 {
+  if (state_.endpoints.has_restarted(endpoint_)) {
+    return; // it says nothing of the process that is there now
+  }
   switch (result_.outcome) {
   case attempt_outcome::answered:
     state_.endpoints.on_success(endpoint_.id);
@@ -256,6 +259,13 @@
 void attempt::on_silence_check()
 {
   const auto now = std::chrono::steady_clock::now();
+  if (state_.endpoints.has_restarted(endpoint_)) {
+    // What ran there is lost, whether the call can go elsewhere or its caller has to be told.
+    result_.silent = true;
+    result_.reason = "the endpoint has started anew";
+    call_.exchange->cancel();
+    return;
+  }
   if (heard_at_ + overdue_in_spans * expected_silence() <= now) {
     // It goes on, since it may be running; but others are to go elsewhere meanwhile.
     note_trouble(gateway::endpoint_trouble::broken, now);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -39,9 +39,26 @@
 constexpr milliseconds shortest_daemon_list_period{10'000};
 constexpr milliseconds longest_daemon_list_period{60'000};
 constexpr double daemon_lists_per_second = 2; // of the fleet
+// Entries of other writers that are remembered as logged.
+constexpr std::size_t most_rejected = 1'000;
 // Lapsed entries are back within two seconds of the store's return.
 constexpr milliseconds lapse_hold{2'300};
 
+// The revision at which the entry of change `i`, a removal, was gone. What the page is read up to
+// would do, but where the same entry is there again within the page: a server that ends and starts
+// again under its id is not to be taken for gone.
+std::uint64_t removed_at(const adapter::change_page& page, std::size_t i)
+{
+  const auto& name = page.changes[i].object.name;
+  for (auto next = i + 1; next < page.changes.size(); ++next) {
+    const auto& later = page.changes[next];
+    if (!later.deleted && later.object.name == name) {
+      return std::min(page.revision, later.object.revision - 1);
+    }
+  }
+  return page.revision;
+}
+
 } // namespace
 
 store_sync::store_sync(asio::io_context& context, fleet_state& state, store_client& store)
@@ -76,6 +93,7 @@
       auto page = adapter::decode_list(reply.body);
       // Changes between two pages are found again by watching from the first page's revision.
       out.revision = after.empty() ? page.revision : out.revision;
+      note_nameless(page.nameless, kind);
       for (auto& item : page.items) {
         after = item.name;
         out.items.push_back(std::move(item));
@@ -119,7 +137,9 @@
     co_return change_reading{.result = reply.result};
   }
   try {
-    co_return change_reading{.result = reply.result, .page = adapter::decode_changes(reply.body)};
+    change_reading out{.result = reply.result, .page = adapter::decode_changes(reply.body)};
+    note_nameless(out.page.nameless, kind);
+    co_return out;
   } catch (const adapter::format_error& e) {
     state_.log.write(daemon::log_level::error, "store answer unreadable",
                      {{"kind", std::string(kind)}, {"reason", e.what()}});
@@ -189,8 +209,8 @@
       continue;
     }
     failures = 0;
-    for (const auto& c : read.page.changes) {
-      take_endpoint_change(c, read.page.revision);
+    for (std::size_t i = 0; i < read.page.changes.size(); ++i) {
+      take_endpoint_change(read.page.changes[i], removed_at(read.page, i));
     }
     state_.feed.on_read(read.page.revision, asked_at);
   }
@@ -203,8 +223,7 @@
     try {
       records.push_back(adapter::decode_endpoint(item));
     } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "endpoint rejected",
-                       {{"endpoint", item.name}, {"reason", e.what()}});
+      reject(item, all.revision, e.what());
     }
   }
   state_.endpoints.replace_all(records, all.revision, std::chrono::steady_clock::now());
@@ -216,19 +235,47 @@
       {{"count", std::to_string(records.size())}, {"revision", std::to_string(all.revision)}});
 }
 
-void store_sync::take_endpoint_change(const adapter::change& c, std::uint64_t revision)
+void store_sync::reject(const adapter::stored_object& entry, std::uint64_t revision,
+                        const std::string& reason)
+{
+  const auto now = std::chrono::steady_clock::now();
+  state_.take_departures({{.id = endpoint_id(entry.name), .revision = revision}}, now);
+  const auto [it, added] = rejected_.try_emplace(entry.name, entry.revision);
+  if (!added && it->second == entry.revision) {
+    return; // told already
+  }
+  it->second = entry.revision;
+  state_.counters.count("endpoint_entries_rejected");
+  state_.log.write(
+      daemon::log_level::error, "endpoint rejected",
+      {{"endpoint", entry.name}, {"revision", std::to_string(entry.revision)}, {"reason", reason}});
+  if (rejected_.size() > most_rejected) {
+    rejected_.clear(); // some are told once more
+  }
+}
+
+void store_sync::note_nameless(std::size_t number, std::string_view kind)
+{
+  if (number == 0) {
+    return;
+  }
+  state_.counters.count("store_objects_unreadable", {{"kind", std::string(kind)}}, number);
+  state_.log.write(daemon::log_level::error, "store objects unreadable",
+                   {{"kind", std::string(kind)}, {"number", std::to_string(number)}});
+}
+
+void store_sync::take_endpoint_change(const adapter::change& c, std::uint64_t gone_at)
 {
   const auto now = std::chrono::steady_clock::now();
   const auto before = state_.endpoints.departures(now).size();
   if (c.deleted) {
-    state_.endpoints.remove({.id = endpoint_id(c.object.name), .revision = revision}, now);
+    state_.endpoints.remove({.id = endpoint_id(c.object.name), .revision = gone_at}, now);
     state_.feed.forget(endpoint_id(c.object.name));
   } else {
     try {
       state_.take_endpoint(adapter::decode_endpoint(c.object), now);
     } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "endpoint rejected",
-                       {{"endpoint", c.object.name}, {"reason", e.what()}});
+      reject(c.object, c.object.revision, e.what());
     }
   }
   if (state_.endpoints.departures(now).size() != before) {
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -4,8 +4,11 @@
 #define WISTERIAFLOW_SRC_RELAY_STORE_SYNC_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -54,12 +57,17 @@
   boost::asio::awaitable<void> wait_until_due();
   boost::asio::awaitable<void> enter();
   void take_endpoints(const listing& all);
-  void take_endpoint_change(const adapter::change& c, std::uint64_t revision);
+  void take_endpoint_change(const adapter::change& c, std::uint64_t gone_at);
+  // An endpoint's entry cannot be used: what it named before is withdrawn.
+  void reject(const adapter::stored_object& entry, std::uint64_t revision,
+              const std::string& reason);
+  void note_nameless(std::size_t number, std::string_view kind);
   void on_store_return();
 
   boost::asio::io_context& context_;
   fleet_state& state_;
   store_client& store_;
+  std::map<std::string, std::uint64_t> rejected_; // entries in the log, with their revision
 };
 
 } // namespace wisteriaflow::relay
--- a/src/routing/endpoint_table.cc
+++ b/src/routing/endpoint_table.cc
@@ -100,6 +100,7 @@
     free = std::prev(states_.end());
   }
   *free = endpoint_state{.description = description,
+                         .occupant = ++occupants_,
                          .report = {.max_running = options_.initial_max_running},
                          .prefill_rate = {options_.initial_prefill_rate, options_.ewma_gain},
                          .decode_rate = {0, options_.ewma_gain},
@@ -144,7 +145,13 @@
 
 endpoint_state* endpoint_table::state_of(const sent_work& work)
 {
-  return work.slot < states_.size() && states_[work.slot] ? &*states_[work.slot] : nullptr;
+  return holds(work) ? &*states_[work.slot] : nullptr;
+}
+
+bool endpoint_table::holds(const sent_work& work) const
+{
+  return work.slot < states_.size() && states_[work.slot] &&
+         states_[work.slot]->occupant == work.occupant;
 }
 
 void endpoint_table::keep_event(std::vector<mono_time>& events, mono_time at) const
@@ -182,7 +189,11 @@
   ++it.own_waiting;
   it.own_waiting_tokens += prefill_tokens;
   it.prefill_tokens.add(prefill_tokens);
-  return {.slot = slot, .prefill_tokens = prefill_tokens, .sent_at = now, .found_idle = idle};
+  return {.slot = slot,
+          .occupant = it.occupant,
+          .prefill_tokens = prefill_tokens,
+          .sent_at = now,
+          .found_idle = idle};
 }
 
 void endpoint_table::on_first_token(sent_work& work, mono_time now)
--- a/test/adapter/documents_test.cc
+++ b/test/adapter/documents_test.cc
@@ -120,5 +120,73 @@
                format_error);
 }
 
+TEST(EndpointDocumentTest, HoldsWhenAnEndpointStarted)
+{
+  const stored_object entry{
+      .name = "i-1",
+      .revision = 44,
+      .spec = boost::json::parse(R"({"service": "s-1", "address": "10.128.0.9:8080",
+        "zone": "z-a", "slots": 64, "state": "ready", "born": 1796228607222})")};
+  EXPECT_EQ(decode_endpoint(entry).incarnation, 1'796'228'607'222U);
+}
+
+// One field of a good entry in another form.
+constexpr std::string_view broken_fields[] = {
+    R"({"service": ""})",
+    R"({"service": 5})",
+    R"({"service": null})",
+    R"({"address": "nowhere"})",
+    R"({"address": "10.0.0.1:99999"})",
+    R"({"address": {}})",
+    R"({"zone": ""})",
+    R"({"zone": []})",
+    R"({"slots": 0})",
+    R"({"slots": -3})",
+    R"({"slots": 2.5})",
+    R"({"slots": "64"})",
+    R"({"slots": 1e30})",
+    R"({"slots": null})",
+    R"({"state": "warming"})",
+    R"({"state": ""})",
+    R"({"state": 1})",
+    R"({"state": null})",
+    R"({"spot": "yes"})",
+    R"({"born": "today"})",
+    R"({"born": -1})",
+    R"({"born": 1.5})",
+    R"({"born": null})",
+};
+
+class BrokenEndpointTest : public testing::TestWithParam<std::string_view> {};
+
+TEST_P(BrokenEndpointTest, NamesNoEndpoint)
+{
+  auto entry = boost::json::parse(R"({"service": "s-1", "address": "10.128.0.9:8080",
+        "zone": "z-a", "slots": 64, "state": "ready", "born": 1796228607222})");
+  ASSERT_NO_THROW(
+      static_cast<void>(decode_endpoint({.name = "i-1", .revision = 1, .spec = entry})));
+  const auto broken = boost::json::parse(GetParam());
+  for (const auto& [key, value] : broken.as_object()) {
+    entry.as_object()[key] = value;
+  }
+  EXPECT_THROW(static_cast<void>(decode_endpoint({.name = "i-1", .revision = 2, .spec = entry})),
+               format_error);
+}
+
+INSTANTIATE_TEST_SUITE_P(OfAnotherWriter, BrokenEndpointTest, testing::ValuesIn(broken_fields));
+
+TEST(EndpointDocumentTest, NamesNoEndpointWithoutOneOfItsFields)
+{
+  const auto whole = boost::json::parse(R"({"service": "s-1", "address": "10.128.0.9:8080",
+        "zone": "z-a", "slots": 64, "state": "ready"})");
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    auto entry = whole.as_object();
+    entry.erase(field);
+    EXPECT_THROW(static_cast<void>(decode_endpoint({.name = "i-1", .revision = 1, .spec = entry})),
+                 format_error)
+        << field;
+  }
+}
+
 } // namespace
 } // namespace wisteriaflow::adapter
--- a/test/adapter/store_calls_test.cc
+++ b/test/adapter/store_calls_test.cc
@@ -46,6 +46,44 @@
   EXPECT_EQ(page.changes[0].object.name, "n");
 }
 
+// Objects as another writer may leave them, among good ones.
+constexpr std::string_view broken_objects[] = {
+    R"({"metadata":{"name":"n","revision":4},"spec":"\u0001\ufffd"})",
+    "{\"metadata\":{\"name\":\"n\",\"revision\":4},\"spec\":\"\xff\xfe\"}",
+    "{\"metadata\":{\"name\":\"n\",\"revision\":4},\"spec\":\"\x01\x02\"}",
+    R"({"metadata":{"name":"n","revision":4},"spec":{nonsense}})",
+    R"({"metadata":{"name":"n","revision":"four"},"spec":{}})",
+    R"({"metadata":{"name":"n","revision":-4},"spec":{}})",
+    R"({"metadata":{"name":7,"revision":4},"spec":{}})",
+    R"({"metadata":"n"})",
+    R"([])",
+    R"(null)",
+};
+
+class BrokenObjectTest : public testing::TestWithParam<std::string_view> {};
+
+TEST_P(BrokenObjectTest, LeavesTheOthersOfItsPageReadable)
+{
+  const auto good = R"({"metadata":{"name":"good","revision":3},"spec":1})";
+  const auto page = decode_list(R"({"items":[)" + std::string(GetParam()) + "," + good +
+                                R"(],"hasMore":false,"at":9})");
+  EXPECT_EQ(page.items.back(), (stored_object{.name = "good", .revision = 3, .spec = 1}));
+  EXPECT_EQ(page.items.size() + page.nameless, 2U);
+  EXPECT_EQ(page.revision, 9U);
+}
+
+TEST_P(BrokenObjectTest, LeavesTheOtherChangesReadable)
+{
+  const auto good = R"({"metadata":{"name":"good","revision":3},"spec":1})";
+  const auto page = decode_changes(R"({"at":9,"events":[{"object":)" + std::string(GetParam()) +
+                                   R"(},{"deleted":true,"object":)" + good + "}]}");
+  EXPECT_EQ(page.changes.back().object.name, "good");
+  EXPECT_TRUE(page.changes.back().deleted);
+  EXPECT_EQ(page.changes.size() + page.nameless, 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(OfAnotherWriter, BrokenObjectTest, testing::ValuesIn(broken_objects));
+
 TEST(StoreCallsTest, RejectsAnAnswerThatIsNone)
 {
   EXPECT_THROW(static_cast<void>(decode_list("[]")), format_error);
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -106,6 +106,81 @@
   EXPECT_TRUE(pool_.serving("chat").empty());
 }
 
+// The process of an endpoint, by when it started.
+endpoint_record record_of(const char* id, std::uint64_t revision, std::uint64_t incarnation)
+{
+  auto out = record(id, revision);
+  out.incarnation = incarnation;
+  return out;
+}
+
+TEST_F(EndpointPoolTest, WorkOfPeersAtTheProcessBeforeDoesNotCountForARestartedEndpoint)
+{
+  list({record_of("a", 1, 100), record_of("b", 1, 100)}, 5);
+  pool_.on_peer_work(daemon_id("p"),
+                     {{endpoint_id("a"), {.waiting = 9, .waiting_tokens = 90'000}},
+                      {endpoint_id("b"), {.waiting = 4, .waiting_tokens = 40'000}}},
+                     start);
+  pool_.refresh_loads(start);
+  EXPECT_EQ(choose()->id, endpoint_id("b"));
+  pool_.apply(record_of("a", 6, 200), start);
+  pool_.refresh_loads(start);
+  EXPECT_EQ(choose()->id, endpoint_id("a"));
+}
+
+TEST_F(EndpointPoolTest, TheEndOfAnOldCallIsNotCountedForARestartedEndpoint)
+{
+  list({record_of("a", 1, 100)}, 5);
+  const auto old = choose();
+  pool_.apply(record_of("a", 6, 200), start);
+  const auto young = choose();
+  pool_.on_finished(old->work, 0, start);
+  EXPECT_EQ(pool_.own_work().at(endpoint_id("a")).waiting, 1U);
+  pool_.on_finished(young->work, 0, start);
+  EXPECT_TRUE(pool_.own_work().empty());
+}
+
+TEST_F(EndpointPoolTest, ACallAtTheProcessBeforeIsKnownAsLost)
+{
+  list({record_of("a", 1, 100)}, 5);
+  const auto chosen = choose();
+  EXPECT_FALSE(pool_.has_restarted(*chosen));
+  pool_.apply(record_of("a", 6, 200), start);
+  EXPECT_TRUE(pool_.has_restarted(*chosen));
+}
+
+TEST_F(EndpointPoolTest, TroubleOfTheProcessBeforeLeavesARestartedEndpointIn)
+{
+  list({record_of("a", 1, 100), record_of("b", 1, 100)}, 5);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::broken, start);
+  pool_.apply(record_of("a", 6, 200), start);
+  EXPECT_EQ(choose({endpoint_id("b")})->id, endpoint_id("a"));
+}
+
+TEST_F(EndpointPoolTest, AnEndpointThatWasLeavingServesAgainAfterItsRestart)
+{
+  list({record_of("a", 1, 100)}, 5);
+  pool_.on_departure({.id = endpoint_id("a"), .revision = 5}, start);
+  pool_.apply(record_of("a", 6, 200), start);
+  EXPECT_TRUE(choose());
+}
+
+TEST_F(EndpointPoolTest, ALateEntryOfTheProcessBeforeChangesNothing)
+{
+  list({record_of("a", 6, 200)}, 6);
+  const auto chosen = choose();
+  pool_.apply(record_of("a", 4, 300), start); // its clock was ahead
+  EXPECT_FALSE(pool_.has_restarted(*chosen));
+}
+
+TEST_F(EndpointPoolTest, AnEntryThatDoesNotTellItsStartIsNoRestart)
+{
+  list({record_of("a", 1, 100)}, 5);
+  const auto chosen = choose();
+  pool_.apply(record_of("a", 6, 0), start);
+  EXPECT_FALSE(pool_.has_restarted(*chosen));
+}
+
 TEST_F(EndpointPoolTest, ALaterEntryRevivesAnEndpointThatHadLapsed)
 {
   list({record("a", 1)}, 5);
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -98,14 +98,16 @@
   return *endpoints_.back();
 }
 
-void gateway_fixture::write_endpoint(const fake_endpoint& e, const std::string& state)
+void gateway_fixture::write_endpoint(const fake_endpoint& e, const std::string& state,
+                                     std::uint64_t born)
 {
   store_.put("servers", e.id(),
              {{"service", "chat"},
               {"address", to_string(e.address())},
               {"zone", "z"},
               {"slots", 8},
-              {"state", state}});
+              {"state", state},
+              {"born", born}});
 }
 
 void gateway_fixture::write_configuration(std::uint64_t version, const std::string& without)
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -62,7 +62,8 @@
 
   // Adds an endpoint of the one service.
   fake_endpoint& add_endpoint(const std::string& id);
-  void write_endpoint(const fake_endpoint& e, const std::string& state);
+  // Writes its entry. `born` is when its process started, in Unix milliseconds.
+  void write_endpoint(const fake_endpoint& e, const std::string& state, std::uint64_t born = 1'000);
   // Writes the configuration; `without` leaves out the route of that name.
   void write_configuration(std::uint64_t version, const std::string& without = "");
 
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -339,5 +339,33 @@
   EXPECT_EQ(http::find_header(out.fields, "Connection"), "close");
 }
 
+TEST_F(GatewayTest, ACallAtAnEndpointThatStartsAnewEndsBeforeItsDeadline)
+{
+  start();
+  for (const auto& e : endpoints_) {
+    e->mood = endpoint_mood::says_nothing;
+    e->on_request = [this, e = e.get()] { write_endpoint(*e, "ready", 2'000); };
+  }
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 502); // it may have run; at its deadline the status would be 504
+  EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(GatewayTest, AnEntryOfAnotherWriterNamesNoEndpointAndHarmsNoOther)
+{
+  start();
+  store_.put("servers", "i-1", {{"service", "chat"}, {"state", "warming"}});
+  store_.put("servers", "i-3", "\xff");
+  store_.put("servers", "i-4", boost::json::array{1, 2});
+  wait_until(
+      [this] { return metrics().find("endpoint_entries_rejected_total 3\n") != std::string::npos; },
+      "the entries are read");
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(call("POST", "/unsafe/1").status, 200);
+  }
+  EXPECT_TRUE(endpoints_[0]->received.empty());
+  EXPECT_EQ(endpoints_[1]->received.size(), 20U);
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
