--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -69,6 +69,7 @@
 
   // Whether this daemon is one of the few that read for the others.
   void set_reader(bool reader) { is_reader_ = reader; }
+  [[nodiscard]] bool is_reader() const { return is_reader_; }
 
   // The store was listed whole at `revision`, and its endpoints have been noted. Those that are not
   // among `known` any more are forgotten.
--- a/platform/days/make_day.py
+++ b/scripts/make-day.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-# Prints a day of N troubles drawn from all kinds, for a seed: make_day.py SEED N > day.toml
+# Prints a day of N troubles drawn from all kinds, for a seed: scripts/make-day.py SEED N > day.toml
 import random,sys
 random.seed(int(sys.argv[1]))
 kinds=[
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -168,6 +168,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(period);
 }
 
+gateway::retry_situation fleet_state::retry_situation() const
+{
+  const auto now = std::chrono::steady_clock::now();
+  return {.daemons = peers.counted(now),
+          .peers_tell = !live_peers_.empty() && !feed.is_reader() && is_ready()};
+}
+
 std::vector<gateway::daemon_contact> fleet_state::contacts_to_tell(mono_time now)
 {
   const auto live = peers.live(now);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -22,6 +22,7 @@
 #include "wisteriaflow/gateway/fleet_clock.h"
 #include "wisteriaflow/gateway/peer_table.h"
 #include "wisteriaflow/gateway/retry_budget.h"
+#include "wisteriaflow/gateway/retry_policy.h"
 #include "wisteriaflow/gateway/usage_counts.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
 #include "wisteriaflow/relay/settings.h"
@@ -78,6 +79,10 @@
   // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
 
+  // Who else may be calling the store, and whether peers tell what it holds. Those that read the
+  // endpoints for all are told by nobody.
+  [[nodiscard]] gateway::retry_situation retry_situation() const;
+
   // How current the endpoints are here, and what a peer lacks whose view is at `revision`. Nothing
   // is told while removals are on hold: a peer that followed would never see them.
   [[nodiscard]] gateway::endpoint_view endpoint_view(mono_time now) const;
--- a/src/relay/store_client.cc
+++ b/src/relay/store_client.cc
@@ -1,6 +1,5 @@
 #include "relay/store_client.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "wisteriaflow/http/errors.h"
@@ -14,9 +13,6 @@
 // that is away.
 constexpr milliseconds connect_timeout{500};
 constexpr milliseconds unacknowledged_timeout{1'500};
-constexpr milliseconds first_backoff{100};
-constexpr milliseconds longest_backoff{1'000};
-constexpr unsigned most_doublings = 4;
 constexpr std::size_t list_limit = std::size_t{16} << 20U; // bytes of one answer
 
 std::string_view to_string(adapter::store_result r)
@@ -45,7 +41,7 @@
                         .connect_timeout = connect_timeout,
                         .unacknowledged_timeout = unacknowledged_timeout,
                         .repeat_stale_get = false}),
-      state_(state), random_(state.seed())
+      state_(state), retries_({}, state.seed())
 {
 }
 
@@ -90,10 +86,7 @@
 
 milliseconds store_client::backoff(unsigned failures)
 {
-  const auto doublings = std::min(failures > 0 ? failures - 1 : 0, most_doublings);
-  const auto longest = std::min(first_backoff * (1U << doublings), longest_backoff);
-  std::uniform_int_distribution<milliseconds::rep> jitter(longest.count() / 2, longest.count());
-  return milliseconds(jitter(random_));
+  return retries_.pause_after(failures, state_.retry_situation());
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_client.h
+++ b/src/relay/store_client.h
@@ -15,6 +15,7 @@
 #include "relay/fleet_state.h"
 #include "relay/outage_watch.h"
 #include "store_calls.h"
+#include "wisteriaflow/gateway/retry_policy.h"
 #include "wisteriaflow/http/client.h"
 
 namespace wisteriaflow::relay {
@@ -37,8 +38,7 @@
   // Told when the store answers again after calls had failed for at least `outage`.
   void on_return(std::function<void()> callback) { on_return_ = std::move(callback); }
 
-  // Pause before a failed call is made again: doubled with each failure in a row, with jitter, so
-  // that no kind of failure can turn into a storm of calls.
+  // Pause before a failed call is made again, after so many failures in a row; see retry_policy.
   [[nodiscard]] std::chrono::milliseconds backoff(unsigned failures);
 
   // Entries lapse only after three missed heartbeats; a shorter outage makes none vanish.
@@ -51,7 +51,7 @@
   fleet_state& state_;
   outage_watch outages_{outage};
   std::function<void()> on_return_;
-  std::mt19937_64 random_;
+  gateway::retry_policy retries_;
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -150,13 +150,18 @@
 
 asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
 {
-  for (;;) {
+  for (unsigned failures = 0;;) {
     const auto wait = std::clamp(state_.call_period(configuration_calls_per_second),
                                  shortest_configuration_wait, longest_configuration_wait);
     const auto read = co_await read_changes(adapter::configuration_kind, revision, wait);
-    if (read.result != adapter::store_result::done) {
+    if (read.result == adapter::store_result::expired) {
       co_return;
     }
+    if (read.result != adapter::store_result::done) {
+      co_await pause(store_.backoff(++failures));
+      continue; // a whole list is only for a gap
+    }
+    failures = 0;
     revision = read.page.revision;
     for (const auto& c : read.page.changes) {
       if (!c.deleted && c.object.name == adapter::configuration_name) {
@@ -312,7 +317,7 @@
 asio::awaitable<void> store_sync::follow_daemons()
 {
   co_await enter();
-  for (;;) {
+  for (unsigned failures = 0;;) {
     const auto all = co_await list(daemon_kind, adapter::list_age::may_be_stale);
     for (const auto& item : all.items) {
       try {
@@ -325,7 +330,8 @@
     }
     const auto period = std::clamp(state_.call_period(daemon_lists_per_second),
                                    shortest_daemon_list_period, longest_daemon_list_period);
-    co_await pause(all.whole ? period : store_.backoff(1));
+    failures = all.whole ? 0 : failures + 1;
+    co_await pause(all.whole ? period : store_.backoff(failures));
   }
 }
 
--- /dev/null
+++ b/test/gateway/retry_policy_test.cc
@@ -0,0 +1,74 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/retry_policy.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+class RetryPolicyTest : public testing::Test {
+ protected:
+  // Calls that a loop of each of `daemons` makes in `time` while every call fails at once.
+  int calls_of_fleet(std::size_t daemons, milliseconds time, bool peers_tell)
+  {
+    int calls = 0;
+    for (std::size_t n = 0; n < daemons; ++n) {
+      retry_policy policy({}, n);
+      unsigned failures = 0;
+      for (milliseconds at{0}; at < time;) {
+        ++calls;
+        at += policy.pause_after(++failures, {.daemons = daemons, .peers_tell = peers_tell});
+      }
+    }
+    return calls;
+  }
+
+  retry_policy policy_{{}, 1};
+};
+
+TEST_F(RetryPolicyTest, ThePauseDoublesWithEachFailure)
+{
+  EXPECT_LE(policy_.pause_after(1, {}), 100ms);
+  EXPECT_GT(policy_.pause_after(3, {}), 199ms);
+  EXPECT_LE(policy_.pause_after(3, {}), 400ms);
+}
+
+TEST_F(RetryPolicyTest, ADaemonThatOnlyTheStoreCanTellAsksEachSecond)
+{
+  for (unsigned failures = 1; failures < 1'000; failures += 7) {
+    EXPECT_LE(policy_.pause_after(failures, {.daemons = 390}), 1s);
+  }
+}
+
+TEST_F(RetryPolicyTest, NoPauseIsLongerThanTheTimeInWhichADaemonHasToKnow)
+{
+  for (unsigned failures = 1; failures < 1'000; failures += 7) {
+    EXPECT_LE(policy_.pause_after(failures, {.daemons = 390, .peers_tell = true}), 4s);
+  }
+}
+
+TEST_F(RetryPolicyTest, AFleetThatIsTurnedAwayForNineSecondsMakesABoundedNumberOfCalls)
+{
+  // 65 of 195 daemons, as each of them did before: 13 calls a second by one loop.
+  EXPECT_LE(calls_of_fleet(65, 9s, true), 65 * 9);
+  EXPECT_LE(calls_of_fleet(195, 9s, true), 195 * 9);
+}
+
+TEST_F(RetryPolicyTest, DaemonsThatFailedTogetherComeBackApart)
+{
+  retry_policy other({}, 2);
+  std::vector<milliseconds> a;
+  std::vector<milliseconds> b;
+  for (unsigned failures = 1; failures < 6; ++failures) {
+    a.push_back(policy_.pause_after(failures, {}));
+    b.push_back(other.pause_after(failures, {}));
+  }
+  EXPECT_NE(a, b);
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
