Let three daemons lead in all that is done for the fleet, and ask one of them each second

With fewer exchanges a round the leads' views of the endpoints would come late, and daemons that hear of no fresh view read the store themselves.

Change: the same three do all of it. Each daemon asks one of them each second, so that views are two seconds old at most and counts of a window reach each lead within three; only leads watch with short waits, the others for up to 28 s, since a watch answers at once when there is news.

Ruled out: taking the view from a question that a peer sends. How long it was on its way is not known there, and the age of the view is part of a bound.

--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -2,12 +2,12 @@
 //
 // A small fleet's daemons all ask each other in every round. In a large one each asks a few a
 // round, those heard longest ago first, and passes on what it heard, so that news of every peer
-// comes within a few rounds by way of others. A few peers that need everybody's own reports, since
-// they add up counts, are asked more often.
+// comes within a few rounds by way of others. A few peers, the leads, need everybody's own reports,
+// since they add up counts, and tell what they read in the store: one of them is asked each second.
 //
 //   peer_rounds rounds({.period = 400ms}, 1);
-//   for (const auto& address : rounds.next(table.addresses_to_ask(now), {}, now)) { ... ask it ...
-//   } rounds.on_answer(address, later);
+//   const auto asked = rounds.next(table.addresses_to_ask(now), leads, now);
+//   rounds.on_answer(asked.front(), later);
 
 #ifndef WISTERIAFLOW_GATEWAY_PEER_ROUNDS_H_
 #define WISTERIAFLOW_GATEWAY_PEER_ROUNDS_H_
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -34,8 +35,10 @@
   std::size_t fanout = 3;
   // Peers that are told news at once.
   std::size_t news_fanout = 6;
-  // A peer that adds up counts is asked so often.
-  std::chrono::milliseconds collector_period{2'000};
+  // From one question to a lead to the next. With three leads each hears each daemon every three
+  // seconds, and every daemon's view of the endpoints is two seconds old at most, which is when it
+  // would read the store itself.
+  std::chrono::milliseconds lead_period{1'000};
   // An address at which nobody has answered so many times is asked every so many rounds.
   unsigned silent_rounds = 5;
 };
@@ -45,10 +48,11 @@
  public:
   peer_rounds(peer_rounds_options options, std::uint64_t seed) : options_(options), random_(seed) {}
 
-  // The addresses, of `known`, to ask in a round of the regular exchange, and those of `collectors`
-  // whose turn it is besides. Peers heard within half a period are left out: they asked meanwhile.
+  // The addresses, of `known`, to ask in a round of the regular exchange, and now and then the one
+  // of `leads` heard longest ago besides. Peers heard within half a period are left out: they asked
+  // meanwhile.
   [[nodiscard]] std::vector<http::socket_address>
-  next(std::vector<http::socket_address> known, const std::vector<http::socket_address>& collectors,
+  next(std::vector<http::socket_address> known, const std::vector<http::socket_address>& leads,
        mono_time now);
 
   // The same for a round that spreads news: whoever it is, fresh or silent.
@@ -66,12 +70,16 @@
 
   [[nodiscard]] standing standing_of(const http::socket_address& peer) const;
   [[nodiscard]] bool is_due(const standing& it, mono_time now) const;
+  // The lead whose turn it is; none if one was asked a short time ago.
+  std::optional<http::socket_address> lead_to_ask(const std::vector<http::socket_address>& leads,
+                                                  mono_time now);
   std::vector<http::socket_address> ask_first(std::vector<http::socket_address> known,
                                               std::size_t most);
 
   peer_rounds_options options_;
   std::mt19937_64 random_;
   std::map<http::socket_address, standing> standings_;
+  mono_time lead_asked_at_;
   unsigned round_ = 0;
 };
 
--- a/src/gateway/peer_rounds.cc
+++ b/src/gateway/peer_rounds.cc
@@ -35,9 +35,21 @@
   return known;
 }
 
-std::vector<http::socket_address>
-peer_rounds::next(std::vector<http::socket_address> known,
-                  const std::vector<http::socket_address>& collectors, mono_time now)
+std::optional<http::socket_address>
+peer_rounds::lead_to_ask(const std::vector<http::socket_address>& leads, mono_time now)
+{
+  if (leads.empty() || now < lead_asked_at_ + options_.lead_period) {
+    return std::nullopt;
+  }
+  lead_asked_at_ = now;
+  return *std::min_element(leads.begin(), leads.end(), [this](const auto& a, const auto& b) {
+    return standing_of(a).answered_at < standing_of(b).answered_at;
+  });
+}
+
+std::vector<http::socket_address> peer_rounds::next(std::vector<http::socket_address> known,
+                                                    const std::vector<http::socket_address>& leads,
+                                                    mono_time now)
 {
   ++round_;
   const auto most = known.size() <= options_.all_asked ? known.size() : options_.fanout;
@@ -61,12 +73,9 @@
   for (std::size_t i = 0; i < asked; ++i) {
     out.push_back(std::move(due[i].address));
   }
-  for (const auto& c : collectors) {
-    const auto it = standing_of(c);
-    const bool is_turn = is_due(it, now) && now >= it.answered_at + options_.collector_period;
-    if (is_turn && std::find(out.begin(), out.end(), c) == out.end()) {
-      out.push_back(c);
-    }
+  const auto lead = lead_to_ask(leads, now);
+  if (lead && std::find(out.begin(), out.end(), *lead) == out.end()) {
+    out.push_back(*lead);
   }
   const auto number = out.size();
   return ask_first(std::move(out), number);
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -30,8 +30,11 @@
 constexpr std::size_t peers_relayed = 24;
 // In a fleet of so many peers each is heard in each round, and there is nothing to pass on.
 constexpr std::size_t peers_heard_directly = gateway::peer_rounds_options{}.all_asked;
-constexpr std::size_t duty_contenders_number = 3; // two may fall out at once
-constexpr std::size_t usage_rows_told = 16;       // of daemons that fell silent
+// Daemons that do something for all: compete for the duties, read the endpoints in the store, and
+// look after the configuration. Two of them may fall out at once.
+constexpr std::size_t lead_number = 3;
+constexpr std::string_view lead_job = "duties";
+constexpr std::size_t usage_rows_told = 16; // of daemons that fell silent
 
 std::uint64_t start_time()
 {
@@ -132,7 +135,7 @@
           .leaving = leaving_since_.has_value()};
 }
 
-bool fleet_state::is_among_first(std::size_t number, std::string_view job, mono_time now) const
+bool fleet_state::leads(mono_time now) const
 {
   std::vector<daemon_id> staying;
   for (const auto& peer : peers.live(now)) {
@@ -140,24 +143,19 @@
       staying.push_back(peer.id);
     }
   }
-  return rendezvous_rank(hash64_of(job), options.id, staying) < number;
+  return rendezvous_rank(hash64_of(lead_job), options.id, staying) < lead_number;
 }
 
-bool fleet_state::competes_for_duties(mono_time now) const
+std::vector<http::socket_address> fleet_state::other_leads(mono_time now) const
 {
-  return is_among_first(duty_contenders_number, "duties", now);
-}
-
-std::vector<http::socket_address> fleet_state::duty_contenders(mono_time now) const
-{
-  const auto key = hash64_of("duties");
+  const auto key = hash64_of(lead_job);
   std::vector<std::pair<std::uint64_t, http::socket_address>> ranked;
   for (const auto& peer : peers.live(now)) {
     if (!peer.leaving) {
       ranked.emplace_back(rendezvous_score(key, peer.id.value()), peer.peer_address);
     }
   }
-  const auto number = std::min(duty_contenders_number, ranked.size());
+  const auto number = std::min(lead_number, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(number),
                     ranked.end(), std::greater<>());
   std::vector<http::socket_address> out;
@@ -334,8 +332,7 @@
   quota.refresh(now.mono);
   endpoints.tick(now.mono);
   endpoints.refresh_loads(now.mono);
-  constexpr std::size_t readers = 3; // of which two may fall out at once
-  feed.set_reader(is_among_first(readers, "endpoints", now.mono));
+  feed.set_reader(leads(now.mono));
   feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
 }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -66,9 +66,12 @@
   // Of random choices; differs between daemons that start together.
   [[nodiscard]] std::uint64_t seed() const;
 
-  // Whether this daemon is among those that compete for the fleet's duties: few, since each of them
-  // reads the lease all the time.
-  [[nodiscard]] bool competes_for_duties(mono_time now) const;
+  // Whether this daemon is one of the few that do something for all: compete for the duties, read
+  // the endpoints in the store, and look after the configuration.
+  [[nodiscard]] bool leads(mono_time now) const;
+
+  // Where the daemons that lead are asked, but for this one.
+  [[nodiscard]] std::vector<http::socket_address> other_leads(mono_time now) const;
 
   // An endpoint's description, from the store.
   void take_endpoint(const gateway::endpoint_record& record, mono_time now);
@@ -83,9 +86,6 @@
   // endpoints for all are told by nobody.
   [[nodiscard]] gateway::retry_situation retry_situation() const;
 
-  // Where the daemons that compete for the duties are asked, but for this one.
-  [[nodiscard]] std::vector<http::socket_address> duty_contenders(mono_time now) const;
-
   // How current the endpoints are here, and what a peer lacks whose view is at `revision`. Nothing
   // is told while removals are on hold: a peer that followed would never see them.
   [[nodiscard]] gateway::endpoint_view endpoint_view(mono_time now) const;
@@ -118,8 +118,6 @@
   std::vector<gateway::relayed_peer> relayed_peers(mono_time now) const;
   // Contacts for a report: all of a small fleet's, a changing few of a large one's.
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
-  // Whether this daemon is among the first `number` live ones, in an order of the job's own.
-  [[nodiscard]] bool is_among_first(std::size_t number, std::string_view job, mono_time now) const;
   void log_peer_changes(const std::vector<daemon_id>& live);
   // How old what is believed is, and the state of the log.
   void set_gauges(mono_time now);
--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -81,8 +81,8 @@
 void lease_keeper::tick()
 {
   const auto now = read_clocks();
-  const bool wanted = state_.configuration() && !state_.leaving_since() &&
-                      (may_act() || state_.competes_for_duties(now.mono));
+  const bool wanted =
+      state_.configuration() && !state_.leaving_since() && (may_act() || state_.leads(now.mono));
   carry_out(holder_.handle(capacity::lease_wanted{.wanted = wanted}, now));
   if (const auto due = holder_.wake_at(); due && *due <= now.mono) {
     carry_out(holder_.handle(capacity::lease_tick{}, now));
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -98,12 +98,12 @@
 {
   const auto now = std::chrono::steady_clock::now();
   auto known = state_.peers.addresses_to_ask(now);
-  auto collectors = state_.duty_contenders(now);
+  auto leads = state_.other_leads(now);
   const auto is_asked = [this](const auto& peer) { return asked_.contains(peer); };
   std::erase_if(known, is_asked);
-  std::erase_if(collectors, is_asked);
-  const auto peers = news ? rounds_.next_for_news(std::move(known))
-                          : rounds_.next(std::move(known), collectors, now);
+  std::erase_if(leads, is_asked);
+  const auto peers =
+      news ? rounds_.next_for_news(std::move(known)) : rounds_.next(std::move(known), leads, now);
   for (const auto& peer : peers) {
     asked_.insert(peer);
     asio::co_spawn(context_, exchange(peer), asio::detached);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -23,12 +23,12 @@
 constexpr std::string_view daemon_kind = "gateway-daemons";
 
 constexpr milliseconds call_timeout{1'200};
-// A watch for the configuration waits so long: short enough that one which hangs in a cut
-// connection is noticed well within the time in which a configuration must be in force, with what
-// peers pass on as the faster way. In large fleets that way is sure, and calls are dear.
-constexpr milliseconds shortest_configuration_wait{2'000};
-constexpr milliseconds longest_configuration_wait{16'000};
-constexpr double configuration_calls_per_second = 4; // of the fleet
+// A watch for the configuration answers at once when there is a new one; so long it waits for one.
+// That of a lead is short enough that one which hangs in a silent connection is noticed well within
+// the time in which a configuration must be in force. The others may hang longer: peers tell them.
+constexpr milliseconds lead_configuration_wait{2'000};
+constexpr milliseconds longest_configuration_wait{28'000};
+constexpr double configuration_calls_per_second = 4; // of the fleet without its leads
 // What a watch may take beyond its wait.
 constexpr milliseconds watch_slack{700};
 // Heartbeats raise no revision, so most readings find no change; one that comes soon saves a call.
@@ -148,11 +148,19 @@
   }
 }
 
+milliseconds store_sync::configuration_wait() const
+{
+  if (state_.leads(std::chrono::steady_clock::now())) {
+    return lead_configuration_wait;
+  }
+  return std::clamp(state_.call_period(configuration_calls_per_second), lead_configuration_wait,
+                    longest_configuration_wait);
+}
+
 asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
 {
   for (unsigned failures = 0;;) {
-    const auto wait = std::clamp(state_.call_period(configuration_calls_per_second),
-                                 shortest_configuration_wait, longest_configuration_wait);
+    const auto wait = configuration_wait();
     const auto read = co_await read_changes(adapter::configuration_kind, revision, wait);
     if (read.result == adapter::store_result::expired) {
       co_return;
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -51,6 +51,8 @@
   boost::asio::awaitable<listing> list(std::string_view kind, adapter::list_age age);
   boost::asio::awaitable<change_reading> read_changes(std::string_view kind, std::uint64_t revision,
                                                       std::chrono::milliseconds wait);
+  // For how long the next watch of the configuration waits.
+  [[nodiscard]] std::chrono::milliseconds configuration_wait() const;
   boost::asio::awaitable<void> watch_configuration(std::uint64_t revision);
   // Reads changes whenever they are due, until the store has forgotten some of them.
   boost::asio::awaitable<void> watch_endpoints();
--- a/test/gateway/peer_rounds_test.cc
+++ b/test/gateway/peer_rounds_test.cc
@@ -1,3 +1,4 @@
+#include <map>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -48,18 +49,21 @@
   EXPECT_EQ(heard.size(), 62U);
 }
 
-TEST_F(PeerRoundsTest, AsksACollectorOfALargeFleetMoreOftenThanTheOthers)
+TEST_F(PeerRoundsTest, AsksOneOfTheLeadsOfALargeFleetEachSecond)
 {
-  const auto collector = peers(62).back();
-  int asked = 0;
-  for (int round = 0; round < 20; ++round) {
+  const auto known = peers(62);
+  const std::vector<http::socket_address> leads(known.end() - 3, known.end());
+  std::map<http::socket_address, int> asked;
+  for (int round = 0; round < 30; ++round) {
     const auto now = start + round * 400ms;
-    for (const auto& peer : rounds_.next(peers(62), {collector}, now)) {
+    for (const auto& peer : rounds_.next(known, leads, now)) {
       rounds_.on_answer(peer, now);
-      asked += peer == collector ? 1 : 0;
+      ++asked[peer];
     }
   }
-  EXPECT_EQ(asked, 4); // in 8 s
+  for (const auto& lead : leads) {
+    EXPECT_GE(asked[lead], 3); // in 12 s, of which each period takes 1.2
+  }
 }
 
 TEST_F(PeerRoundsTest, LeavesOutAPeerThatHasJustAsked)
--- a/test/relay/exchange_replay_test.cc
+++ b/test/relay/exchange_replay_test.cc
@@ -103,7 +103,7 @@
   void play_round(replayed_daemon& d)
   {
     const auto peers =
-        d.rounds.next(d.state.peers.addresses_to_ask(now_), d.state.duty_contenders(now_), now_);
+        d.rounds.next(d.state.peers.addresses_to_ask(now_), d.state.other_leads(now_), now_);
     for (const auto& address : peers) {
       auto& peer = *daemons_[address.port - 7'000U];
       const bool lost = std::bernoulli_distribution(loss_)(random_);
