Tell who holds the duties, and wait longer for a fleet that is known in long steps

Each daemon asked the three that compete for the duties; the holder was none of them: it had taken the lease when few peers were known, and keeps it.

The planner takes a fleet for complete when no more endpoints have come for 2 s, and readings may be 2.4 s apart where endpoints give a notice of 4 s; that can have been the cause, and is no longer possible.

Change: contacts tell who acts for the fleet; one that does is a lead. The settle time of the planner is at least the notice.

Tests: a holder that is none of the first hears all of 195 daemons within four seconds; a first part is not taken for the whole.

--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -36,6 +36,7 @@
   availability_zone zone;
   bool ready = false;   // may be given to callers
   bool leaving = false; // is about to end
+  bool acting = false;  // holds the fleet's duties
 
   friend bool operator==(const daemon_contact&, const daemon_contact&) = default;
 };
--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -35,10 +35,10 @@
   std::size_t fanout = 3;
   // Peers that are told news at once.
   std::size_t news_fanout = 6;
-  // From one question to a lead to the next. With three leads each hears each daemon every three
+  // From one question to a lead to the next. With three leads each hears each daemon within four
   // seconds, and every daemon's view of the endpoints is two seconds old at most, which is when it
   // would read the store itself.
-  std::chrono::milliseconds lead_period{1'000};
+  std::chrono::milliseconds lead_period{800};
   // An address at which nobody has answered so many times is asked every so many rounds.
   unsigned silent_rounds = 5;
 };
--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -86,7 +86,8 @@
   double guessed_utilisation = 0.3;
   // Until work is seen nothing is ordered before the number of endpoints has stood for this long:
   // they register one by one after a start, and a guess from the first few gives the others back.
-  // A little over the longest gap between two reads of the store (1.5 s).
+  // A little over the longest gap between two reads of the store, which is 1.5 s where endpoints
+  // give a notice of 2 s.
   std::chrono::milliseconds settle_time{2'000};
   // Growth by less than this part counts as standing.
   double settled_growth = 0.05;
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -24,7 +24,8 @@
           {"caller", to_string(c.caller_address)},
           {"zone", c.zone.value()},
           {"ready", c.ready},
-          {"leaving", c.leaving}};
+          {"leaving", c.leaving},
+          {"acting", c.acting}};
 }
 
 std::string text_at(const json::value& from, std::string_view key)
@@ -37,6 +38,13 @@
   return from.at(key).to_number<std::uint64_t>();
 }
 
+// Peers of an earlier version do not tell every flag.
+bool flag_at(const json::value& from, std::string_view key)
+{
+  const auto* told = from.as_object().if_contains(key);
+  return told != nullptr && told->as_bool();
+}
+
 daemon_contact decode_contact(const json::value& from)
 {
   return {.id = daemon_id(text_at(from, "id")),
@@ -45,7 +53,8 @@
           .caller_address = http::parse_socket_address(text_at(from, "caller")),
           .zone = availability_zone(text_at(from, "zone")),
           .ready = from.at("ready").as_bool(),
-          .leaving = from.at("leaving").as_bool()};
+          .leaving = from.at("leaving").as_bool(),
+          .acting = flag_at(from, "acting")};
 }
 
 json::object encode(const endpoint_work_map& work)
--- a/src/relay/duties.cc
+++ b/src/relay/duties.cc
@@ -1,5 +1,6 @@
 #include "relay/duties.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -51,6 +52,14 @@
   return out;
 }
 
+// Endpoints are known in steps as far apart as this daemon reads the store or hears of others'
+// readings, up to six tenths of the notice that an endpoint gives: a first part is not to be taken
+// for the whole fleet, since orders by it give the rest back.
+milliseconds settle_time_of(const settings& s)
+{
+  return std::max(gateway::scaling_planner_options{}.settle_time, s.endpoint_notice);
+}
+
 std::string object_name(gateway::usage_window window)
 {
   return "window-" + std::to_string(window);
@@ -61,7 +70,7 @@
 duties::duties(asio::io_context& context, fleet_state& state, store_client& store)
     : context_(context), state_(state), store_(store),
       client_(context, {.connect_timeout = cloud_timeout, .repeat_stale_get = false}),
-      lease_(context, state, store), planner_({})
+      lease_(context, state, store), planner_({.settle_time = settle_time_of(state.options)})
 {
 }
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include "documents.h"
@@ -132,7 +133,15 @@
           .caller_address = options.callers,
           .zone = options.zone,
           .ready = is_ready(),
-          .leaving = leaving_since_.has_value()};
+          .leaving = leaving_since_.has_value(),
+          .acting = acting_};
+}
+
+void fleet_state::set_acting(bool acting)
+{
+  if (std::exchange(acting_, acting) != acting) {
+    announce_news();
+  }
 }
 
 bool fleet_state::leads(mono_time now) const
@@ -143,24 +152,35 @@
       staying.push_back(peer.id);
     }
   }
-  return rendezvous_rank(hash64_of(lead_job), options.id, staying) < lead_number;
+  return acting_ || rendezvous_rank(hash64_of(lead_job), options.id, staying) < lead_number;
 }
 
+// The holder of the duties may be none of the first: it took them when few were known, and keeps
+// them.
 std::vector<http::socket_address> fleet_state::other_leads(mono_time now) const
 {
+  struct candidate {
+    bool acting = false;
+    std::uint64_t score = 0;
+    http::socket_address address;
+  };
   const auto key = hash64_of(lead_job);
-  std::vector<std::pair<std::uint64_t, http::socket_address>> ranked;
-  for (const auto& peer : peers.live(now)) {
+  std::vector<candidate> ranked;
+  for (auto& peer : peers.live(now)) {
     if (!peer.leaving) {
-      ranked.emplace_back(rendezvous_score(key, peer.id.value()), peer.peer_address);
+      ranked.push_back({.acting = peer.acting,
+                        .score = rendezvous_score(key, peer.id.value()),
+                        .address = std::move(peer.peer_address)});
     }
   }
   const auto number = std::min(lead_number, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(number),
-                    ranked.end(), std::greater<>());
+                    ranked.end(), [](const candidate& a, const candidate& b) {
+                      return std::tie(a.acting, a.score) > std::tie(b.acting, b.score);
+                    });
   std::vector<http::socket_address> out;
   for (std::size_t i = 0; i < number; ++i) {
-    out.push_back(std::move(ranked[i].second));
+    out.push_back(std::move(ranked[i].address));
   }
   return out;
 }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -66,8 +66,11 @@
   // Of random choices; differs between daemons that start together.
   [[nodiscard]] std::uint64_t seed() const;
 
-  // Whether this daemon is one of the few that do something for all: compete for the duties, read
-  // the endpoints in the store, and look after the configuration.
+  // Notes whether this daemon holds the fleet's duties; peers are told at once.
+  void set_acting(bool acting);
+
+  // Whether this daemon is one of the few that do something for all: hold the duties or compete for
+  // them, read the endpoints in the store, and look after the configuration.
   [[nodiscard]] bool leads(mono_time now) const;
 
   // Where the daemons that lead are asked, but for this one.
@@ -127,6 +130,7 @@
   std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
+  bool acting_ = false;            // holds the duties
   std::set<daemon_id> live_peers_; // at the last tick
   std::size_t next_contact_ = 0;   // to tell
 };
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -13,7 +13,8 @@
           .caller_address = {.host = "10.0.0.2", .port = port},
           .zone = availability_zone("z"),
           .ready = true,
-          .leaving = true};
+          .leaving = true,
+          .acting = true};
 }
 
 TEST(PeerReportTest, ComesBackAsItWasSent)
--- a/test/gateway/scaling_planner_test.cc
+++ b/test/gateway/scaling_planner_test.cc
@@ -165,6 +165,18 @@
   EXPECT_GE(wanted(orders, "a", false).value_or(0) + wanted(orders, "b", false).value_or(0), 12U);
 }
 
+TEST_F(ScalingPlannerTest, TakesNoFirstPartForTheWholeFleetWhereEndpointsAreKnownInLongSteps)
+{
+  scaling_planner patient({.settle_time = 4s});
+  input_.limits.most = 40;
+  input_.serving = {{subject("a", false), 5}};
+  EXPECT_TRUE(patient.plan(input_, start).empty());
+  EXPECT_TRUE(patient.plan(input_, start + 3s).empty());
+  input_.serving = {{subject("a", false), 30}, {subject("b", false), 30}};
+  EXPECT_TRUE(patient.plan(input_, start + 3'500ms).empty());
+  EXPECT_FALSE(patient.plan(input_, start + 8s).empty());
+}
+
 TEST_F(ScalingPlannerTest, OrdersTheLeastWhereNoEndpointEverRegisters)
 {
   static_cast<void>(plan(start));
--- a/test/relay/exchange_replay_test.cc
+++ b/test/relay/exchange_replay_test.cc
@@ -207,5 +207,19 @@
   }
 }
 
+TEST_F(ExchangeReplayTest, TheHolderOfTheDutiesHearsAllDaemonsWithinFourSeconds)
+{
+  start_fleet(195);
+  run_for(1s);
+  auto& holder = *daemons_[7];
+  holder.state.set_acting(true); // it took them when few were known
+  run_for(8s);
+  for (int i = 0; i < 3; ++i) {
+    const auto window_end = now_;
+    run_for(4s);
+    EXPECT_TRUE(holder.state.peers.all_reported_since(window_end, now_)) << i;
+  }
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
