Tell peers where nobody is found, and believe two of them

Ruled out: sharing every trouble. Endpoints' own failures are often the request's fault, and of hundreds of daemons some leave out each endpoint at any time.

Change: a daemon that gets no connection tells so at once and with its work, while it leaves the endpoint out; an endpoint at which two peers find nobody is left out by all. One peer may itself be cut off. Where most endpoints look so, all are used as before.

Tests replay two peers' word, one peer's, a recovery, and most endpoints told unreachable.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -66,8 +66,9 @@
 
 // How an endpoint failed an attempt.
 enum class endpoint_trouble {
-  failed, // its own failure, which may be the request's fault
-  broken, // no connection, a cut, garbage, silence
+  failed,      // its own failure, which may be the request's fault
+  broken,      // a cut, garbage, silence
+  unreachable, // no connection: nobody is there, or the way is cut
 };
 
 struct endpoint_pool_options {
@@ -86,6 +87,10 @@
   // fails a seventh of its calls stays in, and one that fails three in ten goes out.
   double trouble_limit = 1.5;
   double success_relief = 0.4;
+  // An endpoint at which so many peers find nobody is left out here as well. When 20 of 124 engines
+  // fell silent, each of 195 daemons found out about each by time-outs of 250 ms of its own, a
+  // fifth of all calls for 3 s. One peer alone may itself be cut off.
+  std::uint32_t peers_believed = 2;
 };
 
 // What a choice needs to know.
@@ -173,8 +178,11 @@
   bool on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now);
   void on_success(const endpoint_id& id);
 
-  // Work of this daemon, for its peers, and what a peer told.
+  // Work of this daemon.
   [[nodiscard]] endpoint_work_map own_work() const;
+
+  // The same with the endpoints at which it finds nobody, for its peers; and what a peer told.
+  [[nodiscard]] endpoint_work_map work_to_tell(mono_time now) const;
   void on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time told_at);
   [[nodiscard]] const peers_work& peers() const { return peers_; }
 
@@ -193,6 +201,7 @@
   struct health {
     double trouble = 0; // score
     mono_time left_out_until;
+    mono_time unreachable_until;
   };
 
   // Endpoints of the wish's service by whether they may be chosen now.
@@ -218,6 +227,8 @@
                        std::span<const std::uint64_t> blocks, const endpoint_wish& wish,
                        mono_time now);
   [[nodiscard]] mono_time left_out_until(routing::endpoint_slot slot) const;
+  // Whether it is in trouble, by this daemon's calls or by its peers' word.
+  [[nodiscard]] bool is_left_out(routing::endpoint_slot slot, mono_time now) const;
   void store(const endpoint_record& record);
   void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
--- a/include/wisteriaflow/gateway/endpoint_work.h
+++ b/include/wisteriaflow/gateway/endpoint_work.h
@@ -16,6 +16,8 @@
   // Prompt tokens of those that wait, to be computed. Prompts differ by a factor of a hundred: with
   // the number alone a daemon takes a peer's 40,000 tokens for an average prompt and queues behind.
   std::uint64_t waiting_tokens = 0;
+  // Daemons that found nobody at its address a short time ago.
+  std::uint32_t unreachable = 0;
 
   friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
 };
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -205,6 +205,12 @@
   return it == health_.end() ? mono_time{} : it->second.left_out_until;
 }
 
+bool endpoint_pool::is_left_out(routing::endpoint_slot slot, mono_time now) const
+{
+  const auto& id = table_.at(slot).description.id;
+  return now < left_out_until(slot) || peers_.at(id).unreachable >= options_.peers_believed;
+}
+
 endpoint_pool::candidates endpoint_pool::candidates_for(const endpoint_wish& wish,
                                                         mono_time now) const
 {
@@ -215,7 +221,7 @@
       continue;
     }
     const auto slot = *table_.find(r->id);
-    (now < left_out_until(slot) ? out.left_out : out.open).push_back(slot);
+    (is_left_out(slot, now) ? out.left_out : out.open).push_back(slot);
   }
   // With most of them in trouble the trouble is not theirs, and the few others would be overrun.
   if (out.open.size() < out.left_out.size()) {
@@ -403,7 +409,7 @@
     return false;
   }
   auto& h = health_[id];
-  h.trouble += kind == endpoint_trouble::broken ? options_.trouble_limit : 1.0;
+  h.trouble += kind == endpoint_trouble::failed ? 1.0 : options_.trouble_limit;
   if (h.trouble < options_.trouble_limit) {
     return false;
   }
@@ -413,6 +419,9 @@
       options_.trouble_backoff * std::exp2(doublings));
   const bool was_in = now >= h.left_out_until;
   h.left_out_until = now + std::min(backoff, options_.trouble_backoff_limit);
+  if (kind == endpoint_trouble::unreachable) {
+    h.unreachable_until = h.left_out_until;
+  }
   return was_in;
 }
 
@@ -440,6 +449,17 @@
   return out;
 }
 
+endpoint_work_map endpoint_pool::work_to_tell(mono_time now) const
+{
+  auto out = own_work();
+  for (const auto& [id, h] : health_) {
+    if (now < h.unreachable_until) {
+      out[id].unreachable = 1;
+    }
+  }
+  return out;
+}
+
 void endpoint_pool::on_peer_work(const daemon_id& peer, endpoint_work_map work, mono_time told_at)
 {
   peers_.on_work(peer, std::move(work), told_at);
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -61,12 +61,12 @@
 {
   json::object out;
   for (const auto& [id, w] : work) {
-    out[id.value()] = {w.waiting, w.running, w.waiting_tokens};
+    out[id.value()] = {w.waiting, w.running, w.waiting_tokens, w.unreachable};
   }
   return out;
 }
 
-// Peers of an earlier version do not tell the tokens that wait: ordinary prompts are assumed.
+// Peers of earlier versions tell less. Without the tokens that wait ordinary prompts are assumed.
 constexpr std::uint64_t ordinary_prompt = 1'000; // tokens
 
 endpoint_work decode_work(const json::array& from)
@@ -75,6 +75,7 @@
                     .running = from.at(1).to_number<std::uint32_t>()};
   out.waiting_tokens =
       from.size() > 2 ? from.at(2).to_number<std::uint64_t>() : out.waiting * ordinary_prompt;
+  out.unreachable = from.size() > 3 ? from.at(3).to_number<std::uint32_t>() : 0;
   return out;
 }
 
--- a/src/gateway/peers_work.cc
+++ b/src/gateway/peers_work.cc
@@ -11,6 +11,7 @@
     total.waiting += w.waiting;
     total.running += w.running;
     total.waiting_tokens += w.waiting_tokens;
+    total.unreachable += w.unreachable;
   }
 }
 
@@ -21,6 +22,7 @@
     total.waiting -= w.waiting;
     total.running -= w.running;
     total.waiting_tokens -= w.waiting_tokens;
+    total.unreachable -= w.unreachable;
     if (total == endpoint_work{}) {
       totals_.erase(id);
     }
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -127,7 +127,10 @@
   case attempt_outcome::not_run:
     break; // full, not ill
   case attempt_outcome::broken:
-    note_trouble(gateway::endpoint_trouble::broken, now);
+    note_trouble(result_.how == attempt_result::end::not_sent
+                     ? gateway::endpoint_trouble::unreachable
+                     : gateway::endpoint_trouble::broken,
+                 now);
     break;
   }
 }
@@ -135,6 +138,9 @@
 void attempt::note_trouble(gateway::endpoint_trouble kind, mono_time now)
 {
   if (state_.endpoints.on_trouble(endpoint_.id, kind, now)) {
+    if (kind == gateway::endpoint_trouble::unreachable) {
+      state_.announce_news(); // so that not each daemon has to find out by a time-out of its own
+    }
     state_.log.write(daemon::log_level::warn, "endpoint left out",
                      {{"endpoint", endpoint_.id.value()},
                       {"request", call_.description.request_id},
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -273,7 +273,7 @@
           .known = contacts_to_tell(now.mono),
           .heard = peers.heard_last(ages_told, now.mono),
           .relayed = relayed_peers(now.mono),
-          .work = endpoints.own_work(),
+          .work = endpoints.work_to_tell(now.mono),
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
           .endpoints = endpoint_view(now.mono),
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -106,6 +106,48 @@
   EXPECT_TRUE(pool_.serving("chat").empty());
 }
 
+TEST_F(EndpointPoolTest, LeavesOutAnEndpointAtWhichTwoPeersFindNobody)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  const endpoint_work_map told = {{endpoint_id("a"), {.unreachable = 1}}};
+  pool_.on_peer_work(daemon_id("p"), told, start);
+  EXPECT_TRUE(choose({endpoint_id("b")})); // one alone may be cut off
+  pool_.on_peer_work(daemon_id("q"), told, start);
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(choose()->id, endpoint_id("b"));
+  }
+}
+
+TEST_F(EndpointPoolTest, UsesAnEndpointAgainOncePeersReachIt)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  const endpoint_work_map told = {{endpoint_id("a"), {.unreachable = 1}}};
+  pool_.on_peer_work(daemon_id("p"), told, start);
+  pool_.on_peer_work(daemon_id("q"), told, start);
+  pool_.on_peer_work(daemon_id("q"), {}, start);
+  EXPECT_TRUE(choose({endpoint_id("b")}));
+}
+
+TEST_F(EndpointPoolTest, UsesAllWherePeersFindNobodyAtMostOfThem)
+{
+  list({record("a", 1), record("b", 1), record("c", 1)}, 5);
+  const endpoint_work_map told = {{endpoint_id("a"), {.unreachable = 1}},
+                                  {endpoint_id("b"), {.unreachable = 1}}};
+  pool_.on_peer_work(daemon_id("p"), told, start);
+  pool_.on_peer_work(daemon_id("q"), told, start);
+  EXPECT_TRUE(choose({endpoint_id("c")}));
+}
+
+TEST_F(EndpointPoolTest, TellsPeersWhereItFindsNobodyWhileItLeavesThatOut)
+{
+  list({record("a", 1), record("b", 1)}, 5);
+  pool_.on_trouble(endpoint_id("a"), endpoint_trouble::unreachable, start);
+  pool_.on_trouble(endpoint_id("b"), endpoint_trouble::broken, start);
+  const endpoint_work_map expected = {{endpoint_id("a"), {.unreachable = 1}}};
+  EXPECT_EQ(pool_.work_to_tell(start + 100ms), expected);
+  EXPECT_TRUE(pool_.work_to_tell(start + 500ms).empty());
+}
+
 // The process of an endpoint, by when it started.
 endpoint_record record_of(const char* id, std::uint64_t revision, std::uint64_t incarnation)
 {
