An owner without a configuration gives no part of a rate away

The logs show the survivors asking the killed owner all the time; it listens 20 ms before it has a configuration, and granted whatever was asked where it knew no limit: for each question a quarter of a second of a demand of eight times the usual.

Change: what is not known is not given away; the asker takes from its own part, as when the owner is silent. The test fails on the code before.

--- a/include/wisteriaflow/gateway/workspace_quota.h
+++ b/include/wisteriaflow/gateway/workspace_quota.h
@@ -88,9 +88,10 @@
                                         const std::optional<quota_grant>& grant, mono_time now);
 
   // Answers a peer that takes this daemon for the owner. It asks for `units` at least and `ask` at
-  // best.
-  [[nodiscard]] quota_grant grant(const workspace_id& workspace, double units, double ask,
-                                  mono_time now);
+  // best. Nothing if no limit is known here: a daemon that has just started has peers that ask
+  // before it has a configuration, and what it does not know it cannot give away.
+  [[nodiscard]] std::optional<quota_grant> grant(const workspace_id& workspace, double units,
+                                                 double ask, mono_time now);
 
   // An admitted request has not run after all.
   void give_back(const workspace_id& workspace, double units, mono_time now);
--- a/src/gateway/workspace_quota.cc
+++ b/src/gateway/workspace_quota.cc
@@ -160,23 +160,23 @@
   return on_grant(workspace, units, grant(workspace, units, units, now), now);
 }
 
-quota_grant workspace_quota::grant(const workspace_id& workspace, double units, double ask,
-                                   mono_time now)
+std::optional<quota_grant> workspace_quota::grant(const workspace_id& workspace, double units,
+                                                  double ask, mono_time now)
 {
   const auto found = accounts_.find(workspace);
   if (found == accounts_.end()) {
-    return {.units = ask}; // no limit is known here
+    return std::nullopt;
   }
   auto& bucket = found->second.shared;
   const auto open_at = bucket.open_at(now);
   if (open_at > now) {
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(open_at - now);
-    return {.retry_after = wait + std::chrono::milliseconds{1}};
+    return quota_grant{.retry_after = wait + std::chrono::milliseconds{1}};
   }
   // Units ahead of need only out of what is there; a single request may run into debt.
   const double granted = std::max(units, std::min(ask, bucket.available(now)));
   bucket.take(granted, now);
-  return {.units = granted};
+  return quota_grant{.units = granted};
 }
 
 quota_decision workspace_quota::on_grant(const workspace_id& workspace, double units,
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -282,7 +282,10 @@
   const auto q = gateway::decode_quota_question(asked.body);
   const auto grant =
       state_.quota.grant(q.workspace, q.units, q.ask, std::chrono::steady_clock::now());
-  return {.status = http::status::ok, .body = encode_quota_grant(grant)};
+  if (!grant) {
+    return {.status = http::status::unavailable};
+  }
+  return {.status = http::status::ok, .body = encode_quota_grant(*grant)};
 }
 
 http::response peer_sync::answer_endpoints(const http::request& asked)
--- a/test/gateway/workspace_quota_test.cc
+++ b/test/gateway/workspace_quota_test.cc
@@ -66,9 +66,8 @@
       const auto owner = static_cast<std::size_t>(
           std::find(ids_.begin(), ids_.end(), decided.owner) - ids_.begin());
       const bool reachable = i != cut_ && owner != cut_;
-      const auto grant = reachable
-                             ? std::optional(quota(owner).grant(hotel, units, decided.ask, now_))
-                             : std::nullopt;
+      const auto grant =
+          reachable ? quota(owner).grant(hotel, units, decided.ask, now_) : std::nullopt;
       decided = quota(i).on_grant(hotel, units, grant, now_);
     }
     admitted_ += decided.outcome == quota_outcome::admitted ? units : 0;
@@ -150,6 +149,12 @@
   EXPECT_EQ(refused, 0);
 }
 
+TEST(WorkspaceQuotaTest, AnOwnerThatHasNoConfigurationYetGivesNothingAway)
+{
+  workspace_quota young({.self = daemon_id("a")});
+  EXPECT_FALSE(young.grant(hotel, 5'000, 400'000, start));
+}
+
 TEST(WorkspaceQuotaTest, AnOwnerThatDoesNotAnswerLeavesTheOwnBucket)
 {
   quota_fleet fleet(4, 1'000, 1'000, 1'000);
