Name the content of a request in the log

Each repeat has an id of its own, and nothing said that it was the same request; whether one request ended 17 endpoints, or 17 requests one each, could not be told. Change: a hash of workspace, host, method, target and body, the same in every daemon, stands in the lines of attempts, of calls given up and of calls over a workspace's rate. Ruled out: the path alone (a route's calls share it), and the prompt's parts (they are shared by design, and a plain call has none). Nothing decides by it yet.

--- /dev/null
+++ b/include/wisteriaflow/gateway/request_content.h
@@ -0,0 +1,50 @@
+// Which requests are the same request sent again.
+//
+// Each attempt of a caller has an id of its own, so ids do not tell. Requests of one workspace to
+// the same host, method and target (the path and the query) with the same body have one content.
+//
+//   const auto content = content_of(workspace, request);
+//   log.write(..., {{"content", to_string(content)}});
+
+#ifndef WISTERIAFLOW_GATEWAY_REQUEST_CONTENT_H_
+#define WISTERIAFLOW_GATEWAY_REQUEST_CONTENT_H_
+
+#include <compare>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/base/ids.h"
+#include "wisteriaflow/http/message.h"
+
+namespace wisteriaflow::gateway {
+
+// Names a content; equal in every daemon.
+struct content_id {
+  hash128 hash;
+
+  friend auto operator<=>(const content_id&,
+                          const content_id&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+// The workspace stands for the caller: one that has several keys is the same caller under each.
+[[nodiscard]] content_id content_of(const workspace_id& workspace, const http::request& request);
+
+// 32 hexadecimal digits, for logs and for peers.
+[[nodiscard]] std::string to_string(const content_id& content);
+
+// Nothing if `text` is not of that form.
+[[nodiscard]] std::optional<content_id> parse_content_id(std::string_view text);
+
+} // namespace wisteriaflow::gateway
+
+template <> struct std::hash<wisteriaflow::gateway::content_id> {
+  std::size_t operator()(const wisteriaflow::gateway::content_id& c) const noexcept
+  {
+    return std::hash<wisteriaflow::hash128>{}(c.hash);
+  }
+};
+
+#endif // WISTERIAFLOW_GATEWAY_REQUEST_CONTENT_H_
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -19,6 +19,7 @@
 #include "wisteriaflow/gateway/answer_verdict.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/event_splitter.h"
+#include "wisteriaflow/gateway/request_content.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/http/server.h"
 
@@ -31,6 +32,7 @@
   std::shared_ptr<const gateway::configuration_index> configuration; // keeps `route` alive
   const gateway::route* route = nullptr;
   workspace_id workspace; // empty: none
+  gateway::content_id content;
   double quota_units = 0; // taken from the workspace's rate
   int priority = 0;
   std::string service; // drawn among the route's
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -103,6 +103,7 @@
   if (auto why = find_workspace(call)) {
     return *why;
   }
+  call.content = gateway::content_of(call.workspace, received);
   if (received.body.size() > call.configuration->declared().max_body_bytes) {
     return refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
   }
@@ -160,6 +161,7 @@
       .reason = "workspace over its rate",
       .retry_at = decided.retry_at,
       .inputs = {{"workspace", call.workspace.value()},
+                 {"content", to_string(call.content)},
                  {"units", std::to_string(call.quota_units)},
                  {"daemons_counted", std::to_string(state_.peers.counted(call.received_at))}}};
 }
@@ -310,6 +312,7 @@
 {
   count_answer(call, status);
   log_fields fields = {{"request", call.description.request_id},
+                       {"content", to_string(call.content)},
                        {"route", call.route->name},
                        {"status", status},
                        {"attempts", std::to_string(call.history.sent)},
@@ -360,6 +363,7 @@
       std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - call.received_at);
   state_.counters.count("attempts", {{"service", call.service}, {"fine", fine ? "yes" : "no"}});
   log_fields fields = {{"request", call.description.request_id},
+                       {"content", to_string(call.content)},
                        {"route", call.route->name},
                        {"workspace", call.workspace.value()},
                        {"endpoint", result.endpoint.value()},
