--- a/test/fakes/fake_endpoint.cc
+++ b/test/fakes/fake_endpoint.cc
@@ -52,6 +52,10 @@
   received.push_back(r);
   on_request();
   std::this_thread::sleep_for(stall);
+  if (!deadly_path.empty() && r.path.starts_with(deadly_path)) {
+    close();
+    co_return;
+  }
   switch (mood) {
   case endpoint_mood::cuts:
     w.abort();
--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -39,11 +39,15 @@
   endpoint_mood mood = endpoint_mood::answers;
   // Holds up the whole thread for this long before an answer, as a stopped process does.
   std::chrono::milliseconds stall{0};
+  // A request below this path ends the process as soon as it begins to run; empty: none does.
+  std::string deadly_path;
   std::vector<fake_request> received;
   // Called with each request, before the mood is looked at.
   std::function<void()> on_request = [] {};
 
   [[nodiscard]] const std::string& id() const { return id_; }
+  // Whether the process has ended, by a request or by close().
+  [[nodiscard]] bool has_ended() const { return dead_; }
 
  private:
   boost::asio::awaitable<void> serve(fake_request r, http::response_writer& w) override;
