Hold requests that end endpoints by their content, over the fleet

Cause: what a daemon remembers of a failure hung on the endpoint or on one request's id. A request that ends every endpoint that runs it comes again under another id, at any daemon, and met an endpoint without a history each time. Class: a failure remembered under a key that the next attempt does not share. Ruled out: counting by 1/n of the requests under way (in a batch of 64 the guilty one would need dozens of ends); leaving endpoints out for longer (they come back as others); a lease or an owner for each content (one more thing to lose, and a round trip for each call). Change: when an exchange breaks off and a connection to the endpoint is then refused, each daemon reports the contents that it had under way there. Reports are joined by union and travel with the exchange of reports; daemons that differ for three seconds fetch all. A content is held after three ends that no other content explains better, for a minute, twice as long after each further end, ten minutes at the most; an answer lifts it. Holds lie in the store, written by the leads, so that they outlast all daemons. A held call is refused at once with 400, after which callers stop; a call that was already sent gets the 502 that it got before. Endpoints that are known to leave, and connections that are merely reset, count for nothing.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -28,6 +28,7 @@
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/demand_meter.h"
+#include "wisteriaflow/gateway/endpoint_process.h"
 #include "wisteriaflow/gateway/endpoint_work.h"
 #include "wisteriaflow/gateway/peers_work.h"
 #include "wisteriaflow/gateway/shared_prefix.h"
@@ -114,6 +115,8 @@
   routing::sent_work work;
   // Another endpoint that probably holds the prompt's shared parts, to copy them from.
   std::optional<http::socket_address> prefix_source = std::nullopt;
+
+  [[nodiscard]] endpoint_process process() const { return {.id = id, .incarnation = incarnation}; }
 };
 
 // An endpoint, or why there is none and when there may be one.
@@ -168,6 +171,9 @@
   // Whether the endpoint has started anew since it was chosen: what it ran then is lost.
   [[nodiscard]] bool has_restarted(const pooled_endpoint& chosen) const;
 
+  // Whether the process is known and nothing says that it leaves.
+  [[nodiscard]] bool is_staying(const endpoint_process& process) const;
+
   // The attempt's first event or whole answer has come.
   void on_first_token(routing::sent_work& work, mono_time now);
 
--- /dev/null
+++ b/include/wisteriaflow/gateway/endpoint_process.h
@@ -0,0 +1,23 @@
+// One start of an endpoint: an endpoint may end and start again under the id that it had.
+
+#ifndef WISTERIAFLOW_GATEWAY_ENDPOINT_PROCESS_H_
+#define WISTERIAFLOW_GATEWAY_ENDPOINT_PROCESS_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "wisteriaflow/base/ids.h"
+
+namespace wisteriaflow::gateway {
+
+struct endpoint_process {
+  endpoint_id id;
+  std::uint64_t incarnation = 0; // when it started, as endpoint_record tells it; 0: not told
+
+  friend auto operator<=>(const endpoint_process&,
+                          const endpoint_process&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+} // namespace wisteriaflow::gateway
+
+#endif // WISTERIAFLOW_GATEWAY_ENDPOINT_PROCESS_H_
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -13,6 +13,7 @@
 #include "wisteriaflow/base/errors.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/crash_suspects.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/usage_counts.h"
@@ -71,6 +72,8 @@
   std::vector<endpoint_departure> departures;
   endpoint_view endpoints; // how current the sender's view of them is
   std::vector<usage_row> usage;
+  crash_news crashes;               // what the sender has heard of them lately
+  std::uint64_t crash_digest = 0;   // of all that it knows; see crash_suspects
   std::chrono::milliseconds age{0}; // since it was made; travels beside the report
 
   friend bool operator==(const peer_report&, const peer_report&) = default;
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -374,6 +374,13 @@
   return it != records_.end() && is_restart({.incarnation = chosen.incarnation}, it->second);
 }
 
+bool endpoint_pool::is_staying(const endpoint_process& process) const
+{
+  const auto it = records_.find(process.id);
+  return it != records_.end() && !it->second.leaving &&
+         it->second.incarnation == process.incarnation;
+}
+
 void endpoint_pool::on_first_token(routing::sent_work& work, mono_time now)
 {
   if (work.first_token_at) {
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -11,6 +11,8 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/gateway/crash_codec.h"
+
 namespace wisteriaflow::gateway {
 namespace {
 
@@ -257,6 +259,11 @@
   for (const auto& r : from.at("usage").as_array()) {
     out.usage.push_back(decode_row(r));
   }
+  // Peers of an earlier version know of no crashes.
+  if (const auto* crashes = from.as_object().if_contains("crashes")) {
+    out.crashes = decode_crash_news(*crashes);
+    out.crash_digest = number_at(from, "crash_digest");
+  }
   return out;
 }
 
@@ -306,7 +313,9 @@
                            {"prefill", encode(report.prefill)},
                            {"departures", encode(report.departures)},
                            {"endpoints", encode(report.endpoints)},
-                           {"usage", encode(report.usage)}};
+                           {"usage", encode(report.usage)},
+                           {"crashes", encode_crash_news(report.crashes)},
+                           {"crash_digest", report.crash_digest}};
   return json::serialize(out);
 }
 
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -35,7 +35,8 @@
     : state_(state), client_(client), call_(call), endpoint_(std::move(endpoint)),
       silence_(context), heard_at_(std::chrono::steady_clock::now())
 {
-  result_.endpoint = endpoint_.id;
+  result_.endpoint = endpoint_.process();
+  result_.address = endpoint_.address;
   result_.prefix_source = endpoint_.prefix_source;
 }
 
@@ -71,9 +72,12 @@
   } catch (const http::exchange_timeout_error& e) {
     result_.timed_out = true;
     result_.reason = e.what();
+  } catch (const attempt_ended& e) {
+    result_.reason = e.what();
   } catch (const http::http_error& e) {
     if (result_.reason.empty()) { // else the end is of this attempt's own making
       result_.reason = e.what();
+      result_.broke_off = !result_.silent;
     }
   }
   silence_.disarm();
@@ -86,6 +90,7 @@
 {
   const auto now = std::chrono::steady_clock::now();
   state_.endpoints.on_finished(endpoint_.work, events_, now);
+  result_.begun = begun_;
   if (call_.caller_gone || caller_failed_) {
     result_.how = attempt_result::end::caller_lost;
     return std::move(result_);
@@ -93,6 +98,7 @@
   using end = attempt_result::end;
   if (result_.how == end::stream_ended && (gap_ || splitter_.pending_bytes() > 0 || events_ == 0)) {
     result_.how = end::cut;
+    result_.broke_off = !gap_;
     result_.reason = "the stream ended within an event, without one, or with one missing";
   }
   if (result_.how == end::cut && gap_) {
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -63,12 +63,15 @@
   };
 
   end how = end::cut;
-  endpoint_id endpoint;
+  gateway::endpoint_process endpoint;
+  http::socket_address address; // of the endpoint
   // Whom the endpoint was told to copy the prompt's shared parts from.
   std::optional<http::socket_address> prefix_source;
   bool silent = false;
   bool timed_out = false;
-  std::string reason; // of a failure
+  bool broke_off = false; // the endpoint ended the exchange, not this daemon
+  bool begun = false;     // events or a whole answer had come
+  std::string reason;     // of a failure
   gateway::attempt_outcome outcome = gateway::attempt_outcome::broken;
   bool head_came = false;
   http::response answer; // head, and the body if it is whole; says nothing if no head came
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -49,7 +49,7 @@
                         .unacknowledged_timeout = unacknowledged_timeout,
                         .repeat_stale_get = false,
                         .only_stated_keep_alive = true}),
-      random_(state.seed())
+      crashes_(context, state), random_(state.seed())
 {
 }
 
@@ -107,6 +107,9 @@
   if (received.body.size() > call.configuration->declared().max_body_bytes) {
     return refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
   }
+  if (auto why = held_refusal(call)) {
+    return *why;
+  }
   const auto leaving = state_.leaving_since();
   const bool stream = call.route->kind == gateway::call_kind::stream;
   if (leaving && stream && now > *leaving + last_stream_start) {
@@ -143,6 +146,20 @@
   return std::nullopt;
 }
 
+// The status is one after which callers stop. A hold outlasts every caller's deadline, so that one
+// which came back, as after 503, would only be refused again.
+std::optional<call_relay::refusal> call_relay::held_refusal(const admitted_call& call)
+{
+  const auto hold = crashes_.hold_of(call);
+  if (!hold) {
+    return std::nullopt;
+  }
+  return refusal{.status = http::status::bad_request,
+                 .reason = "not run: requests like it have ended endpoints",
+                 .retry_at = std::nullopt,
+                 .inputs = fields_of(call.content, *hold)};
+}
+
 asio::awaitable<std::optional<call_relay::refusal>> call_relay::take_quota(admitted_call& call)
 {
   if (call.workspace.empty()) {
@@ -212,6 +229,10 @@
       writer.abort();
       co_return;
     }
+    if (const auto why = held_refusal(*call)) {
+      co_await end_held(*call, *why, writer);
+      co_return;
+    }
     auto choice = choose(*call);
     if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
       co_await give_up(*call, writer, none->retry_at);
@@ -222,6 +243,7 @@
     attempt one(context_, state_, client_, *call, std::move(endpoint));
     auto result = co_await one.run(writer);
     note_attempt(*call, result);
+    co_await crashes_.on_attempt(*call, result);
     if (result.how == attempt_result::end::caller_lost) {
       state_.counters.count("callers_gone");
       writer.abort();
@@ -245,6 +267,17 @@
   }
 }
 
+asio::awaitable<void> call_relay::end_held(admitted_call& call, const refusal& why,
+                                           http::response_writer& writer)
+{
+  if (call.history.may_have_run) {
+    co_await give_up(call, writer);
+    co_return;
+  }
+  state_.quota.give_back(call.workspace, call.quota_units, std::chrono::steady_clock::now());
+  co_await refuse(call.received, why, writer);
+}
+
 bool call_relay::may_repeat(const admitted_call& call, const attempt_result& last)
 {
   if (last.outcome == attempt_outcome::answered ||
@@ -366,7 +399,7 @@
                        {"content", to_string(call.content)},
                        {"route", call.route->name},
                        {"workspace", call.workspace.value()},
-                       {"endpoint", result.endpoint.value()},
+                       {"endpoint", result.endpoint.id.value()},
                        {"attempt", std::to_string(call.history.sent + 1)},
                        {"since_arrival_ms", std::to_string(elapsed.count())},
                        {"configuration", std::to_string(call.configuration->version())},
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "relay/attempt.h"
+#include "relay/crash_watch.h"
 #include "relay/fleet_state.h"
 #include "relay/peer_sync.h"
 #include "wisteriaflow/gateway/answer_verdict.h"
@@ -51,6 +52,8 @@
   // Everything but the workspace's rate.
   admission admit(const http::request& received, mono_time now);
   std::optional<refusal> find_workspace(admitted_call& call) const;
+  // Why a call is refused whose like have ended endpoints.
+  std::optional<refusal> held_refusal(const admitted_call& call);
   boost::asio::awaitable<std::optional<refusal>> take_quota(admitted_call& call);
   boost::asio::awaitable<void> refuse(const http::request& received, refusal why,
                                       http::response_writer& writer);
@@ -59,6 +62,9 @@
   // Sends the call to one endpoint after another until one has it or none is left.
   boost::asio::awaitable<void> try_endpoints(std::shared_ptr<admitted_call> call,
                                              http::response_writer& writer);
+  // Ends a call whose content has come to be held since it was admitted.
+  boost::asio::awaitable<void> end_held(admitted_call& call, const refusal& why,
+                                        http::response_writer& writer);
   boost::asio::awaitable<void> finish(admitted_call& call, attempt_result& last,
                                       http::response_writer& writer);
   // `open_at`: when there will be room for it, if that is known.
@@ -77,6 +83,7 @@
   fleet_state& state_;
   peer_sync& peers_;
   http::client client_;
+  crash_watch crashes_;
   std::mt19937_64 random_;
   std::size_t open_calls_ = 0;
 };
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -56,6 +56,17 @@
 
 } // namespace
 
+log_fields fields_of(const gateway::content_id& content, const gateway::content_hold& hold)
+{
+  std::string ended;
+  for (const auto& process : hold.ended) {
+    ended += (ended.empty() ? "" : ",") + process.id.value();
+  }
+  return {{"content", to_string(content)},
+          {"endpoints_ended", std::move(ended)},
+          {"held_until_unix_ms", std::to_string(to_unix_ms(hold.until))}};
+}
+
 clock_reading read_clocks()
 {
   const auto wall = std::chrono::system_clock::now();
@@ -286,7 +297,9 @@
           .prefill = endpoints.own_prefill(),
           .departures = endpoints.departures(now.mono),
           .endpoints = endpoint_view(now.mono),
-          .usage = usage.rows(is_silent, usage_rows_told)};
+          .usage = usage.rows(is_silent, usage_rows_told),
+          .crashes = crashes.news(clock.now(now)),
+          .crash_digest = crashes.digest()};
 }
 
 void fleet_state::absorb(const gateway::peer_report& told, const clock_reading& now)
@@ -310,6 +323,7 @@
   for (const auto& row : told.usage) {
     usage.absorb(row);
   }
+  crashes.absorb(told.crashes, clock.now(now));
 }
 
 void fleet_state::log_peer_changes(const std::vector<daemon_id>& live)
@@ -328,6 +342,25 @@
   live_peers_ = std::move(present);
 }
 
+void fleet_state::log_hold_changes(wall_time now)
+{
+  auto present = crashes.holds(now);
+  for (const auto& [content, hold] : present) {
+    const auto it = holds_.find(content);
+    if (it == holds_.end() || it->second != hold) {
+      log.write(daemon::log_level::warn, "content held", fields_of(content, hold));
+    }
+  }
+  for (const auto& [content, hold] : holds_) {
+    if (!present.contains(content)) {
+      log.write(daemon::log_level::info, "hold over", {{"content", to_string(content)}});
+    }
+  }
+  holds_ = std::move(present);
+  counters.set("contents_held", static_cast<double>(holds_.size()));
+  counters.set("endpoint_crashes_known", static_cast<double>(crashes.crashes_known()));
+}
+
 void fleet_state::set_gauges(mono_time now)
 {
   using seconds = std::chrono::duration<double>;
@@ -359,6 +392,8 @@
   feed.set_reader(leads(now.mono));
   feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
+  crashes.tick(clock.now(now));
+  log_hold_changes(clock.now(now));
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -6,6 +6,7 @@
 #define WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -17,6 +18,7 @@
 #include "relay/metrics.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/crash_suspects.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/fleet_clock.h"
@@ -32,6 +34,10 @@
 // Both clocks, read now.
 [[nodiscard]] clock_reading read_clocks();
 
+// Why a content is held, for the log.
+[[nodiscard]] log_fields fields_of(const gateway::content_id& content,
+                                   const gateway::content_hold& hold);
+
 class fleet_state {
  public:
   fleet_state(const settings& s, event_log& log);
@@ -102,6 +108,9 @@
   // Takes in what a peer told.
   void absorb(const gateway::peer_report& told, const clock_reading& now);
 
+  // The fleet's wall-clock time.
+  [[nodiscard]] wall_time fleet_time() const { return clock.now(read_clocks()); }
+
   // Work that is due as time passes; call a few times a second.
   void tick(const clock_reading& now);
 
@@ -116,6 +125,7 @@
   gateway::peer_table peers;
   gateway::fleet_clock clock;
   gateway::usage_counts usage;
+  gateway::crash_suspects crashes{{}};
 
  private:
   // What the latest news of peers is, for a report; nothing where all ask each other.
@@ -123,6 +133,8 @@
   // Contacts for a report: all of a small fleet's, a changing few of a large one's.
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
+  // Tells which contents are held from now on, and which no longer, whoever found out.
+  void log_hold_changes(wall_time now);
   // How old what is believed is, and the state of the log.
   void set_gauges(mono_time now);
 
@@ -131,9 +143,10 @@
   std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
-  bool acting_ = false;            // holds the duties
-  std::set<daemon_id> live_peers_; // at the last tick
-  std::size_t next_contact_ = 0;   // to tell
+  bool acting_ = false;                                        // holds the duties
+  std::set<daemon_id> live_peers_;                             // at the last tick
+  std::map<gateway::content_id, gateway::content_hold> holds_; // at the last tick
+  std::size_t next_contact_ = 0;                               // to tell
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -15,6 +15,7 @@
 
 #include "messages.h"
 #include "relay/call_relay.h"
+#include "relay/crash_store.h"
 #include "relay/duties.h"
 #include "relay/event_log.h"
 #include "relay/fleet_state.h"
@@ -59,7 +60,8 @@
  public:
   implementation(const settings& s, log_output log)
       : log_(std::move(log.write), std::move(log.queued)), state_(s, log_),
-        store_(context_, state_), store_sync_(context_, state_, store_), peers_(context_, state_),
+        store_(context_, state_), store_sync_(context_, state_, store_),
+        crash_store_(context_, state_, store_), peers_(context_, state_),
         duties_(context_, state_, store_), relay_(context_, state_, peers_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
@@ -90,6 +92,7 @@
     log_.write(daemon::log_level::info, "started",
                {{"daemon", state_.options.id.value()}, {"callers", to_string(caller_address())}});
     store_sync_.start();
+    crash_store_.start();
     peers_.start();
     duties_.start();
     await_signal();
@@ -195,6 +198,7 @@
   fleet_state state_;
   store_client store_;
   store_sync store_sync_;
+  crash_store crash_store_;
   peer_sync peers_;
   duties duties_;
   call_relay relay_;
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -12,6 +12,7 @@
 
 #include "wisteriaflow/base/deflate.h"
 #include "wisteriaflow/base/text.h"
+#include "wisteriaflow/gateway/crash_codec.h"
 #include "wisteriaflow/gateway/peer_report.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
@@ -30,6 +31,9 @@
 // An owner answers within a few milliseconds; a caller should not wait longer for one that is away.
 constexpr milliseconds quota_timeout{120};
 constexpr milliseconds fetch_timeout{1'000};
+// News of crashes reach every daemon well within this; what still differs then was missed, as by a
+// daemon that was cut off. One that knows of none fetches them at once.
+constexpr milliseconds crash_news_time{3'000};
 // Of an unpacked report, in bytes. The largest seen, of 63 daemons, has 5 KB.
 constexpr std::size_t report_limit = std::size_t{1} << 20U;
 
@@ -43,6 +47,7 @@
 constexpr std::string_view quota_target = "/quota";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // ?after=REVISION of the store
+constexpr std::string_view crashes_target = "/crashes";
 constexpr std::string_view metrics_target = "/metrics";
 
 http::header age_field(mono_time made_at, mono_time now)
@@ -158,6 +163,7 @@
       if (told.configuration_version > state_.configuration_version()) {
         fetch_configuration(peer);
       }
+      compare_crashes(told, std::chrono::steady_clock::now());
       if (state_.feed.on_peer_view(told.endpoints, asked_at) == gateway::feed_step::fetch) {
         fetch_endpoints(peer);
       }
@@ -223,6 +229,35 @@
   asio::co_spawn(context_, fetch(peer, std::move(kind)), asio::detached);
 }
 
+void peer_sync::compare_crashes(const gateway::peer_report& told, mono_time now)
+{
+  const auto own = state_.crashes.digest();
+  if (told.crash_digest == own || told.crash_digest == 0) {
+    crashes_differ_since_.reset();
+    return;
+  }
+  const auto since = crashes_differ_since_.value_or(now);
+  crashes_differ_since_ = since;
+  if (own == 0 || since + crash_news_time <= now) {
+    crashes_differ_since_.reset();
+    fetch_crashes(told.self.peer_address);
+  }
+}
+
+void peer_sync::fetch_crashes(const http::socket_address& peer)
+{
+  fetch_kind kind{.what = "crashes", .target = std::string(crashes_target)};
+  kind.take = [this](const std::string& body) {
+    boost::system::error_code ec;
+    const auto news = boost::json::parse(body, ec);
+    if (ec) {
+      throw gateway::crash_news_error("not JSON: " + ec.message());
+    }
+    state_.crashes.absorb(gateway::decode_crash_news(news), state_.fleet_time());
+  };
+  asio::co_spawn(context_, fetch(peer, std::move(kind)), asio::detached);
+}
+
 asio::awaitable<gateway::quota_decision> peer_sync::admit(workspace_id workspace, double units)
 {
   auto decided = state_.quota.admit(workspace, units, std::chrono::steady_clock::now());
@@ -270,6 +305,7 @@
   if (told.configuration_version > state_.configuration_version()) {
     fetch_configuration(told.self.peer_address);
   }
+  compare_crashes(told, std::chrono::steady_clock::now());
   const auto& report = current_report();
   count_report(report.packed, "sent");
   return {.status = http::status::ok,
@@ -312,6 +348,9 @@
              .body = boost::json::serialize(state_.configuration_document())};
     } else if (http::parse_target(asked.target).path == endpoints_target) {
       out = answer_endpoints(asked);
+    } else if (asked.target == crashes_target) {
+      out = {.status = http::status::ok,
+             .body = boost::json::serialize(encode_crash_news(state_.crashes.all()))};
     } else if (asked.target == metrics_target) {
       out = {.status = http::status::ok, .body = state_.counters.exposition()};
     }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -56,6 +56,10 @@
   boost::asio::awaitable<void> fetch(http::socket_address peer, fetch_kind kind);
   void fetch_configuration(const http::socket_address& peer);
   void fetch_endpoints(const http::socket_address& peer);
+  // Fetches all that a peer knows of crashes if that has differed from what is known here for
+  // longer than news take.
+  void compare_crashes(const gateway::peer_report& told, mono_time now);
+  void fetch_crashes(const http::socket_address& peer);
   http::response answer_endpoints(const http::request& asked);
   // Starts one round of the exchange, which may have to spread news.
   void ask_peers(bool news);
@@ -72,6 +76,7 @@
   std::optional<made_report> made_;
   bool hurried_ = false;
   std::set<std::string> fetches_; // under way, by what they fetch
+  std::optional<mono_time> crashes_differ_since_;
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -22,7 +22,6 @@
 // The kind under which the daemons enter themselves.
 constexpr std::string_view daemon_kind = "gateway-daemons";
 
-constexpr milliseconds call_timeout{1'200};
 // A watch for the configuration answers at once when there is a new one; so long it waits for one.
 // That of a lead is short enough that one which hangs in a silent connection is noticed well within
 // the time in which a configuration must be in force. The others may hang longer: peers tell them.
@@ -79,41 +78,11 @@
   state_.endpoints.hold_removals_until(std::chrono::steady_clock::now() + lapse_hold);
 }
 
-asio::awaitable<store_sync::listing> store_sync::list(std::string_view kind, adapter::list_age age)
-{
-  listing out;
-  std::string after;
-  for (;;) {
-    auto message = adapter::list_call(kind, after, age);
-    const auto reply = co_await store_.call(std::move(message), "list", call_timeout);
-    if (reply.result != adapter::store_result::done) {
-      co_return out;
-    }
-    try {
-      auto page = adapter::decode_list(reply.body);
-      // Changes between two pages are found again by watching from the first page's revision.
-      out.revision = after.empty() ? page.revision : out.revision;
-      note_nameless(page.nameless, kind);
-      for (auto& item : page.items) {
-        after = item.name;
-        out.items.push_back(std::move(item));
-      }
-      if (!page.has_more || page.items.empty()) {
-        out.whole = true;
-        co_return out;
-      }
-    } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "store answer unreadable",
-                       {{"kind", std::string(kind)}, {"reason", e.what()}});
-      co_return out;
-    }
-  }
-}
-
 asio::awaitable<void> store_sync::follow_configuration()
 {
   for (unsigned failures = 0;;) {
-    const auto all = co_await list(adapter::configuration_kind, adapter::list_age::current);
+    const auto all = co_await list_objects(store_, state_, adapter::configuration_kind,
+                                           adapter::list_age::current);
     for (const auto& item : all.items) {
       if (item.name == adapter::configuration_name) {
         state_.offer_configuration(item.spec, "list");
@@ -138,7 +107,7 @@
   }
   try {
     change_reading out{.result = reply.result, .page = adapter::decode_changes(reply.body)};
-    note_nameless(out.page.nameless, kind);
+    note_nameless(state_, kind, out.page.nameless);
     co_return out;
   } catch (const adapter::format_error& e) {
     state_.log.write(daemon::log_level::error, "store answer unreadable",
@@ -184,7 +153,8 @@
 {
   for (unsigned failures = 0;;) {
     const auto asked_at = std::chrono::steady_clock::now();
-    const auto all = co_await list(adapter::endpoint_kind, adapter::list_age::current);
+    const auto all =
+        co_await list_objects(store_, state_, adapter::endpoint_kind, adapter::list_age::current);
     if (all.whole) {
       failures = 0;
       take_endpoints(all);
@@ -267,16 +237,6 @@
   }
 }
 
-void store_sync::note_nameless(std::size_t number, std::string_view kind)
-{
-  if (number == 0) {
-    return;
-  }
-  state_.counters.count("store_objects_unreadable", {{"kind", std::string(kind)}}, number);
-  state_.log.write(daemon::log_level::error, "store objects unreadable",
-                   {{"kind", std::string(kind)}, {"number", std::to_string(number)}});
-}
-
 void store_sync::take_endpoint_change(const adapter::change_page& page, std::size_t i)
 {
   const auto& c = page.changes[i];
@@ -307,7 +267,7 @@
   const boost::json::value entry = {{"address", to_string(state_.options.peers)}};
   const auto& name = state_.options.id.value();
   auto create = adapter::create_call(daemon_kind, name, entry);
-  const auto reply = co_await store_.call(std::move(create), "create", call_timeout);
+  const auto reply = co_await store_.call(std::move(create), "create", store_call_timeout);
   if (reply.result != adapter::store_result::conflict) {
     co_return;
   }
@@ -316,7 +276,7 @@
     const auto present = adapter::decode_object(reply.body);
     if (present.spec != entry) {
       auto replace = adapter::replace_call(daemon_kind, name, entry, present.revision);
-      co_await store_.call(std::move(replace), "replace", call_timeout);
+      co_await store_.call(std::move(replace), "replace", store_call_timeout);
     }
   } catch (const adapter::format_error& e) {
     state_.log.write(daemon::log_level::error, "store answer unreadable",
@@ -328,7 +288,8 @@
 {
   co_await enter();
   for (unsigned failures = 0;;) {
-    const auto all = co_await list(daemon_kind, adapter::list_age::may_be_stale);
+    const auto all =
+        co_await list_objects(store_, state_, daemon_kind, adapter::list_age::may_be_stale);
     for (const auto& item : all.items) {
       try {
         const auto address = boost::json::value_to<std::string>(item.spec.at("address"));
@@ -348,7 +309,7 @@
 asio::awaitable<void> store_sync::withdraw()
 {
   auto message = adapter::remove_call(daemon_kind, state_.options.id.value());
-  co_await store_.call(std::move(message), "remove", call_timeout);
+  co_await store_.call(std::move(message), "remove", store_call_timeout);
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -17,6 +17,7 @@
 
 #include "relay/fleet_state.h"
 #include "relay/store_client.h"
+#include "relay/store_list.h"
 
 namespace wisteriaflow::relay {
 
@@ -32,13 +33,6 @@
   boost::asio::awaitable<void> withdraw();
 
  private:
-  // A list of a whole kind.
-  struct listing {
-    bool whole = false;
-    std::vector<adapter::stored_object> items;
-    std::uint64_t revision = 0;
-  };
-
   boost::asio::awaitable<void> follow_configuration();
   boost::asio::awaitable<void> follow_endpoints();
   boost::asio::awaitable<void> follow_daemons();
@@ -48,7 +42,6 @@
     adapter::change_page page;
   };
 
-  boost::asio::awaitable<listing> list(std::string_view kind, adapter::list_age age);
   boost::asio::awaitable<change_reading> read_changes(std::string_view kind, std::uint64_t revision,
                                                       std::chrono::milliseconds wait);
   // For how long the next watch of the configuration waits.
@@ -64,7 +57,6 @@
   // An endpoint's entry cannot be used: what it named before is withdrawn.
   void reject(const adapter::stored_object& entry, std::uint64_t revision,
               const std::string& reason);
-  void note_nameless(std::size_t number, std::string_view kind);
   void on_store_return();
 
   boost::asio::io_context& context_;
--- /dev/null
+++ b/test/gateway/crash_codec_test.cc
@@ -0,0 +1,34 @@
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/crash_codec.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+const crash_news news{
+    .crashes = {{.process = {.id = endpoint_id("i-1"), .incarnation = 1'700'000'000'123},
+                 .at = from_unix_ms(1'796'000'000'000),
+                 .suspects = {{{.hash = {.high = 1, .low = ~std::uint64_t{0}}},
+                               answer_stage::begun},
+                              {{.hash = {.high = 2, .low = 3}}, answer_stage::not_begun}}}},
+    .answered = {{{.hash = {.high = 5, .low = 6}}, from_unix_ms(1'796'000'000'001)}}};
+
+TEST(CrashCodecTest, ReadsWhatItWrote)
+{
+  const auto text = boost::json::serialize(encode_crash_news(news));
+  EXPECT_EQ(decode_crash_news(boost::json::parse(text)), news);
+}
+
+TEST(CrashCodecTest, RejectsWhatIsNoCrashNews)
+{
+  for (const auto* text : {"null", "[]", "{}", R"({"crashes":[],"answered":[]})",
+                           R"({"crashes":[{"endpoint":"i"}],"answered":{}})",
+                           R"({"crashes":[],"answered":{"x":1}})"}) {
+    EXPECT_THROW(decode_crash_news(boost::json::parse(text)), crash_news_error) << text;
+  }
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -31,7 +31,12 @@
       .endpoints = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
       .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
                  .window = 17,
-                 .counts = {{workspace_id("hotel"), 3}}}}};
+                 .counts = {{workspace_id("hotel"), 3}}}},
+      .crashes = {.crashes = {{.process = {.id = endpoint_id("g"), .incarnation = 8},
+                               .at = from_unix_ms(1'234'500),
+                               .suspects = {{{.hash = {.high = 1, .low = 2}},
+                                             answer_stage::not_begun}}}}},
+      .crash_digest = ~std::uint64_t{0}};
   EXPECT_EQ(decode_peer_report(encode_peer_report(sent)), sent);
 }
 
