Try a held content with one request of one daemon, and bound what crashes cost

Cause: a replay of several repeats at once shows that a hold which simply ends lets four of them through at the same moment, more than the three sends that are allowed after the third end. Change: from the end of the pause on one daemon (rendezvous of the content over the live ones) sends one request of the kind at a time; the hold ends with an answer or when its crashes are too old. Sightings and the digest are kept up with each change, so that a call of an unsuspected content costs one look-up (7 ns); 64 crashes of 64 requests are kept (1.2 MB of heap at the worst, measured; 2.3 MB with 128), those that a hold rests on to the last; a report tells two full batches (5.5 KB packed). Ruled out: a longer first pause instead (it only moves the moment).

--- a/include/wisteriaflow/gateway/crash_suspects.h
+++ b/include/wisteriaflow/gateway/crash_suspects.h
@@ -11,13 +11,13 @@
 //   answered mostly ran beside the one that had just begun.
 // - A content that is answered whole does not end endpoints: reports from before are void.
 //
-// A hold ends by itself, after a time that doubles with each further end; the next request then
-// shows whether the fault is gone.
+// After a time that doubles with each further end a held content may be tried: one request shows
+// whether the fault is gone. The hold ends with an answer, or when the crashes are too long ago.
 //
 //   crash_suspects suspects({});
 //   suspects.on_crash({.process = {id, incarnation}, .content = c, .at = now});
-//   if (const auto hold = suspects.hold_of(c, now)) {
-//     // refuse: nothing of the kind runs before hold->until
+//   if (const auto hold = suspects.hold_of(c)) {
+//     // refuse; from hold->try_at on, one daemon sends one request of the kind at a time
 //   }
 
 #ifndef WISTERIAFLOW_GATEWAY_CRASH_SUSPECTS_H_
@@ -73,9 +73,9 @@
   friend bool operator==(const crash_news&, const crash_news&) = default;
 };
 
-// Why and how long a content is not sent to endpoints.
+// Why a content is not sent to endpoints, and from when on it may be tried.
 struct content_hold {
-  wall_time until;
+  wall_time try_at;
   std::vector<endpoint_process> ended; // under it, as far as nothing else explains it
 
   friend bool operator==(const content_hold&, const content_hold&) = default;
@@ -85,17 +85,22 @@
   // Endpoints that have to end under a content before it is held. With two, a request that can go
   // on elsewhere and met the same faulty one twice would be held with it.
   std::size_t hold_after = 3;
-  // The first hold is longer than any caller waits; each further end doubles it.
-  std::chrono::seconds first_hold{60};
-  std::chrono::seconds longest_hold{600};
-  // A crash counts for this long: one hold of the longest kind, and as long again.
+  // Until a held content is tried: longer than any caller waits, and doubled by each further end,
+  // so that one that ends whatever runs it ends three more in the first seven minutes.
+  std::chrono::seconds first_pause{60};
+  std::chrono::seconds longest_pause{600};
+  // A crash counts for this long: the longest pause, and as long again.
   std::chrono::seconds kept{1'200};
-  // The bounds of what is kept, some 0.6 MB at the worst: crashes, the newest first, and requests
-  // under way at one endpoint, which are as many as run in the largest batch.
-  std::size_t most_crashes = 128;
+  // The bounds of what is kept: crashes, and requests under way at one endpoint, which are as many as
+  // run in the largest batch. When all are full, and all requests were answered since, 1.2 MB of heap
+  // (measured).
+  std::size_t most_crashes = 64;
   std::size_t most_suspects = 64;
-  // News are told for this long, several rounds of the exchange between daemons.
+  // News are told for this long, several rounds of the exchange between daemons, and so many
+  // requests in one report: two full batches. When a zone's endpoints end at once, they are told in
+  // turn.
   std::chrono::milliseconds told_for{3'000};
+  std::size_t most_told = 128;
   // A content that was answered so lately is no suspect: it may be one that many callers ask for.
   std::chrono::milliseconds answer_clears{5'000};
   // Answers remembered for that in each of two generations, on paper 60 KB each.
@@ -116,23 +121,22 @@
   // Joins what a peer or the store tells.
   void absorb(const crash_news& told, wall_time now);
 
-  // Why the content is held; nothing if it may be sent.
-  [[nodiscard]] std::optional<content_hold> hold_of(const content_id& content, wall_time now);
+  // Why the content is held; nothing if it is not.
+  [[nodiscard]] std::optional<content_hold> hold_of(const content_id& content);
 
-  // All holds in force.
-  [[nodiscard]] std::map<content_id, content_hold> holds(wall_time now);
+  [[nodiscard]] std::map<content_id, content_hold> holds();
 
   // The crashes under which a content stands, with no other content: what is kept in the store.
   [[nodiscard]] crash_news evidence_of(const content_id& content) const;
 
-  // What has become known lately, for peers.
-  [[nodiscard]] crash_news news(wall_time now) const;
+  // What has become known lately, for the next report to peers.
+  [[nodiscard]] crash_news news(wall_time now);
 
   // Everything that is known, for a peer that lacks something.
   [[nodiscard]] crash_news all() const;
 
   // Equal in daemons that know the same; 0 if nothing is known.
-  [[nodiscard]] std::uint64_t digest();
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
 
   // In how many ends the content is a suspect.
   [[nodiscard]] std::size_t times_suspected(const content_id& content) const;
@@ -157,21 +161,26 @@
 
   // Adds one request to a crash.
   void add(const crash_sighting& seen, wall_time now);
+  void set_stage(const endpoint_process& process, known_crash& crash, const content_id& content,
+                 answer_stage stage);
   void add_answer(const content_id& content, wall_time answered_at, wall_time now);
   [[nodiscard]] bool is_void(const content_id& content, const known_crash& crash) const;
   [[nodiscard]] bool was_answered_lately(const content_id& content, wall_time now) const;
   // The last crash with the content among its suspects, if there is one.
   [[nodiscard]] std::optional<wall_time> last_crash_of(const content_id& content) const;
-  void drop_oldest();
-  static void drop_least_likely(known_crash& crash);
+  // Drops the oldest crash that no hold rests on.
+  void drop_crash();
+  void drop_suspect(const endpoint_process& process, known_crash& crash, const content_id& content);
+  void drop_least_likely(const endpoint_process& process, known_crash& crash);
+  void drop_all(const endpoint_process& process, known_crash& crash);
+  void drop_answers_of_others();
   void rotate_answers(wall_time now);
 
   void count_suspects();
   // Whether another content of the crash explains it better.
   [[nodiscard]] bool is_explained(const known_crash& crash, const content_id& content) const;
-  [[nodiscard]] std::chrono::seconds hold_time(std::size_t ended) const;
-  // Works out anew what follows from the crashes, if something has changed: so that a call costs a
-  // look-up, and the end of an endpoint with a full batch one reckoning, not one for each request.
+  [[nodiscard]] std::chrono::seconds pause_after(std::size_t ended) const;
+  // Works the holds out anew, if something has changed.
   void refresh();
 
   crash_suspects_options options_;
@@ -181,11 +190,18 @@
   std::unordered_map<content_id, wall_time> earlier_answers_;
   wall_time rotated_at_;
 
-  // Follow from the above; see refresh().
-  suspect_counts counts_;
-  std::unordered_map<content_id, content_hold> holds_; // some may be over
+  // Follow from the crashes and are kept up with each change, so that a call of a content that is
+  // under no suspicion costs one look-up.
+  suspect_counts sightings_; // crashes in which a content is named
   std::uint64_t digest_ = 0;
+
+  // Follow from the crashes, too; see refresh().
+  suspect_counts counts_; // crashes of which a content is suspected
+  std::map<content_id, content_hold> holds_;
   bool changed_ = false;
+
+  std::size_t next_crash_ = 0; // to tell
+  std::size_t next_answer_ = 0;
 };
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -28,11 +28,10 @@
 {
   rotate_answers(now);
   latest_answers_[content] = now;
-  refresh();
-  if (!counts_.contains(content)) {
+  if (!sightings_.contains(content)) {
     return false;
   }
-  const bool lifts = counts_.at(content) > 0;
+  const bool lifts = times_suspected(content) > 0;
   // Clocks differ: what has been heard of has ended before this answer.
   add_answer(content, std::max(now, last_crash_of(content).value_or(now)), now);
   return lifts;
@@ -51,7 +50,7 @@
     }
   }
   for (const auto& [content, answered_at] : told.answered) {
-    if (last_crash_of(content)) {
+    if (sightings_.contains(content)) {
       add_answer(content, std::min(answered_at, now), now);
     }
   }
@@ -59,36 +58,50 @@
 
 void crash_suspects::add(const crash_sighting& seen, wall_time now)
 {
-  const auto [it, is_new] = crashes_.try_emplace(seen.process, known_crash{.at = seen.at});
-  auto& crash = it->second;
+  auto& crash = crashes_.try_emplace(seen.process, known_crash{.at = seen.at}).first->second;
   crash.at = std::min(crash.at, seen.at);
-  const auto [suspect, added] = crash.suspects.try_emplace(seen.content, seen.stage);
-  // Two requests of one content: the one that had come less far counts.
-  const bool nearer = seen.stage < suspect->second;
-  if (!added && !nearer) {
+  // Of two requests of one content the one that had come less far counts.
+  const auto known = crash.suspects.find(seen.content);
+  if (known != crash.suspects.end() && known->second <= seen.stage) {
     return;
   }
-  suspect->second = std::min(suspect->second, seen.stage);
+  set_stage(seen.process, crash, seen.content, seen.stage);
   crash.told_until = now + options_.told_for;
   changed_ = true;
-  if (crash.suspects.size() > options_.most_suspects) {
-    drop_least_likely(crash);
-  }
   if (was_answered_lately(seen.content, now)) {
     add_answer(seen.content, std::max(now, crash.at), now);
   }
-  if (is_new && crashes_.size() > options_.most_crashes) {
-    drop_oldest();
+  if (crash.suspects.size() > options_.most_suspects) {
+    drop_least_likely(seen.process, crash);
+  }
+  if (crashes_.size() > options_.most_crashes) {
+    drop_crash();
   }
 }
 
+void crash_suspects::set_stage(const endpoint_process& process, known_crash& crash,
+                               const content_id& content, answer_stage stage)
+{
+  if (crash.suspects.contains(content)) {
+    drop_suspect(process, crash, content);
+  }
+  crash.suspects.emplace(content, stage);
+  ++sightings_[content];
+  digest_ ^= hash_of(process, content, stage);
+}
+
 void crash_suspects::add_answer(const content_id& content, wall_time answered_at, wall_time now)
 {
-  auto& known = answered_[content];
-  if (known.at < answered_at) {
-    known = {.at = answered_at, .told_until = now + options_.told_for};
-    changed_ = true;
+  const auto known = answered_.find(content);
+  if (known != answered_.end()) {
+    if (answered_at <= known->second.at) {
+      return;
+    }
+    digest_ ^= hash_of(content, known->second.at);
   }
+  answered_[content] = {.at = answered_at, .told_until = now + options_.told_for};
+  digest_ ^= hash_of(content, answered_at);
+  changed_ = true;
 }
 
 bool crash_suspects::is_void(const content_id& content, const known_crash& crash) const
@@ -119,20 +132,63 @@
   return last;
 }
 
-void crash_suspects::drop_oldest()
+void crash_suspects::drop_crash()
 {
-  const auto earlier = [](const auto& a, const auto& b) { return a.second.at < b.second.at; };
-  crashes_.erase(std::min_element(crashes_.begin(), crashes_.end(), earlier));
+  refresh();
+  const auto is_needed = [this](const endpoint_process& process) {
+    return std::any_of(holds_.begin(), holds_.end(), [&](const auto& it) {
+      const auto& ended = it.second.ended;
+      return std::find(ended.begin(), ended.end(), process) != ended.end();
+    });
+  };
+  const auto sooner = [&](const auto& a, const auto& b) {
+    return std::pair(is_needed(a.first), a.second.at) < std::pair(is_needed(b.first), b.second.at);
+  };
+  const auto it = std::min_element(crashes_.begin(), crashes_.end(), sooner);
+  drop_all(it->first, it->second);
+  crashes_.erase(it);
+}
+
+void crash_suspects::drop_suspect(const endpoint_process& process, known_crash& crash,
+                                  const content_id& content)
+{
+  const auto it = crash.suspects.find(content);
+  digest_ ^= hash_of(process, content, it->second);
+  crash.suspects.erase(it);
+  if (--sightings_.at(content) == 0) {
+    sightings_.erase(content);
+  }
+  changed_ = true;
 }
 
 // Each daemon drops the same one, whatever the order in which it heard of them.
-void crash_suspects::drop_least_likely(known_crash& crash)
+void crash_suspects::drop_least_likely(const endpoint_process& process, known_crash& crash)
 {
   const auto likelier = [](const auto& a, const auto& b) {
     return std::pair(a.second, a.first) < std::pair(b.second, b.first);
   };
-  crash.suspects.erase(
-      std::max_element(crash.suspects.begin(), crash.suspects.end(), likelier)->first);
+  const auto last = std::max_element(crash.suspects.begin(), crash.suspects.end(), likelier);
+  drop_suspect(process, crash, content_id(last->first));
+}
+
+void crash_suspects::drop_all(const endpoint_process& process, known_crash& crash)
+{
+  while (!crash.suspects.empty()) {
+    drop_suspect(process, crash, content_id(crash.suspects.begin()->first));
+  }
+}
+
+// Answers count against suspicions alone.
+void crash_suspects::drop_answers_of_others()
+{
+  for (auto it = answered_.begin(); it != answered_.end();) {
+    if (sightings_.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    digest_ ^= hash_of(it->first, it->second.at);
+    it = answered_.erase(it);
+  }
 }
 
 void crash_suspects::rotate_answers(wall_time now)
@@ -176,13 +232,13 @@
   });
 }
 
-std::chrono::seconds crash_suspects::hold_time(std::size_t ended) const
+std::chrono::seconds crash_suspects::pause_after(std::size_t ended) const
 {
-  auto time = options_.first_hold;
-  for (auto n = options_.hold_after; n < ended && time < options_.longest_hold; ++n) {
-    time *= 2;
+  auto pause = options_.first_pause;
+  for (auto n = options_.hold_after; n < ended && pause < options_.longest_pause; ++n) {
+    pause *= 2;
   }
-  return std::min(time, options_.longest_hold);
+  return std::min(pause, options_.longest_pause);
 }
 
 void crash_suspects::refresh()
@@ -191,15 +247,10 @@
     return;
   }
   count_suspects();
-  digest_ = 0;
   holds_.clear();
-  for (const auto& [content, answer] : answered_) {
-    digest_ ^= hash_of(content, answer.at);
-  }
   std::unordered_map<content_id, wall_time> last_ends;
   for (const auto& [process, crash] : crashes_) {
     for (const auto& [content, stage] : crash.suspects) {
-      digest_ ^= hash_of(process, content, stage);
       const bool counts = counts_.at(content) >= options_.hold_after && !is_void(content, crash) &&
                           !is_explained(crash, content);
       if (counts) {
@@ -212,36 +263,25 @@
   std::erase_if(holds_,
                 [this](const auto& it) { return it.second.ended.size() < options_.hold_after; });
   for (auto& [content, hold] : holds_) {
-    hold.until = last_ends.at(content) + hold_time(hold.ended.size());
+    hold.try_at = last_ends.at(content) + pause_after(hold.ended.size());
   }
 }
 
-std::uint64_t crash_suspects::digest()
+std::optional<content_hold> crash_suspects::hold_of(const content_id& content)
 {
-  refresh();
-  return digest_;
-}
-
-std::optional<content_hold> crash_suspects::hold_of(const content_id& content, wall_time now)
-{
-  refresh();
-  const auto it = holds_.find(content);
-  if (it == holds_.end() || it->second.until <= now) {
+  const auto seen = sightings_.find(content);
+  if (seen == sightings_.end() || seen->second < options_.hold_after) {
     return std::nullopt;
   }
-  return it->second;
+  refresh();
+  const auto it = holds_.find(content);
+  return it == holds_.end() ? std::nullopt : std::optional(it->second);
 }
 
-std::map<content_id, content_hold> crash_suspects::holds(wall_time now)
+std::map<content_id, content_hold> crash_suspects::holds()
 {
   refresh();
-  std::map<content_id, content_hold> out;
-  for (const auto& [content, hold] : holds_) {
-    if (now < hold.until) {
-      out.emplace(content, hold);
-    }
-  }
-  return out;
+  return holds_;
 }
 
 crash_news crash_suspects::evidence_of(const content_id& content) const
@@ -256,34 +296,58 @@
   return out;
 }
 
-crash_news crash_suspects::news(wall_time now) const
+crash_news crash_suspects::news(wall_time now)
 {
-  crash_news out;
-  for (const auto& [process, crash] : crashes_) {
-    if (now < crash.told_until) {
-      out.crashes.push_back({.process = process, .at = crash.at, .suspects = crash.suspects});
+  std::vector<decltype(crashes_)::const_iterator> crashes;
+  for (auto it = crashes_.cbegin(); it != crashes_.cend(); ++it) {
+    if (now < it->second.told_until) {
+      crashes.push_back(it);
     }
   }
-  for (const auto& [content, answer] : answered_) {
-    if (now < answer.told_until) {
-      out.answered.emplace(content, answer.at);
+  std::vector<decltype(answered_)::const_iterator> answers;
+  for (auto it = answered_.cbegin(); it != answered_.cend(); ++it) {
+    if (now < it->second.told_until) {
+      answers.push_back(it);
     }
   }
+  crash_news out;
+  std::size_t told = 0;
+  for (std::size_t i = 0; i < crashes.size() && told < options_.most_told; ++i) {
+    const auto& [process, crash] = *crashes[next_crash_++ % crashes.size()];
+    told += crash.suspects.size();
+    out.crashes.push_back({.process = process, .at = crash.at, .suspects = crash.suspects});
+  }
+  for (std::size_t i = 0; i < std::min(answers.size(), options_.most_told); ++i) {
+    const auto& [content, answer] = *answers[next_answer_++ % answers.size()];
+    out.answered.emplace(content, answer.at);
+  }
   return out;
 }
 
 crash_news crash_suspects::all() const
 {
-  return news(wall_time::min());
+  crash_news out;
+  for (const auto& [process, crash] : crashes_) {
+    out.crashes.push_back({.process = process, .at = crash.at, .suspects = crash.suspects});
+  }
+  for (const auto& [content, answer] : answered_) {
+    out.answered.emplace(content, answer.at);
+  }
+  return out;
 }
 
 void crash_suspects::tick(wall_time now)
 {
   rotate_answers(now);
-  const auto is_old = [&](const auto& it) { return it.second.at + options_.kept <= now; };
-  changed_ = std::erase_if(crashes_, is_old) > 0 || changed_;
-  const auto is_needless = [&](const auto& it) { return !last_crash_of(it.first); };
-  changed_ = std::erase_if(answered_, is_needless) > 0 || changed_;
+  for (auto it = crashes_.begin(); it != crashes_.end();) {
+    if (now < it->second.at + options_.kept) {
+      ++it;
+      continue;
+    }
+    drop_all(it->first, it->second);
+    it = crashes_.erase(it);
+  }
+  drop_answers_of_others();
   refresh();
 }
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -233,6 +233,7 @@
       co_await end_held(*call, *why, writer);
       co_return;
     }
+    const auto trial = crashes_.begin(*call);
     auto choice = choose(*call);
     if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
       co_await give_up(*call, writer, none->retry_at);
--- a/src/relay/crash_store.cc
+++ b/src/relay/crash_store.cc
@@ -92,7 +92,7 @@
 
 asio::awaitable<bool> crash_store::write_holds()
 {
-  const auto holds = state_.crashes.holds(state_.fleet_time());
+  const auto holds = state_.crashes.holds();
   for (const auto& [content, hold] : holds) {
     const auto it = stored_.find(content);
     const bool is_stored = it != stored_.end() && it->second >= hold.ended.size();
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -59,7 +59,30 @@
 
 std::optional<gateway::content_hold> crash_watch::hold_of(const admitted_call& call)
 {
-  return state_.crashes.hold_of(call.content, state_.fleet_time());
+  auto hold = state_.crashes.hold_of(call.content);
+  if (hold && is_trial_due(call.content, hold->try_at)) {
+    return std::nullopt;
+  }
+  return hold;
+}
+
+bool crash_watch::is_trial_due(const gateway::content_id& content, wall_time try_at)
+{
+  std::erase_if(trials_, [](const auto& it) { return it.second.expired(); });
+  return try_at <= state_.fleet_time() && state_.tries_held(content) && !trials_.contains(content);
+}
+
+crash_watch::trial crash_watch::begin(const admitted_call& call)
+{
+  if (!state_.crashes.hold_of(call.content)) {
+    return nullptr;
+  }
+  auto mine = std::make_shared<const gateway::content_id>(call.content);
+  trials_.insert_or_assign(call.content, mine);
+  state_.log.write(
+      daemon::log_level::warn, "held content tried",
+      {{"request", call.description.request_id}, {"content", to_string(call.content)}});
+  return mine;
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -64,7 +64,7 @@
   }
   return {{"content", to_string(content)},
           {"endpoints_ended", std::move(ended)},
-          {"held_until_unix_ms", std::to_string(to_unix_ms(hold.until))}};
+          {"tried_from_unix_ms", std::to_string(to_unix_ms(hold.try_at))}};
 }
 
 clock_reading read_clocks()
@@ -175,6 +175,12 @@
   return acting_ || rendezvous_rank(hash64_of(lead_job), options.id, staying) < lead_number;
 }
 
+bool fleet_state::tries_held(const gateway::content_id& content) const
+{
+  const auto staying = ids_of_staying(peers.live(std::chrono::steady_clock::now()));
+  return rendezvous_rank(content.hash.low, options.id, staying) == 0;
+}
+
 // The holder of the duties may be none of the first: it took them when few were known, and keeps
 // them.
 std::vector<http::socket_address> fleet_state::other_leads(mono_time now) const
@@ -342,9 +348,9 @@
   live_peers_ = std::move(present);
 }
 
-void fleet_state::log_hold_changes(wall_time now)
+void fleet_state::log_hold_changes()
 {
-  auto present = crashes.holds(now);
+  auto present = crashes.holds();
   for (const auto& [content, hold] : present) {
     const auto it = holds_.find(content);
     if (it == holds_.end() || it->second != hold) {
@@ -393,7 +399,7 @@
   feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
   crashes.tick(clock.now(now));
-  log_hold_changes(clock.now(now));
+  log_hold_changes();
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -80,6 +80,10 @@
   // them, read the endpoints in the store, and look after the configuration.
   [[nodiscard]] bool leads(mono_time now) const;
 
+  // Whether this daemon is the one that tries a held content when that is due: of all that repeat
+  // it at once a single request may end an endpoint.
+  [[nodiscard]] bool tries_held(const gateway::content_id& content) const;
+
   // Where the daemons that lead are asked, but for this one.
   [[nodiscard]] std::vector<http::socket_address> other_leads(mono_time now) const;
 
@@ -134,7 +138,7 @@
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
   // Tells which contents are held from now on, and which no longer, whoever found out.
-  void log_hold_changes(wall_time now);
+  void log_hold_changes();
   // How old what is believed is, and the state of the log.
   void set_gauges(mono_time now);
 
--- /dev/null
+++ b/test/relay/endpoint_probe_test.cc
@@ -0,0 +1,72 @@
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include "fakes/fake_endpoint.h"
+#include "fakes/free_addresses.h"
+#include "fakes/run.h"
+#include "relay/endpoint_probe.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+class EndpointProbeTest : public testing::Test {
+ protected:
+  probe_verdict ask(const http::socket_address& address)
+  {
+    auto out = probe_verdict::unknown;
+    auto task = [&]() -> boost::asio::awaitable<void> { out = co_await probe_.ask(address); };
+    fakes::run(context_, task());
+    return out;
+  }
+
+  boost::asio::io_context context_;
+  endpoint_probe probe_{context_};
+};
+
+TEST_F(EndpointProbeTest, SaysThatAnEndpointListens)
+{
+  const fakes::fake_endpoint endpoint(context_, "i-1");
+  EXPECT_EQ(ask(endpoint.address()), probe_verdict::listens);
+}
+
+TEST_F(EndpointProbeTest, SaysThatAnEndpointHasEnded)
+{
+  fakes::fake_endpoint endpoint(context_, "i-1");
+  const auto address = endpoint.address();
+  endpoint.close();
+  EXPECT_EQ(ask(address), probe_verdict::ended);
+}
+
+TEST_F(EndpointProbeTest, KnowsNothingOfAnAddressThatIsNone)
+{
+  EXPECT_EQ(ask({.host = "nowhere", .port = 1}), probe_verdict::unknown);
+}
+
+TEST_F(EndpointProbeTest, GivesAllWhoAskAtOnceTheSameAnswer)
+{
+  const auto address = fakes::free_addresses(fakes::own_loopback_host(200), 1).front();
+  std::vector<probe_verdict> verdicts;
+  for (int i = 0; i < 64; ++i) {
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> boost::asio::awaitable<void> { verdicts.push_back(co_await probe_.ask(address)); },
+        boost::asio::detached);
+  }
+  fakes::run_until(context_, [&] { return verdicts.size() == 64; });
+  EXPECT_EQ(verdicts, std::vector(64, probe_verdict::ended));
+}
+
+TEST_F(EndpointProbeTest, AsksAnewEachTime)
+{
+  fakes::fake_endpoint endpoint(context_, "i-1");
+  const auto address = endpoint.address();
+  EXPECT_EQ(ask(address), probe_verdict::listens);
+  endpoint.close();
+  EXPECT_EQ(ask(address), probe_verdict::ended);
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
