Let a request end endpoints in the gateway's soak, and say what a probe came to

The soak has a caller now whose request ends the endpoint that runs it, and checks both sides: sent three times at the most after the third end, by daemons that were undisturbed for three seconds; and no more than one in 500 of the other calls, and five, refused as if they did so. Its other calls have four contents in all and run at endpoints that crash, which is the hardest case for the second check. Traced: the daemons were started with the descriptors of the test's own process, so that the listener of an endpoint that had ended went on listening in them, and the probe said so; only endpoints that were added after the last daemon had started were seen to end. Processes of tests are now started without. What a probe came to, if not an end, is in the log and in a counter, which is what traced it.

--- a/include/wisteriaflow/gateway/crash_suspects.h
+++ b/include/wisteriaflow/gateway/crash_suspects.h
@@ -91,9 +91,9 @@
   std::chrono::seconds longest_pause{600};
   // A crash counts for this long: the longest pause, and as long again.
   std::chrono::seconds kept{1'200};
-  // The bounds of what is kept: crashes, and requests under way at one endpoint, which are as many as
-  // run in the largest batch. When all are full, and all requests were answered since, 1.2 MB of heap
-  // (measured).
+  // The bounds of what is kept: crashes, and requests under way at one endpoint, which are as many
+  // as run in the largest batch. When all are full, and all requests were answered since, 1.2 MB of
+  // heap (measured).
   std::size_t most_crashes = 64;
   std::size_t most_suspects = 64;
   // News are told for this long, several rounds of the exchange between daemons, and so many
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -24,9 +24,15 @@
     co_return;
   }
   const auto verdict = co_await probe_.ask(result.address);
+  state_.counters.count("endpoint_probes", {{"verdict", std::string(to_string(verdict))}});
   if (verdict == probe_verdict::ended) {
     note_end(call, result);
+    co_return;
   }
+  state_.log.write(daemon::log_level::info, "endpoint has not ended",
+                   {{"request", call.description.request_id},
+                    {"endpoint", result.endpoint.id.value()},
+                    {"verdict", std::string(to_string(verdict))}});
 }
 
 void crash_watch::note_answer(const admitted_call& call)
--- a/src/relay/endpoint_probe.cc
+++ b/src/relay/endpoint_probe.cc
@@ -24,6 +24,19 @@
 
 } // namespace
 
+std::string_view to_string(probe_verdict verdict)
+{
+  switch (verdict) {
+  case probe_verdict::listens:
+    return "listens";
+  case probe_verdict::ended:
+    return "ended";
+  case probe_verdict::unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 asio::awaitable<probe_verdict> endpoint_probe::ask(http::socket_address address)
 {
   const auto it = open_.find(address);
--- a/src/relay/endpoint_probe.h
+++ b/src/relay/endpoint_probe.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,8 @@
   unknown, // no word in time: the way may be cut, or the instance has lost power
 };
 
+[[nodiscard]] std::string_view to_string(probe_verdict verdict);
+
 // Not thread-safe.
 class endpoint_probe {
  public:
--- a/test/gateway_system/counting_endpoint.cc
+++ b/test/gateway_system/counting_endpoint.cc
@@ -64,6 +64,10 @@
     co_return;
   }
   ++runs_[request];
+  if (r.path == deadly_path) {
+    on_deadly();
+    co_return;
+  }
   if (now == misbehaviour::stalls) {
     co_await pause(stall_time);
     co_return;
--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -1,10 +1,11 @@
-// An endpoint of the platform that remembers what it ran, and misbehaves for a part of its
-// requests.
+// An endpoint of the platform that remembers what it ran, misbehaves for a part of its requests,
+// and ends under one kind of them.
 
 #ifndef WISTERIAFLOW_TEST_GATEWAY_SYSTEM_COUNTING_ENDPOINT_H_
 #define WISTERIAFLOW_TEST_GATEWAY_SYSTEM_COUNTING_ENDPOINT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -26,6 +27,9 @@
   is_slow, // answers half a second later
 };
 
+// A request to this path ends the endpoint that begins to run it.
+inline constexpr const char* deadly_path = "/unsafe/deadly";
+
 // The body that `endpoint` answers to the request `id`.
 [[nodiscard]] std::string whole_body(const std::string& endpoint, const std::string& id);
 
@@ -48,6 +52,9 @@
   // Requests that came, run or not, after `since`.
   [[nodiscard]] int received_after(mono_time since) const;
 
+  // Called when a request to `deadly_path` begins to run, to end this endpoint.
+  std::function<void()> on_deadly = [] {};
+
   // Half of the requests meet `kind` from now on.
   void misbehave(misbehaviour kind) { misbehaviour_ = kind; }
 
--- a/test/gateway_system/fault_proxy.cc
+++ b/test/gateway_system/fault_proxy.cc
@@ -75,6 +75,13 @@
   return {.host = bound.address().to_string(), .port = bound.port()};
 }
 
+void fault_proxy::close()
+{
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+  reset_connections();
+}
+
 void fault_proxy::reset_connections()
 {
   for (const auto& each : connections_) {
--- a/test/gateway_system/fault_proxy.h
+++ b/test/gateway_system/fault_proxy.h
@@ -42,6 +42,9 @@
   // Resets every open connection.
   void reset_connections();
 
+  // The same, and refuses new ones, as when the process behind it has ended.
+  void close();
+
  private:
   struct connection;
 
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -128,6 +128,12 @@
   return *retired_.back().endpoint;
 }
 
+void gateway_fleet::crash(const std::string& id)
+{
+  retire(id).close();
+  retired_.back().way->close();
+}
+
 std::vector<const counting_endpoint*> gateway_fleet::all_endpoints() const
 {
   std::vector<const counting_endpoint*> out;
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -79,6 +79,9 @@
   [[nodiscard]] std::vector<const counting_endpoint*> all_endpoints() const;
   // Takes the endpoint out of those that faults are made at; it goes on until it is closed.
   counting_endpoint& retire(const std::string& id);
+  // Ends the endpoint's process: its connections are reset and new ones refused. Its entry in the
+  // store stays.
+  void crash(const std::string& id);
 
  private:
   [[nodiscard]] std::string settings_of(const gateway_process& d,
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -54,7 +54,7 @@
       : context_(context), random_(seed), fleet_(context), calls_(context, fleet_, random_())
   {
     for (int i = 0; i < endpoints_at_start; ++i) {
-      fleet_.add_endpoint();
+      add_endpoint();
     }
     for (int i = 0; i < daemons_at_start; ++i) {
       fleet_.start_daemon();
@@ -68,6 +68,7 @@
       asio::co_spawn(context_, calls_.call_until_stopped(), asio::detached);
     }
     asio::co_spawn(context_, calls_.watch_configuration(), asio::detached);
+    asio::co_spawn(context_, calls_.call_deadly_until_stopped(), asio::detached);
     const auto end = steady_clock::now() + time;
     while (steady_clock::now() < end) {
       make_fault();
@@ -224,7 +225,7 @@
   asio::awaitable<void> let_endpoint_leave()
   {
     const auto id = draw_endpoint();
-    fleet_.add_endpoint();
+    add_endpoint();
     fleet_.write_endpoint(fleet_.endpoints().at(id), "draining");
     const auto told_at = steady_clock::now();
     auto& leaving = fleet_.retire(id);
@@ -237,15 +238,28 @@
     leaving.close();
   }
 
-  asio::awaitable<void> crash_endpoint()
+  asio::awaitable<void> crash_endpoint() { co_await replace_crashed(draw_endpoint()); }
+
+  asio::awaitable<void> replace_crashed(std::string id)
   {
-    const auto id = draw_endpoint();
-    fleet_.retire(id).close();
-    fleet_.add_endpoint();
+    fleet_.crash(id);
+    add_endpoint();
     co_await sleep(draw_time());
     fleet_.store().erase("servers", id);
   }
 
+  // Adds an endpoint that ends, and is replaced, under the request that is meant for it.
+  void add_endpoint()
+  {
+    auto& endpoint = *fleet_.add_endpoint().endpoint;
+    endpoint.on_deadly = [this, id = endpoint.id()] {
+      if (fleet_.endpoints().contains(id)) {
+        tell(id + " ends under a request");
+        asio::co_spawn(context_, replace_crashed(id), asio::detached);
+      }
+    };
+  }
+
   asio::awaitable<void> let_endpoint_misbehave()
   {
     constexpr std::array<misbehaviour, 5> kinds = {misbehaviour::sheds, misbehaviour::fails,
--- a/test/gateway_system/soak_calls.cc
+++ b/test/gateway_system/soak_calls.cc
@@ -24,6 +24,14 @@
 constexpr milliseconds address_validity{1'000};
 constexpr milliseconds pause_between_calls{15};
 constexpr milliseconds pause_between_looks{40};
+// Every daemon that is not disturbed knows within this of an endpoint's end.
+constexpr milliseconds time_to_know{3'000};
+// The request that ends endpoints may be sent so often after the third, and one in 500 of the other
+// calls, and five, refused for their content.
+constexpr std::size_t ends_before_hold = 3;
+constexpr std::size_t tolerated_sends = 3;
+constexpr std::size_t tolerated_refusals = 5;
+constexpr std::size_t calls_a_refusal = 500;
 
 // These promise that the request has not run and never will.
 bool promises_not_run(int status)
@@ -76,7 +84,8 @@
       .fields = {{"Host", gateway_fleet::host},
                  {"Request-Id", call.id},
                  {"Api-Key", "k1"},
-                 {"Deadline-Ms", std::to_string(gateway_fleet::route_timeout.count())}}};
+                 {"Deadline-Ms", std::to_string(gateway_fleet::route_timeout.count())}},
+      .body = call.body};
   http::stream_observer observer;
   observer.on_head = [&call](const http::response& head) { call.answer = head; };
   observer.on_bytes = [&call](std::string_view bytes) { call.answer.body += bytes; };
@@ -109,6 +118,25 @@
   --active_;
 }
 
+asio::awaitable<void> soak_calls::call_deadly_until_stopped()
+{
+  ++active_;
+  while (!stopped_) {
+    co_await sleep(context_, milliseconds(300 + random_() % 1'200));
+    const auto* d = draw_daemon();
+    if (d == nullptr) {
+      continue;
+    }
+    seen_call call{.route = "unsafe", .body = "the one that ends endpoints"};
+    co_await call_once(*d, call, deadly_path);
+    const bool informed = d->is_calm_since(call.started_at - time_to_know);
+    deadly_calls_.push_back(
+        {.id = call.id, .sent_at = call.started_at, .by_informed_daemon = informed});
+    ++result_.outcomes["deadly " + std::to_string(call.answer.status)];
+  }
+  --active_;
+}
+
 asio::awaitable<void> soak_calls::watch_configuration()
 {
   ++active_;
@@ -142,6 +170,7 @@
 {
   const auto status = call.answer.status;
   ++result_.outcomes[status == 0 ? "no answer" : call.whole ? std::to_string(status) : "cut short"];
+  refused_for_content_ += status == http::status::bad_request ? 1 : 0;
   if (status != 0 && call.whole) {
     judge_answer(call);
   } else if (status == 0) {
@@ -200,11 +229,35 @@
   }
 }
 
+void soak_calls::judge_holds()
+{
+  std::size_t ended = 0;
+  std::size_t sent_late = 0;
+  mono_time third_at;
+  for (const auto& call : deadly_calls_) { // in the order in which they were sent
+    if (runs_of(call.id) == 0) {
+      continue;
+    }
+    const bool late = ended >= ends_before_hold && third_at + time_to_know < call.sent_at;
+    sent_late += late && call.by_informed_daemon ? 1 : 0;
+    third_at = ++ended == ends_before_hold ? call.sent_at : third_at;
+  }
+  result_.outcomes["endpoints ended by requests"] = ended;
+  if (sent_late > tolerated_sends) {
+    fail("a request under which three endpoints had ended was sent " + std::to_string(sent_late) +
+         " times more");
+  }
+  if (refused_for_content_ > tolerated_refusals + calls_.size() / calls_a_refusal) {
+    fail(std::to_string(refused_for_content_) + " calls that end no endpoint were refused as if");
+  }
+}
+
 soak_result soak_calls::conclude()
 {
   for (const auto& call : calls_) {
     judge_runs(call);
   }
+  judge_holds();
   return result_;
 }
 
--- a/test/gateway_system/soak_calls.h
+++ b/test/gateway_system/soak_calls.h
@@ -30,10 +30,19 @@
   std::string route; // safe, unsafe, stream or resumable
   std::string daemon;
   mono_time started_at;
+  std::string body = {};              // of the request
   http::response answer{.status = 0}; // 0: no head came
   bool whole = false;                 // the answer ended properly
 };
 
+// A call of the request that ends endpoints.
+struct deadly_call {
+  std::string id;
+  mono_time sent_at;
+  // Its daemon and the store had been undisturbed for as long as news may take.
+  bool by_informed_daemon = false;
+};
+
 // Not thread-safe.
 class soak_calls {
  public:
@@ -45,6 +54,9 @@
   // One caller that calls, one request after the other, until stop().
   boost::asio::awaitable<void> call_until_stopped();
 
+  // One caller that sends the request that ends endpoints again and again, until stop().
+  boost::asio::awaitable<void> call_deadly_until_stopped();
+
   // Asks daemons for routes of configurations, until stop(): one that served a route knows it ever
   // after.
   boost::asio::awaitable<void> watch_configuration();
@@ -72,6 +84,8 @@
   void judge_answer(const seen_call& call);
   void judge_missing(const seen_call& call);
   void judge_runs(const seen_call& call);
+  // Whether the request that ends endpoints was held, and no other refused for it.
+  void judge_holds();
   [[nodiscard]] int runs_of(const std::string& id) const;
 
   boost::asio::io_context& context_;
@@ -83,6 +97,8 @@
   std::uint64_t last_call_ = 0;
   std::uint64_t newest_version_ = 1;
   std::vector<seen_call> calls_;
+  std::vector<deadly_call> deadly_calls_;
+  std::size_t refused_for_content_ = 0;                   // calls that end no endpoint
   std::set<std::pair<std::string, std::uint64_t>> known_; // daemon and version
   soak_result result_;
 };
--- a/test/relay/crashing_request_test.cc
+++ b/test/relay/crashing_request_test.cc
@@ -350,6 +350,8 @@
     EXPECT_EQ(send_deadly(*gateways_[0]), 502);
   }
   EXPECT_EQ(received(), 8U);
+  EXPECT_NE(metrics_of(*gateways_[0]).find("endpoint_probes_total{verdict=\"listens\"} 8\n"),
+            std::string::npos);
 }
 
 TEST_F(CrashingRequestTest, IsNoneWhereEndpointsWereKnownToLeave)
--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -28,6 +28,9 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, log_mode);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Else a listener of this process that is closed would go on listening in the one that is
+  // started.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   std::vector<char*> argv;
   for (const auto& each : arguments) {
     argv.push_back(const_cast<char*>(each.c_str())); // NOLINT: posix_spawn takes no const
