--- a/test/relay/exchange_replay_test.cc
+++ b/test/relay/exchange_replay_test.cc
@@ -1,6 +1,7 @@
 // Replays the exchange of reports in a fleet of hundreds: the daemons' real state and rounds, on
 // one list of events, without sockets.
 
+#include <algorithm>
 #include <memory>
 #include <queue>
 #include <random>
@@ -84,6 +85,27 @@
     return out;
   }
 
+  // An endpoint ends with one content under way, seen by the daemon, and 63 others.
+  void end_endpoint(replayed_daemon& seen_by, int endpoint_number)
+  {
+    const gateway::endpoint_process process{.id =
+                                                endpoint_id("i" + std::to_string(endpoint_number))};
+    for (std::uint64_t i = 0; i < 64; ++i) {
+      const auto n = i == 0 ? 1 : 1'000 * static_cast<std::uint64_t>(endpoint_number) + i;
+      seen_by.state.crashes.on_crash(
+          {.process = process, .content = {.hash = {.high = n, .low = n}}, .at = clocks().wall});
+    }
+  }
+
+  // Daemons that hold the content.
+  [[nodiscard]] std::size_t holders()
+  {
+    const gateway::content_id content{.hash = {.high = 1, .low = 1}};
+    return static_cast<std::size_t>(std::count_if(daemons_.begin(), daemons_.end(), [&](auto& d) {
+      return d->state.crashes.hold_of(content).has_value();
+    }));
+  }
+
   double loss_ = 0; // part of the exchanges that fail
   std::vector<std::unique_ptr<replayed_daemon>> daemons_;
   mono_time now_{1'000s};
@@ -206,6 +228,18 @@
   }
 }
 
+TEST_F(ExchangeReplayTest, All195DaemonsHoldAContentThreeSecondsAfterTheThirdEndUnderIt)
+{
+  start_fleet(195);
+  run_for(9s);
+  loss_ = 0.05;
+  for (const int n : {1, 2, 3}) {
+    end_endpoint(*daemons_.at(static_cast<std::size_t>(n) * 50), n);
+  }
+  run_for(3s);
+  EXPECT_EQ(holders(), 195U);
+}
+
 TEST_F(ExchangeReplayTest, TheHolderOfTheDutiesHearsAllDaemonsWithinFourSeconds)
 {
   start_fleet(195);
