Move what the log says of calls and holds into modules of their own; show a needless probe

No behaviour changes. A test shows, failing, that the probe of an endpoint is made for calls whose callers have left, too: the daemon cancels the exchange itself, and the error that follows is taken for the endpoint's.

--- /dev/null
+++ b/src/relay/call_log.cc
@@ -0,0 +1,95 @@
+#include "relay/call_log.h"
+
+#include <chrono>
+#include <utility>
+
+#include "messages.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using gateway::attempt_outcome;
+using std::chrono::milliseconds;
+
+void add_reason(log_fields& to, const attempt_result& result)
+{
+  if (!result.reason.empty()) {
+    to.emplace_back("reason", result.reason);
+  }
+}
+
+} // namespace
+
+void call_log::count_answer(const admitted_call& call, const std::string& status)
+{
+  state_.counters.count("answers", {{"route", call.route->name}, {"status", status}});
+}
+
+void call_log::on_answer(const admitted_call& call, int status)
+{
+  count_answer(call, std::to_string(status));
+}
+
+void call_log::on_given_up(const admitted_call& call, const std::string& status,
+                           std::optional<mono_time> open_at, mono_time now)
+{
+  count_answer(call, status);
+  log_fields fields = {{"request", call.description.request_id},
+                       {"content", to_string(call.content)},
+                       {"route", call.route->name},
+                       {"status", status},
+                       {"attempts", std::to_string(call.history.sent)},
+                       {"connect_failures", std::to_string(call.connect_failures)},
+                       {"configuration", std::to_string(call.configuration->version())},
+                       {"serving", std::to_string(state_.endpoints.serving(call.service).size())}};
+  if (open_at) {
+    const auto wait = std::chrono::duration_cast<milliseconds>(*open_at - now);
+    fields.emplace_back("room_in_ms", std::to_string(wait.count()));
+    state_.counters.count("refusals", {{"reason", "deadline unreachable"}});
+  }
+  state_.log.write(daemon::log_level::warn, "call given up", std::move(fields));
+}
+
+void call_log::on_refused(const http::request& received, const call_refusal& why)
+{
+  state_.counters.count("refusals", {{"reason", why.reason}});
+  const auto now = std::chrono::steady_clock::now();
+  log_fields fields = {{"request", adapter::decode_call(received, now).request_id},
+                       {"status", std::to_string(why.status)},
+                       {"reason", why.reason},
+                       {"configuration", std::to_string(state_.configuration_version())}};
+  fields.insert(fields.end(), why.inputs.begin(), why.inputs.end());
+  state_.log.write(daemon::log_level::warn, "call refused", std::move(fields));
+}
+
+void call_log::on_attempt(const admitted_call& call, const attempt_result& result)
+{
+  const bool fine = result.outcome == attempt_outcome::answered;
+  const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - call.received_at);
+  state_.counters.count("attempts", {{"service", call.service}, {"fine", fine ? "yes" : "no"}});
+  log_fields fields = {{"request", call.description.request_id},
+                       {"content", to_string(call.content)},
+                       {"route", call.route->name},
+                       {"workspace", call.workspace.value()},
+                       {"endpoint", result.endpoint.id.value()},
+                       {"attempt", std::to_string(call.history.sent + 1)},
+                       {"since_arrival_ms", std::to_string(elapsed.count())},
+                       {"configuration", std::to_string(call.configuration->version())},
+                       {"status", result.head_came ? std::to_string(result.answer.status) : "none"},
+                       {"silent", result.silent ? "yes" : "no"},
+                       {"events", std::to_string(call.last_event.value_or(0))}};
+  if (result.prefix_source) {
+    fields.emplace_back("prefix_source", to_string(*result.prefix_source));
+  }
+  add_reason(fields, result);
+  if (result.how == attempt_result::end::caller_lost) {
+    state_.log.write(daemon::log_level::info, "caller left", std::move(fields));
+  } else if (fine) {
+    state_.log.write(daemon::log_level::info, "attempt answered", std::move(fields));
+  } else {
+    state_.log.write(daemon::log_level::warn, "attempt failed", std::move(fields));
+  }
+}
+
+} // namespace wisteriaflow::relay
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -32,13 +32,6 @@
 constexpr milliseconds last_stream_start{2'500};
 constexpr milliseconds retry_elsewhere{20};
 
-void add_reason(log_fields& to, const attempt_result& result)
-{
-  if (!result.reason.empty()) {
-    to.emplace_back("reason", result.reason);
-  }
-}
-
 } // namespace
 
 call_relay::call_relay(asio::io_context& context, fleet_state& state, peer_sync& peers)
@@ -49,7 +42,7 @@
                         .unacknowledged_timeout = unacknowledged_timeout,
                         .repeat_stale_get = false,
                         .only_stated_keep_alive = true}),
-      crashes_(context, state), random_(state.seed())
+      crashes_(context, state), log_(state), random_(state.seed())
 {
 }
 
@@ -57,7 +50,7 @@
 {
   ++open_calls_;
   auto decided = admit(received, std::chrono::steady_clock::now());
-  if (const auto* why = std::get_if<refusal>(&decided)) {
+  if (const auto* why = std::get_if<call_refusal>(&decided)) {
     co_await refuse(received, *why, writer);
     --open_calls_;
     co_return;
@@ -74,10 +67,10 @@
   --open_calls_;
 }
 
-asio::awaitable<void> call_relay::refuse(const http::request& received, refusal why,
+asio::awaitable<void> call_relay::refuse(const http::request& received, call_refusal why,
                                          http::response_writer& writer)
 {
-  log_refusal(received, why);
+  log_.on_refused(received, why);
   auto out =
       adapter::refusal(why.status, why.reason, why.retry_at, std::chrono::steady_clock::now());
   try {
@@ -93,11 +86,11 @@
                      .configuration = state_.configuration(),
                      .received_at = now};
   if (!call.configuration || !state_.endpoints.is_known()) {
-    return refusal{http::status::unavailable, "no configuration yet", now + retry_pause};
+    return call_refusal{http::status::unavailable, "no configuration yet", now + retry_pause};
   }
   call.route = call.configuration->match(call.description.host, call.description.path);
   if (call.route == nullptr) {
-    return refusal{http::status::not_found, "no route", std::nullopt};
+    return call_refusal{http::status::not_found, "no route", std::nullopt};
   }
   call.priority = call.route->priority;
   if (auto why = find_workspace(call)) {
@@ -105,7 +98,7 @@
   }
   call.content = gateway::content_of(call.workspace, received);
   if (received.body.size() > call.configuration->declared().max_body_bytes) {
-    return refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
+    return call_refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
   }
   if (auto why = held_refusal(call)) {
     return *why;
@@ -113,7 +106,8 @@
   const auto leaving = state_.leaving_since();
   const bool stream = call.route->kind == gateway::call_kind::stream;
   if (leaving && stream && now > *leaving + last_stream_start) {
-    return refusal{http::status::unavailable, "this daemon is about to end", now + retry_elsewhere};
+    return call_refusal{http::status::unavailable, "this daemon is about to end",
+                        now + retry_elsewhere};
   }
   call.deadline = now + call.route->timeout;
   if (call.description.deadline) {
@@ -123,7 +117,7 @@
   return call;
 }
 
-std::optional<call_relay::refusal> call_relay::find_workspace(admitted_call& call) const
+std::optional<call_refusal> call_relay::find_workspace(admitted_call& call) const
 {
   const auto& declared = call.configuration->declared();
   if (declared.workspaces.empty()) {
@@ -131,9 +125,9 @@
   }
   const auto* workspace = call.configuration->workspace_of(call.description.api_key);
   if (workspace == nullptr) {
-    return call.route->is_public
-               ? std::nullopt
-               : std::optional(refusal{http::status::unauthorized, "unknown key", std::nullopt});
+    return call.route->is_public ? std::nullopt
+                                 : std::optional(call_refusal{http::status::unauthorized,
+                                                              "unknown key", std::nullopt});
   }
   call.workspace = workspace->id;
   call.priority = workspace->priority.value_or(call.priority);
@@ -148,19 +142,19 @@
 
 // The status is one after which callers stop. A hold outlasts every caller's deadline, so that one
 // which came back, as after 503, would only be refused again.
-std::optional<call_relay::refusal> call_relay::held_refusal(const admitted_call& call)
+std::optional<call_refusal> call_relay::held_refusal(const admitted_call& call)
 {
   const auto hold = crashes_.hold_of(call);
   if (!hold) {
     return std::nullopt;
   }
-  return refusal{.status = http::status::bad_request,
-                 .reason = "not run: requests like it have ended endpoints",
-                 .retry_at = std::nullopt,
-                 .inputs = fields_of(call.content, *hold)};
+  return call_refusal{.status = http::status::bad_request,
+                      .reason = "not run: requests like it have ended endpoints",
+                      .retry_at = std::nullopt,
+                      .inputs = fields_of(call.content, *hold)};
 }
 
-asio::awaitable<std::optional<call_relay::refusal>> call_relay::take_quota(admitted_call& call)
+asio::awaitable<std::optional<call_refusal>> call_relay::take_quota(admitted_call& call)
 {
   if (call.workspace.empty()) {
     co_return std::nullopt;
@@ -173,7 +167,7 @@
   if (admitted) {
     co_return std::nullopt;
   }
-  co_return refusal{
+  co_return call_refusal{
       .status = http::status::too_many_requests,
       .reason = "workspace over its rate",
       .retry_at = decided.retry_at,
@@ -211,7 +205,10 @@
     }
   });
   try {
-    co_await try_endpoints(call, writer);
+    bool again = true;
+    while (again) {
+      again = co_await try_endpoint(*call, writer);
+    }
   } catch (const http::http_error& e) {
     // The answer could not be written: the caller has gone or does not read.
     state_.counters.count("callers_gone");
@@ -221,54 +218,58 @@
                           {{"route", call->route->name}});
 }
 
-asio::awaitable<void> call_relay::try_endpoints(std::shared_ptr<admitted_call> call,
-                                                http::response_writer& writer)
+asio::awaitable<bool> call_relay::try_endpoint(admitted_call& call, http::response_writer& writer)
 {
-  for (;;) {
-    if (call->caller_gone) {
-      writer.abort();
-      co_return;
-    }
-    if (const auto why = held_refusal(*call)) {
-      co_await end_held(*call, *why, writer);
-      co_return;
-    }
-    const auto trial = crashes_.begin(*call);
-    auto choice = choose(*call);
-    if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
-      co_await give_up(*call, writer, none->retry_at);
-      co_return;
-    }
-    auto& endpoint = std::get<gateway::pooled_endpoint>(choice);
-    call->excluded.push_back(endpoint.id);
-    attempt one(context_, state_, client_, *call, std::move(endpoint));
-    auto result = co_await one.run(writer);
-    note_attempt(*call, result);
-    co_await crashes_.on_attempt(*call, result);
-    if (result.how == attempt_result::end::caller_lost) {
-      state_.counters.count("callers_gone");
-      writer.abort();
-      co_return;
-    }
-    const bool in_time = std::chrono::steady_clock::now() < call->deadline;
-    if (result.how == attempt_result::end::not_sent) {
-      if (++call->connect_failures < most_connect_failures && in_time) {
-        continue;
-      }
-      co_await give_up(*call, writer);
-      co_return;
-    }
-    call->history = gateway::after(call->history, result.outcome);
-    call->history.timed_out = result.timed_out;
-    if (in_time && may_repeat(*call, result)) {
-      continue;
+  if (call.caller_gone) {
+    writer.abort();
+    co_return false;
+  }
+  if (const auto why = held_refusal(call)) {
+    co_await end_held(call, *why, writer);
+    co_return false;
+  }
+  const auto trial = crashes_.begin(call);
+  auto choice = choose(call);
+  if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
+    co_await give_up(call, writer, none->retry_at);
+    co_return false;
+  }
+  auto& endpoint = std::get<gateway::pooled_endpoint>(choice);
+  call.excluded.push_back(endpoint.id);
+  attempt one(context_, state_, client_, call, std::move(endpoint));
+  auto result = co_await one.run(writer);
+  log_.on_attempt(call, result);
+  co_await crashes_.on_attempt(call, result);
+  const bool again = co_await conclude(call, result, writer);
+  co_return again;
+}
+
+asio::awaitable<bool> call_relay::conclude(admitted_call& call, attempt_result& last,
+                                           http::response_writer& writer)
+{
+  if (last.how == attempt_result::end::caller_lost) {
+    state_.counters.count("callers_gone");
+    writer.abort();
+    co_return false;
+  }
+  const bool in_time = std::chrono::steady_clock::now() < call.deadline;
+  if (last.how == attempt_result::end::not_sent) {
+    if (++call.connect_failures < most_connect_failures && in_time) {
+      co_return true;
     }
-    co_await finish(*call, result, writer);
-    co_return;
+    co_await give_up(call, writer);
+    co_return false;
   }
+  call.history = gateway::after(call.history, last.outcome);
+  call.history.timed_out = last.timed_out;
+  if (in_time && may_repeat(call, last)) {
+    co_return true;
+  }
+  co_await finish(call, last, writer);
+  co_return false;
 }
 
-asio::awaitable<void> call_relay::end_held(admitted_call& call, const refusal& why,
+asio::awaitable<void> call_relay::end_held(admitted_call& call, const call_refusal& why,
                                            http::response_writer& writer)
 {
   if (call.history.may_have_run) {
@@ -297,7 +298,7 @@
                                          http::response_writer& writer)
 {
   if (last.how == attempt_result::end::stream_ended && call.answer_begun) {
-    count_answer(call, std::to_string(last.answer.status));
+    log_.on_answer(call, last.answer.status);
     co_await writer.finish_stream();
     co_return;
   }
@@ -305,7 +306,7 @@
       last.how == attempt_result::end::whole &&
       (last.outcome == attempt_outcome::answered || last.outcome == attempt_outcome::failed);
   if (own_answer && !call.answer_begun) {
-    count_answer(call, std::to_string(last.answer.status));
+    log_.on_answer(call, last.answer.status);
     co_await writer.send(std::move(last.answer));
     co_return;
   }
@@ -317,7 +318,7 @@
 {
   const auto now = std::chrono::steady_clock::now();
   const int status = gateway::final_status(call.history);
-  note_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), open_at, now);
+  log_.on_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), open_at, now);
   if (call.answer_begun) {
     // The caller must see that the answer is not whole.
     writer.abort();
@@ -336,31 +337,6 @@
   co_await writer.send(std::move(out));
 }
 
-void call_relay::count_answer(const admitted_call& call, const std::string& status)
-{
-  state_.counters.count("answers", {{"route", call.route->name}, {"status", status}});
-}
-
-void call_relay::note_given_up(const admitted_call& call, const std::string& status,
-                               std::optional<mono_time> open_at, mono_time now)
-{
-  count_answer(call, status);
-  log_fields fields = {{"request", call.description.request_id},
-                       {"content", to_string(call.content)},
-                       {"route", call.route->name},
-                       {"status", status},
-                       {"attempts", std::to_string(call.history.sent)},
-                       {"connect_failures", std::to_string(call.connect_failures)},
-                       {"configuration", std::to_string(call.configuration->version())},
-                       {"serving", std::to_string(state_.endpoints.serving(call.service).size())}};
-  if (open_at) {
-    const auto wait = std::chrono::duration_cast<milliseconds>(*open_at - now);
-    fields.emplace_back("room_in_ms", std::to_string(wait.count()));
-    state_.counters.count("refusals", {{"reason", "deadline unreachable"}});
-  }
-  state_.log.write(daemon::log_level::warn, "call given up", std::move(fields));
-}
-
 gateway::pool_choice call_relay::choose(const admitted_call& call)
 {
   const auto now = std::chrono::steady_clock::now();
@@ -378,46 +354,4 @@
                                  now);
 }
 
-void call_relay::log_refusal(const http::request& received, const refusal& why)
-{
-  state_.counters.count("refusals", {{"reason", why.reason}});
-  const auto now = std::chrono::steady_clock::now();
-  log_fields fields = {{"request", adapter::decode_call(received, now).request_id},
-                       {"status", std::to_string(why.status)},
-                       {"reason", why.reason},
-                       {"configuration", std::to_string(state_.configuration_version())}};
-  fields.insert(fields.end(), why.inputs.begin(), why.inputs.end());
-  state_.log.write(daemon::log_level::warn, "call refused", std::move(fields));
-}
-
-void call_relay::note_attempt(const admitted_call& call, const attempt_result& result)
-{
-  const bool fine = result.outcome == attempt_outcome::answered;
-  const auto elapsed =
-      std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - call.received_at);
-  state_.counters.count("attempts", {{"service", call.service}, {"fine", fine ? "yes" : "no"}});
-  log_fields fields = {{"request", call.description.request_id},
-                       {"content", to_string(call.content)},
-                       {"route", call.route->name},
-                       {"workspace", call.workspace.value()},
-                       {"endpoint", result.endpoint.id.value()},
-                       {"attempt", std::to_string(call.history.sent + 1)},
-                       {"since_arrival_ms", std::to_string(elapsed.count())},
-                       {"configuration", std::to_string(call.configuration->version())},
-                       {"status", result.head_came ? std::to_string(result.answer.status) : "none"},
-                       {"silent", result.silent ? "yes" : "no"},
-                       {"events", std::to_string(call.last_event.value_or(0))}};
-  if (result.prefix_source) {
-    fields.emplace_back("prefix_source", to_string(*result.prefix_source));
-  }
-  add_reason(fields, result);
-  if (result.how == attempt_result::end::caller_lost) {
-    state_.log.write(daemon::log_level::info, "caller left", std::move(fields));
-  } else if (fine) {
-    state_.log.write(daemon::log_level::info, "attempt answered", std::move(fields));
-  } else {
-    state_.log.write(daemon::log_level::warn, "attempt failed", std::move(fields));
-  }
-}
-
 } // namespace wisteriaflow::relay
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "relay/attempt.h"
+#include "relay/call_log.h"
 #include "relay/crash_watch.h"
 #include "relay/fleet_state.h"
 #include "relay/peer_sync.h"
@@ -39,31 +40,25 @@
   [[nodiscard]] std::uint64_t connections_opened() const { return client_.connections_opened(); }
 
  private:
-  // Why a call is not admitted.
-  struct refusal {
-    int status = 0;
-    std::string reason;
-    std::optional<mono_time> retry_at;
-    log_fields inputs = {}; // what decided it, for the log
-  };
-
-  using admission = std::variant<admitted_call, refusal>;
+  using admission = std::variant<admitted_call, call_refusal>;
 
   // Everything but the workspace's rate.
   admission admit(const http::request& received, mono_time now);
-  std::optional<refusal> find_workspace(admitted_call& call) const;
+  std::optional<call_refusal> find_workspace(admitted_call& call) const;
   // Why a call is refused whose like have ended endpoints.
-  std::optional<refusal> held_refusal(const admitted_call& call);
-  boost::asio::awaitable<std::optional<refusal>> take_quota(admitted_call& call);
-  boost::asio::awaitable<void> refuse(const http::request& received, refusal why,
+  std::optional<call_refusal> held_refusal(const admitted_call& call);
+  boost::asio::awaitable<std::optional<call_refusal>> take_quota(admitted_call& call);
+  boost::asio::awaitable<void> refuse(const http::request& received, call_refusal why,
                                       http::response_writer& writer);
   boost::asio::awaitable<void> relay(std::shared_ptr<admitted_call> call,
                                      http::response_writer& writer);
-  // Sends the call to one endpoint after another until one has it or none is left.
-  boost::asio::awaitable<void> try_endpoints(std::shared_ptr<admitted_call> call,
-                                             http::response_writer& writer);
+  // Sends the call to one endpoint, or ends it. True if it is to be sent to another one.
+  boost::asio::awaitable<bool> try_endpoint(admitted_call& call, http::response_writer& writer);
+  // Ends the call by its last attempt, unless it is to be sent to another endpoint: then true.
+  boost::asio::awaitable<bool> conclude(admitted_call& call, attempt_result& last,
+                                        http::response_writer& writer);
   // Ends a call whose content has come to be held since it was admitted.
-  boost::asio::awaitable<void> end_held(admitted_call& call, const refusal& why,
+  boost::asio::awaitable<void> end_held(admitted_call& call, const call_refusal& why,
                                         http::response_writer& writer);
   boost::asio::awaitable<void> finish(admitted_call& call, attempt_result& last,
                                       http::response_writer& writer);
@@ -73,17 +68,13 @@
   gateway::pool_choice choose(const admitted_call& call);
   const std::string& draw_service(const gateway::route& r);
   bool may_repeat(const admitted_call& call, const attempt_result& last);
-  void note_given_up(const admitted_call& call, const std::string& status,
-                     std::optional<mono_time> open_at, mono_time now);
-  void count_answer(const admitted_call& call, const std::string& status);
-  void log_refusal(const http::request& received, const refusal& why);
-  void note_attempt(const admitted_call& call, const attempt_result& result);
 
   boost::asio::io_context& context_;
   fleet_state& state_;
   peer_sync& peers_;
   http::client client_;
   crash_watch crashes_;
+  call_log log_;
   std::mt19937_64 random_;
   std::size_t open_calls_ = 0;
 };
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -56,17 +56,6 @@
 
 } // namespace
 
-log_fields fields_of(const gateway::content_id& content, const gateway::content_hold& hold)
-{
-  std::string ended;
-  for (const auto& process : hold.ended) {
-    ended += (ended.empty() ? "" : ",") + process.id.value();
-  }
-  return {{"content", to_string(content)},
-          {"endpoints_ended", std::move(ended)},
-          {"tried_from_unix_ms", std::to_string(to_unix_ms(hold.try_at))}};
-}
-
 clock_reading read_clocks()
 {
   const auto wall = std::chrono::system_clock::now();
@@ -348,25 +337,6 @@
   live_peers_ = std::move(present);
 }
 
-void fleet_state::log_hold_changes()
-{
-  auto present = crashes.holds();
-  for (const auto& [content, hold] : present) {
-    const auto it = holds_.find(content);
-    if (it == holds_.end() || it->second != hold) {
-      log.write(daemon::log_level::warn, "content held", fields_of(content, hold));
-    }
-  }
-  for (const auto& [content, hold] : holds_) {
-    if (!present.contains(content)) {
-      log.write(daemon::log_level::info, "hold over", {{"content", to_string(content)}});
-    }
-  }
-  holds_ = std::move(present);
-  counters.set("contents_held", static_cast<double>(holds_.size()));
-  counters.set("endpoint_crashes_known", static_cast<double>(crashes.crashes_known()));
-}
-
 void fleet_state::set_gauges(mono_time now)
 {
   using seconds = std::chrono::duration<double>;
@@ -399,7 +369,9 @@
   feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
   crashes.tick(clock.now(now));
-  log_hold_changes();
+  holds_.note(crashes.holds(), log);
+  counters.set("contents_held", static_cast<double>(holds_.number()));
+  counters.set("endpoint_crashes_known", static_cast<double>(crashes.crashes_known()));
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -6,7 +6,6 @@
 #define WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -15,6 +14,7 @@
 #include <boost/json/value.hpp>
 
 #include "relay/event_log.h"
+#include "relay/hold_log.h"
 #include "relay/metrics.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/configuration.h"
@@ -34,10 +34,6 @@
 // Both clocks, read now.
 [[nodiscard]] clock_reading read_clocks();
 
-// Why a content is held, for the log.
-[[nodiscard]] log_fields fields_of(const gateway::content_id& content,
-                                   const gateway::content_hold& hold);
-
 class fleet_state {
  public:
   fleet_state(const settings& s, event_log& log);
@@ -137,8 +133,6 @@
   // Contacts for a report: all of a small fleet's, a changing few of a large one's.
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
-  // Tells which contents are held from now on, and which no longer, whoever found out.
-  void log_hold_changes();
   // How old what is believed is, and the state of the log.
   void set_gauges(mono_time now);
 
@@ -147,10 +141,10 @@
   std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_news_;
   std::optional<mono_time> leaving_since_;
-  bool acting_ = false;                                        // holds the duties
-  std::set<daemon_id> live_peers_;                             // at the last tick
-  std::map<gateway::content_id, gateway::content_hold> holds_; // at the last tick
-  std::size_t next_contact_ = 0;                               // to tell
+  bool acting_ = false;            // holds the duties
+  std::set<daemon_id> live_peers_; // at the last tick
+  hold_log holds_;
+  std::size_t next_contact_ = 0; // to tell
 };
 
 } // namespace wisteriaflow::relay
--- a/test/relay/crashing_request_test.cc
+++ b/test/relay/crashing_request_test.cc
@@ -354,6 +354,33 @@
             std::string::npos);
 }
 
+TEST_F(CrashingRequestTest, IsNotAskedAboutWhenACallerLeaves)
+{
+  add_endpoints(1);
+  start_fleet(1);
+  endpoints_[0]->mood = endpoint_mood::says_nothing;
+  http::exchange handle;
+  bool ended_call = false;
+  auto leave = [&]() -> boost::asio::awaitable<void> {
+    try {
+      co_await client_.stream(gateways_[0]->options.callers, request_for("POST", "/unsafe/1"),
+                              fakes::far_deadline(), {}, &handle);
+    } catch (const http::http_error&) {
+      ended_call = true;
+    }
+  };
+  boost::asio::co_spawn(context_, leave(), boost::asio::detached);
+  wait_until([this] { return received() == 1; }, "the endpoint has the request");
+  handle.cancel();
+  wait_until([&] { return ended_call; }, "the caller has left");
+  wait_until(
+      [this] {
+        return metrics_of(*gateways_[0]).find("callers_gone_total 1") != std::string::npos;
+      },
+      "the call has ended");
+  EXPECT_EQ(metrics_of(*gateways_[0]).find("endpoint_probes"), std::string::npos);
+}
+
 TEST_F(CrashingRequestTest, IsNoneWhereEndpointsWereKnownToLeave)
 {
   // One content is under way at four endpoints whose zone is reclaimed.
