Ask no endpoint whether it has ended where this daemon let go of it

Cause: an exchange that is cancelled since its caller has left, or cannot be written to, ends with the same error as one that the endpoint broke off. Change: such an end is not the endpoint's. Before, each caller that left cost a connection to an endpoint; the test that showed it passes.

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -77,7 +77,7 @@
   } catch (const http::http_error& e) {
     if (result_.reason.empty()) { // else the end is of this attempt's own making
       result_.reason = e.what();
-      result_.broke_off = !result_.silent;
+      result_.broke_off = !result_.silent && !call_.caller_gone && !caller_failed_;
     }
   }
   silence_.disarm();
