--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -96,10 +96,10 @@
   if (auto why = find_workspace(call)) {
     return *why;
   }
-  call.content = gateway::content_of(call.workspace, received);
   if (received.body.size() > call.configuration->declared().max_body_bytes) {
     return call_refusal{http::status::payload_too_large, "body over the limit", std::nullopt};
   }
+  call.content = gateway::content_of(call.workspace, received);
   if (auto why = held_refusal(call)) {
     return *why;
   }
