Show that a lease outlives a suspension of its holder, as failing tests

Cause, read in the code and shown by the tests: the deadline of the duties' lease is by the steady clock, which stands still while an instance is suspended. A holder that was suspended for longer than its lease goes on with orders under its old fencing number until its next renewal meets a conflict, up to two thirds of a second after it woke. A clock that knows both monotonic clocks of the instance stands beside the lease and so far counts like the steady one; it tells how long the instance was suspended.

--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -1,6 +1,7 @@
 #include "relay/lease_keeper.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,6 +32,9 @@
 // By which two monotonic clocks may drift apart in one lease, with the delay of a loaded process.
 constexpr milliseconds skew_margin{300};
 
+// The two clocks are not read at the same moment: less is not told from that.
+constexpr milliseconds shortest_suspension{50};
+
 capacity::lease_options lease_options_of(const fleet_state& state)
 {
   const auto duration = std::min(state.options.lease_duration, longest_duration);
@@ -67,22 +71,39 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(asio::io_context& context, fleet_state& state, store_client& store)
-    : context_(context), state_(state), store_(store), holder_(lease_options_of(state))
+uptime_reading read_uptime()
+{
+  timespec since_boot{};
+  ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return {.running = std::chrono::steady_clock::now(),
+          .since_boot = std::chrono::seconds(since_boot.tv_sec) +
+                        std::chrono::nanoseconds(since_boot.tv_nsec)};
+}
+
+lease_keeper::lease_keeper(asio::io_context& context, fleet_state& state, store_client& store,
+                           std::function<uptime_reading()> uptime)
+    : context_(context), state_(state), store_(store), holder_(lease_options_of(state)),
+      clock_(std::move(uptime))
 {
 }
 
+clock_reading lease_keeper::lease_time() const
+{
+  return {.mono = clock_.now(), .wall = read_clocks().wall};
+}
+
 bool lease_keeper::may_act() const
 {
   constexpr bool checks_fencing = false;
-  return holder_.may_order(checks_fencing, std::chrono::steady_clock::now());
+  return holder_.may_order(checks_fencing, clock_.now());
 }
 
 void lease_keeper::tick()
 {
-  const auto now = read_clocks();
-  const bool wanted =
-      state_.configuration() && !state_.leaving_since() && (may_act() || state_.leads(now.mono));
+  note_suspension();
+  const auto now = lease_time();
+  const bool wanted = state_.configuration() && !state_.leaving_since() &&
+                      (may_act() || state_.leads(std::chrono::steady_clock::now()));
   carry_out(holder_.handle(capacity::lease_wanted{.wanted = wanted}, now));
   if (const auto due = holder_.wake_at(); due && *due <= now.mono) {
     carry_out(holder_.handle(capacity::lease_tick{}, now));
@@ -98,6 +119,19 @@
   }
 }
 
+void lease_keeper::note_suspension()
+{
+  const auto before = std::exchange(suspended_, clock_.suspended());
+  const auto gap = std::chrono::duration_cast<milliseconds>(suspended_ - before);
+  if (gap < shortest_suspension) {
+    return;
+  }
+  state_.counters.count("suspended_ms", {}, static_cast<std::uint64_t>(gap.count()));
+  state_.log.write(
+      daemon::log_level::warn, "instance was suspended",
+      {{"for_ms", std::to_string(gap.count())}, {"duties_held", may_act() ? "yes" : "no"}});
+}
+
 void lease_keeper::carry_out(std::vector<capacity::lease_action> actions)
 {
   for (auto& a : actions) {
@@ -112,7 +146,7 @@
 
 void lease_keeper::answer(const capacity::lease_event& e)
 {
-  carry_out(holder_.handle(e, read_clocks()));
+  carry_out(holder_.handle(e, lease_time()));
 }
 
 asio::awaitable<void> lease_keeper::read(capacity::read_lease a)
--- /dev/null
+++ b/test/base/suspension_clock_test.cc
@@ -0,0 +1,46 @@
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/base/suspension_clock.h"
+
+namespace wisteriaflow {
+namespace {
+
+using namespace std::chrono_literals;
+
+class SuspensionClockTest : public testing::Test {
+ protected:
+  void run_for(std::chrono::nanoseconds time)
+  {
+    uptime_.running += time;
+    uptime_.since_boot += time;
+  }
+
+  void suspend_for(std::chrono::nanoseconds time) { uptime_.since_boot += time; }
+
+  uptime_reading uptime_{.running = mono_time(100s), .since_boot = 400s};
+  suspension_clock clock_{[this] { return uptime_; }};
+};
+
+TEST_F(SuspensionClockTest, BeginsAtTheRunningClock)
+{
+  EXPECT_EQ(clock_.now(), mono_time(100s));
+  EXPECT_EQ(clock_.suspended(), 0s);
+}
+
+TEST_F(SuspensionClockTest, GoesOnWithTheRunningClock)
+{
+  run_for(3s);
+  EXPECT_EQ(clock_.now(), mono_time(103s));
+}
+
+TEST_F(SuspensionClockTest, CountsASuspension)
+{
+  run_for(1s);
+  suspend_for(5s);
+  run_for(1s);
+  EXPECT_EQ(clock_.now(), mono_time(107s));
+  EXPECT_EQ(clock_.suspended(), 5s);
+}
+
+} // namespace
+} // namespace wisteriaflow
