Count the time of a suspension in the lease of the duties

Cause: the steady clock stands still while an instance is suspended, and the lease's deadline was by it. Ruled out: another clock behind every deadline of the daemon at once (71 readings, and the timers and streams of the libraries, which are by the steady clock); asking the store before each order (a call an order, and an answer that a suspension may outlast). Change: the lease is kept by the steady clock plus what it has lost against the clock since boot.

--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -46,6 +46,7 @@
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/ini_file.h"
+#include "wisteriaflow/base/suspension_clock.h"
 #include "wisteriaflow/base/text.h"
 #include "wisteriaflow/base/time.h"
 
--- a/src/base/suspension_clock.cc
+++ b/src/base/suspension_clock.cc
@@ -11,7 +11,8 @@
 
 mono_time suspension_clock::now() const
 {
-  return read_().running;
+  const auto r = read_();
+  return r.running + (lag(r) - lag_at_start_);
 }
 
 std::chrono::nanoseconds suspension_clock::suspended() const
