Decide on roll-outs of versions: orders, trial, judgement, end

Operators order by an entry of the store that a service moves to another version; some versions are bad, at once or later, under load or on one route. Nothing knew an endpoint's version.

Pure types: rollout_book (orders, joined over the fleet by phase and revision), version_gate (no version that nobody has seen is used before the orders are known as of its revision), version_traffic (a target on trial gets a fixed part of each daemon's own calls of each route; parts add up whoever dies or is cut off), version_counts, version_judge (sequential test beside the present version's calls of the same time and route; the worst two fifths of the target's endpoints are left out), rollout_conductor (when to move, when nothing is left at the old endpoints).

The judge, in 1,000 plays each: fewer than 5 good versions taken for bad, also where the service fails in 0.3 or 0.45 of its calls, with one endpoint of five failing 0.8 and with two of five slow; of 200 bad ones of each kind all are known within a second of the fiftieth bad call. First tried: the fiftieth bad call as the bound itself; the worst slow version had 58. The stated bound is time after the fiftieth, so the test now measures that.

endpoint_pool is split first: departures and health are types of their own.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -16,9 +16,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -28,10 +30,13 @@
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/demand_meter.h"
+#include "wisteriaflow/gateway/departures.h"
+#include "wisteriaflow/gateway/endpoint_health.h"
 #include "wisteriaflow/gateway/endpoint_process.h"
 #include "wisteriaflow/gateway/endpoint_work.h"
 #include "wisteriaflow/gateway/peers_work.h"
 #include "wisteriaflow/gateway/shared_prefix.h"
+#include "wisteriaflow/gateway/version_traffic.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/routing/choose_endpoint.h"
 #include "wisteriaflow/routing/endpoint_table.h"
@@ -48,46 +53,26 @@
   // revision tells which of two descriptions is the newer.
   std::uint64_t incarnation = 0;
   std::string service;
+  std::string version; // of its software; empty: not told
   http::socket_address address;
   availability_zone zone;
   std::uint32_t places = 1; // requests that it runs at once
   bool leaving = false;
   bool reclaimable = false;
+  bool cold = false; // has started a short time ago and is still slow
 
   friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
 
-// An endpoint that leaves or is gone, as of a revision of the store.
-struct endpoint_departure {
-  endpoint_id id;
-  std::uint64_t revision = 0;
-
-  friend bool operator==(const endpoint_departure&, const endpoint_departure&) = default;
-};
-
-// How an endpoint failed an attempt.
-enum class endpoint_trouble {
-  failed,      // its own failure, which may be the request's fault
-  broken,      // a cut, garbage, silence
-  unreachable, // no connection: nobody is there, or the way is cut
-};
-
 struct endpoint_pool_options {
   availability_zone zone;
   std::uint64_t seed = 0;
-  // Departures are passed on to peers for this long; well above the time that gossip takes.
-  std::chrono::milliseconds departure_told{10'000};
+  // Departures are passed on to all peers for this long.
+  std::chrono::milliseconds departure_told{2'500};
   // A peer's work counts for this long after it was told: peers of a large fleet are heard every
   // 3.1 s at the least.
   std::chrono::milliseconds work_valid{3'500};
-  // After trouble with an endpoint it is left out this long, doubled for each further trouble.
-  std::chrono::milliseconds trouble_backoff{400};
-  std::chrono::milliseconds trouble_backoff_limit{3'000};
-  // An endpoint's trouble is a score: `trouble_limit` leaves it out, a failure of its own adds 1, a
-  // cut or silence adds `trouble_limit`, a success takes `success_relief` off. With 0.4, one that
-  // fails a seventh of its calls stays in, and one that fails three in ten goes out.
-  double trouble_limit = 1.5;
-  double success_relief = 0.4;
+  endpoint_health_options health;
   // An endpoint at which so many peers find nobody is left out here as well. When 20 of 124 engines
   // fell silent, each of 195 daemons found out about each by time-outs of 250 ms of its own, a
   // fifth of all calls for 3 s. One peer alone may itself be cut off.
@@ -102,6 +87,7 @@
   mono_time target;
   mono_time deadline;
   std::span<const endpoint_id> excluded;
+  version_lane lane = {};
   // Whether the caller may still be told that the call was not run. If not, it is sent to the least
   // bad endpoint though it may come too late.
   bool may_be_refused = true;
@@ -111,6 +97,7 @@
 struct pooled_endpoint {
   endpoint_id id;
   std::uint64_t incarnation = 0; // of the endpoint; see endpoint_record
+  std::string version;
   http::socket_address address;
   routing::sent_work work;
   // Another endpoint that probably holds the prompt's shared parts, to copy them from.
@@ -156,6 +143,12 @@
   // Whether any list was read.
   [[nodiscard]] bool is_known() const { return listed_; }
 
+  // Whether an endpoint may be used but for what is told of it here; asked for each description.
+  using usable = std::function<bool(const endpoint_record&)>;
+  void use_only(usable may_be_used) { may_be_used_ = std::move(may_be_used); }
+  // The answers may be others now.
+  void check_usable();
+
   // Endpoints of `service` that take new work.
   [[nodiscard]] std::vector<const endpoint_record*> serving(std::string_view service) const;
 
@@ -163,6 +156,10 @@
 
   // Departures to pass on to peers.
   [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now) const;
+  [[nodiscard]] std::vector<endpoint_departure> departures_after(std::uint64_t revision) const
+  {
+    return departures_.after(revision);
+  }
 
   // The endpoint for one attempt, whose work is counted from now on. None if no endpoint takes new
   // work, or if what waits at all of them makes the deadline unreachable.
@@ -204,12 +201,6 @@
   void refresh_loads(mono_time now);
 
  private:
-  struct health {
-    double trouble = 0; // score
-    mono_time left_out_until;
-    mono_time unreachable_until;
-  };
-
   // Endpoints of the wish's service by whether they may be chosen now.
   struct candidates {
     std::vector<routing::endpoint_slot> open;
@@ -217,6 +208,8 @@
   };
 
   [[nodiscard]] candidates candidates_for(const endpoint_wish& wish, mono_time now) const;
+  // Of the target's endpoints as few as carry the load of the present ones; see version_lane.
+  void keep_on_trial(const endpoint_wish& wish, std::vector<routing::endpoint_slot>& open) const;
   // Where the fleet gathers prompts with this one's shared parts; see shared_prefix.h.
   std::vector<routing::endpoint_slot> homes_of(const prompt_blocks& prompt, const token_size& size,
                                                const std::vector<routing::endpoint_slot>& open,
@@ -236,26 +229,21 @@
   // Whether it is in trouble, by this daemon's calls or by its peers' word.
   [[nodiscard]] bool is_left_out(routing::endpoint_slot slot, mono_time now) const;
   void store(const endpoint_record& record);
-  void mark_departed(const endpoint_departure& d, mono_time now);
   void erase(const endpoint_id& id);
-  [[nodiscard]] bool is_departed(const endpoint_record& record) const;
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
   void end_wait(endpoint_work& own, const routing::sent_work& work);
 
-  struct departure_entry {
-    std::uint64_t revision = 0;
-    mono_time told_until;
-  };
-
   endpoint_pool_options options_;
   routing::routing_options routing_;
   std::map<endpoint_id, endpoint_record> records_;
+  usable may_be_used_;
+  std::set<endpoint_id> not_usable_;
   std::map<endpoint_id, std::uint64_t> held_removals_; // with the revision of the removal
-  std::map<endpoint_id, departure_entry> departures_;
+  gateway::departures departures_;
   peers_work peers_;
   std::map<endpoint_id, endpoint_work> own_;
-  std::map<endpoint_id, health> health_;
+  endpoint_health health_;
   demand_meter meter_;
   routing::endpoint_table table_;
   routing::prefix_belief prefixes_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -16,7 +16,9 @@
 #include "wisteriaflow/gateway/crash_suspects.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
+#include "wisteriaflow/gateway/rollout.h"
 #include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/version_counts.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
 #include "wisteriaflow/http/message.h"
 
@@ -72,6 +74,11 @@
   std::vector<endpoint_departure> departures;
   endpoint_view endpoints; // how current the sender's view of them is
   std::vector<usage_row> usage;
+  // Operators' orders to move services to other versions, all up to a revision of the store, and
+  // how the sender's calls fare on both versions.
+  rollout_book::entries rollouts;
+  std::uint64_t rollouts_known_up_to = 0;
+  std::vector<rollout_row> rollout_rows;
   crash_news crashes;               // what the sender has heard of them lately
   std::uint64_t crash_digest = 0;   // of all that it knows; see crash_suspects
   std::chrono::milliseconds age{0}; // since it was made; travels beside the report
--- a/include/wisteriaflow/relay/settings.h
+++ b/include/wisteriaflow/relay/settings.h
@@ -57,6 +57,11 @@
   double retry_slack = 0;
   std::chrono::milliseconds retry_window{};
 
+  // [rollouts]
+  // Part of a service's calls that a version on trial may get over the fleet; 0: no roll-outs here.
+  double trial_part = 0;
+  double trial_slack = 0; // calls beyond that part, over the fleet
+
   // [duties]
   std::chrono::milliseconds lease_duration{};
   std::chrono::milliseconds usage_window{};
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -21,6 +21,21 @@
   return std::max(0, static_cast<int>(size.prompt) - shared);
 }
 
+// Whether the endpoint is one of those that the call may go to by their version.
+bool is_in(const version_lane& lane, const endpoint_record& r)
+{
+  switch (lane.at) {
+  case version_lane::side::any:
+    return true;
+  case version_lane::side::present:
+    return r.version != lane.target;
+  case version_lane::side::trial:
+  case version_lane::side::target:
+    return r.version == lane.target;
+  }
+  return true;
+}
+
 bool is_restart(const endpoint_record& before, const endpoint_record& now)
 {
   const bool told = before.incarnation != 0 && now.incarnation != 0;
@@ -30,7 +45,8 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
-    : options_(std::move(options)), peers_(options_.work_valid),
+    : options_(std::move(options)), departures_(options_.departure_told),
+      peers_(options_.work_valid), health_(options_.health),
       meter_({.initial_speed = initial_prefill_rate}),
       table_({.initial_prefill_rate = initial_prefill_rate}), prefixes_({}), random_(options_.seed)
 {
@@ -57,12 +73,6 @@
   }
 }
 
-bool endpoint_pool::is_departed(const endpoint_record& record) const
-{
-  const auto it = departures_.find(record.id);
-  return it != departures_.end() && record.revision <= it->second.revision;
-}
-
 void endpoint_pool::apply(const endpoint_record& changed, mono_time now)
 {
   const auto known = records_.find(changed.id);
@@ -76,10 +86,10 @@
   }
   held_removals_.erase(changed.id);
   auto record = changed;
-  record.leaving = record.leaving || is_departed(record);
+  record.leaving = record.leaving || departures_.covers(record.id, record.revision);
   store(record);
   if (changed.leaving) {
-    mark_departed({.id = changed.id, .revision = changed.revision}, now);
+    departures_.note({.id = changed.id, .revision = changed.revision}, now);
   }
 }
 
@@ -97,13 +107,20 @@
     table_.on_leaving(slot);
   }
   records_[record.id] = record;
+  if (may_be_used_ && !may_be_used_(record)) {
+    not_usable_.insert(record.id);
+  } else {
+    not_usable_.erase(record.id);
+  }
 }
 
-void endpoint_pool::mark_departed(const endpoint_departure& d, mono_time now)
+void endpoint_pool::check_usable()
 {
-  auto& entry = departures_[d.id];
-  if (d.revision > entry.revision) {
-    entry = {.revision = d.revision, .told_until = now + options_.departure_told};
+  not_usable_.clear();
+  for (const auto& [id, r] : records_) {
+    if (may_be_used_ && !may_be_used_(r)) {
+      not_usable_.insert(id);
+    }
   }
 }
 
@@ -117,7 +134,7 @@
     held_removals_[gone.id] = gone.revision;
     return;
   }
-  mark_departed(gone, now);
+  departures_.note(gone, now);
   erase(gone.id);
 }
 
@@ -129,7 +146,8 @@
   table_.remove(id);
   records_.erase(id);
   own_.erase(id);
-  health_.erase(id);
+  not_usable_.erase(id);
+  health_.forget(id);
   held_removals_.erase(id);
 }
 
@@ -139,7 +157,7 @@
   if (it != records_.end() && it->second.revision > heard.revision) {
     return false;
   }
-  mark_departed(heard, now);
+  departures_.note(heard, now);
   if (it == records_.end() || it->second.leaving) {
     return false;
   }
@@ -157,31 +175,20 @@
   }
   // A daemon that follows its peers' views never sees the removal of an entry, only the departure.
   // Its last requests have ended by then.
-  constexpr int told_times = 3;
-  std::vector<endpoint_id> left;
-  for (const auto& [id, d] : departures_) {
+  for (const auto& id : departures_.over(now)) {
     const auto it = records_.find(id);
-    const auto gone_at = d.told_until + (told_times - 1) * options_.departure_told;
-    if (gone_at <= now && it != records_.end() && it->second.leaving) {
-      left.push_back(id);
+    if (it != records_.end() && it->second.leaving) {
+      erase(id);
     }
   }
-  for (const auto& id : left) {
-    erase(id);
-  }
-  // A record older than the departure may still arrive with a stale list, so departures are kept
-  // ten times as long as they are told.
-  constexpr int kept_times = 10;
-  std::erase_if(departures_, [&](const auto& it) {
-    return it.second.told_until + kept_times * options_.departure_told < now;
-  });
+  departures_.forget_old(now);
 }
 
 std::vector<const endpoint_record*> endpoint_pool::serving(std::string_view service) const
 {
   std::vector<const endpoint_record*> out;
   for (const auto& [id, r] : records_) {
-    if (r.service == service && !r.leaving) {
+    if (r.service == service && !r.leaving && !not_usable_.contains(id)) {
       out.push_back(&r);
     }
   }
@@ -190,19 +197,12 @@
 
 std::vector<endpoint_departure> endpoint_pool::departures(mono_time now) const
 {
-  std::vector<endpoint_departure> out;
-  for (const auto& [id, d] : departures_) {
-    if (now < d.told_until) {
-      out.push_back({.id = id, .revision = d.revision});
-    }
-  }
-  return out;
+  return departures_.to_tell(now);
 }
 
 mono_time endpoint_pool::left_out_until(routing::endpoint_slot slot) const
 {
-  const auto it = health_.find(table_.at(slot).description.id);
-  return it == health_.end() ? mono_time{} : it->second.left_out_until;
+  return health_.left_out_until(table_.at(slot).description.id);
 }
 
 bool endpoint_pool::is_left_out(routing::endpoint_slot slot, mono_time now) const
@@ -216,6 +216,9 @@
 {
   candidates out;
   for (const auto* r : serving(wish.service)) {
+    if (!is_in(wish.lane, *r)) {
+      continue;
+    }
     const auto& excluded = wish.excluded;
     if (std::find(excluded.begin(), excluded.end(), r->id) != excluded.end()) {
       continue;
@@ -229,9 +232,30 @@
     std::sort(out.open.begin(), out.open.end());
     out.left_out.clear();
   }
+  if (wish.lane.at == version_lane::side::trial) {
+    keep_on_trial(wish, out.open);
+  }
   return out;
 }
 
+void endpoint_pool::keep_on_trial(const endpoint_wish& wish,
+                                  std::vector<routing::endpoint_slot>& open) const
+{
+  const auto score = [&](routing::endpoint_slot slot) {
+    return rendezvous_score(wish.lane.drawn_by, table_.at(slot).description.id.value());
+  };
+  const auto all = serving(wish.service);
+  const auto present = std::count_if(all.begin(), all.end(), [&](const endpoint_record* r) {
+    return r->version != wish.lane.target;
+  });
+  const auto wanted =
+      static_cast<std::size_t>(std::ceil(wish.lane.target_part * static_cast<double>(present)));
+  const auto number = std::min(open.size(), std::max<std::size_t>(1, wanted));
+  std::sort(open.begin(), open.end(), [&](auto a, auto b) { return score(a) > score(b); });
+  open.resize(number);
+  std::sort(open.begin(), open.end());
+}
+
 std::vector<routing::endpoint_slot>
 endpoint_pool::homes_of(const prompt_blocks& prompt, const token_size& size,
                         const std::vector<routing::endpoint_slot>& open, mono_time now)
@@ -357,6 +381,7 @@
   const auto& record = records_.at(id);
   return {.id = id,
           .incarnation = record.incarnation,
+          .version = record.version,
           .address = record.address,
           .work = table_.on_sent(slot, prefill, now)};
 }
@@ -412,37 +437,12 @@
 
 bool endpoint_pool::on_trouble(const endpoint_id& id, endpoint_trouble kind, mono_time now)
 {
-  if (!records_.contains(id)) {
-    return false;
-  }
-  auto& h = health_[id];
-  h.trouble += kind == endpoint_trouble::failed ? 1.0 : options_.trouble_limit;
-  if (h.trouble < options_.trouble_limit) {
-    return false;
-  }
-  constexpr double most_doublings = 8;
-  const double doublings = std::min(h.trouble - options_.trouble_limit, most_doublings);
-  const auto backoff = std::chrono::duration_cast<std::chrono::milliseconds>(
-      options_.trouble_backoff * std::exp2(doublings));
-  const bool was_in = now >= h.left_out_until;
-  h.left_out_until = now + std::min(backoff, options_.trouble_backoff_limit);
-  if (kind == endpoint_trouble::unreachable) {
-    h.unreachable_until = h.left_out_until;
-  }
-  return was_in;
+  return records_.contains(id) && health_.on_trouble(id, kind, now);
 }
 
 void endpoint_pool::on_success(const endpoint_id& id)
 {
-  const auto it = health_.find(id);
-  if (it == health_.end()) {
-    return;
-  }
-  // The time that it is left out runs on: what succeeds now may have been sent before the trouble.
-  it->second.trouble -= options_.success_relief;
-  if (it->second.trouble <= 0) {
-    it->second.trouble = 0;
-  }
+  health_.on_success(id);
 }
 
 endpoint_work_map endpoint_pool::own_work() const
@@ -459,10 +459,8 @@
 endpoint_work_map endpoint_pool::work_to_tell(mono_time now) const
 {
   auto out = own_work();
-  for (const auto& [id, h] : health_) {
-    if (now < h.unreachable_until) {
-      out[id].unreachable = 1;
-    }
+  for (const auto& id : health_.unreachable(now)) {
+    out[id].unreachable = 1;
   }
   return out;
 }
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -12,6 +12,7 @@
 #include <boost/json/value_to.hpp>
 
 #include "wisteriaflow/gateway/crash_codec.h"
+#include "wisteriaflow/gateway/rollout_codec.h"
 
 namespace wisteriaflow::gateway {
 namespace {
@@ -178,7 +179,15 @@
 {
   return {{"id", r.id.value()},   {"revision", r.revision}, {"incarnation", r.incarnation},
           {"service", r.service}, {"zone", r.zone.value()}, {"address", to_string(r.address)},
-          {"places", r.places},   {"leaving", r.leaving},   {"reclaimable", r.reclaimable}};
+          {"places", r.places},   {"leaving", r.leaving},   {"reclaimable", r.reclaimable},
+          {"version", r.version}, {"cold", r.cold}};
+}
+
+// Peers of an earlier version do not tell it.
+std::string text_if_told(const json::value& from, std::string_view key)
+{
+  const auto* told = from.as_object().if_contains(key);
+  return told == nullptr ? std::string() : json::value_to<std::string>(*told);
 }
 
 // Peers of an earlier version do not tell when an endpoint started.
@@ -194,11 +203,13 @@
           .revision = number_at(from, "revision"),
           .incarnation = decode_incarnation(from),
           .service = text_at(from, "service"),
+          .version = text_if_told(from, "version"),
           .address = http::parse_socket_address(text_at(from, "address")),
           .zone = availability_zone(text_at(from, "zone")),
           .places = from.at("places").to_number<std::uint32_t>(),
           .leaving = from.at("leaving").as_bool(),
-          .reclaimable = from.at("reclaimable").as_bool()};
+          .reclaimable = from.at("reclaimable").as_bool(),
+          .cold = flag_at(from, "cold")};
 }
 
 endpoint_work_map decode_work_map(const json::value& from)
@@ -264,6 +275,12 @@
     out.crashes = decode_crash_news(*crashes);
     out.crash_digest = number_at(from, "crash_digest");
   }
+  // Peers of an earlier version know of no roll-outs.
+  if (const auto* rollouts = from.as_object().if_contains("rollouts")) {
+    out.rollouts = decode_rollouts(*rollouts);
+    out.rollouts_known_up_to = number_at(from, "rollouts_known_up_to");
+    out.rollout_rows = decode_rollout_rows(from.at("rollout_rows"));
+  }
   return out;
 }
 
@@ -314,6 +331,9 @@
                            {"departures", encode(report.departures)},
                            {"endpoints", encode(report.endpoints)},
                            {"usage", encode(report.usage)},
+                           {"rollouts", encode_rollouts(report.rollouts)},
+                           {"rollouts_known_up_to", report.rollouts_known_up_to},
+                           {"rollout_rows", encode_rollout_rows(report.rollout_rows)},
                            {"crashes", encode_crash_news(report.crashes)},
                            {"crash_digest", report.crash_digest}};
   return json::serialize(out);
--- a/src/relay/settings.cc
+++ b/src/relay/settings.cc
@@ -164,6 +164,8 @@
   out.retry_ratio = from.number("retries", "ratio", 0.1);
   out.retry_slack = from.number("retries", "slack", 0);
   out.retry_window = from.time("retries", "window_s", 1s, 10s);
+  out.trial_part = from.number("rollouts", "trial_part", 0);
+  out.trial_slack = from.number("rollouts", "trial_slack", 0);
   out.lease_duration = from.time("duties", "lease_ms", 1ms, 3s);
   out.usage_window = from.time("duties", "usage_window_s", 1s, 5s);
   out.usage_deadline = from.time("duties", "usage_deadline_s", 1s, 10s);
