Bound what daemons tell one another by what is worth knowing

Cause: a report passed on the work of 24 peers at every endpoint where they had a call, told departures for ten seconds, named daemons twice, and went whole to the leads, whom all ask.

--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -40,7 +40,7 @@
 };
 
 // A peer's answer to a question for changes: the endpoints described anew after a revision, and the
-// latest departures, some of which may be younger than the report that gave rise to the question.
+// departures since.
 struct endpoint_changes {
   endpoint_view view;
   std::vector<endpoint_record> records;
@@ -54,8 +54,8 @@
   // after the last reading, by whomever; the rest is for the reading and the way to peers.
   std::chrono::milliseconds notice{2'000};
   std::uint64_t seed = 0;
-  // A view older than this is not brought up to date by peers: they tell departures for twice this
-  // time only.
+  // A view older than this is not brought up to date by peers: what they remember of departures is
+  // bounded.
   std::chrono::milliseconds longest_gap{5'000};
 };
 
@@ -86,8 +86,9 @@
   // for the daemon that told it, and others may follow this one.
   void note_fetched(const endpoint_record& record);
 
-  // The endpoint has departed: should it come back, that is a change.
-  void forget(const endpoint_id& id) { descriptions_.erase(id); }
+  // The endpoint has departed as of a revision, which is a change; should it come back, that is
+  // another one.
+  void forget(const endpoint_departure& gone);
 
   // Forgets the endpoints that are not among `known`.
   void retain(const std::map<endpoint_id, endpoint_record>& known);
--- a/include/wisteriaflow/gateway/endpoint_work.h
+++ b/include/wisteriaflow/gateway/endpoint_work.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIAFLOW_GATEWAY_ENDPOINT_WORK_H_
 #define WISTERIAFLOW_GATEWAY_ENDPOINT_WORK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -24,6 +25,10 @@
 
 using endpoint_work_map = std::map<endpoint_id, endpoint_work>;
 
+// The `most` endpoints of `work` that a peer should know of first: those at which nobody is found,
+// then those where the most waits.
+[[nodiscard]] endpoint_work_map most_of(endpoint_work_map work, std::size_t most);
+
 } // namespace wisteriaflow::gateway
 
 #endif // WISTERIAFLOW_GATEWAY_ENDPOINT_WORK_H_
--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -40,6 +40,8 @@
   // seconds, and every daemon's view of the endpoints is two seconds old at most, which is when it
   // would read the store itself.
   std::chrono::milliseconds lead_period{800};
+  // The same for each peer, where that is longer: what a lead is asked by all stays bounded.
+  std::chrono::milliseconds lead_period_by_peer{4};
   // An address at which nobody has answered so many times is asked every so many rounds.
   unsigned silent_rounds = 5;
 };
@@ -49,6 +51,12 @@
  public:
   peer_rounds(peer_rounds_options options, std::uint64_t seed) : options_(options), random_(seed) {}
 
+  // Whether a fleet of so many daemons is too large for all to ask all.
+  [[nodiscard]] bool is_large(std::size_t daemons) const
+  {
+    return daemons > options_.all_asked + 1;
+  }
+
   // The addresses, of `known`, to ask in a round of the regular exchange, and now and then the one
   // of `leads` heard longest ago besides. Peers heard within half a period are left out: they asked
   // meanwhile.
@@ -73,7 +81,7 @@
   [[nodiscard]] bool is_due(const standing& it, mono_time now) const;
   // The lead whose turn it is; none if one was asked a short time ago.
   std::optional<http::socket_address> lead_to_ask(const std::vector<http::socket_address>& leads,
-                                                  mono_time now);
+                                                  std::size_t peers, mono_time now);
   void note_asked(const std::vector<http::socket_address>& peers);
 
   peer_rounds_options options_;
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -66,6 +66,12 @@
   mark_changed(descriptions_.at(record.id), record.revision);
 }
 
+void endpoint_feed::forget(const endpoint_departure& gone)
+{
+  descriptions_.erase(gone.id);
+  changed_ = std::max(changed_, gone.revision);
+}
+
 void endpoint_feed::mark_changed(description& known, std::uint64_t revision)
 {
   known.changed = std::max(known.changed, revision);
--- a/src/gateway/peer_rounds.cc
+++ b/src/gateway/peer_rounds.cc
@@ -33,9 +33,12 @@
 }
 
 std::optional<http::socket_address>
-peer_rounds::lead_to_ask(const std::vector<http::socket_address>& leads, mono_time now)
+peer_rounds::lead_to_ask(const std::vector<http::socket_address>& leads, std::size_t peers,
+                         mono_time now)
 {
-  if (leads.empty() || now < lead_asked_at_ + options_.lead_period) {
+  const auto period =
+      std::max(options_.lead_period, static_cast<int>(peers) * options_.lead_period_by_peer);
+  if (leads.empty() || now < lead_asked_at_ + period) {
     return std::nullopt;
   }
   lead_asked_at_ = now;
@@ -49,7 +52,8 @@
                                                     mono_time now)
 {
   ++round_;
-  const auto most = known.size() <= options_.all_asked ? known.size() : options_.fanout;
+  const auto number = known.size();
+  const auto most = number <= options_.all_asked ? number : options_.fanout;
   std::shuffle(known.begin(), known.end(), random_);
   struct due_peer {
     mono_time answered_at;
@@ -70,7 +74,7 @@
   for (std::size_t i = 0; i < asked; ++i) {
     out.push_back(std::move(due[i].address));
   }
-  const auto lead = lead_to_ask(leads, now);
+  const auto lead = lead_to_ask(leads, number, now);
   if (lead && std::find(out.begin(), out.end(), *lead) == out.end()) {
     out.push_back(*lead);
   }
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -27,16 +27,28 @@
 // news, is 0.6 s old on the mean, where a daemon's own reports to all of 195 were 2.3 s old and a
 // quarter of them too old to count.
 constexpr std::size_t contacts_told = 8;
-constexpr std::size_t ages_told = 512;
 constexpr std::size_t peers_relayed = 24;
+constexpr std::size_t ages_told = 512;
+// Endpoints at which work is told, those with the most first: of the sender's own, and of all peers
+// together whose work is passed on. Where daemons have calls at hundreds of endpoints, the rest is
+// a call here and there, and over before it is heard of.
+constexpr std::size_t own_work_told = 48;
+constexpr std::size_t relayed_work_told = 192;
 // In a fleet of so many peers each is heard in each round, and there is nothing to pass on.
 constexpr std::size_t peers_heard_directly = gateway::peer_rounds_options{}.all_asked;
 // Daemons that do something for all: compete for the duties, read the endpoints in the store, and
 // look after the configuration. Two of them may fall out at once.
 constexpr std::size_t lead_number = 3;
 constexpr std::string_view lead_job = "duties";
+// Daemons whose reports one can take in every 0.8 s beside its other work.
+constexpr std::size_t most_heard_by_one = 100;
 constexpr std::size_t usage_rows_told = 16; // of daemons that fell silent
 
+// Of what a version on trial may get. The rest is for calls that the platform counts otherwise, as
+// those of daemons that die with them.
+constexpr double trial_margin = 0.8;
+constexpr double trial_slack_margin = 0.5;
+
 // Of the peers that do not leave.
 std::vector<daemon_id> ids_of_staying(const std::vector<gateway::daemon_contact>& live)
 {
@@ -70,8 +82,15 @@
       quota({.self = s.id, .slack = s.quota_slack}),
       retries({.ratio = s.retry_ratio, .slack = s.retry_slack, .window = s.retry_window}),
       peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
-      usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept)
+      usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept),
+      versions(s.trial_part > 0),
+      version_calls({.source = {.daemon = s.id, .incarnation = incarnation},
+                     .target_part = trial_margin * s.trial_part})
 {
+  endpoints.use_only([this](const gateway::endpoint_record& r) {
+    return versions.is_usable({.service = r.service, .version = r.version, .revision = r.revision},
+                              rollouts);
+  });
   for (const auto& seed : s.seeds) {
     peers.add_address(seed);
   }
@@ -129,7 +148,8 @@
 
 bool fleet_state::is_ready() const
 {
-  return configuration_ && endpoints.is_known() && !leaving_since_;
+  const bool knows_rollouts = !has_rollouts() || versions.known_up_to() > 0;
+  return knows_rollouts && configuration_ && endpoints.is_known() && !leaving_since_;
 }
 
 std::uint64_t fleet_state::seed() const
@@ -188,7 +208,12 @@
                         .address = std::move(peer.peer_address)});
     }
   }
-  const auto number = std::min(lead_number, ranked.size());
+  auto number = std::min(lead_number, ranked.size());
+  const bool one_collects = rollout_is_open() && ranked.size() <= most_heard_by_one;
+  if (one_collects &&
+      std::any_of(ranked.begin(), ranked.end(), [](const candidate& c) { return c.acting; })) {
+    number = 1; // it has to hear soon of calls that go badly on a version on trial
+  }
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(number),
                     ranked.end(), [](const candidate& a, const candidate& b) {
                       return std::tie(a.acting, a.score) > std::tie(b.acting, b.score);
@@ -212,7 +237,7 @@
   bool news = false;
   for (const auto& d : told) {
     if (endpoints.on_departure(d, now)) {
-      feed.forget(d.id);
+      feed.forget(d);
       news = true;
     }
   }
@@ -221,6 +246,47 @@
   }
 }
 
+bool fleet_state::rollout_is_open() const
+{
+  return std::any_of(rollouts.all().begin(), rollouts.all().end(),
+                     [](const auto& it) { return gateway::is_open(it.second.latest); });
+}
+
+void fleet_state::follow_rollouts()
+{
+  version_calls.follow(rollouts);
+  endpoints.check_usable();
+  std::vector<std::uint64_t> orders;
+  for (const auto& [service, e] : rollouts.all()) {
+    orders.push_back(e.latest.order);
+  }
+  rollout_rows.retain(orders);
+  announce_news();
+}
+
+void fleet_state::take_rollout(const gateway::rollout& known)
+{
+  if (rollouts.note(known)) {
+    follow_rollouts();
+  }
+}
+
+void fleet_state::withdraw_rollout(std::string_view service, std::uint64_t revision)
+{
+  if (rollouts.withdraw(service, revision)) {
+    follow_rollouts();
+  }
+}
+
+void fleet_state::on_rollouts_read(std::uint64_t revision)
+{
+  const bool was_behind = versions.is_behind();
+  versions.set_known_up_to(revision);
+  if (was_behind) {
+    endpoints.check_usable();
+  }
+}
+
 std::chrono::milliseconds fleet_state::call_period(double fleet_calls_per_second) const
 {
   const auto daemons = static_cast<double>(peers.counted(std::chrono::steady_clock::now()));
@@ -251,12 +317,14 @@
   if (live_peers_.size() <= peers_heard_directly) {
     return out;
   }
-  for (auto& peer : peers.latest(peers_relayed, now)) {
+  const auto latest = peers.latest(peers_relayed, now);
+  const auto for_each = relayed_work_told / std::max<std::size_t>(1, latest.size());
+  for (const auto& peer : latest) {
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - peer.told_at);
     const auto& id = peer.contact.id;
     out.push_back({.contact = peer.contact,
                    .age = age,
-                   .work = endpoints.peers().work_of(id),
+                   .work = most_of(endpoints.peers().work_of(id), for_each),
                    .prefill = endpoints.peers().prefill_of(id)});
   }
   return out;
@@ -273,28 +341,41 @@
     return {};
   }
   auto out = feed.changes_after(revision, now);
-  out.departures = endpoints.departures(now);
+  out.departures = endpoints.departures_after(revision);
   return out;
 }
 
-gateway::peer_report fleet_state::report(const clock_reading& now)
+void fleet_state::add_what_is_known_of_others(gateway::peer_report& to, mono_time now)
+{
+  to.heard = peers.heard_last(ages_told, now);
+  to.relayed = relayed_peers(now);
+  if (to.relayed.empty()) {
+    to.known = contacts_to_tell(now);
+  }
+}
+
+gateway::peer_report fleet_state::report(const clock_reading& now, report_extent extent)
 {
   const auto is_silent = [&](const daemon_id& id) {
     return id != options.id && !peers.is_live(id, now.mono);
   };
-  return {.self = self_contact(),
-          .configuration_version = configuration_version(),
-          .clock = now.wall,
-          .known = contacts_to_tell(now.mono),
-          .heard = peers.heard_last(ages_told, now.mono),
-          .relayed = relayed_peers(now.mono),
-          .work = endpoints.work_to_tell(now.mono),
-          .prefill = endpoints.own_prefill(),
-          .departures = endpoints.departures(now.mono),
-          .endpoints = endpoint_view(now.mono),
-          .usage = usage.rows(is_silent, usage_rows_told),
-          .crashes = crashes.news(clock.now(now)),
-          .crash_digest = crashes.digest()};
+  gateway::peer_report out{.self = self_contact(),
+                           .configuration_version = configuration_version(),
+                           .clock = now.wall,
+                           .work = most_of(endpoints.work_to_tell(now.mono), own_work_told),
+                           .prefill = endpoints.own_prefill(),
+                           .departures = endpoints.departures(now.mono),
+                           .endpoints = endpoint_view(now.mono),
+                           .usage = usage.rows(is_silent, usage_rows_told),
+                           .rollouts = rollouts.all(),
+                           .rollouts_known_up_to = versions.known_up_to(),
+                           .rollout_rows = version_calls.rows(clock.now(now)),
+                           .crashes = crashes.news(clock.now(now)),
+                           .crash_digest = crashes.digest()};
+  if (extent == report_extent::whole) {
+    add_what_is_known_of_others(out, now.mono);
+  }
+  return out;
 }
 
 void fleet_state::absorb(const gateway::peer_report& told, const clock_reading& now)
@@ -318,6 +399,13 @@
   for (const auto& row : told.usage) {
     usage.absorb(row);
   }
+  for (const auto& row : told.rollout_rows) {
+    rollout_rows.absorb(row);
+  }
+  if (rollouts.absorb(told.rollouts)) {
+    follow_rollouts();
+  }
+  on_rollouts_read(told.rollouts_known_up_to);
   crashes.absorb(told.crashes, clock.now(now));
 }
 
@@ -367,6 +455,8 @@
   endpoints.refresh_loads(now.mono);
   feed.set_reader(leads(now.mono));
   feed.retain(endpoints.all());
+  version_calls.set_beyond_part(trial_slack_margin * options.trial_slack /
+                                static_cast<double>(daemons));
   usage.forget_old(clock.now(now));
   crashes.tick(clock.now(now));
   holds_.note(crashes.holds(), log);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include <boost/json/value.hpp>
 
@@ -25,7 +26,11 @@
 #include "wisteriaflow/gateway/peer_table.h"
 #include "wisteriaflow/gateway/retry_budget.h"
 #include "wisteriaflow/gateway/retry_policy.h"
+#include "wisteriaflow/gateway/rollout.h"
 #include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/version_counts.h"
+#include "wisteriaflow/gateway/version_gate.h"
+#include "wisteriaflow/gateway/version_traffic.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
 #include "wisteriaflow/relay/settings.h"
 
@@ -72,6 +77,9 @@
   // changed.
   bool set_acting(bool acting);
 
+  // Whether this daemon holds the fleet's duties.
+  [[nodiscard]] bool is_acting() const { return acting_; }
+
   // Whether this daemon is one of the few that do something for all: hold the duties or compete for
   // them, read the endpoints in the store, and look after the configuration.
   [[nodiscard]] bool leads(mono_time now) const;
@@ -102,8 +110,24 @@
   [[nodiscard]] gateway::endpoint_changes endpoint_changes(std::uint64_t revision,
                                                            mono_time now) const;
 
+  // What is known of an order, from the store or by this daemon's own judgement.
+  void take_rollout(const gateway::rollout& known);
+  // The operator has withdrawn a service's order as of `revision`.
+  void withdraw_rollout(std::string_view service, std::uint64_t revision);
+  // All orders up to this revision of the store have been taken.
+  void on_rollouts_read(std::uint64_t revision);
+  // Whether this deployment has roll-outs at all.
+  [[nodiscard]] bool has_rollouts() const { return options.trial_part > 0; }
+
+  // How much of the fleet a report tells beside this daemon's own part.
+  enum class report_extent {
+    whole, // what it knows of others, to pass on
+    brief, // nothing: between a daemon of a large fleet and a lead, whom all ask
+  };
+
   // What to tell a peer now.
-  [[nodiscard]] gateway::peer_report report(const clock_reading& now);
+  [[nodiscard]] gateway::peer_report report(const clock_reading& now,
+                                            report_extent extent = report_extent::whole);
 
   // Takes in what a peer told.
   void absorb(const gateway::peer_report& told, const clock_reading& now);
@@ -126,12 +150,19 @@
   gateway::fleet_clock clock;
   gateway::usage_counts usage;
   gateway::crash_suspects crashes{{}};
+  gateway::rollout_book rollouts;
+  gateway::version_gate versions;
+  gateway::version_traffic version_calls;
+  gateway::rollout_rows rollout_rows;
 
  private:
+  void follow_rollouts();
+  [[nodiscard]] bool rollout_is_open() const;
   // What the latest news of peers is, for a report; nothing where all ask each other.
   std::vector<gateway::relayed_peer> relayed_peers(mono_time now) const;
   // Contacts for a report: all of a small fleet's, a changing few of a large one's.
   std::vector<gateway::daemon_contact> contacts_to_tell(mono_time now);
+  void add_what_is_known_of_others(gateway::peer_report& to, mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
   // How old what is believed is, and the state of the log.
   void set_gauges(mono_time now);
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -1,5 +1,6 @@
 #include "relay/peer_sync.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -44,6 +45,7 @@
 constexpr std::string_view report_age_field = "Report-Age-Ms";
 
 constexpr std::string_view report_target = "/report";
+constexpr std::string_view brief_report_target = "/report?brief";
 constexpr std::string_view quota_target = "/quota";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // ?after=REVISION of the store
@@ -103,7 +105,7 @@
 
 void peer_sync::hurry()
 {
-  made_.reset(); // the next report has to tell the news
+  made_.clear(); // the next report has to tell the news
   if (!hurried_) {
     hurried_ = true;
     wait_.cancel();
@@ -120,19 +122,25 @@
   std::erase_if(leads, is_asked);
   const auto peers =
       news ? rounds_.next_for_news(std::move(known)) : rounds_.next(std::move(known), leads, now);
+  const bool large = rounds_.is_large(state_.peers.counted(now));
   for (const auto& peer : peers) {
     asked_.insert(peer);
-    asio::co_spawn(context_, exchange(peer), asio::detached);
+    const bool is_lead = std::find(leads.begin(), leads.end(), peer) != leads.end();
+    const auto extent =
+        large && is_lead ? fleet_state::report_extent::brief : fleet_state::report_extent::whole;
+    asio::co_spawn(context_, exchange(peer, extent), asio::detached);
   }
 }
 
-const peer_sync::made_report& peer_sync::current_report()
+const peer_sync::made_report& peer_sync::current_report(fleet_state::report_extent extent)
 {
   const auto now = read_clocks();
-  if (!made_ || now.mono >= made_->made_at + report_reuse) {
-    made_ = {.packed = deflate(encode_peer_report(state_.report(now))), .made_at = now.mono};
+  const auto [it, is_first] = made_.try_emplace(extent);
+  if (is_first || now.mono >= it->second.made_at + report_reuse) {
+    it->second = {.packed = deflate(encode_peer_report(state_.report(now, extent))),
+                  .made_at = now.mono};
   }
-  return *made_;
+  return it->second;
 }
 
 void peer_sync::count_report(const std::string& body, const char* direction)
@@ -155,12 +163,14 @@
   }
 }
 
-asio::awaitable<void> peer_sync::exchange(http::socket_address peer)
+asio::awaitable<void> peer_sync::exchange(http::socket_address peer,
+                                          fleet_state::report_extent extent)
 {
-  const auto& report = current_report();
+  const auto& report = current_report(extent);
+  const bool brief = extent == fleet_state::report_extent::brief;
   const auto asked_at = std::chrono::steady_clock::now();
   http::request message{.method = "POST",
-                        .target = std::string(report_target),
+                        .target = std::string(brief ? brief_report_target : report_target),
                         .fields = {age_field(report.made_at, asked_at)},
                         .body = report.packed};
   count_report(message.body, "sent");
@@ -308,7 +318,9 @@
 {
   const auto told = unpack_report(asked.body, asked.fields);
   take_report(told, told.self.peer_address);
-  const auto& report = current_report();
+  const bool brief = asked.target == brief_report_target;
+  const auto& report =
+      current_report(brief ? fleet_state::report_extent::brief : fleet_state::report_extent::whole);
   count_report(report.packed, "sent");
   return {.status = http::status::ok,
           .fields = {age_field(report.made_at, std::chrono::steady_clock::now())},
@@ -341,7 +353,7 @@
 {
   http::response out{.status = http::status::not_found};
   try {
-    if (asked.target == report_target) {
+    if (asked.target == report_target || asked.target == brief_report_target) {
       out = answer_report(asked);
     } else if (asked.target == quota_target) {
       out = answer_quota(asked);
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -4,6 +4,7 @@
 #define WISTERIAFLOW_SRC_RELAY_PEER_SYNC_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,13 +34,14 @@
  private:
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> serve(http::request asked, http::response_writer& writer);
-  boost::asio::awaitable<void> exchange(http::socket_address peer);
+  boost::asio::awaitable<void> exchange(http::socket_address peer,
+                                        fleet_state::report_extent extent);
   // This daemon's report, packed, since the ids and names in it repeat.
   struct made_report {
     std::string packed;
     mono_time made_at;
   };
-  const made_report& current_report();
+  const made_report& current_report(fleet_state::report_extent extent);
   void count_report(const std::string& body, const char* direction);
   gateway::peer_report unpack_report(const std::string& body,
                                      const http::headers& fields); // throws peer_report_error
@@ -75,7 +77,7 @@
   boost::asio::steady_timer wait_;
   std::set<http::socket_address> asked_; // exchanges under way
   gateway::peer_rounds rounds_;
-  std::optional<made_report> made_;
+  std::map<fleet_state::report_extent, made_report> made_;
   bool hurried_ = false;
   std::set<std::string> fetches_; // under way, by what they fetch
   std::optional<mono_time> crashes_differ_since_;
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -243,9 +243,10 @@
   const auto now = std::chrono::steady_clock::now();
   const auto before = state_.endpoints.departures(now).size();
   if (c.deleted) {
-    state_.endpoints.remove({.id = endpoint_id(c.object.name), .revision = removed_at(page, i)},
-                            now);
-    state_.feed.forget(endpoint_id(c.object.name));
+    const gateway::endpoint_departure gone{.id = endpoint_id(c.object.name),
+                                           .revision = removed_at(page, i)};
+    state_.endpoints.remove(gone, now);
+    state_.feed.forget(gone);
   } else {
     try {
       state_.take_endpoint(adapter::decode_endpoint(c.object), now);
