Follow operators' orders to move a service to another version

The wiring of the decisions: rollout_sync reads the orders where this daemon leads, judges, moves traffic over where it holds the duties, and writes each order's state under the revision that it read. Attempts count by version; the planner counts the endpoints that carry the traffic, not both versions'. Settings [rollouts] trial_part and trial_slack; without a part nothing is read and nothing counted.

RolloutReplayTest found that slow versions went through in a fleet of 60 (3,247 calls where 1,170 were permitted): a daemon there sees too few calls of a route to know what is slow. The limit is now kept up before any order, and four samples are enough.

Run: RolloutReplayTest (six kinds of bad versions, fleets of 6, 12 and 60, daemons dying) and RolloutProcessTest (real daemons, fake store: a good version goes over with no call lost, a failing one is rolled back, an unreadable order moves nothing).

--- a/include/wisteriaflow/gateway/pace.h
+++ b/include/wisteriaflow/gateway/pace.h
@@ -13,8 +13,10 @@
 
 struct pace_options {
   double quantile = 0.85;
-  double step = 0.1;        // of the estimate, for one sample
-  std::size_t samples = 20; // before anything counts as slow
+  double step = 0.1; // of the estimate, for one sample
+  // Before anything counts as slow. A rough limit does no harm where calls of two kinds are
+  // compared by the same one, and a daemon of a large fleet gets few calls of a route.
+  std::size_t samples = 4;
 };
 
 // Not thread-safe.
--- a/include/wisteriaflow/gateway/version_traffic.h
+++ b/include/wisteriaflow/gateway/version_traffic.h
@@ -118,25 +118,27 @@
   [[nodiscard]] exposure exposure_of(std::string_view service) const;
 
  private:
-  struct route_state {
-    exposure sent;
+  // What calls of a route take.
+  struct route_pace {
     pace_limit first;
     pace_limit event;
   };
 
   struct order_state {
     rollout order;
-    std::map<std::string, route_state, std::less<>> routes;
+    std::map<std::string, exposure, std::less<>> sent; // by route
     rollout_row row;
   };
 
   // Whether the route's target may get one more call.
   [[nodiscard]] bool has_room(const order_state& it, std::string_view route) const;
-  static void count(route_state& route, outcome_counts& to, const call_outcome& outcome,
-                    bool is_present);
+  // Whether the call was slow; one of the present version tells what is.
+  static bool compare(route_pace& pace, const call_outcome& outcome, bool is_present);
 
   version_traffic_options options_;
   std::map<std::string, order_state, std::less<>> open_; // by service
+  // By service and route, kept whether an order is open or not, so that it is known when one comes.
+  std::map<std::string, std::map<std::string, route_pace>> paces_;
   // Attempts under way by service and version, whether an order is open or not: one may come.
   std::map<std::string, std::map<std::string, std::uint64_t>, std::less<>> under_way_;
 };
--- a/src/gateway/version_traffic.cc
+++ b/src/gateway/version_traffic.cc
@@ -37,18 +37,21 @@
 
 bool version_traffic::has_room(const order_state& it, std::string_view route) const
 {
-  const auto found = it.routes.find(route);
-  const auto sent = found == it.routes.end() ? exposure{} : found->second.sent;
+  exposure of_route;
   double all_to_target = 0;
-  double allowed = options_.beyond_part;
-  for (const auto& [name, r] : it.routes) {
-    all_to_target += static_cast<double>(r.sent.to_target);
-    allowed += options_.target_part * static_cast<double>(r.sent.calls);
+  double all_calls = 0;
+  for (const auto& [name, sent] : it.sent) {
+    of_route = name == route ? sent : of_route;
+    all_to_target += static_cast<double>(sent.to_target);
+    all_calls += static_cast<double>(sent.calls);
   }
   // What is beyond the part is of the whole daemon, for whichever route comes.
-  const double in_part = options_.target_part * static_cast<double>(sent.calls + 1);
-  const bool within = static_cast<double>(sent.to_target + 1) <= in_part + options_.beyond_part;
-  return within && all_to_target + 1 <= allowed + options_.target_part;
+  const auto allowed = [&](double calls) {
+    return options_.target_part * (calls + 1) + options_.beyond_part;
+  };
+  return static_cast<double>(of_route.to_target + 1) <=
+             allowed(static_cast<double>(of_route.calls)) &&
+         all_to_target + 1 <= allowed(all_calls);
 }
 
 version_lane version_traffic::lane_of(const call_to_place& call, bool is_repeat,
@@ -84,18 +87,15 @@
     return;
   }
   auto& it = found->second;
-  auto& sent = it.routes[call.route].sent;
+  auto& sent = it.sent[call.route];
   ++sent.calls;
   sent.to_target += call.version == it.order.target ? 1 : 0;
 }
 
-void version_traffic::count(route_state& route, outcome_counts& to, const call_outcome& outcome,
-                            bool is_present)
+bool version_traffic::compare(route_pace& pace, const call_outcome& outcome, bool is_present)
 {
-  ++to.calls;
-  to.failed += outcome.failed ? 1 : 0;
   bool slow = false;
-  const auto compare = [&](pace_limit& limit, const std::optional<double>& seconds) {
+  const auto look_at = [&](pace_limit& limit, const std::optional<double>& seconds) {
     if (!seconds) {
       return;
     }
@@ -104,9 +104,9 @@
       limit.note(*seconds);
     }
   };
-  compare(route.first, outcome.first_seconds);
-  compare(route.event, outcome.event_seconds);
-  to.slow += slow ? 1 : 0;
+  look_at(pace.first, outcome.first_seconds);
+  look_at(pace.event, outcome.event_seconds);
+  return slow;
 }
 
 void version_traffic::on_ended(const placed_call& call, const call_outcome& outcome)
@@ -117,16 +117,22 @@
   } else {
     --n;
   }
+  if (!outcome.counts) {
+    return;
+  }
   const auto found = open_.find(call.service);
-  if (found == open_.end() || !outcome.counts) {
+  const bool is_present = found == open_.end() || call.version != found->second.order.target;
+  const bool slow = compare(paces_[call.service][call.route], outcome, is_present);
+  if (found == open_.end()) {
     return;
   }
-  auto& it = found->second;
-  auto& route = it.routes[call.route];
-  auto& counts = it.row.outcomes[call.route];
-  const bool is_present = call.version != it.order.target;
-  count(route, is_present ? counts.present : counts.target[call.endpoint], outcome, is_present);
-  ++it.row.sequence;
+  auto& row = found->second.row;
+  auto& counts = row.outcomes[call.route];
+  auto& to = is_present ? counts.present : counts.target[call.endpoint];
+  ++to.calls;
+  to.failed += outcome.failed ? 1 : 0;
+  to.slow += slow ? 1 : 0;
+  ++row.sequence;
 }
 
 std::vector<rollout_row> version_traffic::rows(wall_time now) const
@@ -153,9 +159,9 @@
   if (found == open_.end()) {
     return out;
   }
-  for (const auto& [name, r] : found->second.routes) {
-    out.calls += r.sent.calls;
-    out.to_target += r.sent.to_target;
+  for (const auto& [name, sent] : found->second.sent) {
+    out.calls += sent.calls;
+    out.to_target += sent.to_target;
   }
   return out;
 }
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -22,6 +22,14 @@
 // A whole answer is held in memory up to this size, in bytes.
 constexpr std::size_t answer_limit = std::size_t{8} << 20U;
 
+// What a prompt takes an ordinary engine until its first event: prompts differ by a factor of a
+// hundred, and those of a new endpoint are read whole, so times are compared for what was to be
+// read.
+constexpr double ordinary_first_seconds = 0.02;
+constexpr double ordinary_prefill_rate = 30'000; // tokens/s
+// Fewer events say nothing of how fast they come.
+constexpr std::uint64_t fewest_paced_events = 4;
+
 // Thrown inside an attempt to end it; never leaves it.
 class attempt_ended : public http::http_error {
  public:
@@ -33,8 +41,11 @@
 attempt::attempt(asio::io_context& context, fleet_state& state, http::client& client,
                  admitted_call& call, gateway::pooled_endpoint endpoint)
     : state_(state), client_(client), call_(call), endpoint_(std::move(endpoint)),
-      silence_(context), heard_at_(std::chrono::steady_clock::now())
+      silence_(context), sent_at_(std::chrono::steady_clock::now()), heard_at_(sent_at_)
 {
+  if (state_.has_rollouts()) {
+    state_.version_calls.on_sent(placed());
+  }
   result_.endpoint = endpoint_.process();
   result_.address = endpoint_.address;
   result_.prefix_source = endpoint_.prefix_source;
@@ -93,6 +104,7 @@
   result_.begun = begun_;
   if (call_.caller_gone || caller_failed_) {
     result_.how = attempt_result::end::caller_lost;
+    end_version({});
     return std::move(result_);
   }
   using end = attempt_result::end;
@@ -115,10 +127,47 @@
   if (result_.outcome == attempt_outcome::broken && whole) {
     result_.how = end::cut; // whole, but not an answer that can be passed on
   }
+  note_version(now);
   note_health(now);
   return std::move(result_);
 }
 
+gateway::placed_call attempt::placed() const
+{
+  return {.service = call_.service,
+          .route = call_.route->name,
+          .version = endpoint_.version,
+          .endpoint = endpoint_.id};
+}
+
+void attempt::note_version(mono_time now)
+{
+  using seconds = std::chrono::duration<double>;
+  gateway::call_outcome out{.failed = result_.outcome != attempt_outcome::answered};
+  // What ends because its endpoint leaves or is gone says nothing of the version.
+  const bool ran =
+      result_.how != attempt_result::end::not_sent && result_.outcome != attempt_outcome::not_run;
+  out.counts = ran && state_.endpoints.is_staying(endpoint_.process());
+  const bool resumed = call_.history.sent > 0 && call_.last_event;
+  if (!out.failed && !resumed && begun_) {
+    const double work =
+        ordinary_first_seconds + std::max(0, endpoint_.work.prefill_tokens) / ordinary_prefill_rate;
+    const auto first = first_event_at_.value_or(now);
+    out.first_seconds = seconds(first - sent_at_).count() / work;
+    if (first_event_at_ && events_ >= fewest_paced_events) {
+      out.event_seconds = seconds(now - first).count() / static_cast<double>(events_ - 1);
+    }
+  }
+  end_version(out);
+}
+
+void attempt::end_version(const gateway::call_outcome& outcome)
+{
+  if (state_.has_rollouts()) {
+    state_.version_calls.on_ended(placed(), outcome);
+  }
+}
+
 // Tells the pool how the endpoint did.
 void attempt::note_health(mono_time now)
 {
@@ -241,6 +290,7 @@
   const auto clocks = read_clocks();
   if (!begun_) {
     begun_ = true;
+    first_event_at_ = clocks.mono;
     state_.counters.observe("first_event_time", clocks.mono - call_.received_at,
                             {{"route", call_.route->name}});
   }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -101,6 +101,10 @@
   [[nodiscard]] std::chrono::milliseconds expected_silence() const;
   [[nodiscard]] bool may_give_up() const;
   void note_health(mono_time now);
+  // Tells how the call fared on the endpoint's version.
+  void note_version(mono_time now);
+  void end_version(const gateway::call_outcome& outcome);
+  [[nodiscard]] gateway::placed_call placed() const;
   void note_trouble(gateway::endpoint_trouble kind, mono_time now);
   void note_begin();
   // Counts what an attempt after the first costs.
@@ -112,7 +116,9 @@
   admitted_call& call_;
   gateway::pooled_endpoint endpoint_;
   deadline_watch silence_;
+  mono_time sent_at_;
   mono_time heard_at_;
+  std::optional<mono_time> first_event_at_;
   gateway::event_splitter splitter_;
   gateway::answer_head head_;
   std::uint64_t events_ = 0;
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -344,14 +344,35 @@
     state_.retries.on_call(call.service, now);
   }
   const auto& d = call.description;
-  return state_.endpoints.choose({.service = call.service,
-                                  .prompt = d.prompt,
-                                  .size = d.size,
-                                  .target = call.received_at + call.route->target_latency,
-                                  .deadline = call.deadline,
-                                  .excluded = call.excluded,
-                                  .may_be_refused = !call.history.may_have_run},
-                                 now);
+  gateway::endpoint_wish wish{.service = call.service,
+                              .prompt = d.prompt,
+                              .size = d.size,
+                              .target = call.received_at + call.route->target_latency,
+                              .deadline = call.deadline,
+                              .excluded = call.excluded,
+                              .may_be_refused = !call.history.may_have_run};
+  return choose_version(call, wish, now);
+}
+
+gateway::pool_choice call_relay::choose_version(const admitted_call& call,
+                                                gateway::endpoint_wish& wish, mono_time now)
+{
+  using side = gateway::version_lane::side;
+  if (!state_.version_calls.is_open(call.service)) {
+    return state_.endpoints.choose(wish, now);
+  }
+  const auto key = gateway::split_prompt(call.description.prompt).shared_key;
+  const bool is_repeat = call.history.sent > 0 || call.connect_failures > 0;
+  wish.lane = state_.version_calls.lane_of(
+      {.service = call.service, .route = call.route->name, .key = key.value_or(random_())},
+      is_repeat, state_.fleet_time());
+  auto choice = state_.endpoints.choose(wish, now);
+  const bool has_other = wish.lane.at == side::trial || wish.lane.at == side::target;
+  if (has_other && std::holds_alternative<routing::no_endpoint>(choice)) {
+    wish.lane.at = side::present; // its endpoints are there until the order has succeeded
+    choice = state_.endpoints.choose(wish, now);
+  }
+  return choice;
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -66,6 +66,9 @@
   boost::asio::awaitable<void> give_up(admitted_call& call, http::response_writer& writer,
                                        std::optional<mono_time> open_at = std::nullopt);
   gateway::pool_choice choose(const admitted_call& call);
+  // Among the endpoints of the version that the call goes to while a roll-out is under way.
+  gateway::pool_choice choose_version(const admitted_call& call, gateway::endpoint_wish& wish,
+                                      mono_time now);
   const std::string& draw_service(const gateway::route& r);
   bool may_repeat(const admitted_call& call, const attempt_result& last);
 
--- a/src/relay/duties.cc
+++ b/src/relay/duties.cc
@@ -194,7 +194,12 @@
 gateway::scaling_input duties::scaling_of(const gateway::service_definition& s) const
 {
   gateway::scaling_input out{.service = s.name, .limits = *s.scaling};
+  const auto* order = state_.rollouts.find(s.name);
   for (const auto* e : state_.endpoints.serving(s.name)) {
+    // Both versions stand side by side; only one of them carries the traffic.
+    if (order != nullptr && !gateway::carries_traffic(*order, e->version)) {
+      continue;
+    }
     ++out.serving[{.service = s.name, .zone = e->zone, .reclaimable = e->reclaimable}];
   }
   out.busy = state_.endpoints.busy_endpoints(s.name, std::chrono::steady_clock::now());
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -20,6 +20,7 @@
 #include "relay/event_log.h"
 #include "relay/fleet_state.h"
 #include "relay/peer_sync.h"
+#include "relay/rollout_sync.h"
 #include "relay/store_client.h"
 #include "relay/store_sync.h"
 #include "wisteriaflow/gateway/caller_addresses.h"
@@ -62,7 +63,8 @@
       : log_(std::move(log.write), std::move(log.queued)), state_(s, log_),
         store_(context_, state_), store_sync_(context_, state_, store_),
         crash_store_(context_, state_, store_), peers_(context_, state_),
-        duties_(context_, state_, store_), relay_(context_, state_, peers_),
+        duties_(context_, state_, store_), rollouts_(context_, state_, store_),
+        relay_(context_, state_, peers_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
                    return relay_.serve(std::move(r), w);
@@ -95,6 +97,7 @@
     crash_store_.start();
     peers_.start();
     duties_.start();
+    rollouts_.start();
     await_signal();
     context_.run();
     log_.write(daemon::log_level::info, "stopped", {{"daemon", state_.options.id.value()}});
@@ -201,6 +204,7 @@
   crash_store crash_store_;
   peer_sync peers_;
   duties duties_;
+  rollout_sync rollouts_;
   call_relay relay_;
   http::server callers_;
   http::server addresses_;
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -23,7 +23,23 @@
 
 void fake_store::put(const std::string& kind, const std::string& name, json::value spec)
 {
-  content_->kinds[kind][name] = {.revision = ++content_->revision, .spec = std::move(spec)};
+  auto& o = content_->kinds[kind][name];
+  const bool is_new = o.revision == 0 || o.deleted;
+  o.revision = ++content_->revision;
+  o.spec = std::move(spec);
+  if (is_new) {
+    o = {.revision = o.revision, .spec = std::move(o.spec), .created = o.revision};
+  }
+}
+
+json::value fake_store::status(const std::string& kind, const std::string& name) const
+{
+  const auto of_kind = content_->kinds.find(kind);
+  if (of_kind == content_->kinds.end()) {
+    return nullptr;
+  }
+  const auto it = of_kind->second.find(name);
+  return it == of_kind->second.end() || it->second.deleted ? json::value() : it->second.status;
 }
 
 void fake_store::erase(const std::string& kind, const std::string& name)
@@ -43,7 +59,9 @@
 
 json::value fake_store::render(const std::string& name, const object& o)
 {
-  return {{"metadata", {{"name", name}, {"revision", o.revision}}}, {"spec", o.spec}};
+  return {{"metadata", {{"name", name}, {"revision", o.revision}, {"created", o.created}}},
+          {"spec", o.spec},
+          {"status", o.status}};
 }
 
 boost::asio::awaitable<void> fake_store::serve(fake_request received, http::response_writer& w)
@@ -76,7 +94,7 @@
     return {.status = 404};
   }
   if (r.method == "PUT") {
-    return replace(kind, name, r.body);
+    return r.segments.size() > 3 ? replace_status(kind, name, r.body) : replace(kind, name, r.body);
   }
   if (r.method == "DELETE") {
     erase(kind, name);
@@ -130,4 +148,17 @@
   return {.body = render(name, o)};
 }
 
+fake_reply fake_store::replace_status(const std::string& kind, const std::string& name,
+                                      const json::value& body)
+{
+  auto& o = content_->kinds[kind][name];
+  const auto base = body.at("metadata").at("revision").to_number<std::uint64_t>();
+  if (base != o.revision) {
+    return {.status = 409, .body = render(name, o)};
+  }
+  o.revision = ++content_->revision;
+  o.status = body.at("status");
+  return {.body = render(name, o)};
+}
+
 } // namespace wisteriaflow::fakes
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -36,6 +36,9 @@
   void put(const std::string& kind, const std::string& name, boost::json::value spec);
   void erase(const std::string& kind, const std::string& name);
 
+  // The object's status; null if there is none.
+  [[nodiscard]] boost::json::value status(const std::string& kind, const std::string& name) const;
+
   // The object's content; null if there is none.
   [[nodiscard]] boost::json::value get(const std::string& kind, const std::string& name) const;
 
@@ -47,6 +50,8 @@
     std::uint64_t revision = 0;
     boost::json::value spec;
     bool deleted = false;
+    std::uint64_t created = 0; // revision
+    boost::json::value status = nullptr;
   };
 
   boost::asio::awaitable<void> serve(fake_request received, http::response_writer& w) override;
@@ -56,6 +61,8 @@
   fake_reply create(const std::string& kind, const boost::json::value& body);
   fake_reply replace(const std::string& kind, const std::string& name,
                      const boost::json::value& body);
+  fake_reply replace_status(const std::string& kind, const std::string& name,
+                            const boost::json::value& body);
   static boost::json::value render(const std::string& name, const object& o);
 
   struct content {
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -84,6 +84,7 @@
              .lease_duration = 3s,
              .usage_window = 5s,
              .usage_deadline = 10s};
+  adjust(s);
   for (const auto& g : gateways_) {
     s.seeds.push_back(g->options.peers);
   }
@@ -99,12 +100,13 @@
 }
 
 void gateway_fixture::write_endpoint(const fake_endpoint& e, const std::string& state,
-                                     std::uint64_t born)
+                                     std::uint64_t born, const std::string& version)
 {
   store_.put("servers", e.id(),
              {{"service", "chat"},
               {"address", to_string(e.address())},
               {"zone", "z"},
+              {"version", version},
               {"slots", 8},
               {"state", state},
               {"born", born}});
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 #define WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -59,11 +60,14 @@
 
   // Starts a daemon that uses `store`; its seeds are the daemons started before.
   running_gateway& start_gateway(fake_store& store);
+  // What the settings of daemons started from now on have besides.
+  std::function<void(settings&)> adjust = [](settings&) {};
 
   // Adds an endpoint of the one service.
   fake_endpoint& add_endpoint(const std::string& id);
   // Writes its entry. `born` is when its process started, in Unix milliseconds.
-  void write_endpoint(const fake_endpoint& e, const std::string& state, std::uint64_t born = 1'000);
+  void write_endpoint(const fake_endpoint& e, const std::string& state, std::uint64_t born = 1'000,
+                      const std::string& version = "v1");
   // Writes the configuration; `without` leaves out the route of that name.
   void write_configuration(std::uint64_t version, const std::string& without = "");
 
--- a/test/relay/replayed_fleet.h
+++ b/test/relay/replayed_fleet.h
@@ -38,6 +38,8 @@
       : state({.id = daemon_id("d" + std::to_string(n)),
                .peers = replayed_address(n),
                .seeds = {replayed_address(0), replayed_address(1), replayed_address(2)},
+               .trial_part = 0.1,
+               .trial_slack = 50,
                .usage_window = 5s},
               log),
         rounds({.period = exchange_round}, n)
@@ -56,6 +58,8 @@
  protected:
   void start_fleet(std::size_t number)
   {
+    daemons_.clear();
+    due_ = {};
     for (std::size_t n = 0; n < number; ++n) {
       daemons_.push_back(std::make_unique<replayed_daemon>(n, log_));
       daemons_.back()->state.on_news([this, n] { tell_news(n); });
@@ -267,6 +271,8 @@
 
   event_log log_{[](const daemon::log_line&) { return true; }};
   std::priority_queue<due_round> due_;
+
+ protected:
   std::mt19937_64 random_{1};
 };
 
