--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -86,7 +86,8 @@
     return create(kind, r.body);
   }
   if (r.segments.size() == 2) {
-    return after.empty() ? list(kind) : changes(kind, std::stoull(after));
+    return after.empty() ? list(kind, query_of(r, "after"), query_of(r, "serializable") == "1")
+                         : changes(kind, std::stoull(after));
   }
   const auto& name = r.segments.at(2);
   const auto it = content_->kinds[kind].find(name);
@@ -103,15 +104,30 @@
   return {.body = render(name, it->second)};
 }
 
-fake_reply fake_store::list(const std::string& kind)
+void fake_store::freeze_stale_lists()
 {
+  stale_ = *content_;
+}
+
+fake_reply fake_store::list(const std::string& kind, const std::string& after, bool stale)
+{
+  if (const auto call = lists++; call < refused_lists.size() && refused_lists[call]) {
+    return {.status = 429};
+  }
+  auto& from = stale && stale_ ? *stale_ : *content_;
   json::array items;
-  for (const auto& [name, o] : content_->kinds[kind]) {
-    if (!o.deleted) {
-      items.push_back(render(name, o));
+  bool has_more = false;
+  for (const auto& [name, o] : from.kinds[kind]) {
+    if (o.deleted || name <= after) {
+      continue;
+    }
+    has_more = items.size() == page_size;
+    if (has_more) {
+      break;
     }
+    items.push_back(render(name, o));
   }
-  return {.body = {{"items", std::move(items)}, {"hasMore", false}, {"at", content_->revision}}};
+  return {.body = {{"items", std::move(items)}, {"hasMore", has_more}, {"at", from.revision}}};
 }
 
 fake_reply fake_store::changes(const std::string& kind, std::uint64_t after)
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,13 @@
 
   // While set, every call is answered 503.
   bool away = false;
+  // Objects in one page of a list.
+  std::size_t page_size = 1'000;
+  // Lists that may be stale tell what is there now, whatever changes afterwards.
+  void freeze_stale_lists();
+  // The next calls for lists that are answered 429, and those that were answered.
+  std::vector<bool> refused_lists; // by call; true: refused
+  std::size_t lists = 0;
 
  private:
   struct object {
@@ -56,7 +64,7 @@
 
   boost::asio::awaitable<void> serve(fake_request received, http::response_writer& w) override;
   fake_reply answer(const fake_request& received);
-  fake_reply list(const std::string& kind);
+  fake_reply list(const std::string& kind, const std::string& after, bool stale);
   fake_reply changes(const std::string& kind, std::uint64_t after);
   fake_reply create(const std::string& kind, const boost::json::value& body);
   fake_reply replace(const std::string& kind, const std::string& name,
@@ -71,6 +79,7 @@
   };
 
   std::shared_ptr<content> content_;
+  std::optional<content> stale_;
 };
 
 } // namespace wisteriaflow::fakes
--- /dev/null
+++ b/test/relay/start_test.cc
@@ -0,0 +1,58 @@
+// How a daemon comes to know the endpoints when it starts. When all of 300 daemons before 3,002
+// endpoints were killed, it took 30 s until calls were served again: every one listed the endpoints
+// in seven pages that count towards the store's rate, and one page refused cost all of them again.
+
+#include <algorithm>
+
+#include "relay/gateway_fixture.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using StartTest = gateway_fixture;
+
+TEST_F(StartTest, WhatAStaleListLacksIsReadBeforeACallIsSent)
+{
+  add_endpoint("i-1");
+  auto& leaves = add_endpoint("i-2");
+  store_.freeze_stale_lists();
+  write_endpoint(leaves, "draining");
+  start_gateway(store_);
+  wait_until_ready();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(call("GET", "/safe/1").status, 200);
+  }
+  EXPECT_EQ(leaves.received.size(), 0U);
+}
+
+TEST_F(StartTest, AnEndpointThatCameAfterAStaleListIsUsed)
+{
+  store_.freeze_stale_lists();
+  auto& newer = add_endpoint("i-1");
+  start_gateway(store_);
+  wait_until_ready();
+  EXPECT_EQ(call("GET", "/safe/1").status, 200);
+  EXPECT_EQ(newer.received.size(), 1U);
+}
+
+TEST_F(StartTest, AListGoesOnAtThePageThatWasRefused)
+{
+  constexpr std::size_t endpoints = 6;
+  for (std::size_t i = 0; i < endpoints; ++i) {
+    add_endpoint("i-" + std::to_string(i));
+  }
+  store_.page_size = 1;
+  constexpr std::size_t all_kinds = 12; // enough calls for every list that a start takes
+  for (std::size_t i = 0; i < all_kinds + endpoints; ++i) {
+    store_.refused_lists.push_back(i % 3 == 2);
+  }
+  start_gateway(store_);
+  wait_until_ready();
+  // Every page once, and the refused calls: had each refusal cost the list, it would not have
+  // ended.
+  const auto refused = std::count(store_.refused_lists.begin(), store_.refused_lists.end(), true);
+  EXPECT_LE(store_.lists, endpoints + 6 + static_cast<std::size_t>(refused));
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
