Start from a list that may be stale and what has changed since

Cause: all daemons of a fleet list the endpoints at once, in pages that count towards the store's rate (300 daemons, seven pages each), and a refused page cost the pages before it again.

Change: the first list may be stale, which does not count, and is used only once the changes since have been read; a refused page is asked for again by itself. Where the history is gone the next list is a current one. Pages of a stale list may be of different age, so the changes are read from the earliest.

--- a/src/relay/store_list.cc
+++ b/src/relay/store_list.cc
@@ -1,27 +1,42 @@
 #include "relay/store_list.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
 #include "errors.h"
+#include "relay/pause.h"
 
 namespace wisteriaflow::relay {
+namespace {
+
+// A page that the store refuses is asked for again so often before the list is begun anew: when a
+// whole fleet starts at once each refusal would otherwise cost the pages before it once more.
+constexpr unsigned most_page_retries = 5;
+
+} // namespace
 
 boost::asio::awaitable<listing> list_objects(store_client& store, fleet_state& state,
                                              std::string_view kind, adapter::list_age age)
 {
   listing out;
   std::string after;
-  for (;;) {
+  for (unsigned failures = 0;;) {
     auto message = adapter::list_call(kind, after, age);
     const auto reply = co_await store.call(std::move(message), "list", store_call_timeout);
     if (reply.result != adapter::store_result::done) {
-      co_return out;
+      if (after.empty() || ++failures > most_page_retries) {
+        co_return out;
+      }
+      co_await pause(store.backoff(failures));
+      continue;
     }
+    failures = 0;
     try {
       auto page = adapter::decode_list(reply.body);
-      // Changes between two pages are found again by watching from the first page's revision.
-      out.revision = after.empty() ? page.revision : out.revision;
+      // Changes between two pages are found again by watching from the earliest; pages of a stale
+      // list may be of different age.
+      out.revision = after.empty() ? page.revision : std::min(out.revision, page.revision);
       note_nameless(state, kind, page.nameless);
       for (auto& item : page.items) {
         after = item.name;
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -38,6 +38,8 @@
 constexpr milliseconds shortest_daemon_list_period{10'000};
 constexpr milliseconds longest_daemon_list_period{60'000};
 constexpr double daemon_lists_per_second = 2; // of the fleet
+// Times that the changes since a list are asked for before the list counts as too old.
+constexpr unsigned most_catch_up_tries = 5;
 // Entries of other writers that are remembered as logged.
 constexpr std::size_t most_rejected = 1'000;
 // Lapsed entries are back within two seconds of the store's return.
@@ -151,18 +153,42 @@
 
 asio::awaitable<void> store_sync::follow_endpoints()
 {
+  // A stale list does not count towards the store's rate, and what it lacks is read after it. Where
+  // the history that this takes is gone, the next list is a current one.
+  auto age = adapter::list_age::may_be_stale;
   for (unsigned failures = 0;;) {
-    const auto asked_at = std::chrono::steady_clock::now();
-    const auto all =
-        co_await list_objects(store_, state_, adapter::endpoint_kind, adapter::list_age::current);
+    const auto all = co_await list_objects(store_, state_, adapter::endpoint_kind, age);
     if (all.whole) {
-      failures = 0;
+      const bool caught_up = co_await take_list_and_changes(all);
+      age = caught_up ? adapter::list_age::may_be_stale : adapter::list_age::current;
+      if (caught_up) {
+        failures = 0;
+        co_await watch_endpoints();
+      }
+    }
+    co_await pause(store_.backoff(++failures));
+  }
+}
+
+asio::awaitable<bool> store_sync::take_list_and_changes(const listing& all)
+{
+  // Nothing of the list is used before: an endpoint may have left since it was true.
+  for (unsigned failures = 0; failures < most_catch_up_tries;) {
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto read = co_await read_changes(adapter::endpoint_kind, all.revision, milliseconds{0});
+    if (read.result == adapter::store_result::expired) {
+      co_return false;
+    }
+    if (read.result == adapter::store_result::done) {
       take_endpoints(all);
       state_.feed.on_list(state_.endpoints.all(), all.revision, asked_at);
-      co_await watch_endpoints();
+      take_endpoint_changes(read.page);
+      state_.feed.on_read(read.page.revision, asked_at);
+      co_return true;
     }
     co_await pause(store_.backoff(++failures));
   }
+  co_return false;
 }
 
 asio::awaitable<void> store_sync::wait_until_due()
@@ -192,9 +218,7 @@
       continue;
     }
     failures = 0;
-    for (std::size_t i = 0; i < read.page.changes.size(); ++i) {
-      take_endpoint_change(read.page, i);
-    }
+    take_endpoint_changes(read.page);
     state_.feed.on_read(read.page.revision, asked_at);
   }
 }
@@ -237,6 +261,13 @@
   }
 }
 
+void store_sync::take_endpoint_changes(const adapter::change_page& page)
+{
+  for (std::size_t i = 0; i < page.changes.size(); ++i) {
+    take_endpoint_change(page, i);
+  }
+}
+
 void store_sync::take_endpoint_change(const adapter::change_page& page, std::size_t i)
 {
   const auto& c = page.changes[i];
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -53,6 +53,9 @@
   boost::asio::awaitable<void> enter();
   void take_endpoints(const listing& all);
   // Takes change `i` of a page.
+  // Takes a list in with what has changed since it was true. False if that is not to be had.
+  boost::asio::awaitable<bool> take_list_and_changes(const listing& all);
+  void take_endpoint_changes(const adapter::change_page& page);
   void take_endpoint_change(const adapter::change_page& page, std::size_t i);
   // An endpoint's entry cannot be used: what it named before is withdrawn.
   void reject(const adapter::stored_object& entry, std::uint64_t revision,
