Keep rounds of the exchange apart from news, and tell news briefly

Cause: each piece of news took the place of a round, and went as a whole report to six peers.

The tick is a round's, no longer that of each piece of news.

--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -122,7 +122,7 @@
   // How much of the fleet a report tells beside this daemon's own part.
   enum class report_extent {
     whole, // what it knows of others, to pass on
-    brief, // nothing: between a daemon of a large fleet and a lead, whom all ask
+    brief, // nothing: in a large fleet, for news, and for a lead, whom all ask
   };
 
   // What to tell a peer now.
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -91,9 +91,17 @@
 asio::awaitable<void> peer_sync::run()
 {
   for (;;) {
-    ask_peers(std::exchange(hurried_, false));
-    state_.tick(read_clocks());
-    wait_.expires_after(exchange_period);
+    const auto now = std::chrono::steady_clock::now();
+    if (std::exchange(hurried_, false)) {
+      tell_news(now);
+    }
+    // News never take the place of a round: it alone tells what is known of others.
+    if (now >= next_round_) {
+      next_round_ = now + exchange_period;
+      ask_peers(now);
+      state_.tick(read_clocks());
+    }
+    wait_.expires_at(next_round_);
     boost::system::error_code ec;
     co_await wait_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     if (hurried_) {
@@ -112,23 +120,37 @@
   }
 }
 
-void peer_sync::ask_peers(bool news)
+std::vector<http::socket_address> peer_sync::peers_to_ask(mono_time now) const
+{
+  auto out = state_.peers.addresses_to_ask(now);
+  std::erase_if(out, [this](const auto& peer) { return asked_.contains(peer); });
+  return out;
+}
+
+void peer_sync::ask(const http::socket_address& peer, fleet_state::report_extent extent)
 {
-  const auto now = std::chrono::steady_clock::now();
-  auto known = state_.peers.addresses_to_ask(now);
+  asked_.insert(peer);
+  asio::co_spawn(context_, exchange(peer, extent), asio::detached);
+}
+
+void peer_sync::ask_peers(mono_time now)
+{
+  using extent = fleet_state::report_extent;
   auto leads = state_.other_leads(now);
-  const auto is_asked = [this](const auto& peer) { return asked_.contains(peer); };
-  std::erase_if(known, is_asked);
-  std::erase_if(leads, is_asked);
-  const auto peers =
-      news ? rounds_.next_for_news(std::move(known)) : rounds_.next(std::move(known), leads, now);
+  std::erase_if(leads, [this](const auto& peer) { return asked_.contains(peer); });
   const bool large = rounds_.is_large(state_.peers.counted(now));
-  for (const auto& peer : peers) {
-    asked_.insert(peer);
+  for (const auto& peer : rounds_.next(peers_to_ask(now), leads, now)) {
     const bool is_lead = std::find(leads.begin(), leads.end(), peer) != leads.end();
-    const auto extent =
-        large && is_lead ? fleet_state::report_extent::brief : fleet_state::report_extent::whole;
-    asio::co_spawn(context_, exchange(peer, extent), asio::detached);
+    ask(peer, large && is_lead ? extent::brief : extent::whole);
+  }
+}
+
+void peer_sync::tell_news(mono_time now)
+{
+  using extent = fleet_state::report_extent;
+  const bool large = rounds_.is_large(state_.peers.counted(now));
+  for (const auto& peer : rounds_.next_for_news(peers_to_ask(now))) {
+    ask(peer, large ? extent::brief : extent::whole);
   }
 }
 
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -65,8 +66,12 @@
   void compare_crashes(const gateway::peer_report& told, mono_time now);
   void fetch_crashes(const http::socket_address& peer);
   http::response answer_endpoints(const http::request& asked);
-  // Starts one round of the exchange, which may have to spread news.
-  void ask_peers(bool news);
+  // Starts one round of the exchange.
+  void ask_peers(mono_time now);
+  void tell_news(mono_time now);
+  // Peers that are not being asked.
+  [[nodiscard]] std::vector<http::socket_address> peers_to_ask(mono_time now) const;
+  void ask(const http::socket_address& peer, fleet_state::report_extent extent);
   // Sends news at once, but news that follow closely share a message.
   void hurry();
 
@@ -79,6 +84,7 @@
   gateway::peer_rounds rounds_;
   std::map<fleet_state::report_extent, made_report> made_;
   bool hurried_ = false;
+  mono_time next_round_;
   std::set<std::string> fetches_; // under way, by what they fetch
   std::optional<mono_time> crashes_differ_since_;
 };
--- a/test/relay/replayed_fleet.h
+++ b/test/relay/replayed_fleet.h
@@ -211,7 +211,8 @@
   {
     d.has_news = false;
     if (d.alive) {
-      ask(d, d.rounds.next_for_news(d.state.peers.addresses_to_ask(now_)));
+      const auto peers = d.rounds.next_for_news(d.state.peers.addresses_to_ask(now_));
+      ask(d, peers, peers); // what they get is as brief as a lead's
     }
   }
 
