Read on where an answer of the store may hold only a part of the changes

Cause, read from the figures: at 300 daemons the late requests to an endpoint that leaves are what the whole fleet would send there in the time beyond the bound (1, 3 and 4 requests in 1.5, 0.7 and 1.2 s; 3,002 endpoints get about five each a second), so not one daemon was late but all. The longest delay grows with the endpoints (0.35, 0.77, 4.5 s). Answers to a watch are bounded; hundreds of leaving endpoints change their entries with every heartbeat. A reader took each answer for all there was, said its view was fresh, and read again 0.6 s later: so much behind, and all who follow it.

Change: an answer with a hundred changes or more makes the view no fresher, and is read on at once; so is what a stale first list lacks.

Ruled out before: news that miss a daemon, a start with an old list.

--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -79,6 +79,10 @@
   // The store stood at `revision` when it was asked, and all changes up to there have been noted.
   void on_read(std::uint64_t revision, mono_time asked_at);
 
+  // The same where there may be more changes than an answer holds: up to `revision` all are known,
+  // and the view is no fresher than before, so that it is read on at once.
+  void on_partly_read(std::uint64_t revision);
+
   // Notes an endpoint's description; only one that says something new counts as a change.
   void note(const endpoint_record& record);
 
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -45,6 +45,11 @@
   move_to(revision, asked_at);
 }
 
+void endpoint_feed::on_partly_read(std::uint64_t revision)
+{
+  move_to(revision, read_at_);
+}
+
 void endpoint_feed::note(const endpoint_record& record)
 {
   const auto [it, added] = descriptions_.try_emplace(record.id);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -38,6 +38,9 @@
 constexpr milliseconds shortest_daemon_list_period{10'000};
 constexpr milliseconds longest_daemon_list_period{60'000};
 constexpr double daemon_lists_per_second = 2; // of the fleet
+// The store bounds an answer, to some 500 objects. One with so many changes may not hold all: while
+// hundreds of endpoints leave, each tells anew with every heartbeat how long it stays.
+constexpr std::size_t changes_of_a_full_page = 100;
 // Times that the changes since a list are asked for before the list counts as too old.
 constexpr unsigned most_catch_up_tries = 5;
 // Entries of other writers that are remembered as logged.
@@ -173,20 +176,30 @@
 asio::awaitable<bool> store_sync::take_list_and_changes(const listing& all)
 {
   // Nothing of the list is used before: an endpoint may have left since it was true.
+  std::vector<adapter::change_page> pages;
+  auto after = all.revision;
   for (unsigned failures = 0; failures < most_catch_up_tries;) {
     const auto asked_at = std::chrono::steady_clock::now();
-    const auto read = co_await read_changes(adapter::endpoint_kind, all.revision, milliseconds{0});
+    auto read = co_await read_changes(adapter::endpoint_kind, after, milliseconds{0});
     if (read.result == adapter::store_result::expired) {
       co_return false;
     }
-    if (read.result == adapter::store_result::done) {
+    if (read.result != adapter::store_result::done) {
+      co_await pause(store_.backoff(++failures));
+      continue;
+    }
+    after = read.page.revision;
+    const bool is_last = read.page.changes.size() < changes_of_a_full_page;
+    pages.push_back(std::move(read.page));
+    if (is_last) {
       take_endpoints(all);
       state_.feed.on_list(state_.endpoints.all(), all.revision, asked_at);
-      take_endpoint_changes(read.page);
-      state_.feed.on_read(read.page.revision, asked_at);
+      for (const auto& page : pages) {
+        take_endpoint_changes(page);
+      }
+      state_.feed.on_read(after, asked_at);
       co_return true;
     }
-    co_await pause(store_.backoff(++failures));
   }
   co_return false;
 }
@@ -218,8 +231,17 @@
       continue;
     }
     failures = 0;
-    take_endpoint_changes(read.page);
-    state_.feed.on_read(read.page.revision, asked_at);
+    take_read(read.page, asked_at);
+  }
+}
+
+void store_sync::take_read(const adapter::change_page& page, mono_time asked_at)
+{
+  take_endpoint_changes(page);
+  if (page.changes.size() < changes_of_a_full_page) {
+    state_.feed.on_read(page.revision, asked_at);
+  } else {
+    state_.feed.on_partly_read(page.revision);
   }
 }
 
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -56,6 +56,8 @@
   // Takes a list in with what has changed since it was true. False if that is not to be had.
   boost::asio::awaitable<bool> take_list_and_changes(const listing& all);
   void take_endpoint_changes(const adapter::change_page& page);
+  // Takes in what has changed up to a question of `asked_at`.
+  void take_read(const adapter::change_page& page, mono_time asked_at);
   void take_endpoint_change(const adapter::change_page& page, std::size_t i);
   // An endpoint's entry cannot be used: what it named before is withdrawn.
   void reject(const adapter::stored_object& entry, std::uint64_t revision,
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -132,11 +132,19 @@
 
 fake_reply fake_store::changes(const std::string& kind, std::uint64_t after)
 {
-  json::array events;
+  std::map<std::uint64_t, std::string> changed; // by revision
   for (const auto& [name, o] : content_->kinds[kind]) {
     if (o.revision > after) {
-      events.push_back({{"deleted", o.deleted}, {"object", render(name, o)}});
+      changed.emplace(o.revision, name);
+    }
+  }
+  json::array events;
+  for (const auto& [revision, name] : changed) {
+    if (events.size() == page_size) {
+      return {.body = {{"events", std::move(events)}, {"at", revision - 1}}};
     }
+    const auto& o = content_->kinds[kind][name];
+    events.push_back({{"deleted", o.deleted}, {"object", render(name, o)}});
   }
   return {.body = {{"events", std::move(events)}, {"at", content_->revision}}};
 }
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -45,7 +45,7 @@
 
   // While set, every call is answered 503.
   bool away = false;
-  // Objects in one page of a list.
+  // Objects in one page of a list, and changes in one answer to a watch.
   std::size_t page_size = 1'000;
   // Lists that may be stale tell what is there now, whatever changes afterwards.
   void freeze_stale_lists();
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -197,5 +197,19 @@
   EXPECT_LE(reads_of_others, 10);
 }
 
+// When hundreds of endpoints leave at once, each entry changes with every heartbeat, more often
+// than answers of the store hold. A daemon that took each answer for all there was believed for
+// seconds that its view was fresh, and so did all its peers: of 3,002 endpoints one got calls 4.5 s
+// after it had said that it leaves.
+TEST_F(EndpointFeedTest, AnAnswerThatMayBeAPartMakesTheViewNoFresher)
+{
+  reader_.on_read(10, start);
+  const auto due = reader_.due_at();
+  reader_.on_partly_read(15);
+  EXPECT_EQ(reader_.revision(), 15U);
+  EXPECT_EQ(reader_.due_at(), due);
+  EXPECT_EQ(reader_.view(start + 300ms).age, 300ms);
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
--- a/test/relay/start_test.cc
+++ b/test/relay/start_test.cc
@@ -35,6 +35,25 @@
   EXPECT_EQ(newer.received.size(), 1U);
 }
 
+TEST_F(StartTest, WhatAStaleListLacksIsReadInAsManyAnswersAsItTakes)
+{
+  add_endpoint("i-1");
+  auto& leaves = add_endpoint("i-2");
+  store_.freeze_stale_lists();
+  store_.page_size = 100;
+  constexpr int other_changes = 250;
+  for (int i = 0; i < other_changes; ++i) {
+    store_.put("servers", "x-" + std::to_string(i), {{"service", "other"}});
+  }
+  write_endpoint(leaves, "draining");
+  start_gateway(store_);
+  wait_until_ready();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(call("GET", "/safe/1").status, 200);
+  }
+  EXPECT_EQ(leaves.received.size(), 0U);
+}
+
 TEST_F(StartTest, AListGoesOnAtThePageThatWasRefused)
 {
   constexpr std::size_t endpoints = 6;
