Try a version's endpoints for longer each, and list what slips through

Cause: endpoints on trial changed every two seconds, so each had a few calls, and leaving out the worst two fifths of many left those without bad calls. Change: they change every four seconds.

--- a/include/wisteriaflow/gateway/version_traffic.h
+++ b/include/wisteriaflow/gateway/version_traffic.h
@@ -80,7 +80,7 @@
   // Which endpoints are on trial changes after this. They are as few as carry the load of the
   // present ones, so that badness under load shows, and change, so that an ill one is told from a
   // bad version.
-  std::chrono::milliseconds trial_period{2'000};
+  std::chrono::milliseconds trial_period{4'000};
 };
 
 // Not thread-safe.
--- a/test/gateway/version_traffic_test.cc
+++ b/test/gateway/version_traffic_test.cc
@@ -94,7 +94,7 @@
   order();
   traffic_.set_beyond_part(10);
   EXPECT_EQ(lane_of("r").drawn_by, lane_of("r", start + 1s).drawn_by);
-  EXPECT_NE(lane_of("r").drawn_by, lane_of("r", start + 2s).drawn_by);
+  EXPECT_NE(lane_of("r").drawn_by, lane_of("r", start + 4s).drawn_by);
 }
 
 TEST_F(VersionTrafficTest, PrefixesMoveInTurn)
--- a/test/relay/rollout_replay_test.cc
+++ b/test/relay/rollout_replay_test.cc
@@ -290,6 +290,17 @@
   }
 }
 
+// A version that is slow on one route in eight alone: few of its calls come, and of the many
+// endpoints that they met the worst are left out. In 3 of 100 plays it is known too late or not at
+// all, with these seeds; in none of 500 of the other kinds.
+TEST_F(RolloutReplayTest, NorDoesOneThatIsSlowOnARouteWithFewCalls)
+{
+  for (const unsigned seed : {33U, 89U, 95U}) {
+    const auto p = play(6, 200, bad_versions.back(), seed, false);
+    expect_within_rules(p, "seed " + std::to_string(seed));
+  }
+}
+
 TEST_F(RolloutReplayTest, GoodVersionsGoThroughInTime)
 {
   for (unsigned seed = 31; seed <= 50; ++seed) {
