Read the change once more: one piece for what stood twice

Whether an endpoint may be used was worked out in two places of the pool, and twenty calls of which none may reach an endpoint were sent by two copies in StartTest. Behaviour and assertions are as before.

The whole suite not run on it.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -229,6 +229,7 @@
   // Whether it is in trouble, by this daemon's calls or by its peers' word.
   [[nodiscard]] bool is_left_out(routing::endpoint_slot slot, mono_time now) const;
   void store(const endpoint_record& record);
+  void note_usable(const endpoint_record& record);
   void erase(const endpoint_id& id);
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -107,6 +107,11 @@
     table_.on_leaving(slot);
   }
   records_[record.id] = record;
+  note_usable(record);
+}
+
+void endpoint_pool::note_usable(const endpoint_record& record)
+{
   if (may_be_used_ && !may_be_used_(record)) {
     not_usable_.insert(record.id);
   } else {
@@ -116,11 +121,8 @@
 
 void endpoint_pool::check_usable()
 {
-  not_usable_.clear();
   for (const auto& [id, r] : records_) {
-    if (may_be_used_ && !may_be_used_(r)) {
-      not_usable_.insert(id);
-    }
+    note_usable(r);
   }
 }
 
--- a/test/relay/start_test.cc
+++ b/test/relay/start_test.cc
@@ -9,7 +9,16 @@
 namespace wisteriaflow::relay {
 namespace {
 
-using StartTest = gateway_fixture;
+class StartTest : public gateway_fixture {
+ protected:
+  void expect_no_call_at(const fake_endpoint& e)
+  {
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(call("GET", "/safe/1").status, 200);
+    }
+    EXPECT_EQ(e.received.size(), 0U);
+  }
+};
 
 TEST_F(StartTest, WhatAStaleListLacksIsReadBeforeACallIsSent)
 {
@@ -19,10 +28,7 @@
   write_endpoint(leaves, "draining");
   start_gateway(store_);
   wait_until_ready();
-  for (int i = 0; i < 20; ++i) {
-    EXPECT_EQ(call("GET", "/safe/1").status, 200);
-  }
-  EXPECT_EQ(leaves.received.size(), 0U);
+  expect_no_call_at(leaves);
 }
 
 TEST_F(StartTest, AnEndpointThatCameAfterAStaleListIsUsed)
@@ -48,10 +54,7 @@
   write_endpoint(leaves, "draining");
   start_gateway(store_);
   wait_until_ready();
-  for (int i = 0; i < 20; ++i) {
-    EXPECT_EQ(call("GET", "/safe/1").status, 200);
-  }
-  EXPECT_EQ(leaves.received.size(), 0U);
+  expect_no_call_at(leaves);
 }
 
 TEST_F(StartTest, AListGoesOnAtThePageThatWasRefused)
