--- a/test/fakes/fake_endpoint.cc
+++ b/test/fakes/fake_endpoint.cc
@@ -22,6 +22,12 @@
 
 } // namespace
 
+http::response fake_endpoint::with_statements(http::response answer) const
+{
+  answer.fields.insert(answer.fields.end(), statements.begin(), statements.end());
+  return answer;
+}
+
 http::response fake_endpoint::whole_answer(const fake_request& r) const
 {
   const auto id = std::string(http::find_header(r.fields, "Request-Id"));
@@ -70,7 +76,7 @@
   default:
     break;
   }
-  auto out = whole_answer(r);
+  auto out = with_statements(whole_answer(r));
   co_await w.send(std::move(out));
 }
 
@@ -80,6 +86,7 @@
       .fields = {{"Request-Id", std::string(http::find_header(r.fields, "Request-Id"))},
                  {"Response-Seal", "signature-" + id_},
                  {"Content-Type", "text/event-stream"}}};
+  head = with_statements(std::move(head));
   co_await w.start_stream(std::move(head));
   const bool cuts = mood == endpoint_mood::streams_and_cuts;
   const int last = cuts ? cut_after : last_event;
--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -37,6 +37,8 @@
   }
 
   endpoint_mood mood = endpoint_mood::answers;
+  // What it says of itself: fields that each of its answers carries besides.
+  http::headers statements;
   // Holds up the whole thread for this long before an answer, as a stopped process does.
   std::chrono::milliseconds stall{0};
   // A request below this path ends the process as soon as it begins to run; empty: none does.
@@ -53,6 +55,7 @@
   boost::asio::awaitable<void> serve(fake_request r, http::response_writer& w) override;
   boost::asio::awaitable<void> stream(const fake_request& r, http::response_writer& w);
   [[nodiscard]] http::response whole_answer(const fake_request& r) const;
+  [[nodiscard]] http::response with_statements(http::response answer) const;
 
   std::string id_;
 };
