Log what endpoints say of themselves in their answers

Cause for it: the logs could not tell the hypotheses of the incident apart, since the line of an attempt did not say what the answer had named. Now an answer's head is decoded into a typed statement (leaving, rate of requests, pause), the line of an attempt carries it as it was said, and what cannot be believed is logged and counted. An answer of another endpoint at the address says nothing of the one expected.

--- a/include/wisteriaflow/gateway/call.h
+++ b/include/wisteriaflow/gateway/call.h
@@ -12,6 +12,7 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/endpoint_statement.h"
 #include "wisteriaflow/http/message.h"
 
 namespace wisteriaflow::gateway {
@@ -63,10 +64,12 @@
 // What the head of an endpoint's answer says.
 struct answer_head {
   int status = 0;
-  bool not_run = false;       // the endpoint promises that it did not run the request
-  bool has_signature = false; // carries the endpoint's signature
+  bool not_run = false;        // the endpoint promises that it did not run the request
+  bool other_endpoint = false; // another endpoint is at the address, and answers for itself
+  bool has_signature = false;  // carries the endpoint's signature
   bool is_stream = false;
   std::string request_id; // as echoed by the endpoint; empty: none
+  endpoint_statement statement;
 
   friend bool operator==(const answer_head&, const answer_head&) = default;
 };
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -211,6 +211,9 @@
   result_.head_came = true;
   head_ = adapter::decode_answer(head);
   result_.answer = head;
+  if (!head_.other_endpoint) {
+    note_statement();
+  }
   const auto outcome = gateway::judge(head_, call_.description.request_id);
   streaming_ = head_.is_stream && http::status::is_success(head.status) &&
                outcome == attempt_outcome::answered;
@@ -219,6 +222,20 @@
   }
 }
 
+// Takes in what the endpoint says of itself.
+void attempt::note_statement()
+{
+  result_.statement = head_.statement;
+  const auto terms = gateway::believed(head_.statement);
+  for (const auto& text : terms.rejected) {
+    state_.counters.count("endpoint_statements_rejected");
+    state_.log.write(daemon::log_level::warn, "endpoint statement not believed",
+                     {{"request", call_.description.request_id},
+                      {"endpoint", endpoint_.id.value()},
+                      {"statement", text}});
+  }
+}
+
 asio::awaitable<void> attempt::on_bytes(std::string_view bytes, http::response_writer& writer)
 {
   heard_at_ = std::chrono::steady_clock::now();
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -74,6 +74,7 @@
   std::string reason;     // of a failure
   gateway::attempt_outcome outcome = gateway::attempt_outcome::broken;
   bool head_came = false;
+  gateway::endpoint_statement statement; // of the endpoint, in that head
   http::response answer; // head, and the body if it is whole; says nothing if no head came
 };
 
@@ -92,6 +93,7 @@
 
  private:
   void on_head(const http::response& head);
+  void note_statement();
   boost::asio::awaitable<void> on_bytes(std::string_view bytes, http::response_writer& writer);
   boost::asio::awaitable<void> pass_on(std::vector<gateway::stream_event> events,
                                        http::response_writer& writer);
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -18,6 +18,23 @@
   }
 }
 
+template <typename value_type>
+void add_stated(log_fields& to, const char* name,
+                const std::optional<gateway::stated<value_type>>& said)
+{
+  if (said) {
+    to.emplace_back(name, said->text);
+  }
+}
+
+// What the endpoint said of itself, as it said it.
+void add_statement(log_fields& to, const gateway::endpoint_statement& statement)
+{
+  add_stated(to, "said_leaving", statement.leaving);
+  add_stated(to, "said_request_rate", statement.request_rate);
+  add_stated(to, "said_pause_seconds", statement.pause);
+}
+
 } // namespace
 
 void call_log::count_answer(const admitted_call& call, const std::string& status)
@@ -82,6 +99,7 @@
   if (result.prefix_source) {
     fields.emplace_back("prefix_source", to_string(*result.prefix_source));
   }
+  add_statement(fields, result.statement);
   add_reason(fields, result);
   if (result.how == attempt_result::end::caller_lost) {
     state_.log.write(daemon::log_level::info, "caller left", std::move(fields));
--- a/test/adapter/messages_test.cc
+++ b/test/adapter/messages_test.cc
@@ -140,6 +140,38 @@
   EXPECT_TRUE(head.is_stream);
 }
 
+TEST(AnswerTest, TellsWhatTheEndpointSaysOfItself)
+{
+  const auto head = decode_answer(
+      {.status = 503,
+       .fields = {{"Server-Leaving", "1"}, {"Server-Limit", "1.6"}, {"Retry-After", "3"}}});
+  const gateway::endpoint_statement said{.leaving = {{.text = "1", .value = true}},
+                                         .request_rate = {{.text = "1.6", .value = 1.6}},
+                                         .pause = {{.text = "3", .value = 3}}};
+  EXPECT_EQ(head.statement, said);
+}
+
+TEST(AnswerTest, KeepsTheTextOfAStatementThatCannotBeRead)
+{
+  for (const char* text : {"many", "nan", "inf", "1e400", "1.5 a second", "", "0x10", "+1"}) {
+    const auto head = decode_answer({.status = 200, .fields = {{"Server-Limit", text}}});
+    const gateway::stated<double> said{.text = text};
+    EXPECT_EQ(head.statement.request_rate, said) << text;
+  }
+}
+
+TEST(AnswerTest, AsksForAPauseOnlyWhereItTurnsARequestAway)
+{
+  const auto head = decode_answer({.status = 200, .fields = {{"Retry-After", "3"}}});
+  EXPECT_EQ(head.statement, gateway::endpoint_statement{});
+}
+
+TEST(AnswerTest, TellsThatAnotherEndpointAnswered)
+{
+  EXPECT_TRUE(decode_answer({.status = 421}).other_endpoint);
+  EXPECT_FALSE(decode_answer({.status = 503}).other_endpoint);
+}
+
 TEST(RefusalTest, TellsWhenToComeBackInSeconds)
 {
   const auto out = refusal(503, "full", start + 1'250ms, start);
