Keep the rates that endpoints name, over the whole fleet

What callers saw: a model server in need that named 1.4 requests a second got 15 within four seconds, where 13 are allowed, and one that named 1 got 16, where 11 are; its answers came later and later.

Cause: no code read what an endpoint says of itself in an answer; the head was decoded into status, signature and request id, and the rest passed on. Ruled out: that each daemon kept the rate by itself (no daemon's rate fell when it was named), and repeats or fallbacks past a check (all 30 attempts logged there were first ones).

Change: of the daemons that hear each other up to four hold a share of a named rate, by rendezvous hashing, and only they send; no question is asked for a call, and what a daemon does for a call does not grow with the fleet. All ways to an endpoint go through the one list of candidates, which a closed endpoint is not on: first choice, the least bad, repeats, resumed streams, trials of versions. The word travels with the peers' reports, at most 32 endpoints in each, so that who joins has it. A daemon that is cut off gives away only the part of those that it hears. What cannot be sent is refused at once, with the time at which an endpoint opens. A rate is over by a signed answer to a request sent after it was named; an absurd figure is logged and changes nothing.

Weighed: a share for every daemon (390 of them may have saved up 390 requests), a question to an owner for each call (none is allowed), one holder (its death leaves the endpoint unused), and forgetting a rate with the endpoint's entry (entries lapse with the store and come back).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -36,6 +36,7 @@
 #include "wisteriaflow/gateway/endpoint_work.h"
 #include "wisteriaflow/gateway/peers_work.h"
 #include "wisteriaflow/gateway/shared_prefix.h"
+#include "wisteriaflow/gateway/stated_terms.h"
 #include "wisteriaflow/gateway/version_traffic.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/routing/choose_endpoint.h"
@@ -65,6 +66,7 @@
 };
 
 struct endpoint_pool_options {
+  daemon_id self;
   availability_zone zone;
   std::uint64_t seed = 0;
   // Departures are passed on to all peers for this long.
@@ -168,6 +170,20 @@
   // Whether the endpoint has started anew since it was chosen: what it ran then is lost.
   [[nodiscard]] bool has_restarted(const pooled_endpoint& chosen) const;
 
+  // The daemons among which the rates are divided that endpoints name.
+  void set_fleet(fleet_view fleet, mono_time now) { terms_.set_fleet(std::move(fleet), now); }
+
+  // What an endpoint said of itself in an answer. True if peers should hear of it at once.
+  bool on_answer(const answered_terms& said, mono_time now);
+  // The same by the word of a peer. False if its figure makes no sense.
+  bool on_peer_terms(const told_terms& told, mono_time now);
+  [[nodiscard]] std::vector<told_terms> terms_to_tell(std::size_t most, mono_time now)
+  {
+    return terms_.to_tell(most, now);
+  }
+  // Endpoints whose rate is kept.
+  [[nodiscard]] std::size_t limited() const { return terms_.limited(); }
+
   // Whether the process is known and nothing says that it leaves.
   [[nodiscard]] bool is_staying(const endpoint_process& process) const;
 
@@ -205,9 +221,13 @@
   struct candidates {
     std::vector<routing::endpoint_slot> open;
     std::vector<routing::endpoint_slot> left_out; // in trouble
+    // When the first of those opens that take no request now by the terms which they have stated.
+    std::optional<mono_time> opens_at;
   };
 
   [[nodiscard]] candidates candidates_for(const endpoint_wish& wish, mono_time now) const;
+  // What a call is told that may not be sent anywhere for now.
+  routing::no_endpoint none_open(const endpoint_wish& wish, mono_time opens_at);
   // Of the target's endpoints as few as carry the load of the present ones; see version_lane.
   void keep_on_trial(const endpoint_wish& wish, std::vector<routing::endpoint_slot>& open) const;
   // Where the fleet gathers prompts with this one's shared parts; see shared_prefix.h.
@@ -231,6 +251,8 @@
   void store(const endpoint_record& record);
   void note_usable(const endpoint_record& record);
   void erase(const endpoint_id& id);
+  // Whether the process that `told` is of may be the one that is there now.
+  [[nodiscard]] bool may_be_present(const endpoint_process& process) const;
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
   void end_wait(endpoint_work& own, const routing::sent_work& work);
@@ -242,6 +264,7 @@
   std::set<endpoint_id> not_usable_;
   std::map<endpoint_id, std::uint64_t> held_removals_; // with the revision of the removal
   gateway::departures departures_;
+  stated_terms terms_;
   peers_work peers_;
   std::map<endpoint_id, endpoint_work> own_;
   endpoint_health health_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -17,6 +17,7 @@
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/rollout.h"
+#include "wisteriaflow/gateway/stated_terms.h"
 #include "wisteriaflow/gateway/usage_counts.h"
 #include "wisteriaflow/gateway/version_counts.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
@@ -72,7 +73,8 @@
   endpoint_work_map work;                  // the sender's own
   prefill_demand prefill;                  // the same
   std::vector<endpoint_departure> departures;
-  endpoint_view endpoints; // how current the sender's view of them is
+  std::vector<told_terms> terms; // that endpoints have stated
+  endpoint_view endpoints;       // how current the sender's view of them is
   std::vector<usage_row> usage;
   // Operators' orders to move services to other versions, all up to a revision of the store, and
   // how the sender's calls fare on both versions.
--- a/include/wisteriaflow/gateway/workspace_quota.h
+++ b/include/wisteriaflow/gateway/workspace_quota.h
@@ -25,6 +25,7 @@
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/fleet_view.h"
 
 namespace wisteriaflow::gateway {
 
@@ -60,15 +61,6 @@
   friend bool operator==(const quota_grant&, const quota_grant&) = default;
 };
 
-// The fleet as one daemon sees it.
-struct quota_fleet_view {
-  std::vector<daemon_id> candidates; // for owners, without this daemon
-  std::size_t heard = 1;             // daemons that can ask this one, and it; leaving ones, too
-  std::size_t running = 1;           // those that may be admitting, heard or not
-
-  friend bool operator==(const quota_fleet_view&, const quota_fleet_view&) = default;
-};
-
 // Not thread-safe.
 class workspace_quota {
  public:
@@ -77,7 +69,7 @@
   void set_workspaces(const std::vector<workspace_definition>& declared, mono_time now);
 
   // The daemons of the fleet.
-  void set_fleet(quota_fleet_view fleet, mono_time now);
+  void set_fleet(fleet_view fleet, mono_time now);
 
   // Takes `units` from what this daemon holds. A workspace without a limit, or unknown, is always
   // admitted.
@@ -123,7 +115,7 @@
 
   workspace_quota_options options_;
   std::map<workspace_id, account> accounts_;
-  quota_fleet_view fleet_;
+  fleet_view fleet_;
   std::optional<mono_time> refreshed_at_;
 };
 
--- a/include/wisteriaflow/routing/choose_endpoint.h
+++ b/include/wisteriaflow/routing/choose_endpoint.h
@@ -103,8 +103,11 @@
 enum class no_endpoint_reason {
   no_candidate,         // none, or all are leaving, unreachable or excluded
   deadline_unreachable, // no candidate can give the first token in time
+  none_open,            // each has said that it takes no request now
 };
 
+[[nodiscard]] std::string_view to_string(no_endpoint_reason reason);
+
 struct no_endpoint {
   no_endpoint_reason reason = no_endpoint_reason::no_candidate;
   // When the queue of the best candidate will have drained so far that a request like this one
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -45,7 +45,7 @@
 } // namespace
 
 endpoint_pool::endpoint_pool(endpoint_pool_options options)
-    : options_(std::move(options)), departures_(options_.departure_told),
+    : options_(std::move(options)), departures_(options_.departure_told), terms_(options_.self),
       peers_(options_.work_valid), health_(options_.health),
       meter_({.initial_speed = initial_prefill_rate}),
       table_({.initial_prefill_rate = initial_prefill_rate}), prefixes_({}), random_(options_.seed)
@@ -82,6 +82,7 @@
   if (known != records_.end() && is_restart(known->second, changed)) {
     // Nothing that was believed or counted of the process before holds for this one.
     peers_.forget(changed.id);
+    terms_.forget(changed.id);
     erase(changed.id);
   }
   held_removals_.erase(changed.id);
@@ -184,6 +185,23 @@
     }
   }
   departures_.forget_old(now);
+  terms_.tick(now);
+}
+
+bool endpoint_pool::may_be_present(const endpoint_process& process) const
+{
+  const auto it = records_.find(process.id);
+  return it == records_.end() || !is_restart({.incarnation = process.incarnation}, it->second);
+}
+
+bool endpoint_pool::on_answer(const answered_terms& said, mono_time now)
+{
+  return may_be_present(said.process) && terms_.on_answer(said, now);
+}
+
+bool endpoint_pool::on_peer_terms(const told_terms& told, mono_time now)
+{
+  return !may_be_present(told.process) || terms_.on_told(told, now);
 }
 
 std::vector<const endpoint_record*> endpoint_pool::serving(std::string_view service) const
@@ -225,6 +243,12 @@
     if (std::find(excluded.begin(), excluded.end(), r->id) != excluded.end()) {
       continue;
     }
+    // Whatever else speaks for it: what an endpoint says of itself is binding.
+    const auto open_at = terms_.open_at(r->id, now);
+    if (open_at > now) {
+      out.opens_at = std::min(out.opens_at.value_or(open_at), open_at);
+      continue;
+    }
     const auto slot = *table_.find(r->id);
     (is_left_out(slot, now) ? out.left_out : out.open).push_back(slot);
   }
@@ -282,9 +306,21 @@
   return out;
 }
 
+routing::no_endpoint endpoint_pool::none_open(const endpoint_wish& wish, mono_time opens_at)
+{
+  if (const auto& size = wish.size) {
+    // It is demand all the same: a fleet that turns calls away is short of endpoints.
+    meter_.on_sent(wish.service, own_tokens(*size, split_prompt(wish.prompt)));
+  }
+  return {.reason = routing::no_endpoint_reason::none_open, .retry_at = opens_at};
+}
+
 pool_choice endpoint_pool::choose(const endpoint_wish& wish, mono_time now)
 {
   const auto candidates = candidates_for(wish, now);
+  if (candidates.open.empty() && candidates.opens_at) {
+    return none_open(wish, *candidates.opens_at);
+  }
   if (!wish.size && wish.prompt.empty()) {
     return choose_for_plain(wish, candidates.open, now);
   }
@@ -373,6 +409,7 @@
                                     const endpoint_wish& wish, mono_time now)
 {
   const auto& id = table_.at(slot).description.id;
+  terms_.on_sent(id, now);
   prefixes_.on_sent(slot, blocks, now);
   if (wish.size) {
     meter_.on_sent(wish.service, prefill);
--- /dev/null
+++ b/src/gateway/json_fields.h
@@ -0,0 +1,37 @@
+// Fields of JSON values between daemons. Each throws std::exception if the field is missing or of
+// another type; callers turn that into their own error.
+
+#ifndef WISTERIAFLOW_SRC_GATEWAY_JSON_FIELDS_H_
+#define WISTERIAFLOW_SRC_GATEWAY_JSON_FIELDS_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace wisteriaflow::gateway::internal {
+
+inline std::string text_at(const boost::json::value& from, std::string_view key)
+{
+  return boost::json::value_to<std::string>(from.at(key));
+}
+
+inline std::uint64_t number_at(const boost::json::value& from, std::string_view key)
+{
+  return from.at(key).to_number<std::uint64_t>();
+}
+
+// Time passed is never negative, whatever a peer says: what comes from the future would count for
+// ever.
+inline std::chrono::milliseconds decode_age(const boost::json::value& from)
+{
+  return std::chrono::milliseconds(std::max<std::int64_t>(0, from.to_number<std::int64_t>()));
+}
+
+} // namespace wisteriaflow::gateway::internal
+
+#endif // WISTERIAFLOW_SRC_GATEWAY_JSON_FIELDS_H_
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -1,6 +1,5 @@
 #include "wisteriaflow/gateway/peer_report.h"
 
-#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -11,13 +10,18 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "gateway/json_fields.h"
 #include "wisteriaflow/gateway/crash_codec.h"
 #include "wisteriaflow/gateway/rollout_codec.h"
+#include "wisteriaflow/gateway/terms_codec.h"
 
 namespace wisteriaflow::gateway {
 namespace {
 
 namespace json = boost::json;
+using internal::decode_age;
+using internal::number_at;
+using internal::text_at;
 
 json::value encode(const daemon_contact& c)
 {
@@ -31,16 +35,6 @@
           {"acting", c.acting}};
 }
 
-std::string text_at(const json::value& from, std::string_view key)
-{
-  return json::value_to<std::string>(from.at(key));
-}
-
-std::uint64_t number_at(const json::value& from, std::string_view key)
-{
-  return from.at(key).to_number<std::uint64_t>();
-}
-
 // Peers of an earlier version do not tell every flag.
 bool flag_at(const json::value& from, std::string_view key)
 {
@@ -230,13 +224,6 @@
   return out;
 }
 
-// Time passed is never negative, whatever a peer says: what comes from the future would count for
-// ever.
-std::chrono::milliseconds decode_age(const json::value& from)
-{
-  return std::chrono::milliseconds(std::max<std::int64_t>(0, from.to_number<std::int64_t>()));
-}
-
 relayed_peer decode_relayed(const json::value& from)
 {
   return {.contact = decode_contact(from.at("contact")),
@@ -270,6 +257,10 @@
   for (const auto& r : from.at("usage").as_array()) {
     out.usage.push_back(decode_row(r));
   }
+  // Peers of an earlier version tell of no terms.
+  if (const auto* terms = from.as_object().if_contains("terms")) {
+    out.terms = decode_terms(*terms);
+  }
   // Peers of an earlier version know of no crashes.
   if (const auto* crashes = from.as_object().if_contains("crashes")) {
     out.crashes = decode_crash_news(*crashes);
@@ -307,6 +298,9 @@
   for (auto& r : report.relayed) {
     r.age += age;
   }
+  for (auto& t : report.terms) {
+    t.age += age;
+  }
   return report;
 }
 
@@ -329,6 +323,7 @@
                            {"work", encode(report.work)},
                            {"prefill", encode(report.prefill)},
                            {"departures", encode(report.departures)},
+                           {"terms", encode_terms(report.terms)},
                            {"endpoints", encode(report.endpoints)},
                            {"usage", encode(report.usage)},
                            {"rollouts", encode_rollouts(report.rollouts)},
--- a/src/gateway/rollout_codec.cc
+++ b/src/gateway/rollout_codec.cc
@@ -8,20 +8,15 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "gateway/json_fields.h"
+
 namespace wisteriaflow::gateway {
 namespace {
 
 namespace json = boost::json;
 
-std::uint64_t number_at(const json::value& from, std::string_view key)
-{
-  return from.at(key).to_number<std::uint64_t>();
-}
-
-std::string text_at(const json::value& from, std::string_view key)
-{
-  return json::value_to<std::string>(from.at(key));
-}
+using internal::number_at;
+using internal::text_at;
 
 wall_time time_at(const json::value& from, std::string_view key)
 {
--- /dev/null
+++ b/src/gateway/terms_codec.cc
@@ -0,0 +1,54 @@
+#include "wisteriaflow/gateway/terms_codec.h"
+
+#include <boost/json/array.hpp>
+
+#include "gateway/json_fields.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+namespace json = boost::json;
+
+// Short names: many of these may travel in each report.
+json::value encode(const told_terms& t)
+{
+  json::object out = {
+      {"id", t.process.id.value()}, {"inc", t.process.incarnation}, {"age", t.age.count()}};
+  if (t.request_rate) {
+    out["rate"] = *t.request_rate;
+  }
+  return out;
+}
+
+told_terms decode(const json::value& from)
+{
+  told_terms out{.process = {.id = endpoint_id(internal::text_at(from, "id")),
+                             .incarnation = internal::number_at(from, "inc")},
+                 .age = internal::decode_age(from.at("age"))};
+  if (const auto* rate = from.as_object().if_contains("rate")) {
+    out.request_rate = rate->to_number<double>();
+  }
+  return out;
+}
+
+} // namespace
+
+json::value encode_terms(const std::vector<told_terms>& terms)
+{
+  json::array out;
+  for (const auto& t : terms) {
+    out.push_back(encode(t));
+  }
+  return out;
+}
+
+std::vector<told_terms> decode_terms(const json::value& from)
+{
+  std::vector<told_terms> out;
+  for (const auto& t : from.as_array()) {
+    out.push_back(decode(t));
+  }
+  return out;
+}
+
+} // namespace wisteriaflow::gateway
--- a/src/gateway/workspace_quota.cc
+++ b/src/gateway/workspace_quota.cc
@@ -44,9 +44,7 @@
 
 double workspace_quota::shared_rate(double rate) const
 {
-  const auto heard = static_cast<double>(fleet_.heard);
-  return rate * (1 - options_.own_part) *
-         std::min(1.0, heard / static_cast<double>(fleet_.running));
+  return rate * (1 - options_.own_part) * fleet_.heard_part();
 }
 
 double workspace_quota::own_rate(double rate) const
@@ -112,7 +110,7 @@
   it.owner = owner;
 }
 
-void workspace_quota::set_fleet(quota_fleet_view fleet, mono_time now)
+void workspace_quota::set_fleet(fleet_view fleet, mono_time now)
 {
   fleet.running = std::max(fleet.running, fleet.heard);
   if (fleet == fleet_) {
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -234,6 +234,11 @@
                       {"endpoint", endpoint_.id.value()},
                       {"statement", text}});
   }
+  state_.take_answer({.process = endpoint_.process(),
+                      .terms = terms,
+                      .sent_at = sent_at_,
+                      .is_signed = head_.has_signature},
+                     heard_at_);
 }
 
 asio::awaitable<void> attempt::on_bytes(std::string_view bytes, http::response_writer& writer)
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -48,7 +48,7 @@
 }
 
 void call_log::on_given_up(const admitted_call& call, const std::string& status,
-                           std::optional<mono_time> open_at, mono_time now)
+                           const routing::no_endpoint& why, mono_time now)
 {
   count_answer(call, status);
   log_fields fields = {{"request", call.description.request_id},
@@ -59,10 +59,12 @@
                        {"connect_failures", std::to_string(call.connect_failures)},
                        {"configuration", std::to_string(call.configuration->version())},
                        {"serving", std::to_string(state_.endpoints.serving(call.service).size())}};
-  if (open_at) {
-    const auto wait = std::chrono::duration_cast<milliseconds>(*open_at - now);
+  if (why.retry_at) {
+    const auto wait = std::chrono::duration_cast<milliseconds>(*why.retry_at - now);
+    const std::string reason(to_string(why.reason));
+    fields.emplace_back("reason", reason);
     fields.emplace_back("room_in_ms", std::to_string(wait.count()));
-    state_.counters.count("refusals", {{"reason", "deadline unreachable"}});
+    state_.counters.count("refusals", {{"reason", reason}});
   }
   state_.log.write(daemon::log_level::warn, "call given up", std::move(fields));
 }
--- a/src/relay/call_log.h
+++ b/src/relay/call_log.h
@@ -30,10 +30,10 @@
   void on_attempt(const admitted_call& call, const attempt_result& result);
   // An endpoint's answer is passed on.
   void on_answer(const admitted_call& call, int status);
-  // `status` is the answer's, or says how the answer that had begun ends. `open_at`: when there
-  // will be room for the call, if that is why.
+  // `status` is the answer's, or says how the answer that had begun ends. `why`: what stood in the
+  // way of a further attempt.
   void on_given_up(const admitted_call& call, const std::string& status,
-                   std::optional<mono_time> open_at, mono_time now);
+                   const routing::no_endpoint& why, mono_time now);
 
  private:
   void count_answer(const admitted_call& call, const std::string& status);
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -231,7 +231,7 @@
   const auto trial = crashes_.begin(call);
   auto choice = choose(call);
   if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
-    co_await give_up(call, writer, none->retry_at);
+    co_await give_up(call, writer, *none);
     co_return false;
   }
   auto& endpoint = std::get<gateway::pooled_endpoint>(choice);
@@ -314,11 +314,11 @@
 }
 
 asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer,
-                                          std::optional<mono_time> open_at)
+                                          routing::no_endpoint why)
 {
   const auto now = std::chrono::steady_clock::now();
   const int status = gateway::final_status(call.history);
-  log_.on_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), open_at, now);
+  log_.on_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), why, now);
   if (call.answer_begun) {
     // The caller must see that the answer is not whole.
     writer.abort();
@@ -330,10 +330,9 @@
   std::optional<mono_time> retry_at;
   if (status == http::status::unavailable) {
     retry_at =
-        gateway::return_time({.now = now, .open_at = open_at, .rank = call.priority}, random_);
+        gateway::return_time({.now = now, .open_at = why.retry_at, .rank = call.priority}, random_);
   }
-  const auto* reason = open_at ? "too much waits at the endpoints" : "no endpoint answered";
-  auto out = adapter::refusal(status, reason, retry_at, now);
+  auto out = adapter::refusal(status, to_string(why.reason), retry_at, now);
   co_await writer.send(std::move(out));
 }
 
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -62,9 +62,9 @@
                                         http::response_writer& writer);
   boost::asio::awaitable<void> finish(admitted_call& call, attempt_result& last,
                                       http::response_writer& writer);
-  // `open_at`: when there will be room for it, if that is known.
+  // `why`: what stood in the way of a further attempt, if it was that.
   boost::asio::awaitable<void> give_up(admitted_call& call, http::response_writer& writer,
-                                       std::optional<mono_time> open_at = std::nullopt);
+                                       routing::no_endpoint why = {});
   gateway::pool_choice choose(const admitted_call& call);
   // Among the endpoints of the version that the call goes to while a roll-out is under way.
   gateway::pool_choice choose_version(const admitted_call& call, gateway::endpoint_wish& wish,
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -42,6 +42,8 @@
 constexpr std::string_view lead_job = "duties";
 // Daemons whose reports one can take in every 0.8 s beside its other work.
 constexpr std::size_t most_heard_by_one = 100;
+// Endpoints whose terms are told in one report; with more of them they take turns.
+constexpr std::size_t terms_told = 32;
 constexpr std::size_t usage_rows_told = 16; // of daemons that fell silent
 
 // Of what a version on trial may get. The rest is for calls that the platform counts otherwise, as
@@ -77,7 +79,7 @@
 
 fleet_state::fleet_state(const settings& s, event_log& event_log)
     : options(s), log(event_log), incarnation(start_time()),
-      endpoints({.zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
+      endpoints({.self = s.id, .zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
       feed({.notice = s.endpoint_notice, .seed = hash64_of(s.id.value(), incarnation)}),
       quota({.self = s.id, .slack = s.quota_slack}),
       retries({.ratio = s.retry_ratio, .slack = s.retry_slack, .window = s.retry_window}),
@@ -246,6 +248,25 @@
   }
 }
 
+void fleet_state::take_answer(const gateway::answered_terms& said, mono_time now)
+{
+  if (endpoints.on_answer(said, now)) {
+    announce_news();
+  }
+}
+
+void fleet_state::take_terms(const gateway::peer_report& told, mono_time now)
+{
+  for (const auto& t : told.terms) {
+    if (!endpoints.on_peer_terms(t, now)) {
+      log.write(daemon::log_level::warn, "terms told by a peer not believed",
+                {{"peer", told.self.id.value()},
+                 {"endpoint", t.process.id.value()},
+                 {"request_rate", std::to_string(t.request_rate.value_or(0))}});
+    }
+  }
+}
+
 bool fleet_state::rollout_is_open() const
 {
   return std::any_of(rollouts.all().begin(), rollouts.all().end(),
@@ -365,6 +386,7 @@
                            .work = most_of(endpoints.work_to_tell(now.mono), own_work_told),
                            .prefill = endpoints.own_prefill(),
                            .departures = endpoints.departures(now.mono),
+                           .terms = endpoints.terms_to_tell(terms_told, now.mono),
                            .endpoints = endpoint_view(now.mono),
                            .usage = usage.rows(is_silent, usage_rows_told),
                            .rollouts = rollouts.all(),
@@ -386,6 +408,7 @@
   peers.on_report(told, now.mono);
   clock.on_reading(told.self.id, told.clock, now.mono);
   take_departures(told.departures, now.mono);
+  take_terms(told, now.mono);
   const auto told_at = now.mono - told.age;
   endpoints.on_peer_work(told.self.id, told.work, told_at);
   endpoints.on_peer_prefill(told.self.id, told.prefill, told_at);
@@ -432,6 +455,7 @@
     counters.set("configuration_age_seconds", seconds(now - *configuration_read_at_).count());
   }
   counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
+  counters.set("endpoints_limited", static_cast<double>(endpoints.limited()));
   if (endpoints.is_known()) {
     counters.set("endpoints_age_seconds", seconds(feed.view(now).age).count());
   }
@@ -448,8 +472,12 @@
   counters.set("peers_live", static_cast<double>(live.size()));
   set_gauges(now.mono);
   log_peer_changes(staying);
-  quota.set_fleet({.candidates = std::move(staying), .heard = live.size() + 1, .running = daemons},
-                  now.mono);
+  const gateway::fleet_view fleet{.candidates = std::move(staying),
+                                  .heard = live.size() + 1,
+                                  .running = daemons,
+                                  .leaving = leaving_since_.has_value()};
+  quota.set_fleet(fleet, now.mono);
+  endpoints.set_fleet(fleet, now.mono);
   quota.refresh(now.mono);
   endpoints.tick(now.mono);
   endpoints.refresh_loads(now.mono);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -97,6 +97,9 @@
   // Departures that a peer told.
   void take_departures(const std::vector<gateway::endpoint_departure>& told, mono_time now);
 
+  // What an endpoint said of itself in an answer.
+  void take_answer(const gateway::answered_terms& said, mono_time now);
+
   // Time between two calls of one daemon, so that the whole fleet makes `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
 
@@ -156,6 +159,7 @@
   gateway::rollout_rows rollout_rows;
 
  private:
+  void take_terms(const gateway::peer_report& told, mono_time now);
   void follow_rollouts();
   [[nodiscard]] bool rollout_is_open() const;
   // What the latest news of peers is, for a report; nothing where all ask each other.
--- a/src/routing/choose_endpoint.cc
+++ b/src/routing/choose_endpoint.cc
@@ -292,6 +292,19 @@
   return lines;
 }
 
+std::string_view to_string(no_endpoint_reason reason)
+{
+  switch (reason) {
+  case no_endpoint_reason::no_candidate:
+    return "no endpoint answered";
+  case no_endpoint_reason::deadline_unreachable:
+    return "deadline unreachable";
+  case no_endpoint_reason::none_open:
+    return "endpoints take no request now";
+  }
+  return "unknown";
+}
+
 std::string_view to_string(verdict v)
 {
   switch (v) {
--- /dev/null
+++ b/test/gateway/stated_terms_test.cc
@@ -0,0 +1,175 @@
+#include <limits>
+
+#include <gtest/gtest.h>
+
+#include "wisteriaflow/gateway/stated_terms.h"
+
+namespace wisteriaflow::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const mono_time start{1'000s};
+const endpoint_id endpoint("e");
+
+class StatedTermsTest : public testing::Test {
+ protected:
+  // An answer to a request of `sent_at`.
+  static answered_terms answer(std::optional<double> rate, mono_time sent_at)
+  {
+    return {.process = {.id = endpoint, .incarnation = 1},
+            .terms = {.request_rate = rate},
+            .sent_at = sent_at,
+            .is_signed = true};
+  }
+
+  static told_terms word(std::optional<double> rate, std::chrono::milliseconds age)
+  {
+    return {.process = {.id = endpoint, .incarnation = 1}, .request_rate = rate, .age = age};
+  }
+
+  bool is_limited() const { return terms_.limited() == 1; }
+
+  stated_terms terms_{daemon_id("d")};
+};
+
+TEST_F(StatedTermsTest, ARateClosesAnEndpointUntilItsNextRequestIsDue)
+{
+  EXPECT_TRUE(terms_.on_answer(answer(2, start), start));
+  EXPECT_GT(terms_.open_at(endpoint, start), start);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 1s), start + 1s);
+  terms_.on_sent(endpoint, start + 1s);
+  terms_.on_sent(endpoint, start + 1s);
+  EXPECT_GT(terms_.open_at(endpoint, start + 1'500ms), start + 1'500ms);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 2s), start + 2s);
+}
+
+TEST_F(StatedTermsTest, AnAnswerWithoutARateEndsIt)
+{
+  terms_.on_answer(answer(2, start), start);
+  EXPECT_TRUE(terms_.on_answer(answer({}, start + 1s), start + 2s));
+  EXPECT_FALSE(is_limited());
+}
+
+TEST_F(StatedTermsTest, AnAnswerToAnEarlierRequestDoesNotEndIt)
+{
+  terms_.on_answer(answer(2, start), start);
+  EXPECT_FALSE(terms_.on_answer(answer({}, start - 1ms), start + 5ms));
+  EXPECT_TRUE(is_limited());
+}
+
+TEST_F(StatedTermsTest, AnUnsignedAnswerDoesNotEndIt)
+{
+  terms_.on_answer(answer(2, start), start);
+  auto unsigned_answer = answer({}, start + 1s);
+  unsigned_answer.is_signed = false;
+  terms_.on_answer(unsigned_answer, start + 2s);
+  EXPECT_TRUE(is_limited());
+}
+
+TEST_F(StatedTermsTest, AnAbsurdFigureChangesNothing)
+{
+  auto absurd = answer({}, start + 1s);
+  absurd.terms.rejected = {"request rate: -1"};
+  EXPECT_FALSE(terms_.on_answer(absurd, start + 2s));
+  EXPECT_FALSE(is_limited());
+  terms_.on_answer(answer(2, start + 2s), start + 2s);
+  absurd.sent_at = start + 3s;
+  terms_.on_answer(absurd, start + 4s);
+  EXPECT_TRUE(is_limited());
+}
+
+TEST_F(StatedTermsTest, ThatAreRepeatedAreNoNews)
+{
+  EXPECT_TRUE(terms_.on_answer(answer(2, start), start));
+  EXPECT_FALSE(terms_.on_answer(answer(2, start + 1s), start + 1s));
+  EXPECT_TRUE(terms_.on_answer(answer(3, start + 2s), start + 2s));
+}
+
+TEST_F(StatedTermsTest, OfAPeersWordCount)
+{
+  EXPECT_TRUE(terms_.on_told(word(2, 40ms), start));
+  EXPECT_TRUE(is_limited());
+}
+
+TEST_F(StatedTermsTest, SaidLastCount)
+{
+  terms_.on_answer(answer(2, start), start);
+  terms_.on_told(word({}, 100ms), start + 50ms);
+  EXPECT_TRUE(is_limited());
+  terms_.on_told(word({}, 100ms), start + 200ms);
+  EXPECT_FALSE(is_limited());
+  terms_.on_told(word(2, 200ms), start + 250ms);
+  EXPECT_FALSE(is_limited());
+}
+
+TEST_F(StatedTermsTest, DoNotGrowYoungerByTheirWayFromDaemonToDaemon)
+{
+  stated_terms other(daemon_id("p"));
+  terms_.on_answer(answer(2, start), start);
+  auto now = start;
+  for (int i = 0; i < 1'000; ++i) { // each message takes 20 ms that its age does not tell of
+    const auto out = terms_.to_tell(1, now);
+    now += 20ms;
+    other.on_told(out.front(), now);
+    const auto back = other.to_tell(1, now);
+    now += 20ms;
+    terms_.on_told(back.front(), now);
+  }
+  EXPECT_GE(terms_.to_tell(1, now).front().age, 39s);
+}
+
+TEST_F(StatedTermsTest, OfAPeerThatMakeNoSenseAreNotBelieved)
+{
+  for (const double figure : {-1.0, 1e9, std::numeric_limits<double>::quiet_NaN()}) {
+    EXPECT_FALSE(terms_.on_told(word(figure, 0ms), start));
+  }
+  EXPECT_FALSE(is_limited());
+}
+
+TEST_F(StatedTermsTest, AreForgottenOnceNobodyHasConfirmedThemForLong)
+{
+  terms_.on_answer(answer(2, start), start);
+  terms_.tick(start + 119s);
+  EXPECT_TRUE(is_limited());
+  terms_.tick(start + 120s);
+  EXPECT_FALSE(is_limited());
+  terms_.on_told(word(2, 130s), start + 121s);
+  EXPECT_FALSE(is_limited());
+}
+
+TEST_F(StatedTermsTest, OfAProcessThatHasStartedAnewAreVoid)
+{
+  terms_.on_answer(answer(2, start), start);
+  terms_.forget(endpoint);
+  EXPECT_FALSE(is_limited());
+}
+
+TEST_F(StatedTermsTest, AreToldTheNewestFirstAndTheOthersInTurn)
+{
+  for (int i = 0; i < 10; ++i) {
+    auto said = answer(2, start);
+    said.process.id = endpoint_id("old" + std::to_string(i));
+    terms_.on_answer(said, start);
+  }
+  const auto later = start + 10s;
+  auto said = answer(2, later);
+  said.process.id = endpoint_id("young");
+  terms_.on_answer(said, later);
+  std::map<std::string, int> times;
+  for (int i = 0; i < 10; ++i) {
+    const auto told = terms_.to_tell(3, later);
+    ASSERT_EQ(told.size(), 3U);
+    EXPECT_EQ(told.front().process.id, endpoint_id("young"));
+    for (const auto& t : told) {
+      ++times[t.process.id.value()];
+    }
+  }
+  EXPECT_EQ(times.size(), 11U);
+  for (const auto& [id, n] : times) {
+    EXPECT_EQ(n, id == "young" ? 10 : 2) << id;
+  }
+}
+
+} // namespace
+} // namespace wisteriaflow::gateway
--- a/test/relay/replayed_fleet.h
+++ b/test/relay/replayed_fleet.h
@@ -5,6 +5,7 @@
 #define WISTERIAFLOW_TEST_RELAY_REPLAYED_FLEET_H_
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <queue>
 #include <random>
@@ -61,13 +62,19 @@
     daemons_.clear();
     due_ = {};
     for (std::size_t n = 0; n < number; ++n) {
-      daemons_.push_back(std::make_unique<replayed_daemon>(n, log_));
-      daemons_.back()->state.on_news([this, n] { tell_news(n); });
+      daemons_.push_back(make_daemon(n));
       const milliseconds phase(random_() % static_cast<std::uint64_t>(exchange_round.count()));
       due_.push({.at = now_ + phase, .daemon = n});
     }
   }
 
+  // The daemon's process has ended; another one has started in its place.
+  void restart_daemon(std::size_t n)
+  {
+    daemons_[n] = make_daemon(n);
+    daemons_[n]->state.endpoints.replace_all(listed_, listed_.size(), now_);
+  }
+
   void run_for(milliseconds time)
   {
     const auto end = now_ + time;
@@ -91,14 +98,14 @@
   // All daemons know the same endpoints, and have calls at some of them each.
   void give_endpoints(std::size_t number, int calls)
   {
-    std::vector<gateway::endpoint_record> listed;
+    listed_.clear();
     for (std::size_t n = 0; n < number; ++n) {
-      listed.push_back(
+      listed_.push_back(
           {.id = replayed_endpoint(n), .revision = 1 + n, .service = "chat", .places = 64});
     }
     for (const auto& d : daemons_) {
-      d->state.endpoints.replace_all(listed, number, now_);
-      for (const auto& r : listed) {
+      d->state.endpoints.replace_all(listed_, number, now_);
+      for (const auto& r : listed_) {
         d->state.feed.note(r);
       }
       d->state.feed.on_list(d->state.endpoints.all(), number, now_);
@@ -168,6 +175,10 @@
   }
 
   double loss_ = 0; // part of the exchanges that fail
+  // Whether two daemons hear each other, by their numbers.
+  std::function<bool(std::size_t, std::size_t)> hear_each_other_ = [](std::size_t, std::size_t) {
+    return true;
+  };
   std::vector<std::unique_ptr<replayed_daemon>> daemons_;
   mono_time now_{1'000s};
 
@@ -187,6 +198,13 @@
   }
 
  private:
+  std::unique_ptr<replayed_daemon> make_daemon(std::size_t n)
+  {
+    auto out = std::make_unique<replayed_daemon>(n, log_);
+    out->state.on_news([this, n] { tell_news(n); });
+    return out;
+  }
+
   // Every tenth call has not begun to be answered.
   void give_calls(replayed_daemon& d, int number)
   {
@@ -230,7 +248,9 @@
     const bool large = d.rounds.is_large(d.state.peers.counted(now_));
     for (const auto& address : peers) {
       auto& peer = *daemons_[address.port - 7'000U];
-      const bool lost = std::bernoulli_distribution(loss_)(random_);
+      const std::size_t own = d.state.options.peers.port - 7'000U;
+      const bool lost = std::bernoulli_distribution(loss_)(random_) ||
+                        !hear_each_other_(own, address.port - 7'000U);
       if (!peer.alive || lost) {
         continue;
       }
@@ -272,6 +292,7 @@
 
   event_log log_{[](const daemon::log_line&) { return true; }};
   std::priority_queue<due_round> due_;
+  std::vector<gateway::endpoint_record> listed_;
 
  protected:
   std::mt19937_64 random_{1};
