--- a/test/fakes/fake_endpoint.cc
+++ b/test/fakes/fake_endpoint.cc
@@ -35,6 +35,8 @@
   switch (mood) {
   case endpoint_mood::sheds:
     return {.status = 503, .fields = {{"Not-Executed", "1"}}};
+  case endpoint_mood::is_another:
+    return {.status = 421};
   case endpoint_mood::refuses_unpromised:
     out.status = 503;
     break;
--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -21,6 +21,7 @@
   streams,            // six events, ids 1 to 6
   streams_and_cuts,   // three whole events and a part of the fourth
   sheds,              // refuses as not run
+  is_another,         // as an endpoint does that is not the one expected
   refuses_unpromised, // 503 without saying that it did not run the request
   cuts,               // runs the request, then closes the connection
   fails,              // its own 500
