Send nothing to an endpoint whose answer has said that it leaves

What callers saw: nothing yet, but 2.1 and 2.3 s after daemons had passed on answers that said so, they sent those endpoints further calls; what such an endpoint has not finished when it ends is lost.

Cause: the same as of the rates, answers were not read for what they say.

Change: what was said is kept by process, so it holds against newer entries, and for one that lapses and comes back; another process of the endpoint is free of it. Peers hear of it at once and pass it on; who joins later has it from the reports, for endpoints of which the store does not say it. It is forgotten ten minutes after it was last said.

Weighed: a departure at the revision of the entry (a newer entry that still says "serving" would bring the endpoint back), and telling it for 2.5 s only, as departures (a daemon that joins would not know).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -173,14 +173,10 @@
   // The daemons among which the rates are divided that endpoints name.
   void set_fleet(fleet_view fleet, mono_time now) { terms_.set_fleet(std::move(fleet), now); }
 
-  // What an endpoint said of itself in an answer. True if peers should hear of it at once.
-  bool on_answer(const answered_terms& said, mono_time now);
-  // The same by the word of a peer. False if its figure makes no sense.
-  bool on_peer_terms(const told_terms& told, mono_time now);
-  [[nodiscard]] std::vector<told_terms> terms_to_tell(std::size_t most, mono_time now)
-  {
-    return terms_.to_tell(most, now);
-  }
+  // What an endpoint said of itself in an answer, and the same by the word of a peer.
+  terms_step on_answer(const answered_terms& said, mono_time now);
+  terms_step on_peer_terms(const told_terms& told, mono_time now);
+  [[nodiscard]] std::vector<told_terms> terms_to_tell(std::size_t most, mono_time now);
   // Endpoints whose rate is kept.
   [[nodiscard]] std::size_t limited() const { return terms_.limited(); }
 
@@ -253,6 +249,8 @@
   void erase(const endpoint_id& id);
   // Whether the process that `told` is of may be the one that is there now.
   [[nodiscard]] bool may_be_present(const endpoint_process& process) const;
+  // Gives the process no new work if it has said that it leaves.
+  void heed_leaving(const endpoint_process& process);
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
   void end_wait(endpoint_work& own, const routing::sent_work& work);
--- a/include/wisteriaflow/gateway/endpoint_process.h
+++ b/include/wisteriaflow/gateway/endpoint_process.h
@@ -18,6 +18,13 @@
                           const endpoint_process&) = default; // NOLINT(modernize-use-nullptr)
 };
 
+// Whether they are two processes, one started after the other, of one endpoint.
+[[nodiscard]] inline bool is_restart(const endpoint_process& before, const endpoint_process& now)
+{
+  const bool told = before.incarnation != 0 && now.incarnation != 0;
+  return told && before.incarnation != now.incarnation;
+}
+
 } // namespace wisteriaflow::gateway
 
 #endif // WISTERIAFLOW_GATEWAY_ENDPOINT_PROCESS_H_
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -36,10 +36,9 @@
   return true;
 }
 
-bool is_restart(const endpoint_record& before, const endpoint_record& now)
+endpoint_process process_of(const endpoint_record& r)
 {
-  const bool told = before.incarnation != 0 && now.incarnation != 0;
-  return told && before.incarnation != now.incarnation;
+  return {.id = r.id, .incarnation = r.incarnation};
 }
 
 } // namespace
@@ -79,7 +78,7 @@
   if (known != records_.end() && changed.revision < known->second.revision) {
     return;
   }
-  if (known != records_.end() && is_restart(known->second, changed)) {
+  if (known != records_.end() && is_restart(process_of(known->second), process_of(changed))) {
     // Nothing that was believed or counted of the process before holds for this one.
     peers_.forget(changed.id);
     terms_.forget(changed.id);
@@ -87,7 +86,8 @@
   }
   held_removals_.erase(changed.id);
   auto record = changed;
-  record.leaving = record.leaving || departures_.covers(record.id, record.revision);
+  record.leaving = record.leaving || departures_.covers(record.id, record.revision) ||
+                   terms_.is_leaving(process_of(record));
   store(record);
   if (changed.leaving) {
     departures_.note({.id = changed.id, .revision = changed.revision}, now);
@@ -191,17 +191,46 @@
 bool endpoint_pool::may_be_present(const endpoint_process& process) const
 {
   const auto it = records_.find(process.id);
-  return it == records_.end() || !is_restart({.incarnation = process.incarnation}, it->second);
+  return it == records_.end() || !is_restart(process, process_of(it->second));
 }
 
-bool endpoint_pool::on_answer(const answered_terms& said, mono_time now)
+terms_step endpoint_pool::on_answer(const answered_terms& said, mono_time now)
 {
-  return may_be_present(said.process) && terms_.on_answer(said, now);
+  if (!may_be_present(said.process)) {
+    return terms_step::nothing;
+  }
+  const auto step = terms_.on_answer(said, now);
+  heed_leaving(said.process);
+  return step;
+}
+
+terms_step endpoint_pool::on_peer_terms(const told_terms& told, mono_time now)
+{
+  if (!may_be_present(told.process)) {
+    return terms_step::nothing;
+  }
+  const auto step = terms_.on_told(told, now);
+  heed_leaving(told.process);
+  return step;
+}
+
+void endpoint_pool::heed_leaving(const endpoint_process& process)
+{
+  const auto it = records_.find(process.id);
+  if (it != records_.end() && !it->second.leaving && terms_.is_leaving(process)) {
+    it->second.leaving = true;
+    store(endpoint_record(it->second));
+  }
 }
 
-bool endpoint_pool::on_peer_terms(const told_terms& told, mono_time now)
+std::vector<told_terms> endpoint_pool::terms_to_tell(std::size_t most, mono_time now)
 {
-  return !may_be_present(told.process) || terms_.on_told(told, now);
+  // Of others everybody knows by the store that they leave, or that they are gone.
+  const auto is_in_use = [this](const endpoint_id& id) {
+    const auto it = records_.find(id);
+    return it != records_.end() && !departures_.covers(id, it->second.revision);
+  };
+  return terms_.to_tell(most, is_in_use, now);
 }
 
 std::vector<const endpoint_record*> endpoint_pool::serving(std::string_view service) const
@@ -435,7 +464,7 @@
 bool endpoint_pool::has_restarted(const pooled_endpoint& chosen) const
 {
   const auto it = records_.find(chosen.id);
-  return it != records_.end() && is_restart({.incarnation = chosen.incarnation}, it->second);
+  return it != records_.end() && is_restart(chosen.process(), process_of(it->second));
 }
 
 bool endpoint_pool::is_staying(const endpoint_process& process) const
--- a/src/gateway/stated_terms.cc
+++ b/src/gateway/stated_terms.cc
@@ -1,6 +1,6 @@
 #include "wisteriaflow/gateway/stated_terms.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace wisteriaflow::gateway {
 namespace {
@@ -12,70 +12,105 @@
 // A statement heard again within this is the same one, come by way of another daemon: its age grows
 // by less than the way takes.
 constexpr milliseconds same_statement{500};
-// What nobody has confirmed for so long is forgotten. While calls come, holders of a rate hear from
-// the endpoint once a minute at the least.
-constexpr milliseconds statement_kept{120'000};
+// A rate that nobody has confirmed for so long is forgotten. While calls come, holders of a share
+// hear from the endpoint once a minute at the least.
+constexpr milliseconds rate_kept{120'000};
+// An endpoint that leaves has ended well before this.
+constexpr milliseconds leaving_kept{600'000};
+
+milliseconds kept_for(bool leaving)
+{
+  return leaving ? leaving_kept : rate_kept;
+}
 
 } // namespace
 
-void stated_terms::set_rate(const endpoint_id& id, entry& it, std::optional<double> rate,
-                            mono_time now)
+stated_terms::entry& stated_terms::entry_of(const endpoint_process& process)
 {
-  if (it.request_rate != rate) {
-    it.request_rate = rate;
-    it.changed_at = now;
+  auto& it = entries_[process.id];
+  if (is_restart({.incarnation = it.incarnation}, process)) {
+    shares_.clear(process.id);
+    it = {};
   }
+  it.incarnation = process.incarnation;
+  return it;
+}
+
+bool stated_terms::set_rate(const endpoint_id& id, entry& it, std::optional<double> rate,
+                            mono_time now)
+{
   if (rate) {
     shares_.set(id, *rate, now);
   } else {
     shares_.clear(id);
   }
+  const bool changed = std::exchange(it.request_rate, rate) != rate;
+  it.changed_at = changed ? now : it.changed_at;
+  return changed;
+}
+
+bool stated_terms::set_leaving(entry& it, mono_time now)
+{
+  const bool changed = !std::exchange(it.leaving, true);
+  it.changed_at = changed ? now : it.changed_at;
+  return changed;
 }
 
-bool stated_terms::on_answer(const answered_terms& said, mono_time now)
+terms_step stated_terms::on_answer(const answered_terms& said, mono_time now)
 {
   const auto& id = said.process.id;
-  const auto known = entries_.find(id);
   const auto& rate = said.terms.request_rate;
-  if (!rate) {
-    // One that cannot be believed leaves the former as it is, as does an answer that may be another
-    // program's.
-    const bool limited = known != entries_.end() && known->second.request_rate;
-    const bool is_over = said.is_signed && said.terms.rejected.empty();
-    if (!limited || !is_over || said.sent_at <= known->second.said_at) {
-      return false;
-    }
+  const auto known = entries_.find(id);
+  const bool limited = known != entries_.end() && known->second.request_rate;
+  // A rate that cannot be believed leaves the former as it is, as does an answer that may be
+  // another program's.
+  const bool ends_rate = limited && !rate && said.is_signed && said.terms.rejected.empty() &&
+                         said.sent_at > known->second.said_at;
+  if (!rate && !said.terms.leaving && !ends_rate) {
+    return terms_step::nothing;
   }
-  auto& it = entries_[id];
-  const bool is_news = it.request_rate != rate;
-  it.incarnation = said.process.incarnation;
+  auto& it = entry_of(said.process);
   it.said_at = now;
-  set_rate(id, it, rate, now);
-  return is_news;
+  bool is_news = said.terms.leaving && set_leaving(it, now);
+  if (rate || ends_rate) {
+    is_news = set_rate(id, it, rate, now) || is_news;
+  }
+  return is_news ? terms_step::tell : terms_step::nothing;
 }
 
-bool stated_terms::on_told(const told_terms& told, mono_time now)
+terms_step stated_terms::on_told(const told_terms& told, mono_time now)
 {
   if (told.request_rate && !is_credible_rate(*told.request_rate)) {
-    return false;
+    return terms_step::reject;
   }
+  const auto& id = told.process.id;
   const auto said_at = now - told.age;
-  if (said_at + statement_kept <= now) {
-    return true;
+  if (said_at + kept_for(told.leaving) <= now) {
+    return terms_step::nothing;
   }
-  const auto& id = told.process.id;
-  const auto [it, is_new] = entries_.try_emplace(id);
-  auto& known = it->second;
-  const bool same = !is_new && known.request_rate == told.request_rate &&
-                    known.incarnation == told.process.incarnation;
-  const auto newer_than = same ? known.said_at + same_statement : known.said_at;
-  if (!is_new && said_at <= newer_than) {
-    return true;
+  const auto known = entries_.find(id);
+  const bool is_new = known == entries_.end();
+  if (!is_new && is_restart({.incarnation = known->second.incarnation}, told.process) &&
+      said_at <= known->second.said_at) {
+    return terms_step::nothing; // of the process before
+  }
+  auto& it = entry_of(told.process);
+  const bool leaves = told.leaving && set_leaving(it, now);
+  const bool same = !leaves && it.request_rate == told.request_rate;
+  if (is_new || said_at > it.said_at + (same ? same_statement : milliseconds{0})) {
+    it.said_at = said_at;
+    set_rate(id, it, told.request_rate, now);
   }
-  known.incarnation = told.process.incarnation;
-  known.said_at = said_at;
-  set_rate(id, known, told.request_rate, now);
-  return true;
+  // A rate binds from some seconds after it was named; that an endpoint leaves has to be known
+  // soon.
+  return leaves ? terms_step::tell : terms_step::nothing;
+}
+
+bool stated_terms::is_leaving(const endpoint_process& process) const
+{
+  const auto it = entries_.find(process.id);
+  return it != entries_.end() && it->second.leaving &&
+         !is_restart({.incarnation = it->second.incarnation}, process);
 }
 
 void stated_terms::forget(const endpoint_id& id)
@@ -87,7 +122,7 @@
 void stated_terms::tick(mono_time now)
 {
   for (auto it = entries_.begin(); it != entries_.end();) {
-    if (it->second.said_at + statement_kept <= now) {
+    if (it->second.said_at + kept_for(it->second.leaving) <= now) {
       shares_.clear(it->first);
       it = entries_.erase(it);
     } else {
@@ -106,10 +141,12 @@
   const auto& [id, e] = it;
   return {.process = {.id = id, .incarnation = e.incarnation},
           .request_rate = e.request_rate,
+          .leaving = e.leaving,
           .age = std::chrono::ceil<milliseconds>(now - e.said_at)};
 }
 
-std::vector<told_terms> stated_terms::to_tell(std::size_t most, mono_time now)
+std::vector<told_terms> stated_terms::to_tell(std::size_t most, const in_use& is_in_use,
+                                              mono_time now)
 {
   const auto is_news = [now](const entry& e) { return now < e.changed_at + news_told; };
   std::vector<told_terms> out;
@@ -123,7 +160,7 @@
     if (next == entries_.end()) {
       next = entries_.begin();
     }
-    if (!is_news(next->second)) {
+    if (!is_news(next->second) && is_in_use(next->first)) {
       out.push_back(tell(*next, now));
     }
     ++next;
--- a/src/gateway/terms_codec.cc
+++ b/src/gateway/terms_codec.cc
@@ -17,6 +17,9 @@
   if (t.request_rate) {
     out["rate"] = *t.request_rate;
   }
+  if (t.leaving) {
+    out["leaving"] = true;
+  }
   return out;
 }
 
@@ -28,6 +31,7 @@
   if (const auto* rate = from.as_object().if_contains("rate")) {
     out.request_rate = rate->to_number<double>();
   }
+  out.leaving = from.as_object().contains("leaving");
   return out;
 }
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -250,21 +250,27 @@
 
 void fleet_state::take_answer(const gateway::answered_terms& said, mono_time now)
 {
-  if (endpoints.on_answer(said, now)) {
+  if (endpoints.on_answer(said, now) == gateway::terms_step::tell) {
     announce_news();
   }
 }
 
 void fleet_state::take_terms(const gateway::peer_report& told, mono_time now)
 {
+  bool news = false;
   for (const auto& t : told.terms) {
-    if (!endpoints.on_peer_terms(t, now)) {
+    const auto step = endpoints.on_peer_terms(t, now);
+    news = news || step == gateway::terms_step::tell;
+    if (step == gateway::terms_step::reject) {
       log.write(daemon::log_level::warn, "terms told by a peer not believed",
                 {{"peer", told.self.id.value()},
                  {"endpoint", t.process.id.value()},
                  {"request_rate", std::to_string(t.request_rate.value_or(0))}});
     }
   }
+  if (news) {
+    announce_news();
+  }
 }
 
 bool fleet_state::rollout_is_open() const
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -28,6 +28,10 @@
       .work = {{endpoint_id("e"), {.waiting = 1, .running = 2, .waiting_tokens = 3'000}}},
       .prefill = {{"chat", 1'500.5}},
       .departures = {{.id = endpoint_id("f"), .revision = 44}},
+      .terms = {{.process = {.id = endpoint_id("e"), .incarnation = 7},
+                 .request_rate = 1.5,
+                 .age = std::chrono::milliseconds(90)},
+                {.process = {.id = endpoint_id("f"), .incarnation = 8}, .leaving = true}},
       .endpoints = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
       .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
                  .window = 17,
@@ -102,10 +106,12 @@
   made.clock = wall_time{100s};
   made.heard = {{.id = daemon_id("a"), .age = 200ms}};
   made.endpoints.age = 300ms;
+  made.terms = {{.process = {.id = endpoint_id("e")}, .age = 400ms}};
   const auto sent = aged_by(made, 50ms);
   EXPECT_EQ(sent.clock, wall_time{100'050ms});
   EXPECT_EQ(sent.heard.front().age, 250ms);
   EXPECT_EQ(sent.endpoints.age, 350ms);
+  EXPECT_EQ(sent.terms.front().age, 450ms);
 }
 
 } // namespace
