Keep the pause that an endpoint asks for when it turns a request away

What callers saw: calls refused though other endpoints had room. An endpoint without room answered 503 and asked one daemon for three seconds of pause; it got seven, then ten more requests from it, where two are allowed, each went elsewhere as a repeat, and the fleet's budget of repeats was used up.

To the daemons a request turned away was "full, not ill": it changed nothing about the endpoint, which had nothing to do and so was the best choice for the next call. Ruled out: repeats that come back to it (all 41 logged attempts that ended with 503 were first ones).

It is asked of one daemon, so no other is told. Beside it the log says when an endpoint states other terms, and metrics tell how many are limited and paused.

Weighed: the score of trouble that leaves endpoints out (it is short, grows with failures and yields where most are in trouble; a pause must not).

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -177,8 +177,9 @@
   terms_step on_answer(const answered_terms& said, mono_time now);
   terms_step on_peer_terms(const told_terms& told, mono_time now);
   [[nodiscard]] std::vector<told_terms> terms_to_tell(std::size_t most, mono_time now);
-  // Endpoints whose rate is kept.
+  // Endpoints whose rate is kept, and those that have asked this daemon for a pause.
   [[nodiscard]] std::size_t limited() const { return terms_.limited(); }
+  [[nodiscard]] std::size_t paused() const { return terms_.paused(); }
 
   // Whether the process is known and nothing says that it leaves.
   [[nodiscard]] bool is_staying(const endpoint_process& process) const;
--- a/include/wisteriaflow/gateway/stated_terms.h
+++ b/include/wisteriaflow/gateway/stated_terms.h
@@ -4,7 +4,7 @@
 // counts. A rate is over only by an answer to a request that was sent after it had been named: an
 // answer on its way may be older than the word of another daemon. A process that has said that it
 // leaves does so, whatever comes later: entries of the store may be older, or come back after they
-// lapsed.
+// lapsed. A pause is asked of one daemon, and no other is told of it.
 //
 //   const answered_terms said{.process = p, .terms = t, .sent_at = sent, .is_signed = true};
 //   if (terms.on_answer(said, now) == terms_step::tell) {
@@ -88,6 +88,9 @@
   [[nodiscard]] std::vector<told_terms> to_tell(std::size_t most, const in_use& is_in_use,
                                                 mono_time now);
 
+  // Endpoints that have asked this daemon for a pause which has not ended.
+  [[nodiscard]] std::size_t paused() const { return paused_until_.size(); }
+
   // Endpoints whose rate is kept.
   [[nodiscard]] std::size_t limited() const { return shares_.number(); }
 
@@ -111,6 +114,7 @@
 
   rate_shares shares_;
   entry_map entries_;
+  std::map<endpoint_id, mono_time> paused_until_;
   endpoint_id next_; // to tell
 };
 
--- a/src/gateway/stated_terms.cc
+++ b/src/gateway/stated_terms.cc
@@ -1,5 +1,6 @@
 #include "wisteriaflow/gateway/stated_terms.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteriaflow::gateway {
@@ -59,6 +60,10 @@
 terms_step stated_terms::on_answer(const answered_terms& said, mono_time now)
 {
   const auto& id = said.process.id;
+  if (const auto& pause = said.terms.pause) {
+    auto& until = paused_until_[id];
+    until = std::max(until, now + *pause); // an answer to an earlier request may ask for less
+  }
   const auto& rate = said.terms.request_rate;
   const auto known = entries_.find(id);
   const bool limited = known != entries_.end() && known->second.request_rate;
@@ -117,10 +122,12 @@
 {
   entries_.erase(id);
   shares_.clear(id);
+  paused_until_.erase(id);
 }
 
 void stated_terms::tick(mono_time now)
 {
+  std::erase_if(paused_until_, [now](const auto& it) { return it.second <= now; });
   for (auto it = entries_.begin(); it != entries_.end();) {
     if (it->second.said_at + kept_for(it->second.leaving) <= now) {
       shares_.clear(it->first);
@@ -133,7 +140,9 @@
 
 mono_time stated_terms::open_at(const endpoint_id& id, mono_time now) const
 {
-  return shares_.open_at(id, now);
+  const auto open_at = shares_.open_at(id, now);
+  const auto paused = paused_until_.find(id);
+  return paused == paused_until_.end() ? open_at : std::max(open_at, paused->second);
 }
 
 told_terms stated_terms::tell(const entry_map::value_type& it, mono_time now)
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -251,16 +251,30 @@
 void fleet_state::take_answer(const gateway::answered_terms& said, mono_time now)
 {
   if (endpoints.on_answer(said, now) == gateway::terms_step::tell) {
+    log_terms(said.process.id, said.terms.leaving, said.terms.request_rate, "answer");
     announce_news();
   }
 }
 
+void fleet_state::log_terms(const endpoint_id& id, bool leaving, std::optional<double> rate,
+                            std::string_view source)
+{
+  log.write(daemon::log_level::info, "endpoint states other terms",
+            {{"endpoint", id.value()},
+             {"leaving", leaving ? "yes" : "no"},
+             {"request_rate", rate ? std::to_string(*rate) : "any"},
+             {"source", std::string(source)}});
+}
+
 void fleet_state::take_terms(const gateway::peer_report& told, mono_time now)
 {
   bool news = false;
   for (const auto& t : told.terms) {
     const auto step = endpoints.on_peer_terms(t, now);
-    news = news || step == gateway::terms_step::tell;
+    if (step == gateway::terms_step::tell) {
+      log_terms(t.process.id, t.leaving, t.request_rate, "peer");
+      news = true;
+    }
     if (step == gateway::terms_step::reject) {
       log.write(daemon::log_level::warn, "terms told by a peer not believed",
                 {{"peer", told.self.id.value()},
@@ -462,6 +476,7 @@
   }
   counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
   counters.set("endpoints_limited", static_cast<double>(endpoints.limited()));
+  counters.set("endpoints_paused", static_cast<double>(endpoints.paused()));
   if (endpoints.is_known()) {
     counters.set("endpoints_age_seconds", seconds(feed.view(now).age).count());
   }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -160,6 +160,8 @@
 
  private:
   void take_terms(const gateway::peer_report& told, mono_time now);
+  void log_terms(const endpoint_id& id, bool leaving, std::optional<double> rate,
+                 std::string_view source);
   void follow_rollouts();
   [[nodiscard]] bool rollout_is_open() const;
   // What the latest news of peers is, for a report; nothing where all ask each other.
--- a/test/gateway/stated_terms_test.cc
+++ b/test/gateway/stated_terms_test.cc
@@ -183,6 +183,48 @@
   }
 }
 
+TEST_F(StatedTermsTest, APauseClosesAnEndpointUntilItEnds)
+{
+  auto said = answer({}, start);
+  said.terms.pause = 3s;
+  EXPECT_EQ(terms_.on_answer(said, start), terms_step::nothing);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 1s), start + 3s);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 4s), start + 4s);
+  EXPECT_TRUE(terms_.to_tell(9, in_use, start).empty());
+}
+
+TEST_F(StatedTermsTest, AShorterPauseDoesNotEndALongerOne)
+{
+  auto said = answer({}, start);
+  said.terms.pause = 3s;
+  terms_.on_answer(said, start);
+  said.terms.pause = 1s;
+  terms_.on_answer(said, start + 1s);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 1s), start + 3s);
+}
+
+TEST_F(StatedTermsTest, AnEndpointIsOpenOnceBothItsPauseAndItsRateAllowIt)
+{
+  auto said = answer(0.1, start);
+  said.terms.pause = 3s;
+  terms_.on_answer(said, start);
+  EXPECT_GT(terms_.open_at(endpoint, start + 4s), start + 4s);
+  said.terms.request_rate = 10;
+  said.terms.pause = 60s;
+  terms_.on_answer(said, start + 5s);
+  EXPECT_EQ(terms_.open_at(endpoint, start + 10s), start + 65s);
+}
+
+TEST_F(StatedTermsTest, APauseIsOfOneProcess)
+{
+  auto said = answer({}, start);
+  said.terms.pause = 3s;
+  terms_.on_answer(said, start);
+  EXPECT_EQ(terms_.paused(), 1U);
+  terms_.forget(endpoint);
+  EXPECT_EQ(terms_.open_at(endpoint, start), start);
+}
+
 TEST_F(StatedTermsTest, LeavingHoldsWhateverIsSaidLater)
 {
   EXPECT_EQ(terms_.on_answer(leaving_answer(), start), terms_step::tell);
