Let endpoints in the gateway's soak state terms, and check that daemons keep to them

The soak's endpoints said nothing of themselves in their answers, so none of its runs could see the incident. They now name rates, say that they leave while the store says that they serve, and ask for pauses; each request is traced to the daemon that sent it by its caller's id. Excused are daemons that were stopped, and requests while the way to the endpoint was harmed.

--- a/test/gateway_system/counting_endpoint.cc
+++ b/test/gateway_system/counting_endpoint.cc
@@ -11,6 +11,9 @@
 constexpr std::chrono::milliseconds event_pause{20};
 constexpr std::chrono::milliseconds slow_time{500};
 constexpr std::chrono::seconds stall_time{20};
+constexpr std::chrono::milliseconds asked_pause{1'500};
+// What was held up on a harmed way arrives within this after its end.
+constexpr std::chrono::milliseconds harm_aftermath{1'000};
 
 std::string event(int number, const std::string& request)
 {
@@ -41,8 +44,33 @@
 
 int counting_endpoint::received_after(mono_time since) const
 {
-  return static_cast<int>(
-      std::count_if(received_at_.begin(), received_at_.end(), [&](auto at) { return at > since; }));
+  return static_cast<int>(std::count_if(received_.begin(), received_.end(),
+                                        [&](const auto& r) { return r.at > since; }));
+}
+
+void counting_endpoint::note_harm(mono_time since, mono_time until)
+{
+  harms_.emplace_back(since, until + harm_aftermath);
+}
+
+bool counting_endpoint::was_way_harmed_at(mono_time at) const
+{
+  return std::any_of(harms_.begin(), harms_.end(),
+                     [at](const auto& harm) { return harm.first <= at && at <= harm.second; });
+}
+
+void counting_endpoint::add_terms(http::response& to, const said_terms& said)
+{
+  if (said.leaving) {
+    to.fields.push_back({.name = "Server-Leaving", .value = "1"});
+  }
+  if (said.rate > 0) {
+    to.fields.push_back({.name = "Server-Limit", .value = std::to_string(said.rate)});
+  }
+  if (said.pause.count() > 0) {
+    const std::chrono::duration<double> seconds = said.pause;
+    to.fields.push_back({.name = "Retry-After", .value = std::to_string(seconds.count())});
+  }
 }
 
 http::response counting_endpoint::head_for(const std::string& request) const
@@ -55,11 +83,16 @@
 boost::asio::awaitable<void> counting_endpoint::serve(fakes::fake_request r,
                                                       http::response_writer& w)
 {
-  received_at_.push_back(std::chrono::steady_clock::now());
   const auto request = std::string(http::find_header(r.fields, "Request-Id"));
   const auto now = random_() % 2 == 0 ? misbehaviour_ : misbehaviour::none;
-  if (now == misbehaviour::sheds) {
+  said_terms said{.leaving = leaving_, .rate = rate_};
+  if (now == misbehaviour::pauses) {
+    said.pause = asked_pause;
+  }
+  received_.push_back({.id = request, .at = std::chrono::steady_clock::now(), .said = said});
+  if (now == misbehaviour::sheds || now == misbehaviour::pauses) {
     http::response refusal{.status = 503, .fields = {{"Not-Executed", "1"}}};
+    add_terms(refusal, said);
     co_await w.send(std::move(refusal));
     co_return;
   }
@@ -76,7 +109,7 @@
     co_await pause(slow_time);
   }
   if (r.path.starts_with("/stream/") || r.path.starts_with("/resumable/")) {
-    co_await stream(r, now, w);
+    co_await stream(r, now, said, w);
     co_return;
   }
   if (now == misbehaviour::cuts) {
@@ -86,16 +119,19 @@
   auto out = head_for(request);
   out.status = now == misbehaviour::fails ? 500 : 200;
   out.body = whole_body(id_, request);
+  add_terms(out, said);
   co_await w.send(std::move(out));
 }
 
 boost::asio::awaitable<void> counting_endpoint::stream(const fakes::fake_request& r,
-                                                       misbehaviour now, http::response_writer& w)
+                                                       misbehaviour now, said_terms said,
+                                                       http::response_writer& w)
 {
   const auto request = std::string(http::find_header(r.fields, "Request-Id"));
   const int after = std::stoi(std::string(http::find_header(r.fields, "Last-Event-Id", "0")));
   auto head = head_for(request);
   head.fields.push_back({.name = "Content-Type", .value = "text/event-stream"});
+  add_terms(head, said);
   co_await w.start_stream(std::move(head));
   for (int i = after + 1; i <= last_event; ++i) {
     if (now == misbehaviour::cuts && i > events_before_a_cut) {
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -32,6 +32,7 @@
   mono_time disturbed_until; // a signal, or a fault on its way to the store, is felt up to here
   std::optional<mono_time> told_to_end_at; // by SIGTERM, which is no disturbance
   bool gone = false;                       // the process has ended
+  bool was_stopped = false;                // and went on, as after a freeze
 
   [[nodiscard]] bool is_calm_since(mono_time then) const { return disturbed_until < then; }
 };
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -43,6 +43,8 @@
 // Daemons must serve again this long after the last harm.
 constexpr milliseconds recovery_time{15'000};
 constexpr milliseconds time_to_leave{4'500};
+// Until an endpoint that has named a rate takes any number of requests again.
+constexpr milliseconds time_in_need{9'000};
 // After a harm a daemon reads the store, or hears from a peer, within this.
 constexpr milliseconds time_to_hear{1'500};
 constexpr milliseconds look_period{50};
@@ -112,6 +114,8 @@
         {"terminate a daemon", &soak::terminate_daemon, 3},
         {"pause a daemon", &soak::pause_daemon, 1},
         {"an endpoint leaves", &soak::let_endpoint_leave, 4},
+        {"an endpoint only says that it leaves", &soak::let_endpoint_say_that_it_leaves, 2},
+        {"an endpoint names a rate", &soak::let_endpoint_name_rate, 3},
         {"an endpoint crashes", &soak::crash_endpoint, 2},
         {"an endpoint misbehaves", &soak::let_endpoint_misbehave, 4},
         {"the way to an endpoint is harmed", &soak::harm_way_to_endpoint, 4},
@@ -217,6 +221,7 @@
     }
     const auto time = draw_time();
     disturb(*d, time);
+    d->was_stopped = true;
     d->running->signal(SIGSTOP);
     co_await sleep(time);
     d->running->signal(SIGCONT);
@@ -238,6 +243,29 @@
     leaving.close();
   }
 
+  // The store goes on saying that it serves.
+  asio::awaitable<void> let_endpoint_say_that_it_leaves()
+  {
+    const auto id = draw_endpoint();
+    add_endpoint();
+    auto& leaving = fleet_.retire(id);
+    leaving.say_leaving();
+    co_await sleep(time_to_leave);
+    fleet_.store().erase("servers", id);
+    leaving.close();
+  }
+
+  asio::awaitable<void> let_endpoint_name_rate()
+  {
+    constexpr std::array<double, 3> rates = {0.5, 2, 5};
+    const auto id = draw_endpoint();
+    fleet_.endpoints().at(id).endpoint->name_rate(rates.at(random_() % rates.size()));
+    co_await sleep(time_in_need);
+    if (const auto it = fleet_.endpoints().find(id); it != fleet_.endpoints().end()) {
+      it->second.endpoint->name_rate(0);
+    }
+  }
+
   asio::awaitable<void> crash_endpoint() { co_await replace_crashed(draw_endpoint()); }
 
   asio::awaitable<void> replace_crashed(std::string id)
@@ -262,9 +290,9 @@
 
   asio::awaitable<void> let_endpoint_misbehave()
   {
-    constexpr std::array<misbehaviour, 5> kinds = {misbehaviour::sheds, misbehaviour::fails,
-                                                   misbehaviour::cuts, misbehaviour::stalls,
-                                                   misbehaviour::is_slow};
+    constexpr std::array<misbehaviour, 6> kinds = {misbehaviour::sheds,  misbehaviour::pauses,
+                                                   misbehaviour::fails,  misbehaviour::cuts,
+                                                   misbehaviour::stalls, misbehaviour::is_slow};
     const auto id = draw_endpoint();
     fleet_.endpoints().at(id).endpoint->misbehave(kinds.at(random_() % kinds.size()));
     co_await sleep(draw_time());
@@ -276,11 +304,14 @@
   asio::awaitable<void> harm_way_to_endpoint()
   {
     const auto id = draw_endpoint();
+    const auto time = draw_time();
+    const auto now = steady_clock::now();
+    fleet_.endpoints().at(id).endpoint->note_harm(now, now + time);
     std::function<fault_proxy*()> find = [this, id]() -> fault_proxy* {
       const auto it = fleet_.endpoints().find(id);
       return it == fleet_.endpoints().end() ? nullptr : it->second.way.get();
     };
-    co_await harm_way(std::move(find), draw_time());
+    co_await harm_way(std::move(find), time);
   }
 
   asio::awaitable<void> harm_way_to_store()
--- a/test/gateway_system/soak_calls.cc
+++ b/test/gateway_system/soak_calls.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gateway_system/soak_terms.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
 
@@ -252,8 +253,24 @@
   }
 }
 
+void soak_calls::judge_all_terms()
+{
+  request_senders senders;
+  for (const auto& call : calls_) {
+    if (!fleet_.daemons().at(call.daemon)->was_stopped) {
+      senders[call.id] = {.daemon = call.daemon, .sent_at = call.started_at};
+    }
+  }
+  for (const auto* e : fleet_.all_endpoints()) {
+    for (const auto& what : judge_terms(*e, senders)) {
+      fail(what);
+    }
+  }
+}
+
 soak_result soak_calls::conclude()
 {
+  judge_all_terms();
   for (const auto& call : calls_) {
     judge_runs(call);
   }
--- a/test/gateway_system/soak_calls.h
+++ b/test/gateway_system/soak_calls.h
@@ -86,6 +86,8 @@
   void judge_runs(const seen_call& call);
   // Whether the request that ends endpoints was held, and no other refused for it.
   void judge_holds();
+  // Whether daemons kept to what endpoints had said of themselves.
+  void judge_all_terms();
   [[nodiscard]] int runs_of(const std::string& id) const;
 
   boost::asio::io_context& context_;
