--- a/include/wisteriaflow/gateway/version_judge.h
+++ b/include/wisteriaflow/gateway/version_judge.h
@@ -25,6 +25,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,8 @@
   std::chrono::milliseconds step{800};
   // Part of the target's endpoints, the worst, that are left out, rounded up; two stay.
   double left_out = 0.4;
-  // Odds, as a part of those that conclude, from which a version is under suspicion.
+  // Odds, as a part of those that conclude, from which a version is under suspicion. All endpoints
+  // count for it.
   double suspicion = 0.01;
 };
 
@@ -89,6 +91,9 @@
     std::vector<step_counts> steps;
   };
 
+  // Logarithm of the odds that these endpoints' version is bad.
+  static double odds_of(std::size_t first_step, const route_history& history, bool slow,
+                        const std::set<endpoint_id>& endpoints);
   void judge(const std::string& route, const route_history& history, bool slow);
   void judge_from(std::size_t first_step, double limit_log, const std::string& route,
                   const route_history& history, bool slow);
--- a/src/gateway/version_judge.cc
+++ b/src/gateway/version_judge.cc
@@ -86,6 +86,24 @@
   }
 }
 
+double version_judge::odds_of(std::size_t first_step, const route_history& history, bool slow,
+                              const std::set<endpoint_id>& endpoints)
+{
+  std::array<double, excess_rates.size()> logs{};
+  for (auto i = first_step; i < history.steps.size(); ++i) {
+    outcome_counts in_step;
+    for (const auto& [endpoint, n] : history.steps[i].target) {
+      if (endpoints.contains(endpoint)) {
+        in_step += n;
+      }
+    }
+    for (std::size_t k = 0; k < logs.size(); ++k) {
+      logs[k] += step_log(history.steps[i].present, in_step, slow, excess_rates[k]);
+    }
+  }
+  return mean_of_logs(logs);
+}
+
 void version_judge::judge_from(std::size_t first_step, double limit_log, const std::string& route,
                                const route_history& history, bool slow)
 {
@@ -118,20 +136,15 @@
     kept.insert(worst_first[i].second);
     target += by_endpoint.at(worst_first[i].second);
   }
-  std::array<double, excess_rates.size()> logs{};
-  for (auto i = first_step; i < history.steps.size(); ++i) {
-    outcome_counts in_step;
-    for (const auto& [endpoint, n] : history.steps[i].target) {
-      if (kept.contains(endpoint)) {
-        in_step += n;
-      }
-    }
-    for (std::size_t k = 0; k < logs.size(); ++k) {
-      logs[k] += step_log(history.steps[i].present, in_step, slow, excess_rates[k]);
-    }
+  const double odds_log = odds_of(first_step, history, slow, kept);
+  // For suspicion all endpoints count: on a route with few calls the others may say too little, and
+  // a good version with ill endpoints is only late.
+  std::set<endpoint_id> all;
+  for (const auto& [endpoint, n] : by_endpoint) {
+    all.insert(endpoint);
   }
-  const double odds_log = mean_of_logs(logs);
-  suspicious_ = suspicious_ || odds_log >= limit_log + std::log(options_.suspicion);
+  const double odds_of_all = odds_of(first_step, history, slow, all);
+  suspicious_ = suspicious_ || odds_of_all >= limit_log + std::log(options_.suspicion);
   if (odds_log >= limit_log && !badness_) {
     badness_ = version_badness{.route = route,
                                .slow = slow,
--- a/test/gateway/version_judge_test.cc
+++ b/test/gateway/version_judge_test.cc
@@ -209,5 +209,20 @@
   EXPECT_TRUE(judge.badness()->slow);
 }
 
+TEST(VersionJudgeTest, OneThatIsBadOnlyAtItsWorstEndpointsIsUnderSuspicion)
+{
+  route_outcomes counts{.present = {.calls = 1'000, .slow = 100}};
+  for (const char* id : {"e1", "e2"}) {
+    counts.target[endpoint_id(id)] = {.calls = 40, .slow = 36};
+  }
+  for (const char* id : {"e3", "e4", "e5"}) {
+    counts.target[endpoint_id(id)] = {.calls = 40, .slow = 4};
+  }
+  version_judge judge({});
+  judge.note({{"chat", counts}}, mono_time{100s});
+  EXPECT_TRUE(judge.is_suspicious());
+  EXPECT_EQ(judge.badness(), std::nullopt);
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
