--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -75,6 +75,8 @@
   // 3.1 s at the least.
   std::chrono::milliseconds work_valid{3'500};
   endpoint_health_options health;
+  // Until an endpoint's own rate is measured.
+  double initial_prefill_rate = 30'000; // tokens/s
   // An endpoint at which so many peers find nobody is left out here as well. When 20 of 124 engines
   // fell silent, each of 195 daemons found out about each by time-outs of 250 ms of its own, a
   // fifth of all calls for 3 s. One peer alone may itself be cut off.
@@ -251,7 +253,7 @@
   // Whether the process that `told` is of may be the one that is there now.
   [[nodiscard]] bool may_be_present(const endpoint_process& process) const;
   // Gives the process no new work if it has said that it leaves.
-  void heed_leaving(const endpoint_process& process);
+  void apply_leaving(const endpoint_process& process);
   [[nodiscard]] endpoint_work own_work_at(const endpoint_id& id) const;
   // An attempt stops waiting: its answer has begun, or it ended without.
   void end_wait(endpoint_work& own, const routing::sent_work& work);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -40,6 +40,8 @@
   mono_time deadline; // of the caller and of the route, whichever is sooner
 
   gateway::attempt_history history;
+  // An endpoint's own failure, whole. It is passed on unless a repeat does better.
+  std::optional<http::response> failure;
   std::vector<endpoint_id> excluded; // endpoints that it was sent to
   unsigned connect_failures = 0;
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -263,6 +263,9 @@
   call.history = gateway::after(call.history, last.outcome);
   call.history.timed_out = last.timed_out;
   if (in_time && may_repeat(call, last)) {
+    if (last.how == attempt_result::end::whole && last.outcome == attempt_outcome::failed) {
+      call.failure = std::move(last.answer);
+    }
     co_return true;
   }
   co_await finish(call, last, writer);
@@ -316,6 +319,11 @@
 asio::awaitable<void> call_relay::give_up(admitted_call& call, http::response_writer& writer,
                                           routing::no_endpoint why)
 {
+  if (call.failure && !call.answer_begun) {
+    log_.on_answer(call, call.failure->status);
+    co_await writer.send(std::move(*call.failure));
+    co_return;
+  }
   const auto now = std::chrono::steady_clock::now();
   const int status = gateway::final_status(call.history);
   log_.on_given_up(call, call.answer_begun ? "cut short" : std::to_string(status), why, now);
--- a/test/gateway/rate_shares_test.cc
+++ b/test/gateway/rate_shares_test.cc
@@ -1,3 +1,8 @@
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "wisteriaflow/gateway/rate_shares.h"
@@ -13,6 +18,7 @@
 std::vector<daemon_id> daemons(int number)
 {
   std::vector<daemon_id> out;
+  out.reserve(static_cast<std::size_t>(number));
   for (int n = 0; n < number; ++n) {
     out.emplace_back("d" + std::to_string(n));
   }
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -136,6 +136,27 @@
   EXPECT_EQ(runs(), 2U);
 }
 
+TEST_F(GatewayTest, PassesAnEndpointsOwnFailureOnWhereNoOtherEndpointIsLeft)
+{
+  add_endpoint("i-1").mood = endpoint_mood::fails;
+  start_gateway(store_);
+  wait_until_ready();
+  const auto out = call("GET", "/safe/1");
+  EXPECT_EQ(out.status, 500);
+  EXPECT_EQ(http::find_header(out.fields, "Response-Seal"), "signature-i-1");
+  EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(GatewayTest, PassesAnEndpointsOwnFailureOnWhereTheRepeatGetsNoAnswer)
+{
+  start();
+  set_moods(endpoint_mood::fails, endpoint_mood::cuts);
+  const auto out = call("GET", "/safe/1");
+  EXPECT_EQ(out.status, 500);
+  EXPECT_NE(http::find_header(out.fields, "Response-Seal"), "");
+  EXPECT_EQ(runs(), 2U);
+}
+
 TEST_F(GatewayTest, PassesAnEndpointsOwnFailureOn)
 {
   start();
