Tell news of many endpoints in turn, and hold the reports' size

Found by reading the change: where more endpoints have news than a report tells, each report told the same ones, the first by name, until they were no news any more. The new test fails before (3 of 12 endpoints told in four reports) and passes. A second test holds that a report does not swell when a quarter of the endpoints name rates.

--- a/include/wisteriaflow/gateway/stated_terms.h
+++ b/include/wisteriaflow/gateway/stated_terms.h
@@ -82,8 +82,8 @@
   // Whether the process has said that it leaves.
   [[nodiscard]] bool is_leaving(const endpoint_process& process) const;
 
-  // Up to `most` endpoints for a report: what is new first, then the others that are in use, in
-  // turn.
+  // Up to `most` endpoints for a report: what is new first, then the others that are in use, each
+  // in turn.
   using in_use = std::function<bool(const endpoint_id&)>;
   [[nodiscard]] std::vector<told_terms> to_tell(std::size_t most, const in_use& is_in_use,
                                                 mono_time now);
@@ -112,6 +112,11 @@
   static bool set_leaving(entry& it, mono_time now);
   [[nodiscard]] static told_terms tell(const entry_map::value_type& it, mono_time now);
 
+  // Adds wanted entries, beginning after the one told last.
+  template <typename predicate>
+  void tell_in_turn(std::vector<told_terms>& out, std::size_t most, predicate is_wanted,
+                    mono_time now);
+
   rate_shares shares_;
   entry_map entries_;
   std::map<endpoint_id, mono_time> paused_until_;
--- a/src/gateway/stated_terms.cc
+++ b/src/gateway/stated_terms.cc
@@ -154,27 +154,35 @@
           .age = std::chrono::ceil<milliseconds>(now - e.said_at)};
 }
 
-std::vector<told_terms> stated_terms::to_tell(std::size_t most, const in_use& is_in_use,
-                                              mono_time now)
+template <typename predicate>
+void stated_terms::tell_in_turn(std::vector<told_terms>& out, std::size_t most, predicate is_wanted,
+                                mono_time now)
 {
-  const auto is_news = [now](const entry& e) { return now < e.changed_at + news_told; };
-  std::vector<told_terms> out;
-  for (const auto& it : entries_) {
-    if (out.size() < most && is_news(it.second)) {
-      out.push_back(tell(it, now));
-    }
-  }
-  auto next = entries_.lower_bound(next_);
+  auto it = entries_.lower_bound(next_);
   for (std::size_t i = 0; i < entries_.size() && out.size() < most; ++i) {
-    if (next == entries_.end()) {
-      next = entries_.begin();
+    if (it == entries_.end()) {
+      it = entries_.begin();
     }
-    if (!is_news(next->second) && is_in_use(next->first)) {
-      out.push_back(tell(*next, now));
+    if (is_wanted(it->first, it->second)) {
+      out.push_back(tell(*it, now));
     }
-    ++next;
+    ++it;
   }
-  next_ = next == entries_.end() ? endpoint_id() : next->first;
+  next_ = it == entries_.end() ? endpoint_id() : it->first;
+}
+
+std::vector<told_terms> stated_terms::to_tell(std::size_t most, const in_use& is_in_use,
+                                              mono_time now)
+{
+  const auto is_news = [now](const endpoint_id&, const entry& e) {
+    return now < e.changed_at + news_told;
+  };
+  const auto is_other = [&](const endpoint_id& id, const entry& e) {
+    return !is_news(id, e) && is_in_use(id);
+  };
+  std::vector<told_terms> out;
+  tell_in_turn(out, most, is_news, now);
+  tell_in_turn(out, most, is_other, now);
   return out;
 }
 
--- a/test/gateway/stated_terms_test.cc
+++ b/test/gateway/stated_terms_test.cc
@@ -1,4 +1,7 @@
 #include <limits>
+#include <map>
+#include <set>
+#include <string>
 
 #include <gtest/gtest.h>
 
@@ -279,6 +282,22 @@
   EXPECT_FALSE(terms_.is_leaving({.id = endpoint, .incarnation = 1}));
 }
 
+TEST_F(StatedTermsTest, NewsOfManyEndpointsAreToldInTurn)
+{
+  std::set<endpoint_id> told;
+  for (int i = 0; i < 12; ++i) {
+    auto said = leaving_answer();
+    said.process.id = endpoint_id("e" + std::to_string(i));
+    terms_.on_answer(said, start);
+  }
+  for (int i = 0; i < 4; ++i) {
+    for (const auto& t : terms_.to_tell(3, in_use, start + 1s)) {
+      told.insert(t.process.id);
+    }
+  }
+  EXPECT_EQ(told.size(), 12U);
+}
+
 TEST_F(StatedTermsTest, AreToldOfEndpointsInUseAndAsNews)
 {
   terms_.on_answer(leaving_answer(), start);
--- a/test/relay/exchange_size_test.cc
+++ b/test/relay/exchange_size_test.cc
@@ -78,6 +78,20 @@
   EXPECT_LE(report_bytes(), before + before / 4);
 }
 
+TEST_F(ExchangeSizeTest, AReportDoesNotSwellWhenAZonesEndpointsNameRates)
+{
+  constexpr std::size_t number = 60;
+  start(number);
+  const auto before = report_bytes();
+  for (std::size_t n = 0; n < 10 * number / 4; ++n) {
+    daemons_[n % number]->state.take_answer(
+        {.process = {.id = replayed_endpoint(n)}, .terms = {.request_rate = 1.5}, .sent_at = now_},
+        now_);
+  }
+  run_for(3s);
+  EXPECT_LE(report_bytes(), before + before / 4);
+}
+
 TEST_F(ExchangeSizeTest, All300DaemonsKnowThatAnEndpointLeavesWithin1500Milliseconds)
 {
   start();
