--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -77,9 +77,8 @@
   endpoint_health_options health;
   // Until an endpoint's own rate is measured.
   double initial_prefill_rate = 30'000; // tokens/s
-  // An endpoint at which so many peers find nobody is left out here as well. When 20 of 124 engines
-  // fell silent, each of 195 daemons found out about each by time-outs of 250 ms of its own, a
-  // fifth of all calls for 3 s. One peer alone may itself be cut off.
+  // An endpoint at which so many peers find nobody is left out here as well, so that not each
+  // daemon has to find out by time-outs of its own. One peer alone may itself be cut off.
   std::uint32_t peers_believed = 2;
 };
 
--- a/include/wisteriaflow/gateway/peer_rounds.h
+++ b/include/wisteriaflow/gateway/peer_rounds.h
@@ -31,8 +31,7 @@
   std::chrono::milliseconds period{400};
   // A fleet of up to so many peers asks all of them.
   std::size_t all_asked = 8;
-  // Peers asked in one round of a larger one. With three, each of 195 daemons gets 15 reports a
-  // second, where it was 40 with eight (simulated).
+  // Peers asked in one round of a larger one: few, since each question brings a report both ways.
   std::size_t fanout = 3;
   // Peers that are told news at once.
   std::size_t news_fanout = 6;
--- a/include/wisteriaflow/gateway/scaling_planner.h
+++ b/include/wisteriaflow/gateway/scaling_planner.h
@@ -66,23 +66,19 @@
   double comfortable_utilisation = 0.65;
   // Part of the work that on-demand endpoints do at the least, should all reclaimable ones be gone.
   // The rest of the room outlives any one zone without them, and others are there within the start
-  // time. Against all of the work it brings 0.027 and 0.014 of worth on the users' two deployments
-  // (means of six days each, one run), at 0.006 less served on one of them.
+  // time.
   double on_demand_part = 0.5;
   // With one on-demand endpoint, its crash could leave none.
   unsigned fewest_on_demand = 2;
   unsigned fewest_reclaimable = 1; // in each zone
   // The demand counts with its highest value of this time: a little over the time in which
   // endpoints start, so that a lull gives nothing away that would be missed before it could be
-  // replaced. Twice as long, with on-demand endpoints kept four seconds longer still, cost 0.013 of
-  // worth more for endpoints at the same service (six days of three seeds each, simulated
-  // endpoints).
+  // replaced. Longer pays for endpoints that serve nobody.
   std::chrono::milliseconds demand_memory{6'000};
   // A zone that had none is asked again after this.
   std::chrono::milliseconds sold_out_pause{1'500};
   // Before any work is seen the present endpoints are taken to be busy for this part of their time:
-  // who started the fleet knew about how much is to come. On both users' deployments the declared
-  // traffic keeps the endpoints that stand there at the start busy for 0.31 to 0.34.
+  // who started the fleet knew about how much is to come.
   double guessed_utilisation = 0.3;
   // Until work is seen nothing is ordered before the number of endpoints has stood for this long:
   // they register one by one after a start, and a guess from the first few gives the others back.
@@ -141,16 +137,14 @@
   void order_reclaimable(const scaling_input& in, unsigned in_zone, mono_time now,
                          std::vector<endpoint_order>& to);
   // Reclaimable endpoints that can be counted on: none while none are to be had and those of one
-  // zone are all that is left, since a last notice would take them sooner than others start. On a
-  // simulated fleet of 90 that lost three zones within 20 s it raised the worst windows from 0.36
-  // to 0.52 and the worth from 0.353 to 0.429; it costs 0.008 where the third zone holds.
+  // zone are all that is left, since a last notice would take them sooner than others start.
   [[nodiscard]] unsigned lasting_reclaimable(const scaling_input& in, mono_time now) const;
   // How `total` on-demand endpoints are best divided among the zones.
   [[nodiscard]] std::map<availability_zone, unsigned>
   spread_on_demand(const scaling_input& in, unsigned total, mono_time now) const;
   // Orders that division, but gives back only what serves beyond `total`: the endpoints that are to
-  // stand elsewhere have to start first. In a zone's loss on a fleet of 90, moving to cheaper zones
-  // at once gave back 11 of the 30 on-demand endpoints that were left.
+  // stand elsewhere have to start first. Moving to cheaper zones at once, in
+  // a zone's loss, would give back much of what is left.
   void order_on_demand(const scaling_input& in, unsigned total, mono_time now,
                        std::vector<endpoint_order>& to);
   void add_order(const endpoint_order& order, const scaling_input& in, mono_time now,
--- a/include/wisteriaflow/gateway/shared_prefix.h
+++ b/include/wisteriaflow/gateway/shared_prefix.h
@@ -86,9 +86,8 @@
 // into `holders`; nothing if there are none, or if too little is shared.
 //
 // It answers a zone's loss and a growing pool, after which prefixes get homes that have read
-// nothing: copying 6,300 tokens over an engine's link takes some 8 ms, computing them 165 ms.
-// Naming a holder that has nothing costs nothing. Measured with simulated endpoints, six days of
-// three seeds each: 0.023 of worth, and half of the shared tokens that were computed again.
+// nothing: copying shared tokens over an engine's link is far faster than computing them. Naming a
+// holder that has nothing costs nothing.
 [[nodiscard]] std::optional<std::size_t> likeliest_holder(const prompt_blocks& prompt,
                                                           std::span<const prefix_holder> holders);
 
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -21,11 +21,9 @@
 // to another daemon may be one lease later.
 constexpr gateway::usage_window usage_windows_kept = 5;
 
-// Bounds of a report. With the ages of sixteen peers 0.76% of 195 live daemons were taken for
-// silent at any moment (simulated exchange, eight a round), and owners of rates changed with them;
-// with those of all, none with three a round. The work of 24, those of whom there is the latest
-// news, is 0.6 s old on the mean, where a daemon's own reports to all of 195 were 2.3 s old and a
-// quarter of them too old to count.
+// Bounds of a report. With the ages of a few peers only, live daemons of a large fleet would be
+// taken for silent, and owners of rates change with them. Work is passed on of those of whom there
+// is the latest news: a daemon's own reports reach all others too seldom to count.
 constexpr std::size_t contacts_told = 8;
 constexpr std::size_t peers_relayed = 24;
 constexpr std::size_t ages_told = 512;
