--- /dev/null
+++ b/test/relay/quota_replay_test.cc
@@ -0,0 +1,138 @@
+// Simulates the calls of a workspace whose demand is several times its rate while all daemons are
+// killed and started again.
+//
+// Guards against restarted daemons that consider themselves the whole fleet until they have heard
+// from their peers: each of them granted the workspace's whole rate for the first 0.4 s after its
+// start, and the fleet admitted more in eight seconds than the limit allows.
+
+#include <deque>
+#include <numeric>
+
+#include "relay/simulated_fleet.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+const workspace_id bank("bank");
+
+class QuotaReplayTest : public simulated_fleet {
+ protected:
+  static constexpr double rate = 500'000; // units per second
+  static constexpr double burst = rate;
+  static constexpr double slack = 140'000;
+  static constexpr double units = 8'000; // of one call
+  static constexpr double overload = 7;  // demand as a multiple of the rate
+  static constexpr milliseconds step{10};
+  static constexpr milliseconds window{8'000};
+
+  void start_limited_fleet(std::size_t number)
+  {
+    start_fleet(number);
+    for (std::size_t n = 0; n < number; ++n) {
+      configure(n);
+    }
+    run_for(5s);
+  }
+
+  // All daemons are killed at the same time and start again after `pause`.
+  void restart_all(milliseconds pause)
+  {
+    for (const auto& d : daemons_) {
+      d->alive = false;
+    }
+    run_calls(pause);
+    for (std::size_t n = 0; n < daemons_.size(); ++n) {
+      restart_daemon(n);
+      configure(n);
+    }
+    // The store answers a few milliseconds after a daemon has started.
+    run_calls(2 * step);
+    for (std::size_t n = 0; n < daemons_.size(); ++n) {
+      list_daemons(n);
+    }
+  }
+
+  // Sends calls to all live daemons in turn.
+  void run_calls(milliseconds time)
+  {
+    const auto end = now_ + time;
+    while (now_ < end) {
+      run_for(step);
+      calls_due_ += overload * rate / units * std::chrono::duration<double>(step).count();
+      double admitted = 0;
+      for (; calls_due_ >= 1; calls_due_ -= 1) {
+        auto& d = *daemons_[next_daemon_++ % daemons_.size()];
+        admitted += d.alive && admits(d) ? units : 0;
+      }
+      admitted_.push_back(admitted);
+    }
+  }
+
+  // The largest number of units admitted within any window.
+  [[nodiscard]] double most_admitted() const
+  {
+    const auto steps = static_cast<std::size_t>(window / step);
+    double most = 0;
+    for (std::size_t i = 0; i + steps <= admitted_.size(); ++i) {
+      const auto first = admitted_.begin() + static_cast<std::ptrdiff_t>(i);
+      most = std::max(most,
+                      std::accumulate(first, first + static_cast<std::ptrdiff_t>(steps), 0.0));
+    }
+    return most;
+  }
+
+  // What the operator allows in a window, with the tolerance of a tenth.
+  static constexpr double allowed = 1.1 * (rate * 8 + burst) + slack;
+
+ private:
+  void configure(std::size_t n)
+  {
+    daemons_[n]->state.quota.set_workspaces(
+        {{.id = bank, .rate = rate, .burst = burst, .counts_tokens = true}}, now_);
+  }
+
+  bool admits(simulated_daemon& d)
+  {
+    auto decided = d.state.quota.admit(bank, units, now_);
+    if (decided.outcome == gateway::quota_outcome::ask_owner) {
+      decided = d.state.quota.on_grant(bank, units, ask(decided), now_);
+    }
+    return decided.outcome == gateway::quota_outcome::admitted;
+  }
+
+  std::optional<gateway::quota_grant> ask(const gateway::quota_decision& decided)
+  {
+    for (const auto& d : daemons_) {
+      if (d->state.options.id == decided.owner && d->alive) {
+        return d->state.quota.grant(bank, units, decided.units_to_request, now_);
+      }
+    }
+    return std::nullopt;
+  }
+
+  double calls_due_ = 0;
+  std::size_t next_daemon_ = 0;
+  std::deque<double> admitted_; // units in each step
+};
+
+TEST_F(QuotaReplayTest, AFleetThatIsKilledAtOnceKeepsAWorkspaceWithinItsRate)
+{
+  start_limited_fleet(29);
+  run_calls(4s);
+  restart_all(500ms);
+  run_calls(8s);
+  EXPECT_LE(most_admitted(), allowed);
+}
+
+TEST_F(QuotaReplayTest, AFleetThatIsKilledAtOnceServesAWorkspaceAgainAfterASecond)
+{
+  start_limited_fleet(29);
+  restart_all(500ms);
+  run_calls(1s);
+  const auto before = most_admitted();
+  run_calls(window);
+  EXPECT_GE(most_admitted(), 0.9 * rate * 8) << before;
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -44,6 +44,7 @@
       : state({.id = daemon_id("d" + std::to_string(n)),
                .peers = simulated_address(n),
                .seeds = {simulated_address(0), simulated_address(1), simulated_address(2)},
+               .quota_slack = 140'000,
                .trial_part = 0.1,
                .trial_slack = 50,
                .usage_window = 5s},
@@ -80,6 +81,14 @@
     daemons_[n]->state.endpoints.replace_all(listed_endpoints_, listed_endpoints_.size(), now_);
   }
 
+  // Simulates that the daemon reads from the store which daemons have registered.
+  void list_daemons(std::size_t n)
+  {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      daemons_[n]->state.peers.add_address(simulated_address(i));
+    }
+  }
+
   void run_for(milliseconds time)
   {
     const auto end = now_ + time;
