Admit calls of limited workspaces only once the fleet is known, and bound what small parts lend

Cause: a started daemon took itself for the only one until its first periodic work 0.4 s later and granted each workspace's whole rate; and each daemon's part could be overdrawn by one request, which adds up with the number of daemons: at a thousand daemons, requests of 8,000 units and a rate of 36,000 units a second, 8,000,000 on paper where 536,000 are allowed. Change: quotas are divided once the store has listed the daemons or a peer that knows the fleet has reported; registered daemons count as running for 20 s before they are heard, and peers tell how many they observe; who considers another daemon the owner grants nothing; a request larger than what a part holds is admitted by chance, so that all parts together lend one request.

--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -6,6 +6,7 @@
 #define WISTERIAFLOW_GATEWAY_PEER_REPORT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -67,8 +68,11 @@
 // The state of the sender and what it knows of others.
 struct peer_report {
   daemon_contact self;
-  std::uint64_t configuration_version = 0;   // in force at the sender; 0: none
-  wall_time clock;                           // wall clock of the sender, not corrected
+  std::uint64_t configuration_version = 0; // in force at the sender; 0: none
+  wall_time clock;                         // wall clock of the sender, not corrected
+  // Daemons that the sender has observed and that may be admitting requests, itself included;
+  // 0: it has not learned yet which daemons there are.
+  std::size_t running_daemons = 0;
   std::vector<daemon_contact> known_daemons; // some of the live daemons that the sender knows
   std::vector<peer_last_seen> last_seen;     // of all live daemons, and of some others
   std::vector<relayed_peer> relayed; // the most recent states that the sender has of other daemons
--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -13,7 +13,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "wisteriaflow/base/ids.h"
@@ -42,6 +41,10 @@
   // Adds an address known in advance. It is contacted until the id of the daemon there is known.
   void add_address(const http::socket_address& address);
 
+  // Adds the address of a daemon that has registered in the store. The daemon may be running: it
+  // counts as such for a while even if it has not been heard here yet.
+  void add_registered(const http::socket_address& address, mono_time now);
+
   // Records a report received directly from its daemon.
   void on_report(const peer_report& report, mono_time now);
 
@@ -73,9 +76,14 @@
   // Address at which daemons reach the peer; nothing if the peer is unknown.
   [[nodiscard]] std::optional<http::socket_address> address_of(const daemon_id& peer) const;
 
-  // Number of daemons that may be admitting requests, this one included.
+  // Number of daemons that may be admitting requests, this one included. Until this daemon has
+  // heard the whole fleet, the number that its peers have observed counts.
   [[nodiscard]] std::size_t running_count(mono_time now) const;
 
+  // The same from this daemon's own observation alone, for reports: if daemons repeated what they
+  // were told, the number would never fall.
+  [[nodiscard]] std::size_t observed_running_count(mono_time now) const;
+
   // Addresses to send reports to.
   [[nodiscard]] std::vector<http::socket_address> addresses_to_contact(mono_time now) const;
 
@@ -87,9 +95,14 @@
     mono_time last_seen_at; // last time that any daemon saw it
   };
 
+  // Whether the address is this daemon's own or that of a known peer.
+  [[nodiscard]] bool is_identified(const http::socket_address& address) const;
+
   peer_table_options options_;
   std::map<daemon_id, entry> peers_;
-  std::set<http::socket_address> unidentified_;
+  std::map<http::socket_address, mono_time> unidentified_; // until when each counts as running
+  std::size_t told_running_ = 0;        // the highest number that a peer observed
+  std::optional<mono_time> told_until_; // end of the time after the first report when it is used
 };
 
 } // namespace wisteriaflow::gateway
--- a/include/wisteriaflow/gateway/workspace_quota.h
+++ b/include/wisteriaflow/gateway/workspace_quota.h
@@ -7,7 +7,8 @@
 //
 // Daemons that are partitioned from each other may each consider themselves the owner. An owner
 // therefore grants only the fraction of the rate that belongs to its live daemons, out of all that
-// may be running, and a new owner starts with little credit.
+// may be running, and a new owner starts with little credit. For the same reason a daemon admits
+// and grants nothing before it knows the fleet: it would take itself for the only daemon.
 //
 //   auto d = quota.admit(workspace, tokens, now);
 //   if (d.outcome == quota_outcome::ask_owner) { ... ask d.owner, then quota.on_grant(...) ... }
@@ -17,8 +18,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "wisteriaflow/admission/rate_limit.h"
@@ -31,6 +34,7 @@
 
 struct workspace_quota_options {
   daemon_id self;
+  std::uint64_t seed = 0;
   // Units that the fleet may admit beyond rate x time + burst.
   double slack = 0;
   // Fraction of the rate that is divided among the local buckets of the daemons.
@@ -43,7 +47,7 @@
 };
 
 // Result of a request for units.
-enum class quota_outcome { admitted, ask_owner, refused };
+enum class quota_outcome { admitted, ask_owner, refused, fleet_unknown };
 
 struct quota_decision {
   quota_outcome outcome = quota_outcome::admitted;
@@ -72,6 +76,9 @@
   // Sets the daemons among which owners are chosen and the rate is divided.
   void set_fleet(fleet_view fleet, mono_time now);
 
+  // Whether the fleet has been set; until then requests of limited workspaces cannot be admitted.
+  [[nodiscard]] bool knows_fleet() const { return knows_fleet_; }
+
   // Takes `units` from those that this daemon holds. A workspace that is unknown or has no limit is
   // always admitted.
   [[nodiscard]] quota_decision admit(const workspace_id& workspace, double units, mono_time now);
@@ -82,9 +89,10 @@
                                         const std::optional<quota_grant>& grant, mono_time now);
 
   // Answers a peer that considers this daemon the owner and requests at least `min_units`
-  // and preferably `wanted_units`. Returns nothing if this daemon knows no limit for the workspace:
+  // and preferably `wanted_units`. Returns nothing if this daemon considers another one the owner:
+  // both would grant the rate. Returns nothing either if it knows no limit for the workspace:
   // peers ask a daemon that has just started before it has a configuration, and it must not grant
-  // units of a limit that it does not know.
+  // units of a limit that it does not know. Nor does it grant anything before it knows the fleet.
   [[nodiscard]] std::optional<quota_grant> grant(const workspace_id& workspace, double min_units,
                                                  double wanted_units, mono_time now);
 
@@ -114,11 +122,16 @@
   void redistribute(account& it, const workspace_id& workspace, mono_time now);
   // Takes the units from the local bucket.
   quota_decision admit_locally(account& it, double units, mono_time now,
-                               std::optional<mono_time> retry_at) const;
+                               std::optional<mono_time> retry_at);
+  // Takes `units` from a bucket that is not in debt and that holds `share` of the workspace's rate.
+  // Returns whether they may be used.
+  bool take(admission::rate_limit& bucket, double share, double units, mono_time now);
 
   workspace_quota_options options_;
   std::map<workspace_id, account> accounts_;
   fleet_view fleet_;
+  bool knows_fleet_ = false;
+  std::mt19937_64 random_;
   std::optional<mono_time> updated_at_;
 };
 
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -239,6 +239,10 @@
   out.self = decode_contact(from.at("self"));
   out.configuration_version = number_at(from, "configuration");
   out.clock = from_unix_ms(from.at("clock").to_number<std::int64_t>());
+  // Peers of an earlier version send no number of daemons.
+  if (const auto* running = from.as_object().if_contains("running")) {
+    out.running_daemons = running->to_number<std::size_t>();
+  }
   for (const auto& c : from.at("known").as_array()) {
     out.known_daemons.push_back(decode_contact(c));
   }
@@ -319,6 +323,7 @@
                            {"self", encode(report.self)},
                            {"configuration", report.configuration_version},
                            {"clock", to_unix_ms(report.clock)},
+                           {"running", report.running_daemons},
                            {"known", std::move(known)},
                            {"heard", encode(report.last_seen)},
                            {"work", encode(report.work)},
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -6,13 +6,28 @@
 
 void peer_table::add_address(const http::socket_address& address)
 {
-  const auto has_address = [&address](const auto& it) {
-    return it.second.contact.peer_address == address;
-  };
-  const bool is_known = std::any_of(peers_.begin(), peers_.end(), has_address);
-  if (!is_known && address != options_.self_address) {
-    unidentified_.insert(address);
+  if (!is_identified(address)) {
+    unidentified_.try_emplace(address);
+  }
+}
+
+void peer_table::add_registered(const http::socket_address& address, mono_time now)
+{
+  if (is_identified(address)) {
+    return;
   }
+  auto& counts_until = unidentified_[address];
+  if (counts_until == mono_time{}) {
+    counts_until = now + options_.running_timeout;
+  }
+}
+
+bool peer_table::is_identified(const http::socket_address& address) const
+{
+  return address == options_.self_address ||
+         std::any_of(peers_.begin(), peers_.end(), [&address](const auto& it) {
+           return it.second.contact.peer_address == address;
+         });
 }
 
 void peer_table::on_report(const peer_report& report, mono_time now)
@@ -26,6 +41,12 @@
     self.contact = report.self;
     self.as_of = as_of;
   }
+  if (!told_until_) {
+    told_until_ = now + options_.running_timeout;
+  }
+  if (now < *told_until_) {
+    told_running_ = std::max(told_running_, report.running_daemons);
+  }
   self.reported_at = now;
   self.last_seen_at = now;
   unidentified_.erase(report.self.peer_address);
@@ -124,6 +145,12 @@
 }
 
 std::size_t peer_table::running_count(mono_time now) const
+{
+  const bool is_told = told_until_ && now < *told_until_;
+  return std::max(observed_running_count(now), is_told ? told_running_ : 0);
+}
+
+std::size_t peer_table::observed_running_count(mono_time now) const
 {
   const auto is_counted = [&](const auto& it) {
     // A daemon that announced that it drains has stopped once it is silent.
@@ -131,12 +158,18 @@
         it.second.contact.leaving ? options_.live_timeout : options_.running_timeout;
     return now < it.second.last_seen_at + counted_for;
   };
-  return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_counted));
+  const auto heard = std::count_if(peers_.begin(), peers_.end(), is_counted);
+  const auto registered = std::count_if(unidentified_.begin(), unidentified_.end(),
+                                        [now](const auto& it) { return now < it.second; });
+  return static_cast<std::size_t>(1 + heard + registered);
 }
 
 std::vector<http::socket_address> peer_table::addresses_to_contact(mono_time now) const
 {
-  std::vector<http::socket_address> out(unidentified_.begin(), unidentified_.end());
+  std::vector<http::socket_address> out;
+  for (const auto& [address, counts_until] : unidentified_) {
+    out.push_back(address);
+  }
   for (const auto& [id, it] : peers_) {
     if (now < it.last_seen_at + options_.contact_timeout) {
       out.push_back(it.contact.peer_address);
--- a/src/gateway/workspace_quota.cc
+++ b/src/gateway/workspace_quota.cc
@@ -18,6 +18,13 @@
 // restarted after a burst.
 constexpr double initial_credit = 0.25;
 
+// Time after which an owner that does not answer has a successor.
+constexpr std::chrono::milliseconds owner_succession_time{2'000};
+// Retry-After of a daemon that may grant only a part of the rate until it has heard from the
+// others.
+constexpr std::chrono::milliseconds partial_owner_retry_delay{1'000};
+constexpr std::chrono::milliseconds min_retry_delay{1};
+
 double seconds(mono_time::duration d)
 {
   return std::chrono::duration<double>(d).count();
@@ -41,7 +48,10 @@
 
 } // namespace
 
-workspace_quota::workspace_quota(workspace_quota_options options) : options_(std::move(options)) {}
+workspace_quota::workspace_quota(workspace_quota_options options)
+    : options_(std::move(options)), random_(options_.seed)
+{
+}
 
 double workspace_quota::shared_rate(double rate) const
 {
@@ -115,12 +125,17 @@
 void workspace_quota::set_fleet(fleet_view fleet, mono_time now)
 {
   fleet.running_count = std::max(fleet.running_count, fleet.live_count);
-  if (fleet == fleet_) {
+  const bool is_first = !std::exchange(knows_fleet_, true);
+  if (fleet == fleet_ && !is_first) {
     return;
   }
   fleet_ = std::move(fleet);
   for (auto& [id, it] : accounts_) {
-    redistribute(it, id, now);
+    if (is_first) {
+      it = make_account({.id = id, .rate = it.rate, .burst = it.burst}, now);
+    } else {
+      redistribute(it, id, now);
+    }
   }
 }
 
@@ -144,6 +159,9 @@
   if (found == accounts_.end()) {
     return {};
   }
+  if (!knows_fleet_) {
+    return {.outcome = quota_outcome::fleet_unknown};
+  }
   auto& it = found->second;
   it.requested += units;
   if (now >= it.credit_until) {
@@ -165,7 +183,7 @@
                                                   double wanted_units, mono_time now)
 {
   const auto found = accounts_.find(workspace);
-  if (found == accounts_.end()) {
+  if (found == accounts_.end() || !knows_fleet_ || found->second.owner != options_.self) {
     return std::nullopt;
   }
   auto& bucket = found->second.shared;
@@ -174,10 +192,26 @@
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(next_allowed_at - now);
     return quota_grant{.retry_after = wait + std::chrono::milliseconds{1}};
   }
-  // Units ahead of need come only from what is available; a single request may run into debt.
-  const double granted = std::max(min_units, std::min(wanted_units, bucket.available(now)));
-  bucket.consume(granted, now);
-  return quota_grant{.units = granted};
+  // Units ahead of need come only from what is available.
+  const double ahead = std::min(wanted_units, bucket.available(now));
+  if (ahead >= min_units) {
+    bucket.consume(ahead, now);
+    return quota_grant{.units = ahead};
+  }
+  if (!take(bucket, fleet_.live_fraction(), min_units, now)) {
+    return quota_grant{.retry_after = partial_owner_retry_delay};
+  }
+  return quota_grant{.units = min_units};
+}
+
+// A request may be larger than what a bucket holds, and if every daemon let one run its bucket into
+// debt, the debts would add up to many times the limit. Such a request is admitted with the
+// probability at which all daemons together admit what they hold, or else one request.
+bool workspace_quota::take(admission::rate_limit& bucket, double share, double units, mono_time now)
+{
+  const double chance = std::min(1.0, std::max(bucket.available(now) / units, share));
+  bucket.consume(chance * units, now);
+  return std::bernoulli_distribution(chance)(random_);
 }
 
 quota_decision workspace_quota::on_grant(const workspace_id& workspace, double units,
@@ -198,15 +232,16 @@
 }
 
 quota_decision workspace_quota::admit_locally(account& it, double units, mono_time now,
-                                              std::optional<mono_time> retry_at) const
+                                              std::optional<mono_time> retry_at)
 {
-  const auto next_allowed_at = it.local.next_allowed_at(now);
-  if (next_allowed_at > now) {
-    return {.outcome = quota_outcome::refused,
-            .retry_at = retry_at ? std::min(*retry_at, next_allowed_at) : next_allowed_at};
+  const double share = 1.0 / static_cast<double>(fleet_.running_count);
+  if (it.local.next_allowed_at(now) <= now && take(it.local, share, units, now)) {
+    return {};
   }
-  it.local.consume(units, now);
-  return {};
+  const auto next_allowed_at = std::max(it.local.next_allowed_at(now), now + min_retry_delay);
+  const auto owner_answers_at = retry_at.value_or(now + owner_succession_time);
+  return {.outcome = quota_outcome::refused,
+          .retry_at = std::min(owner_answers_at, next_allowed_at)};
 }
 
 void workspace_quota::refund(const workspace_id& workspace, double units, mono_time now)
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -24,8 +24,8 @@
 constexpr std::size_t max_idle_connections = 8;
 // A call is ended after this many failed connections, each to another endpoint.
 constexpr unsigned max_connect_failures = 4;
-// Retry-After of a daemon that has no configuration or endpoint list yet. It reads both within a
-// few exchanges with the store or a peer.
+// Retry-After of a daemon that has no configuration, endpoint list or list of daemons yet. It reads
+// them within a few exchanges with the store or a peer.
 constexpr milliseconds not_ready_retry_delay{250};
 // A stream that begins later than this after the drain has begun may not end before the process is
 // killed. It is refused, so that the caller sends it to another daemon at once.
@@ -168,6 +168,11 @@
   if (admitted) {
     co_return std::nullopt;
   }
+  if (decision.outcome == gateway::quota_outcome::fleet_unknown) {
+    co_return call_refusal{.status = http::status::service_unavailable,
+                           .reason = "fleet not known yet",
+                           .retry_at = call.received_at + not_ready_retry_delay};
+  }
   co_return call_refusal{
       .status = http::status::too_many_requests,
       .reason = "workspace over its rate",
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -81,9 +81,10 @@
     : options(s), log(event_log), incarnation(start_time()),
       endpoints({.self = s.id, .zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
       feed({.max_leaving_delay = s.endpoint_notice, .seed = hash64_of(s.id.value(), incarnation)}),
-      quota({.self = s.id, .slack = s.quota_slack}), retries({.retry_ratio = s.retry_ratio,
-                                                              .fleet_allowance = s.retry_slack,
-                                                              .window = s.retry_window}),
+      quota({.self = s.id, .seed = hash64_of(s.id.value(), incarnation), .slack = s.quota_slack}),
+      retries({.retry_ratio = s.retry_ratio,
+               .fleet_allowance = s.retry_slack,
+               .window = s.retry_window}),
       peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
       usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept),
       versions(s.trial_part > 0),
@@ -153,7 +154,8 @@
 bool fleet_state::is_ready() const
 {
   const bool rollouts_known = !rollouts_enabled() || versions.rollouts_revision() > 0;
-  return rollouts_known && configuration_ && endpoints.has_list() && !draining_since_;
+  return rollouts_known && configuration_ && endpoints.has_list() && quota.knows_fleet() &&
+         !draining_since_;
 }
 
 std::uint64_t fleet_state::seed() const
@@ -231,6 +233,17 @@
   return out;
 }
 
+void fleet_state::on_daemons_listed(const std::vector<http::socket_address>& registered,
+                                    mono_time now)
+{
+  for (const auto& address : registered) {
+    peers.add_registered(address, now);
+  }
+  if (!quota.knows_fleet()) {
+    update_fleet_view(now);
+  }
+}
+
 void fleet_state::apply_endpoint(const gateway::endpoint_record& record, mono_time now)
 {
   endpoints.apply(record, now);
@@ -408,6 +421,7 @@
       .self = self_contact(),
       .configuration_version = configuration_version(),
       .clock = now.wall,
+      .running_daemons = quota.knows_fleet() ? peers.observed_running_count(now.mono) : 0,
       .work = top_endpoints(endpoints.work_to_gossip(now.mono), max_own_work_entries),
       .prefill = endpoints.own_prefill(),
       .departures = endpoints.departures(now.mono),
@@ -431,6 +445,9 @@
     return;
   }
   peers.on_report(received, now.mono);
+  if (received.running_daemons > 0 && !quota.knows_fleet()) {
+    update_fleet_view(now.mono);
+  }
   clock.on_reading(received.self.id, received.clock, now.mono);
   apply_departures(received.departures, now.mono);
   apply_peer_terms(received, now.mono);
@@ -489,28 +506,35 @@
   counters.set("log_lines_left_out", static_cast<double>(log.dropped_lines()));
 }
 
-void fleet_state::tick(const clock_reading& now)
+void fleet_state::update_fleet_view(mono_time now)
 {
-  const auto daemons = peers.running_count(now.mono);
+  const auto daemons = peers.running_count(now);
   retries.set_daemons(daemons);
+  const auto live = peers.live(now);
+  gateway::fleet_view fleet{.candidates = ids_of_non_draining(live),
+                            .live_count = live.size() + 1,
+                            .running_count = daemons,
+                            .leaving = draining_since_.has_value()};
+  endpoints.set_fleet(fleet, now);
+  quota.set_fleet(std::move(fleet), now);
+  version_calls.set_extra_calls(trial_slack_margin * options.trial_slack /
+                                static_cast<double>(daemons));
+}
+
+void fleet_state::tick(const clock_reading& now)
+{
   const auto live = peers.live(now.mono);
-  auto non_draining = ids_of_non_draining(live);
   counters.set("peers_live", static_cast<double>(live.size()));
   update_gauges(now.mono);
-  log_peer_changes(non_draining);
-  const gateway::fleet_view fleet{.candidates = std::move(non_draining),
-                                  .live_count = live.size() + 1,
-                                  .running_count = daemons,
-                                  .leaving = draining_since_.has_value()};
-  quota.set_fleet(fleet, now.mono);
-  endpoints.set_fleet(fleet, now.mono);
+  log_peer_changes(ids_of_non_draining(live));
+  if (quota.knows_fleet()) {
+    update_fleet_view(now.mono);
+  }
   quota.update_demand(now.mono);
   endpoints.tick(now.mono);
   endpoints.refresh_loads(now.mono);
   feed.set_reader(is_coordinator(now.mono));
   feed.retain(endpoints.all());
-  version_calls.set_extra_calls(trial_slack_margin * options.trial_slack /
-                                static_cast<double>(daemons));
   usage.forget_old(clock.now(now));
   crashes.tick(clock.now(now));
   hold_log_.log_changes(crashes.holds(), log);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/json/value.hpp>
 
@@ -100,6 +101,9 @@
   // Peer addresses of the other coordinators.
   [[nodiscard]] std::vector<http::socket_address> other_coordinators(mono_time now) const;
 
+  // Call when the store has listed the addresses of all registered daemons.
+  void on_daemons_listed(const std::vector<http::socket_address>& registered, mono_time now);
+
   // Applies an endpoint's entry read from the store.
   void apply_endpoint(const gateway::endpoint_record& record, mono_time now);
 
@@ -181,6 +185,8 @@
   // Contacts for a report: all peers of a small fleet, a rotating few of a large one.
   std::vector<gateway::daemon_contact> next_contacts(mono_time now);
   void add_known_peers(gateway::peer_report& to, mono_time now);
+  // Divides rates and quotas among the daemons that are known now.
+  void update_fleet_view(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
   // Updates the gauges of the age of the configuration and endpoints, and of the log.
   void update_gauges(mono_time now);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -348,15 +348,19 @@
   for (unsigned failures = 0;;) {
     const auto all =
         co_await list_objects(store_, state_, daemon_kind, adapter::list_age::may_be_stale);
+    std::vector<http::socket_address> registered;
     for (const auto& item : all.items) {
       try {
         const auto address = boost::json::value_to<std::string>(item.spec.at("address"));
-        state_.peers.add_address(http::parse_socket_address(address));
+        registered.push_back(http::parse_socket_address(address));
       } catch (const std::exception& e) {
         state_.log.write(daemon::log_level::error, "daemon entry unreadable",
                          {{"entry", item.name}, {"reason", e.what()}});
       }
     }
+    if (all.is_complete) {
+      state_.on_daemons_listed(registered, std::chrono::steady_clock::now());
+    }
     const auto period = std::clamp(state_.call_period(daemon_lists_per_second),
                                    min_daemon_list_period, max_daemon_list_period);
     failures = all.is_complete ? 0 : failures + 1;
--- a/test/gateway/peer_table_test.cc
+++ b/test/gateway/peer_table_test.cc
@@ -31,6 +31,43 @@
   EXPECT_FALSE(peers_.is_live(daemon_id("a"), start + 2s));
 }
 
+TEST_F(PeerTableTest, ARegisteredDaemonCountsAsRunningBeforeItIsHeard)
+{
+  peers_.add_registered(first, start);
+  EXPECT_EQ(peers_.running_count(start + 10s), 2U);
+  EXPECT_EQ(peers_.running_count(start + 30s), 1U);
+}
+
+TEST_F(PeerTableTest, ADaemonIsCountedOnceWhenARegisteredDaemonReports)
+{
+  peers_.add_registered(first, start);
+  receive_report("a", first, start);
+  EXPECT_EQ(peers_.running_count(start), 2U);
+}
+
+TEST_F(PeerTableTest, AnEntryOfAStoppedDaemonDoesNotCountAgainWithEveryList)
+{
+  peers_.add_registered(first, start);
+  peers_.add_registered(first, start + 30s);
+  EXPECT_EQ(peers_.running_count(start + 31s), 1U);
+}
+
+TEST_F(PeerTableTest, ANewDaemonUsesTheNumberThatItsPeersObserve)
+{
+  peer_report report{.self = {.id = daemon_id("a"), .peer_address = first}, .running_daemons = 30};
+  peers_.on_report(report, start);
+  EXPECT_EQ(peers_.running_count(start), 30U);
+  EXPECT_EQ(peers_.observed_running_count(start), 2U);
+}
+
+TEST_F(PeerTableTest, TheNumberThatPeersObserveIsUsedOnlyAfterTheStart)
+{
+  peer_report report{.self = {.id = daemon_id("a"), .peer_address = first}, .running_daemons = 30};
+  peers_.on_report(report, start);
+  peers_.on_report(report, start + 25s);
+  EXPECT_EQ(peers_.running_count(start + 25s), 2U);
+}
+
 TEST_F(PeerTableTest, ASilentDaemonCountsAsRunningForAWhile)
 {
   receive_report("a", first, start);
--- a/test/gateway/workspace_quota_test.cc
+++ b/test/gateway/workspace_quota_test.cc
@@ -120,6 +120,7 @@
 {
   workspace_quota quota({.self = daemon_id("a")});
   quota.set_workspaces({limited(100, 10)}, start);
+  quota.set_fleet({}, start);
   quota_decision last;
   for (int i = 0; i < 50 && last.outcome != quota_outcome::refused; ++i) {
     last = quota.admit(hotel, 10, start);
@@ -132,6 +133,7 @@
 {
   workspace_quota quota({.self = daemon_id("a")});
   quota.set_workspaces({limited(1, 0)}, start);
+  quota.set_fleet({}, start);
   while (quota.admit(hotel, 5, start).outcome == quota_outcome::admitted) {
   }
   quota.refund(hotel, 5, start);
@@ -154,9 +156,57 @@
 TEST(WorkspaceQuotaTest, AnOwnerWithoutAConfigurationGrantsNothing)
 {
   workspace_quota unconfigured({.self = daemon_id("a")});
+  unconfigured.set_fleet({}, start);
   EXPECT_FALSE(unconfigured.grant(hotel, 5'000, 400'000, start));
 }
 
+TEST(WorkspaceQuotaTest, ADaemonThatDoesNotKnowTheFleetAdmitsNothing)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(1'000, 1'000)}, start);
+  EXPECT_EQ(quota.admit(hotel, 1, start).outcome, quota_outcome::fleet_unknown);
+}
+
+TEST(WorkspaceQuotaTest, ADaemonThatDoesNotKnowTheFleetGrantsNothing)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(1'000, 1'000)}, start);
+  EXPECT_FALSE(quota.grant(hotel, 1, 1, start));
+}
+
+TEST(WorkspaceQuotaTest, ADaemonThatConsidersAnotherTheOwnerGrantsNothing)
+{
+  workspace_quota quota({.self = daemon_id("a")});
+  quota.set_workspaces({limited(1'000, 1'000)}, start);
+  for (int i = 0; i < 20; ++i) {
+    const daemon_id other("other-" + std::to_string(i));
+    quota.set_fleet({.candidates = {other}, .live_count = 2, .running_count = 2}, start);
+    const bool is_owner = quota.admit(hotel, 1, start).outcome != quota_outcome::ask_owner;
+    EXPECT_EQ(quota.grant(hotel, 1, 1, start).has_value(), is_owner) << other.value();
+  }
+}
+
+// Guards against debts that add up: each daemon that cannot reach the owner may admit a request
+// that is larger than its own part of the rate.
+TEST(WorkspaceQuotaTest, AThousandDaemonsWithoutAnOwnerKeepWithinTheRate)
+{
+  constexpr std::size_t daemons = 1'000;
+  constexpr double rate = 36'000;
+  constexpr double slack = 140'000;
+  constexpr double units = 8'000;
+  double admitted = 0;
+  for (std::size_t n = 0; n < daemons; ++n) {
+    workspace_quota quota({.self = daemon_id("d" + std::to_string(n)), .seed = n, .slack = slack});
+    quota.set_workspaces({limited(rate, rate)}, start);
+    quota.set_fleet({.running_count = daemons}, start);
+    for (int i = 0; i < 80; ++i) { // ten calls a second
+      const auto decided = quota.admit(hotel, units, start + 100ms * i);
+      admitted += decided.outcome == quota_outcome::admitted ? units : 0;
+    }
+  }
+  EXPECT_LE(admitted, 1.1 * (rate * 8 + rate) + slack);
+}
+
 TEST(WorkspaceQuotaTest, TheLocalBucketServesIfTheOwnerDoesNotAnswer)
 {
   quota_fleet fleet(4, 1'000, 1'000, 1'000);
--- a/test/relay/quota_replay_test.cc
+++ b/test/relay/quota_replay_test.cc
@@ -30,6 +30,7 @@
     start_fleet(number);
     for (std::size_t n = 0; n < number; ++n) {
       configure(n);
+      list_daemons(n);
     }
     run_for(5s);
   }
@@ -75,8 +76,8 @@
     double most = 0;
     for (std::size_t i = 0; i + steps <= admitted_.size(); ++i) {
       const auto first = admitted_.begin() + static_cast<std::ptrdiff_t>(i);
-      most = std::max(most,
-                      std::accumulate(first, first + static_cast<std::ptrdiff_t>(steps), 0.0));
+      most =
+          std::max(most, std::accumulate(first, first + static_cast<std::ptrdiff_t>(steps), 0.0));
     }
     return most;
   }
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -84,9 +84,11 @@
   // Simulates that the daemon reads from the store which daemons have registered.
   void list_daemons(std::size_t n)
   {
+    std::vector<http::socket_address> registered;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      daemons_[n]->state.peers.add_address(simulated_address(i));
+      registered.push_back(simulated_address(i));
     }
+    daemons_[n]->state.on_daemons_listed(registered, now_);
   }
 
   void run_for(milliseconds time)
