Tell the ages of all daemons in one character each, and wait longer in larger fleets

Cause: a report told ages of 512 daemons at most, with their ids, and whatever the size a daemon was silent after 1.6 s, while an age passes through one more daemon with each fourfold size. In a calm fleet of 390 one live daemon in 370 was considered silent, one in nine four seconds after a start. Ruled out: more ages with ids (bytes grow with the fleet's ids: 1.0 KB of a report of 2.8 KB at 390); one hash over the whole fleet (one daemon that joins would make all ages unreadable for seconds). Change: ages go in 64 parts with a hash of the ids that the sender knows; a receiver that knows the same daemons reads them by position. Where the hashes differ, the next reports tell the daemons of that part. A daemon is silent after 1.6 s up to 128 daemons, and 0.4 s later with each doubling. Peers of an earlier version still get ids in answers to their reports.

--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -16,6 +16,7 @@
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
+#include "wisteriaflow/gateway/daemon_ages.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/rollout.h"
@@ -74,7 +75,8 @@
   // 0: it has not learned yet which daemons there are.
   std::size_t running_daemons = 0;
   std::vector<daemon_contact> known_daemons; // some of the live daemons that the sender knows
-  std::vector<peer_last_seen> last_seen;     // of all live daemons, and of some others
+  std::vector<age_part> ages;                // of all daemons; peers of an earlier version omit them
+  std::vector<peer_last_seen> last_seen;     // of some daemons, for peers of an earlier version
   std::vector<relayed_peer> relayed; // the most recent states that the sender has of other daemons
   endpoint_work_map work;            // of the sender
   prefill_demand prefill;            // of the sender
--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -9,6 +9,7 @@
 #ifndef WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
 #define WISTERIAFLOW_GATEWAY_PEER_TABLE_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -17,6 +18,7 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/daemon_ages.h"
 #include "wisteriaflow/gateway/peer_report.h"
 
 namespace wisteriaflow::gateway {
@@ -26,6 +28,10 @@
   http::socket_address self_address; // for peers
   // Four missed reports. With fewer, a peer behind a lossy link would be considered dead.
   std::chrono::milliseconds live_timeout{1'600};
+  // Ages pass through more daemons in a larger fleet: every doubling beyond this size takes one
+  // more round of reports.
+  std::size_t live_timeout_fleet = 128;
+  std::chrono::milliseconds live_timeout_per_doubling{400};
   // A silent peer may only be partitioned and still admit requests. It counts as running for this
   // time, which is longer than most network partitions.
   std::chrono::milliseconds running_timeout{20'000};
@@ -36,14 +42,17 @@
 // Not thread-safe.
 class peer_table {
  public:
-  explicit peer_table(peer_table_options options) : options_(std::move(options)) {}
+  explicit peer_table(peer_table_options options);
+  ~peer_table() = default;
+  peer_table(const peer_table&) = delete;
+  peer_table& operator=(const peer_table&) = delete;
 
   // Adds an address known in advance. It is contacted until the id of the daemon there is known.
   void add_address(const http::socket_address& address);
 
-  // Adds the address of a daemon that has registered in the store. The daemon may be running: it
+  // Adds the addresses of the daemons that have registered in the store. They may be running: each
   // counts as such for a while even if it has not been heard here yet.
-  void add_registered(const http::socket_address& address, mono_time now);
+  void add_registered(const std::vector<http::socket_address>& registered, mono_time now);
 
   // Records a report received directly from its daemon.
   void on_report(const peer_report& report, mono_time now);
@@ -63,6 +72,16 @@
   // Whether any daemon has seen the peer recently. A draining daemon is live until it is silent.
   [[nodiscard]] bool is_live(const daemon_id& peer, mono_time now) const;
 
+  // Returns the ages of all daemons, for a report.
+  [[nodiscard]] std::vector<age_part> ages(mono_time now) const;
+
+  // Returns up to `max_count` daemons of the parts in which a peer knew other daemons than this one
+  // a moment ago; different ones with each call.
+  [[nodiscard]] std::vector<dated_contact> contacts_to_repair(std::size_t max_count, mono_time now);
+
+  // Time after which a daemon that nobody has seen is silent; see peer_table_options.
+  [[nodiscard]] std::chrono::milliseconds live_timeout() const;
+
   // Returns up to `max_count` daemons, the most recently seen first.
   [[nodiscard]] std::vector<peer_last_seen> most_recently_seen(std::size_t max_count,
                                                                mono_time now) const;
@@ -97,9 +116,18 @@
 
   // Whether the address is this daemon's own or that of a known peer.
   [[nodiscard]] bool is_identified(const http::socket_address& address) const;
+  entry& entry_of(const daemon_id& id);
+  void merge_ages(const peer_report& report, mono_time now);
+  [[nodiscard]] bool is_live(const entry& it, mono_time now) const
+  {
+    return now < it.last_seen_at + live_timeout();
+  }
 
   peer_table_options options_;
   std::map<daemon_id, entry> peers_;
+  daemon_roster<entry> roster_;                       // of all entries, and this daemon
+  std::array<mono_time, age_parts> repaired_until_{}; // parts in which a peer knows other daemons
+  std::size_t next_repaired_ = 0;
   std::map<http::socket_address, mono_time> unidentified_; // until when each counts as running
   std::size_t told_running_ = 0;        // the highest number that a peer observed
   std::optional<mono_time> told_until_; // end of the time after the first report when it is used
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -104,6 +104,15 @@
   return out;
 }
 
+json::array encode(const std::vector<age_part>& ages)
+{
+  json::array out;
+  for (const auto& part : ages) {
+    out.emplace_back(encode_age_part(part));
+  }
+  return out;
+}
+
 json::array encode(const std::vector<usage_row>& rows)
 {
   json::array out;
@@ -246,6 +255,12 @@
   for (const auto& c : from.at("known").as_array()) {
     out.known_daemons.push_back(decode_contact(c));
   }
+  // Peers of an earlier version send the ages with ids instead.
+  if (const auto* ages = from.as_object().if_contains("ages")) {
+    for (const auto& part : ages->as_array()) {
+      out.ages.push_back(decode_age_part(part.as_string()));
+    }
+  }
   for (const auto& [id, age] : from.at("heard").as_object()) {
     out.last_seen.push_back({.id = daemon_id(std::string(id)), .age = decode_age(age)});
   }
@@ -325,6 +340,7 @@
                            {"clock", to_unix_ms(report.clock)},
                            {"running", report.running_daemons},
                            {"known", std::move(known)},
+                           {"ages", encode(report.ages)},
                            {"heard", encode(report.last_seen)},
                            {"work", encode(report.work)},
                            {"prefill", encode(report.prefill)},
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -1,8 +1,40 @@
 #include "wisteriaflow/gateway/peer_table.h"
 
 #include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
 
 namespace wisteriaflow::gateway {
+namespace {
+
+// A part is repaired for this long after it differed: two rounds of reports.
+constexpr std::chrono::milliseconds repair_time{1'000};
+
+} // namespace
+
+peer_table::peer_table(peer_table_options options) : options_(std::move(options))
+{
+  roster_.add(options_.self, nullptr);
+}
+
+std::chrono::milliseconds peer_table::live_timeout() const
+{
+  const auto size = static_cast<double>(peers_.size() + 1);
+  const double doublings =
+      std::max(0.0, std::log2(size / static_cast<double>(options_.live_timeout_fleet)));
+  const auto extra = doublings * options_.live_timeout_per_doubling;
+  return options_.live_timeout + std::chrono::duration_cast<std::chrono::milliseconds>(extra);
+}
+
+peer_table::entry& peer_table::entry_of(const daemon_id& id)
+{
+  const auto [it, added] = peers_.try_emplace(id);
+  if (added) {
+    roster_.add(id, &it->second);
+  }
+  return it->second;
+}
 
 void peer_table::add_address(const http::socket_address& address)
 {
@@ -11,14 +43,20 @@
   }
 }
 
-void peer_table::add_registered(const http::socket_address& address, mono_time now)
+void peer_table::add_registered(const std::vector<http::socket_address>& registered, mono_time now)
 {
-  if (is_identified(address)) {
-    return;
+  std::set<http::socket_address> identified{options_.self_address};
+  for (const auto& [id, it] : peers_) {
+    identified.insert(it.contact.peer_address);
   }
-  auto& counts_until = unidentified_[address];
-  if (counts_until == mono_time{}) {
-    counts_until = now + options_.running_timeout;
+  for (const auto& address : registered) {
+    if (identified.contains(address)) {
+      continue;
+    }
+    auto& counts_until = unidentified_[address];
+    if (counts_until == mono_time{}) {
+      counts_until = now + options_.running_timeout;
+    }
   }
 }
 
@@ -35,7 +73,7 @@
   if (report.self.id == options_.self) {
     return;
   }
-  auto& self = peers_[report.self.id];
+  auto& self = entry_of(report.self.id);
   const auto as_of = now - report.age;
   if (as_of >= self.as_of) {
     self.contact = report.self;
@@ -50,6 +88,7 @@
   self.reported_at = now;
   self.last_seen_at = now;
   unidentified_.erase(report.self.peer_address);
+  merge_ages(report, now);
   for (const auto& h : report.last_seen) {
     const auto it = peers_.find(h.id);
     if (it != peers_.end()) {
@@ -63,12 +102,80 @@
   }
 }
 
+void peer_table::merge_ages(const peer_report& report, mono_time now)
+{
+  if (report.ages.empty()) {
+    return; // a brief report, or one of an earlier version
+  }
+  std::array<const age_part*, age_parts> told{};
+  for (const auto& part : report.ages) {
+    told[part.index] = &part;
+  }
+  for (std::size_t i = 0; i < age_parts; ++i) {
+    const auto& own = roster_.parts()[i];
+    const bool is_same = told[i] == nullptr ? own.members.empty()
+                                            : told[i]->members == own.hash &&
+                                                  told[i]->ages.size() == own.members.size();
+    if (!is_same) {
+      repaired_until_[i] = now + repair_time;
+      continue;
+    }
+    for (std::size_t k = 0; k < own.members.size(); ++k) {
+      auto* known = own.members[k].known;
+      const auto age = decode_age(told[i]->ages[k]);
+      if (known != nullptr && age) {
+        known->last_seen_at = std::max(known->last_seen_at, now - report.age - *age);
+      }
+    }
+  }
+}
+
+std::vector<age_part> peer_table::ages(mono_time now) const
+{
+  std::vector<age_part> out;
+  for (std::size_t i = 0; i < age_parts; ++i) {
+    const auto& part = roster_.parts()[i];
+    if (part.members.empty()) {
+      continue;
+    }
+    age_part told{.index = i, .members = part.hash};
+    for (const auto& m : part.members) {
+      const auto age = m.known == nullptr ? mono_time::duration{0} : now - m.known->last_seen_at;
+      told.ages += encode_age(std::chrono::ceil<std::chrono::milliseconds>(age));
+    }
+    out.push_back(std::move(told));
+  }
+  return out;
+}
+
+std::vector<peer_table::dated_contact> peer_table::contacts_to_repair(std::size_t max_count,
+                                                                      mono_time now)
+{
+  std::vector<const entry*> differing;
+  for (std::size_t i = 0; i < age_parts; ++i) {
+    if (now >= repaired_until_[i]) {
+      continue;
+    }
+    for (const auto& m : roster_.parts()[i].members) {
+      if (m.known != nullptr) {
+        differing.push_back(m.known);
+      }
+    }
+  }
+  std::vector<dated_contact> out;
+  for (std::size_t i = 0; i < std::min(max_count, differing.size()); ++i) {
+    const auto& it = *differing[next_repaired_++ % differing.size()];
+    out.push_back({.contact = it.contact, .as_of = it.as_of});
+  }
+  return out;
+}
+
 bool peer_table::on_relayed(const daemon_contact& contact, mono_time as_of)
 {
   if (contact.id == options_.self) {
     return false;
   }
-  auto& it = peers_[contact.id];
+  auto& it = entry_of(contact.id);
   if (as_of <= it.as_of) {
     return false;
   }
@@ -84,7 +191,7 @@
 {
   std::vector<const entry*> live;
   for (const auto& [id, it] : peers_) {
-    if (now < it.last_seen_at + options_.live_timeout) {
+    if (is_live(it, now)) {
       live.push_back(&it);
     }
   }
@@ -116,22 +223,21 @@
 bool peer_table::all_reported_since(mono_time t, mono_time now) const
 {
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-    const bool live = now < it.second.last_seen_at + options_.live_timeout;
-    return !live || it.second.reported_at >= t;
+    return !is_live(it.second, now) || it.second.reported_at >= t;
   });
 }
 
 bool peer_table::is_live(const daemon_id& peer, mono_time now) const
 {
   const auto it = peers_.find(peer);
-  return it != peers_.end() && now < it->second.last_seen_at + options_.live_timeout;
+  return it != peers_.end() && is_live(it->second, now);
 }
 
 std::vector<daemon_contact> peer_table::live(mono_time now) const
 {
   std::vector<daemon_contact> out;
   for (const auto& [id, it] : peers_) {
-    if (now < it.last_seen_at + options_.live_timeout) {
+    if (is_live(it, now)) {
       out.push_back(it.contact);
     }
   }
@@ -154,8 +260,7 @@
 {
   const auto is_counted = [&](const auto& it) {
     // A daemon that announced that it drains has stopped once it is silent.
-    const auto counted_for =
-        it.second.contact.leaving ? options_.live_timeout : options_.running_timeout;
+    const auto counted_for = it.second.contact.leaving ? live_timeout() : options_.running_timeout;
     return now < it.second.last_seen_at + counted_for;
   };
   const auto heard = std::count_if(peers_.begin(), peers_.end(), is_counted);
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -21,12 +21,12 @@
 // leader may send it one lease duration later.
 constexpr gateway::usage_window usage_windows_kept = 5;
 
-// Limits of one report. max_report_ages is high because, with the ages of only a few peers, live
-// daemons of a large fleet would be considered silent, and the ownership of rate limits would move
-// with them. Work is relayed for the peers with the most recent reports: in a large fleet a
-// daemon's own reports reach the others too rarely to be useful.
+// Limits of one report. Work is relayed for the peers with the most recent reports: in a large
+// fleet a daemon's own reports reach the others too rarely to be useful. max_report_ages applies to
+// reports for peers of an earlier version.
 constexpr std::size_t max_contacts_per_report = 8;
 constexpr std::size_t max_relayed_peers = 24;
+constexpr std::size_t max_repaired_peers = 32;
 constexpr std::size_t max_report_ages = 512;
 // Maximum number of endpoints whose work is reported, those with the most work first: for the
 // sender itself, and for all relayed peers together. Where daemons have calls at hundreds of
@@ -236,9 +236,7 @@
 void fleet_state::on_daemons_listed(const std::vector<http::socket_address>& registered,
                                     mono_time now)
 {
-  for (const auto& address : registered) {
-    peers.add_registered(address, now);
-  }
+  peers.add_registered(registered, now);
   if (!quota.knows_fleet()) {
     update_fleet_view(now);
   }
@@ -369,15 +367,17 @@
   return out;
 }
 
-std::vector<gateway::relayed_peer> fleet_state::relayed_peers(mono_time now) const
+std::vector<gateway::relayed_peer> fleet_state::relayed_peers(mono_time now)
 {
-  std::vector<gateway::relayed_peer> out;
-  if (live_peers_.size() <= max_full_mesh_peers) {
-    return out;
+  auto relayed = peers.contacts_to_repair(max_repaired_peers, now);
+  if (live_peers_.size() > max_full_mesh_peers) {
+    for (auto& peer : peers.most_recent(max_relayed_peers, now)) {
+      relayed.push_back(std::move(peer));
+    }
   }
-  const auto latest = peers.most_recent(max_relayed_peers, now);
-  const auto entries_per_peer = max_relayed_work_entries / std::max<std::size_t>(1, latest.size());
-  for (const auto& peer : latest) {
+  const auto entries_per_peer = max_relayed_work_entries / std::max<std::size_t>(1, relayed.size());
+  std::vector<gateway::relayed_peer> out;
+  for (const auto& peer : relayed) {
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - peer.as_of);
     const auto& id = peer.contact.id;
     out.push_back({.contact = peer.contact,
@@ -403,11 +403,14 @@
   return out;
 }
 
-void fleet_state::add_known_peers(gateway::peer_report& to, mono_time now)
+void fleet_state::add_known_peers(gateway::peer_report& to, report_extent extent, mono_time now)
 {
-  to.last_seen = peers.most_recently_seen(max_report_ages, now);
+  to.ages = peers.ages(now);
+  if (extent == report_extent::full_with_ids) {
+    to.last_seen = peers.most_recently_seen(max_report_ages, now);
+  }
   to.relayed = relayed_peers(now);
-  if (to.relayed.empty()) {
+  if (live_peers_.size() <= max_full_mesh_peers) {
     to.known_daemons = next_contacts(now);
   }
 }
@@ -433,8 +436,8 @@
       .rollout_rows = version_calls.rows(clock.now(now)),
       .crashes = crashes.recent_changes(clock.now(now)),
       .crash_digest = crashes.digest()};
-  if (extent == report_extent::full) {
-    add_known_peers(out, now.mono);
+  if (extent != report_extent::brief) {
+    add_known_peers(out, extent, now.mono);
   }
   return out;
 }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -139,7 +139,8 @@
 
   // How much a report contains about the rest of the fleet, beside this daemon's own state.
   enum class report_extent {
-    full,  // also what is known of other daemons
+    full,          // also what is known of other daemons
+    full_with_ids, // the same for peers of an earlier version, which need ids to read ages
     brief, // own state only: urgent updates in a large fleet, and reports to its coordinators
   };
 
@@ -179,12 +180,12 @@
                  std::string_view source);
   void on_rollouts_changed();
   [[nodiscard]] bool rollout_is_open() const;
-  // The most recent reports of peers, to be relayed; empty if all daemons exchange reports
-  // directly.
-  std::vector<gateway::relayed_peer> relayed_peers(mono_time now) const;
+  // The reports of peers to be relayed: the most recent ones, unless all daemons exchange reports
+  // directly, and those of daemons that a peer may not know.
+  std::vector<gateway::relayed_peer> relayed_peers(mono_time now);
   // Contacts for a report: all peers of a small fleet, a rotating few of a large one.
   std::vector<gateway::daemon_contact> next_contacts(mono_time now);
-  void add_known_peers(gateway::peer_report& to, mono_time now);
+  void add_known_peers(gateway::peer_report& to, report_extent extent, mono_time now);
   // Divides rates and quotas among the daemons that are known now.
   void update_fleet_view(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -349,9 +349,11 @@
 {
   const auto received = unpack_report(request.body, request.fields);
   handle_report(received, received.self.peer_address);
+  using extent = fleet_state::report_extent;
   const bool brief = request.target == brief_report_target;
-  const auto& report =
-      current_report(brief ? fleet_state::report_extent::brief : fleet_state::report_extent::full);
+  // Only peers of an earlier version send full reports without ages.
+  const auto full = received.ages.empty() ? extent::full_with_ids : extent::full;
+  const auto& report = current_report(brief ? extent::brief : full);
   count_report(report.packed, "sent");
   return {.status = http::status::ok,
           .fields = {age_field(report.made_at, std::chrono::steady_clock::now())},
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -23,7 +23,9 @@
       .self = contact("a", 1),
       .configuration_version = 9,
       .clock = from_unix_ms(1'234'567),
+      .running_daemons = 12,
       .known_daemons = {contact("b", 2)},
+      .ages = {{.index = 3, .members = 77, .ages = {encode_age(std::chrono::milliseconds(40))}}},
       .last_seen = {{.id = daemon_id("b"), .age = std::chrono::milliseconds(40)}},
       .work = {{endpoint_id("e"), {.waiting = 1, .running = 2, .waiting_tokens = 3'000}}},
       .prefill = {{"chat", 1'500.5}},
@@ -69,6 +71,16 @@
   EXPECT_THROW(static_cast<void>(decode_peer_report("not json")), peer_report_error);
 }
 
+TEST(PeerReportTest, RejectsUnreadableAges)
+{
+  auto text = encode_peer_report(
+      {.self = contact("a", 1),
+       .ages = {{.members = 77, .ages = {encode_age(std::chrono::milliseconds(0))}}}});
+  const auto at = text.find("\"ages\":[\"") + 9;
+  text[at] = '~';
+  EXPECT_THROW(static_cast<void>(decode_peer_report(text)), peer_report_error);
+}
+
 TEST(PeerReportTest, QuotaRequestAndGrantSurviveEncoding)
 {
   const quota_request request{
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -72,10 +72,20 @@
       const milliseconds phase(random_() % static_cast<std::uint64_t>(exchange_period.count()));
       scheduled_rounds_.push({.at = now_ + phase, .daemon = n});
     }
+    for (std::size_t n = 0; n < number; ++n) {
+      list_daemons(n);
+    }
   }
 
   // Replaces the daemon by a new process under the same id.
   void restart_daemon(std::size_t n)
+  {
+    start_process(n);
+    list_daemons(n);
+  }
+
+  // The same for a process that has not yet read from the store which daemons there are.
+  void start_process(std::size_t n)
   {
     daemons_[n] = make_daemon(n);
     daemons_[n]->state.endpoints.replace_all(listed_endpoints_, listed_endpoints_.size(), now_);
