Count the demand of peers whose reports arrive too late

Ruled out: a longer life of reports, which counts work that has ended. Change: the sums count for all live daemons. In fleets whose daemons all report, nothing changes.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -183,8 +183,8 @@
   // lost.
   [[nodiscard]] bool has_restarted(const pooled_endpoint& chosen) const;
 
-  // Sets the daemons that share the request rates stated by endpoints.
-  void set_fleet(fleet_view fleet, mono_time now) { terms_.set_fleet(std::move(fleet), now); }
+  // Sets the daemons of the fleet, which share the request rates stated by endpoints.
+  void set_fleet(fleet_view fleet, mono_time now);
 
   // Applies the terms in an answer of an endpoint or in a report of a peer; terms_to_gossip returns
   // those of up to `max_count` endpoints for the next report to peers.
@@ -252,8 +252,11 @@
   std::vector<routing::endpoint_slot>
   affinity_endpoints(const prompt_blocks& prompt, const token_size& size,
                      const std::vector<routing::endpoint_slot>& open, mono_time now);
-  // Number of daemons whose work is known, including this one.
-  [[nodiscard]] std::size_t live_daemons() const { return 1 + peers_.peer_count(); }
+  // Number of live daemons, including this one.
+  [[nodiscard]] std::size_t live_daemons() const;
+  // Factor from the sums over the peers whose reports are known to those over all live peers. In a
+  // large fleet the reports of some peers arrive too late to count.
+  [[nodiscard]] double unreported_factor() const;
   pool_choice choose_for_plain(const selection_criteria& criteria,
                                const std::vector<routing::endpoint_slot>& open, mono_time now);
   // Address from which the endpoint in `slot` can copy the prompt's shared parts.
@@ -295,6 +298,7 @@
   std::mt19937_64 random_;
   mono_time removals_held_until_;
   bool has_list_ = false;
+  std::size_t live_count_ = 1; // live daemons by the last set_fleet
 };
 
 } // namespace wisteriaflow::gateway
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -331,15 +331,34 @@
   peers_.on_prefill(peer, std::move(demand), sent_at);
 }
 
+void endpoint_pool::set_fleet(fleet_view fleet, mono_time now)
+{
+  live_count_ = fleet.live_count;
+  terms_.set_fleet(std::move(fleet), now);
+}
+
+std::size_t endpoint_pool::live_daemons() const
+{
+  return std::max(1 + peers_.peer_count(), live_count_);
+}
+
+double endpoint_pool::unreported_factor() const
+{
+  const auto known = peers_.peer_count();
+  return known == 0 ? 1 : static_cast<double>(live_daemons() - 1) / static_cast<double>(known);
+}
+
 double endpoint_pool::busy_endpoints(std::string_view service, mono_time now)
 {
   peers_.expire(now);
   const auto own = meter_.local_rates().find(service);
-  fleet_demand demand{.tokens_per_second = peers_.total_prefill(service)};
+  const double factor = unreported_factor();
+  fleet_demand demand{.tokens_per_second = factor * peers_.total_prefill(service)};
   demand.tokens_per_second += own == meter_.local_rates().end() ? 0 : own->second;
   for (const auto* r : serving(service)) {
-    demand.waiting_tokens += static_cast<double>(own_work_at(r->id).waiting_tokens +
-                                                 peers_.total_at(r->id).waiting_tokens);
+    demand.waiting_tokens +=
+        static_cast<double>(own_work_at(r->id).waiting_tokens) +
+        factor * static_cast<double>(peers_.total_at(r->id).waiting_tokens);
   }
   return meter_.busy_endpoints(service, demand);
 }
