Exchange with the same neighbours in fleets of hundreds

Change: beyond 250 peers a daemon asks 16 neighbours in turn, two in a round after its first five seconds, and any other one every fifth round. Beyond 100 instead of 250 peers, 195 daemons knew too little of each other's work (ExchangeReplayTest, EveryDaemonCounts...).

--- a/include/wisteriaflow/gateway/gossip_scheduler.h
+++ b/include/wisteriaflow/gateway/gossip_scheduler.h
@@ -2,7 +2,9 @@
 //
 // In a small fleet every daemon asks all others in every round. In a large fleet each daemon asks a
 // few peers per round, those with the oldest report first, and relays what it received, so that the
-// state of every peer arrives within a few rounds by way of others. The coordinators, a few daemons
+// state of every peer arrives within a few rounds by way of others. In a fleet of hundreds it asks
+// the same few neighbours in turn, so that connections are used again; the neighbours of all
+// daemons together connect the fleet at random. The coordinators, a few daemons
 // that sum up counters and relay what they read from the store, need direct reports from all
 // daemons: one of them is asked every 0.8 s.
 //
@@ -35,6 +37,15 @@
   // Peers asked per round in a larger fleet. It is small because each exchange transfers a report
   // in both directions.
   std::size_t fanout = 3;
+  // A daemon with more peers than `max_rotating_peers` asks only its `neighbours`, and another peer
+  // every `exploration_rounds` rounds, which connects parts of the fleet that were separated.
+  std::size_t max_rotating_peers = 250;
+  std::size_t neighbours = 16;
+  std::size_t neighbour_fanout = 2; // peers asked per round, after the start
+  // A new daemon asks `fanout` peers for this long, to learn of the fleet.
+  std::chrono::milliseconds start_duration{5'000};
+  unsigned exploration_rounds = 5;
+  std::chrono::milliseconds neighbour_lifetime{5'000}; // until they are chosen again
   // Peers that receive an urgent update at once.
   std::size_t urgent_fanout = 6;
   // Time between two requests to coordinators. With three coordinators each of them gets a report
@@ -52,7 +63,7 @@
 class gossip_scheduler {
  public:
   gossip_scheduler(gossip_scheduler_options options, std::uint64_t seed)
-      : options_(options), random_(seed)
+      : options_(options), random_(seed), seed_(seed)
   {
   }
 
@@ -85,15 +96,26 @@
 
   [[nodiscard]] peer_state state_of(const http::socket_address& peer) const;
   [[nodiscard]] bool is_due(const peer_state& it, mono_time now) const;
+  // Number of peers to ask in a round, of `peers`.
+  [[nodiscard]] std::size_t fanout(std::size_t peers, mono_time now);
   // Returns the coordinator to ask next; none if one was asked less than a period ago.
   std::optional<http::socket_address>
   coordinator_to_ask(const std::vector<http::socket_address>& coordinators, std::size_t peers,
                      mono_time now);
   void record_asked(const std::vector<http::socket_address>& peers);
+  // Returns those of `addresses` that may be asked in this round; `addresses` are shuffled.
+  [[nodiscard]] std::vector<http::socket_address>
+  candidates(std::vector<http::socket_address> addresses, mono_time now);
+  void choose_neighbours(const std::vector<http::socket_address>& addresses, mono_time now);
 
   gossip_scheduler_options options_;
   std::mt19937_64 random_;
   std::map<http::socket_address, peer_state> states_;
+  std::uint64_t seed_;
+  std::optional<mono_time> first_round_at_;
+  std::vector<http::socket_address> neighbours_;
+  std::size_t chosen_among_ = 0; // number of addresses that the neighbours were chosen from
+  mono_time neighbours_until_;
   mono_time coordinator_asked_at_;
   unsigned round_ = 0;
 };
--- a/src/gateway/gossip_scheduler.cc
+++ b/src/gateway/gossip_scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "wisteriaflow/base/hash.h"
+
 namespace wisteriaflow::gateway {
 
 void gossip_scheduler::on_report(const http::socket_address& peer, mono_time now)
@@ -25,6 +27,19 @@
   return !silent || round_ % options_.silent_backoff_rounds == 0;
 }
 
+std::size_t gossip_scheduler::fanout(std::size_t peers, mono_time now)
+{
+  if (!first_round_at_) {
+    first_round_at_ = now;
+  }
+  if (peers <= options_.full_mesh_limit) {
+    return peers;
+  }
+  const bool is_new = now < *first_round_at_ + options_.start_duration;
+  return peers > options_.max_rotating_peers && !is_new ? options_.neighbour_fanout
+                                                        : options_.fanout;
+}
+
 void gossip_scheduler::record_asked(const std::vector<http::socket_address>& peers)
 {
   for (const auto& peer : peers) {
@@ -48,14 +63,52 @@
                            });
 }
 
+void gossip_scheduler::choose_neighbours(const std::vector<http::socket_address>& addresses,
+                                         mono_time now)
+{
+  if (now < neighbours_until_ && addresses.size() == chosen_among_) {
+    return;
+  }
+  neighbours_until_ = now + options_.neighbour_lifetime;
+  chosen_among_ = addresses.size();
+  std::vector<std::pair<std::uint64_t, http::socket_address>> scores;
+  scores.reserve(addresses.size());
+  for (const auto& peer : addresses) {
+    scores.emplace_back(hash64_of(to_string(peer), seed_), peer);
+  }
+  const auto end = scores.begin() + static_cast<std::ptrdiff_t>(options_.neighbours);
+  std::partial_sort(scores.begin(), end, scores.end());
+  neighbours_.clear();
+  for (auto it = scores.begin(); it != end; ++it) {
+    neighbours_.push_back(std::move(it->second));
+  }
+}
+
+std::vector<http::socket_address>
+gossip_scheduler::candidates(std::vector<http::socket_address> addresses, mono_time now)
+{
+  if (addresses.size() <= options_.max_rotating_peers) {
+    return addresses;
+  }
+  choose_neighbours(addresses, now);
+  auto out = neighbours_;
+  const auto& other = addresses.front();
+  if (round_ % options_.exploration_rounds == 0 &&
+      std::find(out.begin(), out.end(), other) == out.end()) {
+    out.push_back(other);
+  }
+  return out;
+}
+
 std::vector<http::socket_address>
 gossip_scheduler::next_targets(std::vector<http::socket_address> addresses,
                                const std::vector<http::socket_address>& coordinators, mono_time now)
 {
   ++round_;
   const auto peer_count = addresses.size();
-  const auto max_asked = peer_count <= options_.full_mesh_limit ? peer_count : options_.fanout;
+  const auto max_asked = fanout(peer_count, now);
   std::shuffle(addresses.begin(), addresses.end(), random_);
+  addresses = candidates(std::move(addresses), now);
   struct due_peer {
     mono_time answered_at;
     http::socket_address address;
