Bring counts and endpoint views through relays in large fleets

Cause: two things needed direct or nearly direct reports of every daemon. Change: beyond 100 daemons the fleet forms groups with two relays each, by rendezvous hashing. Ended windows go to the relays of the group, and from there, many rows in a message, to the leader, again to the next one. A daemon whose view isn't recent asks a relay, and a relay a coordinator. Ruled out: pushing views (a push that was held up would make an old view look fresh).

--- a/bench/fleet_replay_bench.cc
+++ b/bench/fleet_replay_bench.cc
@@ -47,9 +47,10 @@
       run_for(500ms);
       silent = std::max(silent, silent_share());
     }
+    const double known = known_work();
     const auto rates = byte_rates();
     const auto full = mean_size(fleet_state::report_extent::full);
-    const auto at_leader = time_until_all_reported();
+    const auto counted = time_until_counted();
     const auto departure = time_until([&] { return unaware_of_departure(11) == 0; },
                                       [&] { read_departure(*daemons_[7], 11, 3 * daemons + 1); });
     const auto death = time_until([&] { return unaware_of_death() <= daemons / 1'000; },
@@ -57,14 +58,18 @@
     const std::chrono::duration<double> spent = clock::now() - started;
     const std::chrono::duration<double> simulated = now_ - begin;
     const double cores = spent.count() / simulated.count() / static_cast<double>(daemons);
-    std::printf("| %zu | %.4f | %.4f | %.1f / %.1f | %zu | %s | %s | %s | %.4f |\n", daemons,
-                silent_after_start, silent, rates[rates.size() / 2] / 1'000, rates.back() / 1'000,
-                full, text(at_leader).c_str(), text(departure).c_str(), text(death).c_str(), cores);
+    std::printf(
+        "| %zu | %.4f | %.4f | %.1f / %.1f | %zu | %s | %s | %s | %.2f | %.1f | %.1f | %.4f |\n",
+        daemons, silent_after_start, silent, rates[rates.size() / 2] / 1'000, rates.back() / 1'000,
+        full, text(counted).c_str(), text(departure).c_str(), text(death).c_str(), known, store_reads_, view_queries_, cores);
     std::fflush(stdout);
   }
 
  private:
   static constexpr int calls = 2; // per daemon
+  // Of the whole fleet, per second.
+  double store_reads_ = 0;
+  double view_queries_ = 0;
   static constexpr std::size_t dead_daemon = 13;
   static constexpr milliseconds max_wait{15'000};
 
@@ -99,8 +104,14 @@
     for (const auto& d : daemons_) {
       d->reports = 0;
       d->brief_reports = 0;
+      d->store_reads = 0;
+      d->view_queries = 0;
     }
     run_for(2s);
+    for (const auto& d : daemons_) {
+      store_reads_ += d->store_reads / 2.0;
+      view_queries_ += d->view_queries / 2.0;
+    }
     const auto size = static_cast<double>(mean_size(fleet_state::report_extent::full));
     const auto brief = static_cast<double>(mean_size(fleet_state::report_extent::brief));
     std::vector<double> out;
@@ -111,14 +122,23 @@
     return out;
   }
 
-  std::optional<milliseconds> time_until_all_reported()
+  // Time after the end of a usage window until the leader has the counts of all daemons.
+  std::optional<milliseconds> time_until_counted()
   {
     auto& leader = *daemons_[7];
     leader.state.set_leader(true);
-    run_for(4s); // the others learn of it
-    const auto window_end = now_;
-    return time_until([&] { return leader.state.peers.all_reported_since(window_end, now_); },
-                      [] {});
+    const auto window = count_one_request_at_each();
+    return time_until([&] { return counted_at(leader, window) == daemons_.size(); }, [] {});
+  }
+
+  // Share of the daemons whose work one daemon knows; the lowest.
+  [[nodiscard]] double known_work() const
+  {
+    std::size_t least = daemons_.size();
+    for (const auto& d : daemons_) {
+      least = std::min(least, d->state.endpoints.peers().peer_count() + 1);
+    }
+    return static_cast<double>(least) / static_cast<double>(daemons_.size());
   }
 
   template <typename condition, typename action>
@@ -145,9 +165,11 @@
 {
   std::puts(
       "| daemons | live taken for silent 4 s after the start | worst after 9 s | KB/s each way, "
-      "middle / busiest | report, bytes | all reports at the leader, ms | departure known to "
-      "all, ms | death known to 99.9%, ms | cores of a daemon for state |");
-  std::puts("| --: | --: | --: | --: | --: | --: | --: | --: | --: |");
+      "middle / busiest | report, bytes | all counts at the leader, ms | departure known to "
+      "all, ms | death known to 99.9%, ms | least share of daemons whose work is known | cores of "
+      "a "
+      "daemon for state |");
+  std::puts("| --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |");
   for (const auto& text : sizes) {
     std::size_t daemons = 0;
     if (!absl::SimpleAtoi(text, &daemons) || daemons < 20) {
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -75,8 +75,8 @@
   // 0: it has not learned yet which daemons there are.
   std::size_t running_daemons = 0;
   std::vector<daemon_contact> known_daemons; // some of the live daemons that the sender knows
-  std::vector<age_part> ages;                // of all daemons; peers of an earlier version omit them
-  std::vector<peer_last_seen> last_seen;     // of some daemons, for peers of an earlier version
+  std::vector<age_part> ages;            // of all daemons; peers of an earlier version omit them
+  std::vector<peer_last_seen> last_seen; // of some daemons, for peers of an earlier version
   std::vector<relayed_peer> relayed; // the most recent states that the sender has of other daemons
   endpoint_work_map work;            // of the sender
   prefill_demand prefill;            // of the sender
@@ -113,7 +113,15 @@
 [[nodiscard]] quota_request decode_quota_request(std::string_view text);
 [[nodiscard]] quota_grant decode_quota_grant(std::string_view text);
 
+// Usage rows for a collector or the leader; see usage_courier.
+[[nodiscard]] std::string encode_usage_rows(const std::vector<usage_row>& rows);
+// Throws peer_report_error.
+[[nodiscard]] std::vector<usage_row> decode_usage_rows(std::string_view text);
+
 // Endpoint records for a peer; see endpoint_feed.
+[[nodiscard]] std::string encode_endpoint_view(const endpoint_view& view);
+// Throws peer_report_error.
+[[nodiscard]] endpoint_view decode_endpoint_view(std::string_view text);
 [[nodiscard]] std::string encode_endpoint_changes(const endpoint_changes& changes);
 // Throws peer_report_error.
 [[nodiscard]] endpoint_changes decode_endpoint_changes(std::string_view text);
--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -89,6 +89,10 @@
   // Whether every live daemon has reported directly since `t`.
   [[nodiscard]] bool all_reported_since(mono_time t, mono_time now) const;
 
+  // The live daemon that holds the fleet's lease by the most recent statement; nothing if none says
+  // so.
+  [[nodiscard]] std::optional<daemon_id> leader(mono_time now) const;
+
   // Statements of the live daemons.
   [[nodiscard]] std::vector<daemon_contact> live(mono_time now) const;
 
--- a/include/wisteriaflow/gateway/usage_counts.h
+++ b/include/wisteriaflow/gateway/usage_counts.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,12 @@
   [[nodiscard]] std::vector<usage_row>
   rows_for_peer(const std::function<bool(const daemon_id&)>& is_silent, std::size_t max_relayed);
 
+  // This daemon's row of `window`; nothing if it counted no request in it.
+  [[nodiscard]] std::optional<usage_row> own_row(usage_window window) const;
+
+  // Whether rows of `window` are kept at `now`, so that a row of a peer may be merged.
+  [[nodiscard]] bool is_kept(usage_window window, wall_time now) const;
+
   // The fleet's counts in `window`, as far as they have arrived.
   [[nodiscard]] window_counts total(usage_window window) const;
 
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -136,6 +136,15 @@
   return out;
 }
 
+std::vector<usage_row> decode_rows(const json::value& from)
+{
+  std::vector<usage_row> out;
+  for (const auto& r : from.as_array()) {
+    out.push_back(decode_row(r));
+  }
+  return out;
+}
+
 json::object encode(const std::vector<endpoint_departure>& departures)
 {
   json::object out;
@@ -274,9 +283,7 @@
   }
   out.departures = decode_departures(from.at("departures"));
   out.endpoints = decode_view(from.at("endpoints"));
-  for (const auto& r : from.at("usage").as_array()) {
-    out.usage.push_back(decode_row(r));
-  }
+  out.usage = decode_rows(from.at("usage"));
   // Peers of an earlier version send no terms.
   if (const auto* terms = from.as_object().if_contains("terms")) {
     out.terms = decode_terms(*terms);
@@ -370,6 +377,21 @@
   return json::serialize(out);
 }
 
+std::string encode_usage_rows(const std::vector<usage_row>& rows)
+{
+  return json::serialize(encode(rows));
+}
+
+std::string encode_endpoint_view(const endpoint_view& view)
+{
+  return json::serialize(encode(view));
+}
+
+endpoint_view decode_endpoint_view(std::string_view text)
+{
+  return parse_as(text, decode_view);
+}
+
 std::string encode_endpoint_changes(const endpoint_changes& changes)
 {
   json::array records;
@@ -394,6 +416,11 @@
   });
 }
 
+std::vector<usage_row> decode_usage_rows(std::string_view text)
+{
+  return parse_as(text, decode_rows);
+}
+
 quota_request decode_quota_request(std::string_view text)
 {
   return parse_as(text, [](const json::value& from) {
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -233,6 +233,18 @@
   return it != peers_.end() && is_live(it->second, now);
 }
 
+std::optional<daemon_id> peer_table::leader(mono_time now) const
+{
+  const entry* latest = nullptr;
+  for (const auto& [id, it] : peers_) {
+    const bool acts = it.contact.acting && is_live(it, now);
+    if (acts && (latest == nullptr || it.as_of > latest->as_of)) {
+      latest = &it;
+    }
+  }
+  return latest == nullptr ? std::nullopt : std::optional(latest->contact.id);
+}
+
 std::vector<daemon_contact> peer_table::live(mono_time now) const
 {
   std::vector<daemon_contact> out;
--- a/src/gateway/usage_counts.cc
+++ b/src/gateway/usage_counts.cc
@@ -65,6 +65,25 @@
   return out;
 }
 
+std::optional<usage_row> usage_counts::own_row(usage_window window) const
+{
+  const auto sources = windows_.find(window);
+  if (sources == windows_.end()) {
+    return std::nullopt;
+  }
+  const auto own = sources->second.find(self_);
+  if (own == sources->second.end()) {
+    return std::nullopt;
+  }
+  return usage_row{.source = self_, .window = window, .counts = own->second};
+}
+
+bool usage_counts::is_kept(usage_window window, wall_time now) const
+{
+  const auto current = window_at(now);
+  return window + retained_windows_ >= current && window <= current + 1;
+}
+
 window_counts usage_counts::total(usage_window window) const
 {
   window_counts out;
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -87,6 +87,7 @@
                .window = s.retry_window}),
       peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
       usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept),
+      courier({.self = s.id, .seed = hash64_of(s.id.value(), incarnation)}),
       versions(s.trial_part > 0),
       version_calls({.source = {.daemon = s.id, .incarnation = incarnation},
                      .target_fraction = trial_margin * s.trial_part})
@@ -477,9 +478,61 @@
   crashes.merge(received.crashes, clock.now(now));
 }
 
+std::vector<http::socket_address> fleet_state::view_sources(mono_time now) const
+{
+  if (groups_.empty() || feed.is_reader()) {
+    return {};
+  }
+  const bool is_relay = groups_.is_relay(options.id);
+  if (!feed.is_view_wanted(is_relay, now)) {
+    return {};
+  }
+  if (is_relay) {
+    return other_coordinators(now);
+  }
+  std::vector<http::socket_address> out;
+  for (const auto& relay : groups_.relays_of(options.id)) {
+    if (const auto address = peers.address_of(relay)) {
+      out.push_back(*address);
+    }
+  }
+  return out;
+}
+
+std::vector<gateway::usage_delivery> fleet_state::due_usage(const clock_reading& now)
+{
+  if (groups_.empty()) {
+    return {};
+  }
+  const gateway::usage_route route{.relays = groups_.relays_of(options.id),
+                                   .leader = is_leader_ ? options.id : peers.leader(now.mono)};
+  return courier.due(usage, route, clock.now(now));
+}
+
+void fleet_state::receive_usage(const std::vector<gateway::usage_row>& rows, bool to_leader,
+                                const clock_reading& now)
+{
+  std::vector<gateway::usage_row> kept;
+  for (const auto& row : rows) {
+    if (usage.is_kept(row.window, clock.now(now))) {
+      usage.merge(row);
+      kept.push_back(row);
+    }
+  }
+  if (kept.size() < rows.size()) {
+    counters.count("usage_rows_ignored", {}, rows.size() - kept.size());
+  }
+  if (!to_leader) {
+    courier.on_received(kept);
+  }
+}
+
 void fleet_state::log_peer_changes(const std::vector<daemon_id>& live)
 {
   std::set<daemon_id> present(live.begin(), live.end());
+  if (present != live_peers_) {
+    update_groups(live);
+  }
   for (const auto& id : present) {
     if (!live_peers_.contains(id)) {
       log.write(daemon::log_level::info, "peer heard", {{"peer", id.value()}});
@@ -493,6 +546,13 @@
   live_peers_ = std::move(present);
 }
 
+void fleet_state::update_groups(const std::vector<daemon_id>& live)
+{
+  auto daemons = live;
+  daemons.push_back(options.id);
+  groups_ = gateway::fleet_groups({}, daemons);
+}
+
 void fleet_state::update_gauges(mono_time now)
 {
   using seconds = std::chrono::duration<double>;
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -25,12 +25,14 @@
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/fleet_clock.h"
+#include "wisteriaflow/gateway/fleet_groups.h"
 #include "wisteriaflow/gateway/peer_table.h"
 #include "wisteriaflow/gateway/retry_budget.h"
 #include "wisteriaflow/gateway/retry_policy.h"
 #include "wisteriaflow/gateway/rollout.h"
 #include "wisteriaflow/gateway/traffic_splitter.h"
 #include "wisteriaflow/gateway/usage_counts.h"
+#include "wisteriaflow/gateway/usage_courier.h"
 #include "wisteriaflow/gateway/version_counts.h"
 #include "wisteriaflow/gateway/version_gate.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
@@ -151,6 +153,17 @@
   // Merges a report received from a peer.
   void merge_report(const gateway::peer_report& received, const clock_reading& now);
 
+  // Returns the peers of which one should be asked for its endpoint view now; none if the own view
+  // is recent, or if reports alone keep it recent in a small fleet.
+  [[nodiscard]] std::vector<http::socket_address> view_sources(mono_time now) const;
+
+  // Returns the usage counts to be sent to other daemons now; see usage_courier.
+  [[nodiscard]] std::vector<gateway::usage_delivery> due_usage(const clock_reading& now);
+
+  // Takes usage counts that a daemon sent to this one as the leader or as a collector.
+  void receive_usage(const std::vector<gateway::usage_row>& rows, bool to_leader,
+                     const clock_reading& now);
+
   // The wall-clock time agreed on by the fleet.
   [[nodiscard]] wall_time fleet_time() const { return clock.now(read_clocks()); }
 
@@ -168,6 +181,7 @@
   gateway::peer_table peers;
   gateway::fleet_clock clock;
   gateway::usage_counts usage;
+  gateway::usage_courier courier; // brings `usage` to the leader of a large fleet
   gateway::crash_suspects crashes{{}};
   gateway::rollout_registry rollouts;
   gateway::version_gate versions;
@@ -189,6 +203,8 @@
   // Divides rates and quotas among the daemons that are known now.
   void update_fleet_view(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
+  // Computes the groups again if the live daemons have changed.
+  void update_groups(const std::vector<daemon_id>& live);
   // Updates the gauges of the age of the configuration and endpoints, and of the log.
   void update_gauges(mono_time now);
 
@@ -199,6 +215,7 @@
   std::optional<mono_time> draining_since_;
   bool is_leader_ = false;         // holds the fleet's lease
   std::set<daemon_id> live_peers_; // as of the last tick
+  gateway::fleet_groups groups_;   // as of the last tick
   hold_log hold_log_;
   std::size_t next_contact_ = 0; // index of the next contact to report
 };
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -51,8 +51,11 @@
 constexpr std::string_view report_target = "/report";
 constexpr std::string_view brief_report_target = "/report?brief";
 constexpr std::string_view quota_target = "/quota";
+constexpr std::string_view usage_target = "/usage"; // for a collector
+constexpr std::string_view leader_usage_target = "/usage?leader";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // with ?after=REVISION of the store
+constexpr std::string_view view_target = "/endpoint-view";
 constexpr std::string_view crashes_target = "/crashes";
 constexpr std::string_view metrics_target = "/metrics";
 
@@ -105,6 +108,8 @@
       next_round_ = now + exchange_period;
       start_round(now);
       state_.tick(read_clocks());
+      send_usage();
+      refresh_view(now);
     }
     timer_.expires_at(next_round_);
     boost::system::error_code ec;
@@ -271,6 +276,23 @@
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
 }
 
+void peer_sync::refresh_view(mono_time now)
+{
+  const auto sources = state_.view_sources(now);
+  if (sources.empty()) {
+    return;
+  }
+  const auto& peer = sources[next_view_source_++ % sources.size()];
+  fetch_request request{.name = "endpoint view", .target = std::string(view_target)};
+  request.apply = [this, peer, now](const std::string& body) {
+    const auto view = gateway::decode_endpoint_view(body);
+    if (state_.feed.on_peer_view(view, now) == gateway::feed_action::fetch) {
+      fetch_endpoints(peer);
+    }
+  };
+  asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
+}
+
 void peer_sync::handle_report(const gateway::peer_report& report, const http::socket_address& from)
 {
   const auto now = read_clocks();
@@ -360,6 +382,49 @@
           .body = report.packed};
 }
 
+void peer_sync::send_usage()
+{
+  for (auto& delivery : state_.due_usage(read_clocks())) {
+    if (usage_deliveries_in_flight_.insert(delivery.to).second) {
+      asio::co_spawn(context_, deliver_usage(std::move(delivery)), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> peer_sync::deliver_usage(gateway::usage_delivery delivery)
+{
+  const auto& to = delivery.to;
+  try {
+    if (const auto address = state_.peers.address_of(to)) {
+      http::request message{
+          .method = "POST",
+          .target = std::string(delivery.to_leader ? leader_usage_target : usage_target),
+          .body = deflate(gateway::encode_usage_rows(delivery.rows))};
+      const auto deadline = std::chrono::steady_clock::now() + exchange_timeout;
+      const auto reply = co_await client_.call(*address, std::move(message), deadline);
+      if (reply.status == http::status::ok) {
+        state_.courier.on_delivered(delivery);
+      }
+    }
+  } catch (const http::http_error& e) {
+    // The rows are sent again with the next round.
+    state_.counters.count("usage_deliveries_failed");
+  }
+  usage_deliveries_in_flight_.erase(to);
+}
+
+http::response peer_sync::answer_usage(const http::request& request)
+{
+  std::vector<gateway::usage_row> rows;
+  try {
+    rows = gateway::decode_usage_rows(inflate(request.body, max_report_bytes));
+  } catch (const deflate_error& e) {
+    throw gateway::peer_report_error(e.what());
+  }
+  state_.receive_usage(rows, request.target == leader_usage_target, read_clocks());
+  return {.status = http::status::ok};
+}
+
 http::response peer_sync::answer_quota(const http::request& request)
 {
   const auto q = gateway::decode_quota_request(request.body);
@@ -388,6 +453,8 @@
   try {
     if (request.target == report_target || request.target == brief_report_target) {
       out = answer_report(request);
+    } else if (request.target == usage_target || request.target == leader_usage_target) {
+      out = answer_usage(request);
     } else if (request.target == quota_target) {
       out = answer_quota(request);
     } else if (request.target == configuration_target && state_.configuration()) {
@@ -395,6 +462,9 @@
              .body = boost::json::serialize(state_.configuration_document())};
     } else if (http::parse_target(request.target).path == endpoints_target) {
       out = answer_endpoints(request);
+    } else if (request.target == view_target) {
+      const auto view = state_.endpoint_view(std::chrono::steady_clock::now());
+      out = {.status = http::status::ok, .body = gateway::encode_endpoint_view(view)};
     } else if (request.target == crashes_target) {
       out = {.status = http::status::ok,
              .body = boost::json::serialize(encode_crash_report(state_.crashes.all()))};
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -52,6 +52,10 @@
   ask_owner(daemon_id owner, gateway::quota_request request);
   http::response answer_report(const http::request& request);
   http::response answer_quota(const http::request& request);
+  http::response answer_usage(const http::request& request);
+  // Sends usage counts on their way to the leader.
+  void send_usage();
+  boost::asio::awaitable<void> deliver_usage(gateway::usage_delivery delivery);
   // A resource that a peer has in a newer state than this daemon.
   struct fetch_request {
     std::string name; // for the log; only one fetch of each name runs at a time
@@ -61,6 +65,8 @@
   boost::asio::awaitable<void> fetch(http::socket_address peer, fetch_request request);
   void fetch_configuration(const http::socket_address& peer);
   void fetch_endpoints(const http::socket_address& peer);
+  // Asks a peer for its endpoint view if the own one is no longer recent.
+  void refresh_view(mono_time now);
   // Merges a peer's report, and fetches what the peer has in a newer state.
   void handle_report(const gateway::peer_report& report, const http::socket_address& from);
   // Fetches all crash records of a peer if its digest has differed from the own one for longer than
@@ -87,8 +93,10 @@
   std::map<fleet_state::report_extent, cached_report> cached_reports_;
   bool urgent_update_pending_ = false;
   mono_time next_round_;
-  std::set<std::string> fetches_in_flight_; // by fetch_request::name
+  std::set<std::string> fetches_in_flight_;        // by fetch_request::name
+  std::set<daemon_id> usage_deliveries_in_flight_; // by receiver
   std::optional<mono_time> crashes_differ_since_;
+  std::size_t next_view_source_ = 0;
 };
 
 } // namespace wisteriaflow::relay
--- a/test/relay/large_fleet_replay_test.cc
+++ b/test/relay/large_fleet_replay_test.cc
@@ -35,6 +35,54 @@
   }
 }
 
+// Half of the time in which a window must be reported.
+constexpr milliseconds usage_time{5'000};
+
+TEST_F(LargeFleetReplayTest, TheLeaderHasTheCountsOfAllDaemonsSoonAfterAWindow)
+{
+  start_fleet(daemons);
+  run_for(6s);
+  daemons_[7]->state.set_leader(true);
+  loss_rate_ = 0.05;
+  const auto window = count_one_request_at_each();
+  run_for(usage_time);
+  EXPECT_EQ(counted_at(*daemons_[7], window), daemons);
+}
+
+// The next leader takes the lease two seconds after the first one has crashed.
+TEST_F(LargeFleetReplayTest, TheNextLeaderHasTheCountsOfAllDaemonsSoonAfterAWindow)
+{
+  start_fleet(daemons);
+  run_for(6s);
+  daemons_[7]->state.set_leader(true);
+  const auto window = count_one_request_at_each();
+  run_for(1s);
+  daemons_[7]->alive = false;
+  run_for(2s);
+  daemons_[8]->state.set_leader(true);
+  run_for(usage_time - 3s);
+  EXPECT_GE(counted_at(*daemons_[8], window), daemons - 1);
+}
+
+// Whatever the size of the fleet, a few daemons read the endpoints from the store and the others
+// learn from them.
+TEST_F(LargeFleetReplayTest, TheFleetReadsTheEndpointsFromTheStoreFiveTimesASecondAtMost)
+{
+  constexpr int seconds = 4;
+  start_fleet(daemons);
+  add_endpoints(daemons, 0);
+  run_for(8s);
+  for (const auto& d : daemons_) {
+    d->store_reads = 0;
+  }
+  run_for(std::chrono::seconds(seconds));
+  int reads = 0;
+  for (const auto& d : daemons_) {
+    reads += d->store_reads;
+  }
+  EXPECT_LE(reads, 5 * seconds);
+}
+
 TEST_F(LargeFleetReplayTest, ACrashedDaemonIsConsideredSilentByAllWithinThreeSeconds)
 {
   start_fleet(daemons);
--- a/test/relay/rollout_replay_test.cc
+++ b/test/relay/rollout_replay_test.cc
@@ -293,12 +293,12 @@
 }
 
 // A version that is slow only on one route, which gets one call in eight: it receives few such
-// calls, and the worst of their many endpoints are left out of the comparison. With 3 of 100 seeds,
-// the ones used here, the version was detected too late or not at all; with the other kinds of bad
-// versions, in none of 500 runs.
+// calls, and the worst of their many endpoints are left out of the comparison. With 4 of 200 seeds
+// the version was detected too late or not at all; with the other kinds of bad versions, in none of
+// 500 runs. The seeds used here are those that have ever failed.
 TEST_F(RolloutReplayTest, NorDoesOneThatIsSlowOnARouteWithFewCalls)
 {
-  for (const unsigned seed : {33U, 89U, 95U}) {
+  for (const unsigned seed : {1U, 33U, 64U, 89U, 95U, 137U, 146U, 160U}) {
     const auto p = simulate(6, 200, bad_versions.back(), seed, false);
     expect_limits_kept(p, "seed " + std::to_string(seed));
   }
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -44,6 +44,7 @@
       : state({.id = daemon_id("d" + std::to_string(n)),
                .peers = simulated_address(n),
                .seeds = {simulated_address(0), simulated_address(1), simulated_address(2)},
+               .endpoint_notice = 5s,
                .quota_slack = 140'000,
                .trial_part = 0.1,
                .trial_slack = 50,
@@ -57,6 +58,9 @@
   gateway::gossip_scheduler rounds;
   int reports = 0; // received, not brief
   int brief_reports = 0;
+  int usage_messages = 0;
+  int view_queries = 0;
+  int store_reads = 0; // of the endpoints
   bool alive = true;
   bool has_urgent_update = false; // an urgent round is scheduled
 };
@@ -155,6 +159,28 @@
     d.state.signal_urgent_update();
   }
 
+  // Counts one request at each daemon at the end of a usage window. Returns the window's number.
+  gateway::usage_window count_one_request_at_each()
+  {
+    const auto& counts = daemons_[0]->state.usage;
+    const auto window = counts.window_at(clocks().wall);
+    run_for(counts.end_of(window) - clocks().wall - 1ms);
+    for (const auto& d : daemons_) {
+      d->state.usage.record_start(workspace_id("bank"), clocks().wall);
+    }
+    run_for(1ms);
+    return window;
+  }
+
+  // Requests in the window that the daemon knows of.
+  [[nodiscard]] static std::uint64_t counted_at(const simulated_daemon& d,
+                                                gateway::usage_window window)
+  {
+    const auto total = d.state.usage.total(window);
+    const auto it = total.find(workspace_id("bank"));
+    return it == total.end() ? 0 : it->second;
+  }
+
   // Number of live daemons that would still send calls to the endpoint.
   [[nodiscard]] std::size_t unaware_of_departure(std::size_t endpoint) const
   {
@@ -271,6 +297,49 @@
         d, d.rounds.next_targets(d.state.peers.addresses_to_contact(now_), coordinators, now_),
         coordinators);
     d.state.tick(clocks());
+    send_usage(d);
+    refresh_view(d);
+  }
+
+  // Simulates the query for a peer's endpoint view, and otherwise the read of the store.
+  void refresh_view(simulated_daemon& d)
+  {
+    for (const auto& address : d.state.view_sources(now_)) {
+      const auto& peer = *daemons_[address.port - 7'000U];
+      if (peer.alive && reaches(d, peer)) {
+        ++d.view_queries;
+        sync_endpoint_view(d, peer);
+        break;
+      }
+    }
+    if (d.state.feed.revision() > 0 && d.state.feed.is_read_due(now_)) {
+      ++d.store_reads;
+      d.state.feed.on_read(d.state.feed.revision(), now_);
+    }
+  }
+
+  void send_usage(simulated_daemon& d)
+  {
+    for (const auto& delivery : d.state.due_usage(clocks())) {
+      const auto address = d.state.peers.address_of(delivery.to);
+      if (!address) {
+        continue;
+      }
+      auto& receiver = *daemons_[address->port - 7'000U];
+      if (receiver.alive && reaches(d, receiver)) {
+        receiver.state.receive_usage(delivery.rows, delivery.to_leader, clocks());
+        ++receiver.usage_messages;
+        d.state.courier.on_delivered(delivery);
+      }
+    }
+  }
+
+  // Whether a message from one daemon to another arrives.
+  [[nodiscard]] bool reaches(const simulated_daemon& from, const simulated_daemon& to)
+  {
+    const bool lost = std::bernoulli_distribution(loss_rate_)(random_);
+    return !lost && are_connected_(from.state.options.peers.port - 7'000U,
+                                   to.state.options.peers.port - 7'000U);
   }
 
   void exchange_with(simulated_daemon& d, const std::vector<http::socket_address>& peers,
@@ -280,10 +349,7 @@
     const bool large = d.rounds.is_large(d.state.peers.running_count(now_));
     for (const auto& address : peers) {
       auto& peer = *daemons_[address.port - 7'000U];
-      const std::size_t own = d.state.options.peers.port - 7'000U;
-      const bool lost = std::bernoulli_distribution(loss_rate_)(random_) ||
-                        !are_connected_(own, address.port - 7'000U);
-      if (!peer.alive || lost) {
+      if (!reaches(d, peer) || !peer.alive) {
         continue;
       }
       const bool is_coordinator =
