--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -28,10 +28,13 @@
                                 mono_time now)
 {
   has_list_ = true;
+  std::set<endpoint_id> listed_ids;
+  for (const auto& r : listed) {
+    listed_ids.insert(r.id);
+  }
   std::vector<endpoint_departure> missing;
   for (const auto& [id, known] : records_) {
-    const auto has_id = [&id = id](const endpoint_record& r) { return r.id == id; };
-    if (known.revision <= revision && std::none_of(listed.begin(), listed.end(), has_id)) {
+    if (known.revision <= revision && !listed_ids.contains(id)) {
       missing.push_back({.id = id, .revision = revision});
     }
   }
@@ -356,9 +359,8 @@
   fleet_demand demand{.tokens_per_second = factor * peers_.total_prefill(service)};
   demand.tokens_per_second += own == meter_.local_rates().end() ? 0 : own->second;
   for (const auto* r : serving(service)) {
-    demand.waiting_tokens +=
-        static_cast<double>(own_work_at(r->id).waiting_tokens) +
-        factor * static_cast<double>(peers_.total_at(r->id).waiting_tokens);
+    demand.waiting_tokens += static_cast<double>(own_work_at(r->id).waiting_tokens) +
+                             factor * static_cast<double>(peers_.total_at(r->id).waiting_tokens);
   }
   return meter_.busy_endpoints(service, demand);
 }
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -393,6 +393,17 @@
   EXPECT_TRUE(pool_.own_work().empty());
 }
 
+// Guards against a leader of a large fleet that sees only the demand of those daemons whose reports
+// arrive in time, and orders endpoints for a part of the demand.
+TEST_F(EndpointPoolTest, EstimatesThePromptsOfDaemonsWhoseReportsAreMissing)
+{
+  list({record("a", 1)}, 5);
+  pool_.on_peer_prefill(daemon_id("p"), {{"chat", 60'000}}, start);
+  const auto known = pool_.busy_endpoints("chat", start);
+  pool_.set_fleet({.live_count = 5, .running_count = 5}, start); // four peers, one has reported
+  EXPECT_DOUBLE_EQ(pool_.busy_endpoints("chat", start), 4 * known);
+}
+
 TEST_F(EndpointPoolTest, AddsUpThePromptsOfTheFleet)
 {
   list({record("a", 1)}, 5);
--- a/test/gateway/gossip_scheduler_test.cc
+++ b/test/gateway/gossip_scheduler_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -88,5 +89,35 @@
   EXPECT_EQ(scheduler_.next_urgent_targets(peers(1)).size(), 1U);
 }
 
+TEST_F(GossipSchedulerTest, AsksFewNeighboursOfAFleetOfHundreds)
+{
+  std::set<http::socket_address> asked;
+  constexpr int rounds = 30;
+  for (int round = 0; round < rounds; ++round) {
+    const auto now = start + round * 100ms; // within the time after which neighbours change
+    for (const auto& peer : scheduler_.next_targets(peers(986), {}, now)) {
+      scheduler_.on_report(peer, now);
+      asked.insert(peer);
+    }
+  }
+  EXPECT_LE(asked.size(), 16U + rounds / 5 + 1);
+  EXPECT_GT(asked.size(), 16U); // some others, so that separated parts find each other
+}
+
+TEST_F(GossipSchedulerTest, AsksFewerPeersOfAFleetOfHundredsAfterTheStart)
+{
+  EXPECT_EQ(scheduler_.next_targets(peers(986), {}, start).size(), 3U);
+  EXPECT_EQ(scheduler_.next_targets(peers(986), {}, start + 6s).size(), 2U);
+}
+
+TEST_F(GossipSchedulerTest, ChoosesOtherNeighboursWhenOnesThatItHadAreGone)
+{
+  static_cast<void>(scheduler_.next_targets(peers(986), {}, start));
+  const auto left = peers(400);
+  for (const auto& peer : scheduler_.next_targets(left, {}, start + 400ms)) {
+    EXPECT_NE(std::find(left.begin(), left.end(), peer), left.end());
+  }
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
