Believe no absurd number of daemons, and read reports of earlier versions in a test

Cause: the reading of the diff: a peer's number of daemons was believed whatever it was, and the groups were computed inside a function that logs. Ruled out: a limit relative to the known daemons, which a new daemon does not know yet.

--- a/bench/fleet_replay_bench.cc
+++ b/bench/fleet_replay_bench.cc
@@ -61,7 +61,8 @@
     std::printf(
         "| %zu | %.4f | %.4f | %.1f / %.1f | %zu | %s | %s | %s | %.2f | %.1f | %.1f | %.4f |\n",
         daemons, silent_after_start, silent, rates[rates.size() / 2] / 1'000, rates.back() / 1'000,
-        full, text(counted).c_str(), text(departure).c_str(), text(death).c_str(), known, store_reads_, view_queries_, cores);
+        full, text(counted).c_str(), text(departure).c_str(), text(death).c_str(), known,
+        store_reads_, view_queries_, cores);
     std::fflush(stdout);
   }
 
--- a/include/wisteriaflow/gateway/usage_courier.h
+++ b/include/wisteriaflow/gateway/usage_courier.h
@@ -83,7 +83,7 @@
   void forget_before(usage_window window);
 
   usage_courier_options options_;
-  std::chrono::milliseconds delay_; // after the end of a window, until the own row is sent
+  std::chrono::milliseconds delay_{0}; // after the end of a window, until the own row is sent
   std::map<row_key, collected_row> collected_;
   // The own row of each window as each relay has confirmed it.
   std::map<std::pair<usage_window, daemon_id>, window_counts> own_delivered_;
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -42,6 +42,19 @@
   return field != nullptr && field->as_bool();
 }
 
+// A number beyond this is no number of daemons. If it were believed, a new daemon would take its
+// own part of every rate for nothing.
+constexpr std::size_t max_fleet_size = 100'000;
+
+std::size_t decode_fleet_size(const json::value& from)
+{
+  const auto out = from.to_number<std::size_t>();
+  if (out > max_fleet_size) {
+    throw peer_report_error("absurd number of daemons");
+  }
+  return out;
+}
+
 daemon_contact decode_contact(const json::value& from)
 {
   return {.id = daemon_id(text_at(from, "id")),
@@ -259,7 +272,7 @@
   out.clock = from_unix_ms(from.at("clock").to_number<std::int64_t>());
   // Peers of an earlier version send no number of daemons.
   if (const auto* running = from.as_object().if_contains("running")) {
-    out.running_daemons = running->to_number<std::size_t>();
+    out.running_daemons = decode_fleet_size(*running);
   }
   for (const auto& c : from.at("known").as_array()) {
     out.known_daemons.push_back(decode_contact(c));
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -530,9 +530,6 @@
 void fleet_state::log_peer_changes(const std::vector<daemon_id>& live)
 {
   std::set<daemon_id> present(live.begin(), live.end());
-  if (present != live_peers_) {
-    update_groups(live);
-  }
   for (const auto& id : present) {
     if (!live_peers_.contains(id)) {
       log.write(daemon::log_level::info, "peer heard", {{"peer", id.value()}});
@@ -548,6 +545,12 @@
 
 void fleet_state::update_groups(const std::vector<daemon_id>& live)
 {
+  const bool is_same = live.size() == live_peers_.size() &&
+                       std::all_of(live.begin(), live.end(),
+                                   [this](const auto& id) { return live_peers_.contains(id); });
+  if (is_same) {
+    return;
+  }
   auto daemons = live;
   daemons.push_back(options.id);
   groups_ = gateway::fleet_groups({}, daemons);
@@ -589,7 +592,9 @@
   const auto live = peers.live(now.mono);
   counters.set("peers_live", static_cast<double>(live.size()));
   update_gauges(now.mono);
-  log_peer_changes(ids_of_non_draining(live));
+  const auto non_draining = ids_of_non_draining(live);
+  update_groups(non_draining);
+  log_peer_changes(non_draining);
   if (quota.knows_fleet()) {
     update_fleet_view(now.mono);
   }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -203,7 +203,7 @@
   // Divides rates and quotas among the daemons that are known now.
   void update_fleet_view(mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
-  // Computes the groups again if the live daemons have changed.
+  // Computes the groups again if `live` differs from the live daemons of the last tick.
   void update_groups(const std::vector<daemon_id>& live);
   // Updates the gauges of the age of the configuration and endpoints, and of the log.
   void update_gauges(mono_time now);
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -71,6 +71,23 @@
   EXPECT_THROW(static_cast<void>(decode_peer_report("not json")), peer_report_error);
 }
 
+TEST(PeerReportTest, RejectsAnAbsurdNumberOfDaemons)
+{
+  const auto text = encode_peer_report({.self = contact("a", 1), .running_daemons = 1'000'000});
+  EXPECT_THROW(static_cast<void>(decode_peer_report(text)), peer_report_error);
+}
+
+TEST(PeerReportTest, ReadsTheReportOfAPeerOfAnEarlierVersion)
+{
+  auto text = encode_peer_report({.self = contact("a", 1)});
+  for (const std::string field : {"\"ages\":[],", "\"running\":0,"}) {
+    const auto at = text.find(field);
+    ASSERT_NE(at, std::string::npos) << field;
+    text.erase(at, field.size());
+  }
+  EXPECT_EQ(decode_peer_report(text), (peer_report{.self = contact("a", 1)}));
+}
+
 TEST(PeerReportTest, RejectsUnreadableAges)
 {
   auto text = encode_peer_report(
