--- a/bench/fleet_replay_bench.cc
+++ b/bench/fleet_replay_bench.cc
@@ -4,7 +4,8 @@
 //   fleet_replay_bench --sizes=60,195,390,986
 //
 // Each daemon has two calls in progress, and there are three times as many endpoints as daemons.
-// A twentieth of the exchanges fails after the first nine seconds.
+// A twentieth of the exchanges fails after the first seconds, nine if --settle_s doesn't say
+// otherwise.
 
 #include <algorithm>
 #include <chrono>
@@ -23,6 +24,7 @@
 
 ABSL_FLAG(std::vector<std::string>, sizes, (std::vector<std::string>{"60", "195", "390"}),
           "numbers of daemons");
+ABSL_FLAG(int, settle_s, 9, "seconds from the start until exchanges begin to fail; at least 4");
 
 namespace wisteriaflow::relay {
 namespace {
@@ -40,7 +42,7 @@
     const auto begin = now_;
     run_for(4s);
     const double silent_after_start = silent_share();
-    run_for(5s);
+    run_for(std::chrono::seconds(absl::GetFlag(FLAGS_settle_s)) - 4s);
     loss_rate_ = 0.05;
     double silent = 0;
     for (int i = 0; i < 4; ++i) {
@@ -165,7 +167,7 @@
 int run(const std::vector<std::string>& sizes)
 {
   std::puts(
-      "| daemons | live taken for silent 4 s after the start | worst after 9 s | KB/s each way, "
+      "| daemons | live taken for silent 4 s after the start | worst later | KB/s each way, "
       "middle / busiest | report, bytes | all counts at the leader, ms | departure known to "
       "all, ms | death known to 99.9%, ms | least share of daemons whose work is known | cores of "
       "a "
