--- a/test/relay/quota_replay_test.cc
+++ b/test/relay/quota_replay_test.cc
@@ -21,7 +21,7 @@
   static constexpr double burst = rate;
   static constexpr double slack = 140'000;
   static constexpr double units = 8'000; // of one call
-  static constexpr double overload = 7;  // demand as a multiple of the rate
+  static constexpr double overload = 7;
   static constexpr milliseconds step{10};
   static constexpr milliseconds window{8'000};
 
@@ -58,11 +58,14 @@
     const auto end = now_ + time;
     while (now_ < end) {
       run_for(step);
-      calls_due_ += overload * rate / units * std::chrono::duration<double>(step).count();
+      calls_due_ += demand_ * rate / units * std::chrono::duration<double>(step).count();
       double admitted = 0;
       for (; calls_due_ >= 1; calls_due_ -= 1) {
         auto& d = *daemons_[next_daemon_++ % daemons_.size()];
-        admitted += d.alive && admits(d) ? units : 0;
+        const bool is_admitted = d.alive && admits(d);
+        admitted += is_admitted ? units : 0;
+        refused_ += d.alive && !is_admitted ? 1 : 0;
+        ++calls_;
       }
       admitted_.push_back(admitted);
     }
@@ -81,6 +84,10 @@
     return most;
   }
 
+  double demand_ = overload; // as a multiple of the rate
+  int calls_ = 0;
+  int refused_ = 0; // by live daemons
+
   // What the operator allows in a window, with the tolerance of a tenth.
   static constexpr double allowed = 1.1 * (rate * 8 + burst) + slack;
 
@@ -134,5 +141,19 @@
   EXPECT_GE(most_admitted(), 0.9 * rate * 8) << before;
 }
 
+// Guards against started daemons whose own parts are smaller than one request: until they have
+// heard from each other, they refuse calls of a workspace that is within its rate.
+TEST_F(QuotaReplayTest, AFleetThatIsKilledAtOnceRefusesFewCallsWithinTheRate)
+{
+  demand_ = 0.55;
+  start_limited_fleet(29);
+  run_calls(4s);
+  restart_all(500ms);
+  calls_ = 0;
+  refused_ = 0;
+  run_calls(2s);
+  EXPECT_LE(refused_, calls_ * 3 / 100) << "of " << calls_;
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
