--- a/bench/fleet_replay_bench.cc
+++ b/bench/fleet_replay_bench.cc
@@ -19,8 +19,6 @@
 #include <absl/strings/numbers.h>
 
 #include "relay/simulated_fleet.h"
-#include "wisteriaflow/base/deflate.h"
-#include "wisteriaflow/gateway/peer_report.h"
 
 ABSL_FLAG(std::vector<std::string>, sizes, (std::vector<std::string>{"60", "195", "390"}),
           "numbers of daemons");
@@ -51,7 +49,7 @@
     }
     const double known = known_work();
     const auto rates = byte_rates();
-    const auto full = mean_size(fleet_state::report_extent::full);
+    const auto full = report_bytes(fleet_state::report_extent::full);
     const auto counted = time_until_counted();
     const auto departure = time_until([&] { return unaware_of_departure(11) == 0; },
                                       [&] { read_departure(*daemons_[7], 11, 3 * daemons + 1); });
@@ -90,17 +88,6 @@
                       [&](const auto& d) { return d->alive && d->state.peers.is_live(id, now_); }));
   }
 
-  std::size_t mean_size(fleet_state::report_extent extent)
-  {
-    constexpr std::size_t sampled = 10;
-    std::size_t sum = 0;
-    for (std::size_t i = 0; i < sampled; ++i) {
-      auto& d = *daemons_[i * daemons_.size() / sampled];
-      sum += deflate(encode_peer_report(d.state.report(clocks(), extent))).size();
-    }
-    return sum / sampled;
-  }
-
   // Bytes per second that each daemon receives, in ascending order; it sends as many.
   std::vector<double> byte_rates()
   {
@@ -115,8 +102,8 @@
       store_reads_ += d->store_reads / 2.0;
       view_queries_ += d->view_queries / 2.0;
     }
-    const auto size = static_cast<double>(mean_size(fleet_state::report_extent::full));
-    const auto brief = static_cast<double>(mean_size(fleet_state::report_extent::brief));
+    const auto size = static_cast<double>(report_bytes(fleet_state::report_extent::full));
+    const auto brief = static_cast<double>(report_bytes(fleet_state::report_extent::brief));
     std::vector<double> out;
     for (const auto& d : daemons_) {
       out.push_back((d->reports * size + d->brief_reports * brief) / 2);
--- a/test/relay/exchange_size_test.cc
+++ b/test/relay/exchange_size_test.cc
@@ -7,8 +7,6 @@
 // had announced that it leaves.
 
 #include "relay/simulated_fleet.h"
-#include "wisteriaflow/base/deflate.h"
-#include "wisteriaflow/gateway/peer_report.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -26,18 +24,6 @@
     run_for(2s);
   }
 
-  // Mean size in bytes of the compressed reports of some daemons.
-  std::size_t report_bytes(fleet_state::report_extent extent = fleet_state::report_extent::full)
-  {
-    constexpr std::size_t sampled = 10;
-    std::size_t sum = 0;
-    for (std::size_t i = 0; i < sampled; ++i) {
-      auto& d = *daemons_[i * daemons_.size() / sampled];
-      sum += deflate(encode_peer_report(d.state.report(clocks(), extent))).size();
-    }
-    return sum / sampled;
-  }
-
   // Bytes per second that each daemon sends and receives, in ascending order.
   std::vector<double> byte_rates()
   {
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -21,8 +21,10 @@
 #include <gtest/gtest.h>
 
 #include "relay/fleet_state.h"
+#include "wisteriaflow/base/deflate.h"
 #include "wisteriaflow/base/hash.h"
 #include "wisteriaflow/gateway/gossip_scheduler.h"
+#include "wisteriaflow/gateway/peer_report.h"
 
 namespace wisteriaflow::relay {
 
@@ -192,6 +194,18 @@
         }));
   }
 
+  // Mean size in bytes of the compressed reports of some daemons.
+  std::size_t report_bytes(fleet_state::report_extent extent = fleet_state::report_extent::full)
+  {
+    constexpr std::size_t sampled = 10;
+    std::size_t sum = 0;
+    for (std::size_t i = 0; i < sampled; ++i) {
+      auto& d = *daemons_[i * daemons_.size() / sampled];
+      sum += deflate(encode_peer_report(d.state.report(clocks(), extent))).size();
+    }
+    return sum / sampled;
+  }
+
   // Number of ordered pairs of live daemons of which the first considers the second silent.
   [[nodiscard]] std::size_t falsely_silent_pairs() const
   {
