--- a/test/relay/rollout_replay_test.cc
+++ b/test/relay/rollout_replay_test.cc
@@ -293,9 +293,9 @@
 }
 
 // A version that is slow only on one route, which gets one call in eight: it receives few such
-// calls, and the worst of their many endpoints are left out of the comparison. With 4 of 200 seeds
-// the version was detected too late or not at all; with the other kinds of bad versions, in none of
-// 500 runs. The seeds used here are those that have ever failed.
+// calls, and the worst of their many endpoints are left out of the comparison. With 45 of
+// 2,000 seeds the version was detected too late or not at all; with the other kinds of bad
+// versions, in none of 500 runs. The seeds used here are those that have ever failed.
 TEST_F(RolloutReplayTest, NorDoesOneThatIsSlowOnARouteWithFewCalls)
 {
   for (const unsigned seed : {1U, 33U, 64U, 89U, 95U, 137U, 146U, 160U}) {
