--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -109,7 +109,6 @@
       start_round(now);
       state_.tick(read_clocks());
       send_usage();
-      refresh_view(now);
     }
     timer_.expires_at(next_round_);
     boost::system::error_code ec;
