Take out the queries for endpoint views, which no daemon sent any more

Change: the queries, their encoding, the relay's check and the tests of just these units are gone; the simulated fleet reads the store as daemons do. No check of another test differs; daemons behave as before. Shown: gateway_test of the parts 82 of 82; LargeFleet, GatewayTest and StartTest 43 of 43.

--- a/bench/fleet_replay_bench.cc
+++ b/bench/fleet_replay_bench.cc
@@ -58,19 +58,16 @@
     const std::chrono::duration<double> spent = clock::now() - started;
     const std::chrono::duration<double> simulated = now_ - begin;
     const double cores = spent.count() / simulated.count() / static_cast<double>(daemons);
-    std::printf(
-        "| %zu | %.4f | %.4f | %.1f / %.1f | %zu | %s | %s | %s | %.2f | %.1f | %.1f | %.4f |\n",
-        daemons, silent_after_start, silent, rates[rates.size() / 2] / 1'000, rates.back() / 1'000,
-        full, text(counted).c_str(), text(departure).c_str(), text(death).c_str(), known,
-        store_reads_, view_queries_, cores);
+    std::printf("| %zu | %.4f | %.4f | %.1f / %.1f | %zu | %s | %s | %s | %.2f | %.1f | %.4f |\n",
+                daemons, silent_after_start, silent, rates[rates.size() / 2] / 1'000,
+                rates.back() / 1'000, full, text(counted).c_str(), text(departure).c_str(),
+                text(death).c_str(), known, store_reads_, cores);
     std::fflush(stdout);
   }
 
  private:
   static constexpr int calls = 2; // per daemon
-  // Of the whole fleet, per second.
-  double store_reads_ = 0;
-  double view_queries_ = 0;
+  double store_reads_ = 0;        // of the whole fleet, per second
   static constexpr std::size_t dead_daemon = 13;
   static constexpr milliseconds max_wait{15'000};
 
@@ -95,12 +92,10 @@
       d->reports = 0;
       d->brief_reports = 0;
       d->store_reads = 0;
-      d->view_queries = 0;
     }
     run_for(2s);
     for (const auto& d : daemons_) {
       store_reads_ += d->store_reads / 2.0;
-      view_queries_ += d->view_queries / 2.0;
     }
     const auto size = static_cast<double>(report_bytes(fleet_state::report_extent::full));
     const auto brief = static_cast<double>(report_bytes(fleet_state::report_extent::brief));
@@ -154,12 +149,11 @@
 int run(const std::vector<std::string>& sizes)
 {
   std::puts(
-      "| daemons | live taken for silent 4 s after the start | worst later | KB/s each way, "
+      "| daemons | live taken for silent 4 s after the start | worst later | KB/s received, "
       "middle / busiest | report, bytes | all counts at the leader, ms | departure known to "
-      "all, ms | death known to 99.9%, ms | least share of daemons whose work is known | cores of "
-      "a "
-      "daemon for state |");
-  std::puts("| --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |");
+      "all, ms | death known to 99.9%, ms | least share of daemons whose work is known | reads "
+      "of the store a second | cores of a daemon for state |");
+  std::puts("| --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |");
   for (const auto& text : sizes) {
     std::size_t daemons = 0;
     if (!absl::SimpleAtoi(text, &daemons) || daemons < 20) {
--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -111,10 +111,6 @@
   // When the next read is due unless a peer's view postpones it.
   [[nodiscard]] mono_time next_read_at() const { return next_read_at_; }
 
-  // Whether a peer should be asked for its view, because reports of peers have not brought a recent
-  // one. `is_relay`: others ask this daemon for its view.
-  [[nodiscard]] bool is_view_wanted(bool is_relay, mono_time now) const;
-
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   // The view to send to peers; empty before the first read.
   [[nodiscard]] endpoint_view view(mono_time now) const;
--- a/include/wisteriaflow/gateway/fleet_groups.h
+++ b/include/wisteriaflow/gateway/fleet_groups.h
@@ -1,8 +1,8 @@
 // Divides the daemons of a large fleet into groups, each with a few relays.
 //
-// What hundreds of daemons send to one, or need from one, goes through the relays: a daemon speaks
-// to the relays of its group, and the relays speak to the leader or to a coordinator. Every daemon
-// computes the groups from the live daemons that it knows, so two daemons may briefly disagree.
+// What hundreds of daemons send to the leader goes through the relays: a daemon sends it to the
+// relays of its group, and these pass it on. Every daemon computes the groups from the live daemons
+// that it knows, so two daemons may briefly disagree.
 //
 //   const fleet_groups groups({}, ids);
 //   if (!groups.empty()) { ... groups.relays_of(self) ... }
@@ -38,8 +38,6 @@
   // Returns the relays of the daemon's group, the first one first.
   [[nodiscard]] const std::vector<daemon_id>& relays_of(const daemon_id& member) const;
 
-  [[nodiscard]] bool is_relay(const daemon_id& id) const;
-
  private:
   std::vector<std::vector<daemon_id>> relays_; // by group
 };
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -119,9 +119,6 @@
 [[nodiscard]] std::vector<usage_row> decode_usage_rows(std::string_view text);
 
 // Endpoint records for a peer; see endpoint_feed.
-[[nodiscard]] std::string encode_endpoint_view(const endpoint_view& view);
-// Throws peer_report_error.
-[[nodiscard]] endpoint_view decode_endpoint_view(std::string_view text);
 [[nodiscard]] std::string encode_endpoint_changes(const endpoint_changes& changes);
 // Throws peer_report_error.
 [[nodiscard]] endpoint_changes decode_endpoint_changes(std::string_view text);
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -12,10 +12,6 @@
 constexpr double reader_fraction = 0.3;
 constexpr double follower_fraction = 0.6;
 constexpr double min_jitter = 0.85;
-// Fractions of `max_leaving_delay` after which a relay, and a daemon that asks a relay, ask for a
-// view. They leave a round of reports each until the daemon would read the store.
-constexpr double relay_view_fraction = 0.2;
-constexpr double member_view_fraction = 0.35;
 
 } // namespace
 
@@ -125,13 +121,6 @@
   }
 }
 
-bool endpoint_feed::is_view_wanted(bool is_relay, mono_time now) const
-{
-  const double fraction = is_relay ? relay_view_fraction : member_view_fraction;
-  const auto age = fraction * static_cast<double>(options_.max_leaving_delay.count());
-  return revision_ > 0 && now >= read_at_ + milliseconds(static_cast<std::int64_t>(age));
-}
-
 endpoint_view endpoint_feed::view(mono_time now) const
 {
   if (revision_ == 0) {
--- a/src/gateway/fleet_groups.cc
+++ b/src/gateway/fleet_groups.cc
@@ -51,11 +51,4 @@
   return empty() ? none : relays_[hash64_of(member.value(), group_seed) % relays_.size()];
 }
 
-bool fleet_groups::is_relay(const daemon_id& id) const
-{
-  return std::any_of(relays_.begin(), relays_.end(), [&id](const auto& of_group) {
-    return std::find(of_group.begin(), of_group.end(), id) != of_group.end();
-  });
-}
-
 } // namespace wisteriaflow::gateway
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -395,16 +395,6 @@
   return json::serialize(encode(rows));
 }
 
-std::string encode_endpoint_view(const endpoint_view& view)
-{
-  return json::serialize(encode(view));
-}
-
-endpoint_view decode_endpoint_view(std::string_view text)
-{
-  return parse_as(text, decode_view);
-}
-
 std::string encode_endpoint_changes(const endpoint_changes& changes)
 {
   json::array records;
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -478,27 +478,6 @@
   crashes.merge(received.crashes, clock.now(now));
 }
 
-std::vector<http::socket_address> fleet_state::view_sources(mono_time now) const
-{
-  if (groups_.empty() || feed.is_reader()) {
-    return {};
-  }
-  const bool is_relay = groups_.is_relay(options.id);
-  if (!feed.is_view_wanted(is_relay, now)) {
-    return {};
-  }
-  if (is_relay) {
-    return other_coordinators(now);
-  }
-  std::vector<http::socket_address> out;
-  for (const auto& relay : groups_.relays_of(options.id)) {
-    if (const auto address = peers.address_of(relay)) {
-      out.push_back(*address);
-    }
-  }
-  return out;
-}
-
 std::vector<gateway::usage_delivery> fleet_state::due_usage(const clock_reading& now)
 {
   if (groups_.empty()) {
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -153,10 +153,6 @@
   // Merges a report received from a peer.
   void merge_report(const gateway::peer_report& received, const clock_reading& now);
 
-  // Returns the peers of which one should be asked for its endpoint view now; none if the own view
-  // is recent, or if reports alone keep it recent in a small fleet.
-  [[nodiscard]] std::vector<http::socket_address> view_sources(mono_time now) const;
-
   // Returns the usage counts to be sent to other daemons now; see usage_courier.
   [[nodiscard]] std::vector<gateway::usage_delivery> due_usage(const clock_reading& now);
 
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -55,7 +55,6 @@
 constexpr std::string_view leader_usage_target = "/usage?leader";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // with ?after=REVISION of the store
-constexpr std::string_view view_target = "/endpoint-view";
 constexpr std::string_view crashes_target = "/crashes";
 constexpr std::string_view metrics_target = "/metrics";
 
@@ -275,23 +274,6 @@
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
 }
 
-void peer_sync::refresh_view(mono_time now)
-{
-  const auto sources = state_.view_sources(now);
-  if (sources.empty()) {
-    return;
-  }
-  const auto& peer = sources[next_view_source_++ % sources.size()];
-  fetch_request request{.name = "endpoint view", .target = std::string(view_target)};
-  request.apply = [this, peer, now](const std::string& body) {
-    const auto view = gateway::decode_endpoint_view(body);
-    if (state_.feed.on_peer_view(view, now) == gateway::feed_action::fetch) {
-      fetch_endpoints(peer);
-    }
-  };
-  asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
-}
-
 void peer_sync::handle_report(const gateway::peer_report& report, const http::socket_address& from)
 {
   const auto now = read_clocks();
@@ -461,9 +443,6 @@
              .body = boost::json::serialize(state_.configuration_document())};
     } else if (http::parse_target(request.target).path == endpoints_target) {
       out = answer_endpoints(request);
-    } else if (request.target == view_target) {
-      const auto view = state_.endpoint_view(std::chrono::steady_clock::now());
-      out = {.status = http::status::ok, .body = gateway::encode_endpoint_view(view)};
     } else if (request.target == crashes_target) {
       out = {.status = http::status::ok,
              .body = boost::json::serialize(encode_crash_report(state_.crashes.all()))};
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -65,8 +65,6 @@
   boost::asio::awaitable<void> fetch(http::socket_address peer, fetch_request request);
   void fetch_configuration(const http::socket_address& peer);
   void fetch_endpoints(const http::socket_address& peer);
-  // Asks a peer for its endpoint view if the own one is no longer recent.
-  void refresh_view(mono_time now);
   // Merges a peer's report, and fetches what the peer has in a newer state.
   void handle_report(const gateway::peer_report& report, const http::socket_address& from);
   // Fetches all crash records of a peer if its digest has differed from the own one for longer than
@@ -96,7 +94,6 @@
   std::set<std::string> fetches_in_flight_;        // by fetch_request::name
   std::set<daemon_id> usage_deliveries_in_flight_; // by receiver
   std::optional<mono_time> crashes_differ_since_;
-  std::size_t next_view_source_ = 0;
 };
 
 } // namespace wisteriaflow::relay
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -212,25 +212,5 @@
   EXPECT_EQ(reader_.view(start + 300ms).age, 300ms);
 }
 
-TEST_F(EndpointFeedTest, ARelayWantsAViewEarlierThanTheOthers)
-{
-  EXPECT_FALSE(follower_.is_view_wanted(true, start + 300ms));
-  EXPECT_TRUE(follower_.is_view_wanted(true, start + 400ms));
-  EXPECT_FALSE(follower_.is_view_wanted(false, start + 600ms));
-  EXPECT_TRUE(follower_.is_view_wanted(false, start + 700ms));
-}
-
-TEST_F(EndpointFeedTest, AViewOfAPeerIsEnoughForAWhile)
-{
-  reader_.on_read(10, start + 700ms);
-  static_cast<void>(exchange_view(start + 700ms));
-  EXPECT_FALSE(follower_.is_view_wanted(false, start + 1'300ms));
-}
-
-TEST_F(EndpointFeedTest, ADaemonWithoutAListWantsNoView)
-{
-  EXPECT_FALSE(endpoint_feed({}).is_view_wanted(false, start));
-}
-
 } // namespace
 } // namespace wisteriaflow::gateway
--- a/test/gateway/fleet_groups_test.cc
+++ b/test/gateway/fleet_groups_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <map>
-#include <set>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -50,20 +49,6 @@
   }
 }
 
-TEST(FleetGroupsTest, OnlyRelaysAreRelays)
-{
-  const auto all = daemons(390);
-  const fleet_groups groups({}, all);
-  std::set<daemon_id> relays;
-  for (const auto& id : all) {
-    const auto& own = groups.relays_of(id);
-    relays.insert(own.begin(), own.end());
-  }
-  for (const auto& id : all) {
-    EXPECT_EQ(groups.is_relay(id), relays.contains(id)) << id.value();
-  }
-}
-
 TEST(FleetGroupsTest, ADaemonThatLeavesMovesOnlyTheGroupsThatItServed)
 {
   const auto all = daemons(390);
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -61,7 +61,6 @@
   int reports = 0; // received, not brief
   int brief_reports = 0;
   int usage_messages = 0;
-  int view_queries = 0;
   int store_reads = 0; // of the endpoints
   bool alive = true;
   bool has_urgent_update = false; // an urgent round is scheduled
@@ -312,20 +311,12 @@
         coordinators);
     d.state.tick(clocks());
     send_usage(d);
-    refresh_view(d);
+    read_store_if_due(d);
   }
 
-  // Simulates the query for a peer's endpoint view, and otherwise the read of the store.
-  void refresh_view(simulated_daemon& d)
+  // Simulates that the daemon reads the endpoints from the store, if it has to.
+  void read_store_if_due(simulated_daemon& d) const
   {
-    for (const auto& address : d.state.view_sources(now_)) {
-      const auto& peer = *daemons_[address.port - 7'000U];
-      if (peer.alive && reaches(d, peer)) {
-        ++d.view_queries;
-        sync_endpoint_view(d, peer);
-        break;
-      }
-    }
     if (d.state.feed.revision() > 0 && d.state.feed.is_read_due(now_)) {
       ++d.store_reads;
       d.state.feed.on_read(d.state.feed.revision(), now_);
