--- a/include/wisteriaflow/gateway/gossip_scheduler.h
+++ b/include/wisteriaflow/gateway/gossip_scheduler.h
@@ -97,7 +97,7 @@
   [[nodiscard]] peer_state state_of(const http::socket_address& peer) const;
   [[nodiscard]] bool is_due(const peer_state& it, mono_time now) const;
   // Number of peers to ask in a round, of `peers`.
-  [[nodiscard]] std::size_t fanout(std::size_t peers, mono_time now);
+  [[nodiscard]] std::size_t fanout(std::size_t peers, mono_time now) const;
   // Returns the coordinator to ask next; none if one was asked less than a period ago.
   std::optional<http::socket_address>
   coordinator_to_ask(const std::vector<http::socket_address>& coordinators, std::size_t peers,
@@ -112,7 +112,7 @@
   std::mt19937_64 random_;
   std::map<http::socket_address, peer_state> states_;
   std::uint64_t seed_;
-  std::optional<mono_time> first_round_at_;
+  mono_time started_at_; // time of the first round
   std::vector<http::socket_address> neighbours_;
   std::size_t chosen_among_ = 0; // number of addresses that the neighbours were chosen from
   mono_time neighbours_until_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -77,9 +77,10 @@
   std::vector<daemon_contact> known_daemons; // some of the live daemons that the sender knows
   std::vector<age_part> ages;            // of all daemons; peers of an earlier version omit them
   std::vector<peer_last_seen> last_seen; // of some daemons, for peers of an earlier version
-  std::vector<relayed_peer> relayed; // the most recent states that the sender has of other daemons
-  endpoint_work_map work;            // of the sender
-  prefill_demand prefill;            // of the sender
+  std::vector<relayed_peer>
+      relayed;            // recent states of other daemons, and ones the receiver may lack
+  endpoint_work_map work; // of the sender
+  prefill_demand prefill; // of the sender
   std::vector<endpoint_departure> departures;
   std::vector<peer_terms> terms; // terms that endpoints have stated
   endpoint_view endpoints;       // how current the sender's view of the endpoints is
@@ -113,7 +114,7 @@
 [[nodiscard]] quota_request decode_quota_request(std::string_view text);
 [[nodiscard]] quota_grant decode_quota_grant(std::string_view text);
 
-// Usage rows for a collector or the leader; see usage_courier.
+// Usage rows for a relay or the leader; see usage_courier.
 [[nodiscard]] std::string encode_usage_rows(const std::vector<usage_row>& rows);
 // Throws peer_report_error.
 [[nodiscard]] std::vector<usage_row> decode_usage_rows(std::string_view text);
--- a/include/wisteriaflow/gateway/peer_table.h
+++ b/include/wisteriaflow/gateway/peer_table.h
@@ -51,7 +51,7 @@
   void add_address(const http::socket_address& address);
 
   // Adds the addresses of the daemons that have registered in the store. They may be running: each
-  // counts as such for a while even if it has not been heard here yet.
+  // counts as such for a while even if it has not reported here yet.
   void add_registered(const std::vector<http::socket_address>& registered, mono_time now);
 
   // Records a report received directly from its daemon.
@@ -80,7 +80,7 @@
   [[nodiscard]] std::vector<dated_contact> contacts_to_repair(std::size_t max_count, mono_time now);
 
   // Time after which a daemon that nobody has seen is silent; see peer_table_options.
-  [[nodiscard]] std::chrono::milliseconds live_timeout() const;
+  [[nodiscard]] std::chrono::milliseconds live_timeout() const { return live_timeout_; }
 
   // Returns up to `max_count` daemons, the most recently seen first.
   [[nodiscard]] std::vector<peer_last_seen> most_recently_seen(std::size_t max_count,
@@ -100,7 +100,7 @@
   [[nodiscard]] std::optional<http::socket_address> address_of(const daemon_id& peer) const;
 
   // Number of daemons that may be admitting requests, this one included. Until this daemon has
-  // heard the whole fleet, the number that its peers have observed counts.
+  // learned of the whole fleet, the number that its peers have observed counts.
   [[nodiscard]] std::size_t running_count(mono_time now) const;
 
   // The same from this daemon's own observation alone, for reports: if daemons repeated what they
@@ -121,20 +121,23 @@
   // Whether the address is this daemon's own or that of a known peer.
   [[nodiscard]] bool is_identified(const http::socket_address& address) const;
   entry& entry_of(const daemon_id& id);
+  // The live timeout for the number of known daemons.
+  [[nodiscard]] std::chrono::milliseconds timeout_for_size() const;
   void merge_ages(const peer_report& report, mono_time now);
   [[nodiscard]] bool is_live(const entry& it, mono_time now) const
   {
-    return now < it.last_seen_at + live_timeout();
+    return now < it.last_seen_at + live_timeout_;
   }
 
   peer_table_options options_;
+  std::chrono::milliseconds live_timeout_;
   std::map<daemon_id, entry> peers_;
   daemon_roster<entry> roster_;                       // of all entries, and this daemon
   std::array<mono_time, age_parts> repaired_until_{}; // parts in which a peer knows other daemons
   std::size_t next_repaired_ = 0;
   std::map<http::socket_address, mono_time> unidentified_; // until when each counts as running
-  std::size_t told_running_ = 0;        // the highest number that a peer observed
-  std::optional<mono_time> told_until_; // end of the time after the first report when it is used
+  std::size_t peers_running_count_ = 0;              // the highest number that a peer observed
+  std::optional<mono_time> peers_count_valid_until_; // a while after the first report
 };
 
 } // namespace wisteriaflow::gateway
--- a/include/wisteriaflow/gateway/workspace_quota.h
+++ b/include/wisteriaflow/gateway/workspace_quota.h
@@ -77,7 +77,7 @@
   void set_fleet(fleet_view fleet, mono_time now);
 
   // Whether the fleet has been set; until then requests of limited workspaces cannot be admitted.
-  [[nodiscard]] bool knows_fleet() const { return knows_fleet_; }
+  [[nodiscard]] bool knows_fleet() const { return fleet_version_ > 0; }
 
   // Takes `units` from those that this daemon holds. A workspace that is unknown or has no limit is
   // always admitted.
@@ -133,8 +133,7 @@
   workspace_quota_options options_;
   std::map<workspace_id, account> accounts_;
   fleet_view fleet_;
-  std::uint64_t fleet_version_ = 0; // raised with each change of the fleet
-  bool knows_fleet_ = false;
+  std::uint64_t fleet_version_ = 0; // raised with each change; 0: unknown
   std::mt19937_64 random_;
   std::optional<mono_time> updated_at_;
 };
--- a/src/gateway/gossip_scheduler.cc
+++ b/src/gateway/gossip_scheduler.cc
@@ -27,15 +27,12 @@
   return !silent || round_ % options_.silent_backoff_rounds == 0;
 }
 
-std::size_t gossip_scheduler::fanout(std::size_t peers, mono_time now)
+std::size_t gossip_scheduler::fanout(std::size_t peers, mono_time now) const
 {
-  if (!first_round_at_) {
-    first_round_at_ = now;
-  }
   if (peers <= options_.full_mesh_limit) {
     return peers;
   }
-  const bool is_new = now < *first_round_at_ + options_.start_duration;
+  const bool is_new = now < started_at_ + options_.start_duration;
   return peers > options_.max_rotating_peers && !is_new ? options_.neighbour_fanout
                                                         : options_.fanout;
 }
@@ -104,7 +101,9 @@
 gossip_scheduler::next_targets(std::vector<http::socket_address> addresses,
                                const std::vector<http::socket_address>& coordinators, mono_time now)
 {
-  ++round_;
+  if (round_++ == 0) {
+    started_at_ = now;
+  }
   const auto peer_count = addresses.size();
   const auto max_asked = fanout(peer_count, now);
   std::shuffle(addresses.begin(), addresses.end(), random_);
--- a/src/gateway/peer_table.cc
+++ b/src/gateway/peer_table.cc
@@ -13,12 +13,13 @@
 
 } // namespace
 
-peer_table::peer_table(peer_table_options options) : options_(std::move(options))
+peer_table::peer_table(peer_table_options options)
+    : options_(std::move(options)), live_timeout_(options_.live_timeout)
 {
   roster_.add(options_.self, nullptr);
 }
 
-std::chrono::milliseconds peer_table::live_timeout() const
+std::chrono::milliseconds peer_table::timeout_for_size() const
 {
   const auto size = static_cast<double>(peers_.size() + 1);
   const double doublings =
@@ -32,6 +33,7 @@
   const auto [it, added] = peers_.try_emplace(id);
   if (added) {
     roster_.add(id, &it->second);
+    live_timeout_ = timeout_for_size();
   }
   return it->second;
 }
@@ -79,11 +81,11 @@
     self.contact = report.self;
     self.as_of = as_of;
   }
-  if (!told_until_) {
-    told_until_ = now + options_.running_timeout;
+  if (!peers_count_valid_until_) {
+    peers_count_valid_until_ = now + options_.running_timeout;
   }
-  if (now < *told_until_) {
-    told_running_ = std::max(told_running_, report.running_daemons);
+  if (now < *peers_count_valid_until_) {
+    peers_running_count_ = std::max(peers_running_count_, report.running_daemons);
   }
   self.reported_at = now;
   self.last_seen_at = now;
@@ -107,22 +109,23 @@
   if (report.ages.empty()) {
     return; // a brief report, or one of an earlier version
   }
-  std::array<const age_part*, age_parts> told{};
+  std::array<const age_part*, age_parts> received{};
   for (const auto& part : report.ages) {
-    told[part.index] = &part;
+    received[part.index] = &part;
   }
   for (std::size_t i = 0; i < age_parts; ++i) {
     const auto& own = roster_.parts()[i];
-    const bool is_same = told[i] == nullptr ? own.members.empty()
-                                            : told[i]->members == own.hash &&
-                                                  told[i]->ages.size() == own.members.size();
+    const bool is_same =
+        received[i] == nullptr
+            ? own.members.empty()
+            : received[i]->members == own.hash && received[i]->ages.size() == own.members.size();
     if (!is_same) {
       repaired_until_[i] = now + repair_time;
       continue;
     }
     for (std::size_t k = 0; k < own.members.size(); ++k) {
       auto* known = own.members[k].known;
-      const auto age = decode_age(told[i]->ages[k]);
+      const auto age = decode_age(received[i]->ages[k]);
       if (known != nullptr && age) {
         known->last_seen_at = std::max(known->last_seen_at, now - report.age - *age);
       }
@@ -138,12 +141,12 @@
     if (part.members.empty()) {
       continue;
     }
-    age_part told{.index = i, .members = part.hash};
+    age_part encoded{.index = i, .members = part.hash};
     for (const auto& m : part.members) {
       const auto age = m.known == nullptr ? mono_time::duration{0} : now - m.known->last_seen_at;
-      told.ages += encode_age(std::chrono::ceil<std::chrono::milliseconds>(age));
+      encoded.ages += encode_age(std::chrono::ceil<std::chrono::milliseconds>(age));
     }
-    out.push_back(std::move(told));
+    out.push_back(std::move(encoded));
   }
   return out;
 }
@@ -264,8 +267,8 @@
 
 std::size_t peer_table::running_count(mono_time now) const
 {
-  const bool is_told = told_until_ && now < *told_until_;
-  return std::max(observed_running_count(now), is_told ? told_running_ : 0);
+  const bool is_valid = peers_count_valid_until_ && now < *peers_count_valid_until_;
+  return std::max(observed_running_count(now), is_valid ? peers_running_count_ : 0);
 }
 
 std::size_t peer_table::observed_running_count(mono_time now) const
@@ -275,10 +278,10 @@
     const auto counted_for = it.second.contact.leaving ? live_timeout() : options_.running_timeout;
     return now < it.second.last_seen_at + counted_for;
   };
-  const auto heard = std::count_if(peers_.begin(), peers_.end(), is_counted);
+  const auto reporting = std::count_if(peers_.begin(), peers_.end(), is_counted);
   const auto registered = std::count_if(unidentified_.begin(), unidentified_.end(),
                                         [now](const auto& it) { return now < it.second; });
-  return static_cast<std::size_t>(1 + heard + registered);
+  return static_cast<std::size_t>(1 + reporting + registered);
 }
 
 std::vector<http::socket_address> peer_table::addresses_to_contact(mono_time now) const
--- a/src/gateway/workspace_quota.cc
+++ b/src/gateway/workspace_quota.cc
@@ -128,7 +128,7 @@
 void workspace_quota::set_fleet(fleet_view fleet, mono_time now)
 {
   fleet.running_count = std::max(fleet.running_count, fleet.live_count);
-  const bool is_first = !std::exchange(knows_fleet_, true);
+  const bool is_first = !knows_fleet();
   if (fleet == fleet_ && !is_first) {
     return;
   }
@@ -164,7 +164,7 @@
   if (found == accounts_.end()) {
     return {};
   }
-  if (!knows_fleet_) {
+  if (!knows_fleet()) {
     return {.outcome = quota_outcome::fleet_unknown};
   }
   auto& it = found->second;
@@ -188,7 +188,7 @@
                                                   double wanted_units, mono_time now)
 {
   const auto found = accounts_.find(workspace);
-  if (found == accounts_.end() || !knows_fleet_ ||
+  if (found == accounts_.end() || !knows_fleet() ||
       present_owner(found->second, workspace, now) != options_.self) {
     return std::nullopt;
   }
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -79,16 +79,15 @@
 
 fleet_state::fleet_state(const settings& s, event_log& event_log)
     : options(s), log(event_log), incarnation(start_time()),
-      endpoints({.self = s.id, .zone = s.zone, .seed = hash64_of(s.id.value(), incarnation)}),
-      feed({.max_leaving_delay = s.endpoint_notice, .seed = hash64_of(s.id.value(), incarnation)}),
-      quota({.self = s.id, .seed = hash64_of(s.id.value(), incarnation), .slack = s.quota_slack}),
+      endpoints({.self = s.id, .zone = s.zone, .seed = seed()}),
+      feed({.max_leaving_delay = s.endpoint_notice, .seed = seed()}),
+      quota({.self = s.id, .seed = seed(), .slack = s.quota_slack}),
       retries({.retry_ratio = s.retry_ratio,
                .fleet_allowance = s.retry_slack,
                .window = s.retry_window}),
       peers({.self = s.id, .self_address = s.peers}), clock(clock_reading_valid),
       usage({.daemon = s.id, .incarnation = incarnation}, s.usage_window, usage_windows_kept),
-      courier({.self = s.id, .seed = hash64_of(s.id.value(), incarnation)}),
-      versions(s.trial_part > 0),
+      courier({.self = s.id, .seed = seed()}), versions(s.trial_part > 0),
       version_calls({.source = {.daemon = s.id, .incarnation = incarnation},
                      .target_fraction = trial_margin * s.trial_part})
 {
@@ -239,7 +238,7 @@
 {
   peers.add_registered(registered, now);
   if (!quota.knows_fleet()) {
-    update_fleet_view(now);
+    update_fleet_view(peers.live(now), now);
   }
 }
 
@@ -450,7 +449,7 @@
   }
   peers.on_report(received, now.mono);
   if (received.running_daemons > 0 && !quota.knows_fleet()) {
-    update_fleet_view(now.mono);
+    update_fleet_view(peers.live(now.mono), now.mono);
   }
   clock.on_reading(received.self.id, received.clock, now.mono);
   apply_departures(received.departures, now.mono);
@@ -551,11 +550,10 @@
   counters.set("log_lines_left_out", static_cast<double>(log.dropped_lines()));
 }
 
-void fleet_state::update_fleet_view(mono_time now)
+void fleet_state::update_fleet_view(const std::vector<gateway::daemon_contact>& live, mono_time now)
 {
   const auto daemons = peers.running_count(now);
   retries.set_daemons(daemons);
-  const auto live = peers.live(now);
   gateway::fleet_view fleet{.candidates = ids_of_non_draining(live),
                             .live_count = live.size() + 1,
                             .running_count = daemons,
@@ -575,7 +573,7 @@
   update_groups(non_draining);
   log_peer_changes(non_draining);
   if (quota.knows_fleet()) {
-    update_fleet_view(now.mono);
+    update_fleet_view(live, now.mono);
   }
   quota.update_demand(now.mono);
   endpoints.tick(now.mono);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -156,7 +156,7 @@
   // Returns the usage counts to be sent to other daemons now; see usage_courier.
   [[nodiscard]] std::vector<gateway::usage_delivery> due_usage(const clock_reading& now);
 
-  // Takes usage counts that a daemon sent to this one as the leader or as a collector.
+  // Takes usage counts that a daemon sent to this one as the leader or as a relay.
   void receive_usage(const std::vector<gateway::usage_row>& rows, bool to_leader,
                      const clock_reading& now);
 
@@ -197,7 +197,7 @@
   std::vector<gateway::daemon_contact> next_contacts(mono_time now);
   void add_known_peers(gateway::peer_report& to, report_extent extent, mono_time now);
   // Divides rates and quotas among the daemons that are known now.
-  void update_fleet_view(mono_time now);
+  void update_fleet_view(const std::vector<gateway::daemon_contact>& live, mono_time now);
   void log_peer_changes(const std::vector<daemon_id>& live);
   // Computes the groups again if `live` differs from the live daemons of the last tick.
   void update_groups(const std::vector<daemon_id>& live);
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -51,7 +51,7 @@
 constexpr std::string_view report_target = "/report";
 constexpr std::string_view brief_report_target = "/report?brief";
 constexpr std::string_view quota_target = "/quota";
-constexpr std::string_view usage_target = "/usage"; // for a collector
+constexpr std::string_view usage_target = "/usage"; // for a relay
 constexpr std::string_view leader_usage_target = "/usage?leader";
 constexpr std::string_view configuration_target = "/configuration";
 constexpr std::string_view endpoints_target = "/endpoints"; // with ?after=REVISION of the store
@@ -64,6 +64,16 @@
   return {.name = std::string(report_age_field), .value = std::to_string(age.count())};
 }
 
+// Decompresses a message of a peer; throws peer_report_error.
+std::string unpack(const std::string& body)
+{
+  try {
+    return inflate(body, max_report_bytes);
+  } catch (const deflate_error& e) {
+    throw gateway::peer_report_error(e.what());
+  }
+}
+
 // Parses the body of a peer's answer; throws peer_report_error.
 boost::json::value parse_json(const std::string& body)
 {
@@ -188,12 +198,7 @@
   if (!age) {
     throw gateway::peer_report_error("report of unreadable age");
   }
-  try {
-    return aged_by(gateway::decode_peer_report(inflate(body, max_report_bytes)),
-                   milliseconds(*age));
-  } catch (const deflate_error& e) {
-    throw gateway::peer_report_error(e.what());
-  }
+  return aged_by(gateway::decode_peer_report(unpack(body)), milliseconds(*age));
 }
 
 asio::awaitable<void> peer_sync::exchange(http::socket_address peer,
@@ -396,12 +401,7 @@
 
 http::response peer_sync::answer_usage(const http::request& request)
 {
-  std::vector<gateway::usage_row> rows;
-  try {
-    rows = gateway::decode_usage_rows(inflate(request.body, max_report_bytes));
-  } catch (const deflate_error& e) {
-    throw gateway::peer_report_error(e.what());
-  }
+  const auto rows = gateway::decode_usage_rows(unpack(request.body));
   state_.receive_usage(rows, request.target == leader_usage_target, read_clocks());
   return {.status = http::status::ok};
 }
--- a/test/gateway/daemon_ages_test.cc
+++ b/test/gateway/daemon_ages_test.cc
@@ -16,7 +16,7 @@
   EXPECT_EQ(decode_age(encode_age(0ms)), 0ms);
 }
 
-TEST(DaemonAgesTest, AHighAgeIsNotTold)
+TEST(DaemonAgesTest, AHighAgeIsNotEncoded)
 {
   EXPECT_EQ(decode_age(encode_age(25s)), std::nullopt);
 }
@@ -32,12 +32,12 @@
 RC_GTEST_PROP(DaemonAgesPropertyTest, AnAgeNeverBecomesSmaller, ())
 {
   const milliseconds age(*rc::gen::inRange(0, 24'001));
-  const auto told = decode_age(encode_age(age));
-  RC_ASSERT(told.has_value());
-  RC_ASSERT(*told >= age);
+  const auto decoded = decode_age(encode_age(age));
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(*decoded >= age);
 }
 
-RC_GTEST_PROP(DaemonAgesPropertyTest, AnAgeThatMattersIsToldToATenthOfASecond, ())
+RC_GTEST_PROP(DaemonAgesPropertyTest, AnAgeThatMattersIsExactToATenthOfASecond, ())
 {
   const milliseconds age(*rc::gen::inRange(0, 4'001));
   RC_ASSERT(decode_age(encode_age(age)).value() < age + 100ms);
--- a/test/gateway/peer_table_test.cc
+++ b/test/gateway/peer_table_test.cc
@@ -218,7 +218,7 @@
   EXPECT_FALSE(a_.is_live(daemon_id("c"), start + 2s));
 }
 
-// With a fixed limit of 512 ages the rest of a larger fleet was considered silent.
+// Guards against a limit on the ages in a report: the daemons beyond it would be considered silent.
 TEST_F(PeerAgesTest, AReportHasTheAgesOfAThousandDaemons)
 {
   std::vector<daemon_id> all;
@@ -235,7 +235,7 @@
   }
 }
 
-TEST_F(PeerAgesTest, DaemonsThatAPeerLacksAreToldToIt)
+TEST_F(PeerAgesTest, DaemonsThatAPeerLacksAreSentToIt)
 {
   tell(a_, "c", start);
   a_.on_report(report_of("b", b_, start), start);
