--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -76,7 +76,7 @@
 
 # Soak test of gateway daemons. A short run with a fixed seed is part of the test suite.
 set(gateway_fleet_sources test/system/process.cc)
-foreach(part counting_endpoint fault_proxy gateway_fleet soak_endpoint_terms)
+foreach(part counting_endpoint gateway_fleet soak_endpoint_terms)
   list(APPEND gateway_fleet_sources test/gateway_system/${part}.cc)
 endforeach()
 add_library(wisteriaflow_gateway_fleet STATIC ${gateway_fleet_sources})
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -57,10 +57,15 @@
   return it == of_kind->second.end() || it->second.deleted ? json::value() : it->second.spec;
 }
 
-json::value fake_store::render(const std::string& name, const object& o)
+json::value fake_store::render(const std::string& name, const object& o) const
 {
+  auto spec = o.spec;
+  if (const auto it = endpoint_addresses.find(name);
+      it != endpoint_addresses.end() && spec.is_object()) {
+    spec.as_object()["address"] = to_string(it->second);
+  }
   return {{"metadata", {{"name", name}, {"revision", o.revision}, {"created", o.created}}},
-          {"spec", o.spec},
+          {"spec", std::move(spec)},
           {"status", o.status}};
 }
 
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -51,6 +51,9 @@
 
   // While true, every call is answered 503.
   bool unavailable = false;
+  // Addresses that callers of this view read for these endpoints in place of the written ones, by
+  // entry name: a daemon of its own view has links of its own to the endpoints.
+  std::map<std::string, http::socket_address> endpoint_addresses;
   // Maximum number of objects in a page of a list, and of changes in an answer to a watch.
   std::size_t page_size = 1'000;
   // From now on, lists whose caller accepts stale results show the present objects, whatever
@@ -79,7 +82,7 @@
                      const boost::json::value& body);
   fake_reply replace_status(const std::string& kind, const std::string& name,
                             const boost::json::value& body);
-  static boost::json::value render(const std::string& name, const object& o);
+  [[nodiscard]] boost::json::value render(const std::string& name, const object& o) const;
 
   struct content {
     std::map<std::string, std::map<std::string, object>> kinds;
--- a/test/gateway_system/fault_proxy.cc
+++ b/test/fakes/fault_proxy.cc
@@ -1,4 +1,4 @@
-#include "gateway_system/fault_proxy.h"
+#include "fakes/fault_proxy.h"
 
 #include <array>
 #include <chrono>
@@ -12,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-namespace wisteriaflow::gateway_system_tests {
+namespace wisteriaflow::fakes {
 namespace {
 
 namespace asio = boost::asio;
@@ -60,6 +60,7 @@
 fault_proxy::fault_proxy(asio::io_context& context, const std::string& host,
                          http::socket_address target)
     : context_(context), acceptor_(context, {asio::ip::make_address(host), 0}),
+      address_(acceptor_.local_endpoint()),
       target_(asio::ip::make_address(target.host), target.port)
 {
   asio::co_spawn(context_, accept(), asio::detached);
@@ -72,17 +73,50 @@
 
 http::socket_address fault_proxy::address() const
 {
-  const auto bound = acceptor_.local_endpoint();
-  return {.host = bound.address().to_string(), .port = bound.port()};
+  return {.host = address_.address().to_string(), .port = address_.port()};
 }
 
-void fault_proxy::close()
+void fault_proxy::listen(int backlog)
+{
+  queue_fillers_.clear();
+  error_code ec;
+  acceptor_.close(ec);
+  acceptor_.open(address_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address_);
+  acceptor_.listen(backlog);
+}
+
+void fault_proxy::refuse_new_connections()
 {
-  boost::system::error_code ec;
+  queue_fillers_.clear();
+  error_code ec;
   acceptor_.close(ec);
+}
+
+void fault_proxy::hang_new_connections()
+{
+  listen(0);
+  // The queue of a listener holds one connection more than its backlog.
+  constexpr int queue_length = 1;
+  for (int i = 0; i < queue_length; ++i) {
+    queue_fillers_.emplace_back(context_);
+    queue_fillers_.back().connect(address_);
+  }
+}
+
+void fault_proxy::close()
+{
+  refuse_new_connections();
   reset_connections();
 }
 
+void fault_proxy::reopen()
+{
+  listen(asio::socket_base::max_listen_connections);
+  asio::co_spawn(context_, accept(), asio::detached);
+}
+
 void fault_proxy::reset_connections()
 {
   for (const auto& each : connections_) {
@@ -146,4 +180,4 @@
   }
 }
 
-} // namespace wisteriaflow::gateway_system_tests
+} // namespace wisteriaflow::fakes
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -18,12 +18,15 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fakes/fake_store.h"
+#include "fakes/fault_proxy.h"
 #include "gateway_system/counting_endpoint.h"
-#include "gateway_system/fault_proxy.h"
 #include "system/process.h"
 
 namespace wisteriaflow::gateway_system_tests {
 
+using fakes::fault_proxy;
+using fakes::network_fault;
+
 // A daemon's process and its state as far as the test knows it.
 struct gateway_process {
   std::string id;
