--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -45,6 +45,7 @@
   bool ready = false;   // may be listed to callers
   bool leaving = false; // is draining and will stop
   bool acting = false;  // holds the fleet lease and performs the leader's duties
+  bool cut_off = false; // has lost its links to all endpoints; see endpoint_links
 
   friend bool operator==(const daemon_contact&, const daemon_contact&) = default;
 };
--- a/include/wisteriaflow/http/client.h
+++ b/include/wisteriaflow/http/client.h
@@ -61,9 +61,13 @@
   // nothing when the call has ended.
   void cancel();
 
+  // Whether cancel() was called.
+  [[nodiscard]] bool is_cancelled() const { return cancelled_; }
+
  private:
   friend class client;
   std::function<void()> cancel_;
+  bool cancelled_ = false;
 };
 
 // Sends requests. Not thread-safe: use it on the thread of its io_context.
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -27,14 +27,18 @@
 
 json::value encode(const daemon_contact& c)
 {
-  return {{"id", c.id.value()},
-          {"incarnation", c.incarnation},
-          {"peer", to_string(c.peer_address)},
-          {"caller", to_string(c.caller_address)},
-          {"zone", c.zone.value()},
-          {"ready", c.ready},
-          {"leaving", c.leaving},
-          {"acting", c.acting}};
+  json::object out{{"id", c.id.value()},
+                   {"incarnation", c.incarnation},
+                   {"peer", to_string(c.peer_address)},
+                   {"caller", to_string(c.caller_address)},
+                   {"zone", c.zone.value()},
+                   {"ready", c.ready},
+                   {"leaving", c.leaving},
+                   {"acting", c.acting}};
+  if (c.cut_off) {
+    out["cut_off"] = true;
+  }
+  return out;
 }
 
 // Peers of an earlier version omit some flags.
@@ -66,7 +70,8 @@
           .zone = availability_zone(text_at(from, "zone")),
           .ready = from.at("ready").as_bool(),
           .leaving = from.at("leaving").as_bool(),
-          .acting = optional_flag_at(from, "acting")};
+          .acting = optional_flag_at(from, "acting"),
+          .cut_off = optional_flag_at(from, "cut_off")};
 }
 
 // Number of values that are always sent: those that peers of earlier versions expect.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -384,6 +384,7 @@
 
 void cancel_handle::cancel()
 {
+  cancelled_ = true;
   if (cancel_) {
     cancel_();
   }
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -33,6 +33,16 @@
 // With fewer events the time between events is not measured: it would mean nothing.
 constexpr std::uint64_t min_events_for_pace = 4;
 
+// A call whose connections to this many endpoints failed goes through a peer, whether or not the
+// other links are known to be lost.
+constexpr unsigned max_direct_failures = 2;
+
+// Whether the failure tells something of the endpoint.
+bool is_blamed(failure_cause cause)
+{
+  return cause != failure_cause::link && cause != failure_cause::unknown;
+}
+
 // Thrown inside an attempt to abort it. `run` catches it.
 class attempt_aborted : public http::http_error {
  public:
@@ -41,9 +51,9 @@
 
 } // namespace
 
-attempt::attempt(asio::io_context& context, fleet_state& state, http::client& client,
+attempt::attempt(asio::io_context& context, fleet_state& state, endpoint_transport& transport,
                  admitted_call& call, gateway::pooled_endpoint endpoint)
-    : state_(state), client_(client), call_(call), endpoint_(std::move(endpoint)),
+    : state_(state), transport_(transport), call_(call), endpoint_(std::move(endpoint)),
       silence_timer_(context), sent_at_(std::chrono::steady_clock::now()),
       last_received_at_(sent_at_)
 {
@@ -57,14 +67,17 @@
 
 asio::awaitable<attempt_result> attempt::run(http::response_writer& writer)
 {
-  auto message = adapter::encode_attempt(call_.received,
-                                         {.endpoint = endpoint_.id,
-                                          .workspace = call_.workspace,
-                                          .engine_level = call_.engine_level,
-                                          .deadline = call_.deadline,
-                                          .prefix_source = endpoint_.prefix_source,
-                                          .resume_after = call_.last_event_id},
-                                         last_received_at_);
+  endpoint_request request{.endpoint = endpoint_.id,
+                           .request_id = call_.description.request_id,
+                           .deadline = call_.deadline};
+  request.message = adapter::encode_attempt(call_.received,
+                                            {.endpoint = endpoint_.id,
+                                             .workspace = call_.workspace,
+                                             .engine_level = call_.engine_level,
+                                             .deadline = call_.deadline,
+                                             .prefix_source = endpoint_.prefix_source,
+                                             .resume_after = call_.last_event_id},
+                                            last_received_at_);
   count_retry();
   http::stream_observer observer;
   observer.on_head = [this](const http::response& head) { on_head(head); };
@@ -77,19 +90,28 @@
   };
   call_.exchange = std::make_shared<http::cancel_handle>();
   arm_silence_timer();
+  const bool avoid_link = call_.connect_failures >= max_direct_failures;
   try {
-    co_await client_.stream(endpoint_.address, std::move(message), call_.deadline,
-                            std::move(observer), call_.exchange.get());
+    co_await transport_.exchange(std::move(request), endpoint_.address, avoid_link,
+                                 std::move(observer), *call_.exchange, result_.relay);
     result_.end = streaming_ ? attempt_result::end_state::stream_complete
                              : attempt_result::end_state::complete;
+  } catch (const endpoint_unreachable_error& e) {
+    result_.end = attempt_result::end_state::not_sent;
+    result_.cause = failure_cause::unreachable;
+    result_.reason = e.what();
   } catch (const http::connect_error& e) {
     result_.end = attempt_result::end_state::not_sent;
+    result_.cause = failure_cause::link; // the link checker finds out if the endpoint is to blame
     result_.reason = e.what();
   } catch (const http::exchange_timeout_error& e) {
     result_.timed_out = true;
     result_.reason = e.what();
   } catch (const attempt_aborted& e) {
     result_.reason = e.what();
+  } catch (const relay_lost_error& e) {
+    result_.cause = failure_cause::link;
+    result_.reason = e.what();
   } catch (const http::http_error& e) {
     if (result_.reason.empty()) { // otherwise this attempt ended the exchange itself
       result_.reason = e.what();
@@ -98,19 +120,21 @@
   }
   silence_timer_.disarm();
   call_.exchange.reset();
-  co_return finalize_result();
+  classify_end();
+  if (needs_cause()) {
+    result_.cause = co_await transport_.links().find_cause(endpoint_.id, endpoint_.address);
+  }
+  record_outcome();
+  co_return std::move(result_);
 }
 
-// Derives the result from the response and from the way the exchange ended.
-attempt_result attempt::finalize_result()
+void attempt::classify_end()
 {
-  const auto now = std::chrono::steady_clock::now();
-  state_.endpoints.on_finished(endpoint_.work, event_count_, now);
+  state_.endpoints.on_finished(endpoint_.work, event_count_, std::chrono::steady_clock::now());
   result_.response_started = response_started_;
   if (call_.caller_gone || caller_write_failed_) {
     result_.end = attempt_result::end_state::caller_disconnected;
-    end_version_call({});
-    return std::move(result_);
+    return;
   }
   using end_state = attempt_result::end_state;
   if (result_.end == end_state::stream_complete &&
@@ -136,9 +160,33 @@
   if (result_.outcome == attempt_outcome::no_valid_answer && is_complete) {
     result_.end = end_state::interrupted; // complete, but not a response that can be forwarded
   }
+  if ((result_.silent || result_.timed_out) && lost_link()) {
+    result_.cause = failure_cause::link;
+  }
+}
+
+// An endpoint that is known to leave ends on its own and drops its unfinished calls.
+bool attempt::needs_cause() const
+{
+  return result_.end == attempt_result::end_state::interrupted &&
+         result_.outcome == attempt_outcome::no_valid_answer && result_.closed_by_endpoint &&
+         state_.endpoints.is_active(endpoint_.process());
+}
+
+bool attempt::lost_link() const
+{
+  return !result_.relay && state_.links.is_lost(endpoint_.id);
+}
+
+void attempt::record_outcome()
+{
+  if (result_.end == attempt_result::end_state::caller_disconnected) {
+    end_version_call({});
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
   record_version_outcome(now);
   update_endpoint_health(now);
-  return std::move(result_);
 }
 
 gateway::call_attempt attempt::placement() const
@@ -155,7 +203,7 @@
   gateway::call_outcome out{.failed = result_.outcome != attempt_outcome::answered};
   // A call that ends because its endpoint leaves or is gone does not count against the version.
   const bool was_run = result_.end != attempt_result::end_state::not_sent &&
-                       result_.outcome != attempt_outcome::not_run;
+                       result_.outcome != attempt_outcome::not_run && is_blamed(result_.cause);
   out.is_counted = was_run && state_.endpoints.is_active(endpoint_.process());
   const bool resumed = call_.history.sent > 0 && call_.last_event_id;
   if (!out.failed && !resumed && response_started_) {
@@ -195,6 +243,9 @@
   case attempt_outcome::not_run:
     break; // the endpoint is full, not unhealthy
   case attempt_outcome::no_valid_answer:
+    if (!is_blamed(result_.cause)) {
+      break;
+    }
     record_endpoint_failure(result_.end == attempt_result::end_state::not_sent
                                 ? gateway::endpoint_failure::unreachable
                                 : gateway::endpoint_failure::exchange_failed,
@@ -238,7 +289,9 @@
   head_ = adapter::decode_answer(head);
   result_.answer = head;
   if (!head_.other_endpoint) {
-    apply_statement();
+    result_.statement = head_.statement;
+    state_.apply_answer_statement(endpoint_.process(), head_, call_.description.request_id,
+                                  sent_at_);
   }
   const auto outcome = gateway::classify_answer(head_, call_.description.request_id);
   streaming_ = head_.is_stream && http::status::is_success(head.status) &&
@@ -248,25 +301,6 @@
   }
 }
 
-// Applies what the endpoint states of itself: that it leaves, its request rate limit, a pause.
-void attempt::apply_statement()
-{
-  result_.statement = head_.statement;
-  const auto terms = gateway::validated_terms(head_.statement);
-  for (const auto& text : terms.rejected) {
-    state_.counters.count("endpoint_statements_rejected");
-    state_.log.write(daemon::log_level::warn, "endpoint statement not believed",
-                     {{"request", call_.description.request_id},
-                      {"endpoint", endpoint_.id.value()},
-                      {"statement", text}});
-  }
-  state_.apply_answer_terms({.process = endpoint_.process(),
-                             .terms = terms,
-                             .sent_at = sent_at_,
-                             .is_signed = head_.has_signature},
-                            last_received_at_);
-}
-
 asio::awaitable<void> attempt::on_body_bytes(std::string_view bytes, http::response_writer& writer)
 {
   last_received_at_ = std::chrono::steady_clock::now();
@@ -380,7 +414,16 @@
     call_.exchange->cancel();
     return;
   }
-  if (last_received_at_ + unhealthy_after_intervals * silence_interval() <= now) {
+  if (!result_.relay) {
+    transport_.links().on_silence(endpoint_.id, last_received_at_);
+  }
+  if (lost_link() && can_retry_elsewhere()) {
+    result_.silent = true;
+    result_.reason = "the link to the endpoint was lost";
+    call_.exchange->cancel();
+    return;
+  }
+  if (!lost_link() && last_received_at_ + unhealthy_after_intervals * silence_interval() <= now) {
     // The attempt continues, since the call may be running, but other calls avoid the endpoint.
     record_endpoint_failure(gateway::endpoint_failure::exchange_failed, now);
   }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -18,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "relay/deadline_timer.h"
+#include "relay/endpoint_transport.h"
 #include "relay/fleet_state.h"
 #include "wisteriaflow/gateway/attempt_outcome.h"
 #include "wisteriaflow/gateway/call.h"
@@ -47,6 +48,7 @@
   // A complete error response of an endpoint. It is forwarded unless a retry gets a better one.
   std::optional<http::response> failure_response;
   std::vector<endpoint_id> excluded; // endpoints of earlier attempts
+  std::vector<endpoint_id> unsent;   // those among `excluded` whose links failed
   unsigned connect_failures = 0;
 
   // The head of a stream has been forwarded to the caller.
@@ -70,14 +72,17 @@
 
   end_state end = end_state::interrupted;
   gateway::endpoint_process endpoint;
-  http::socket_address address; // of the endpoint
+  http::socket_address address;   // of the endpoint
+  std::optional<daemon_id> relay; // the peer that carried the exchange, if one did
   // The endpoint that it was directed to copy the prompt's shared prefix from.
   std::optional<http::socket_address> prefix_source;
   bool silent = false; // cancelled because the endpoint sent nothing or had restarted
   bool timed_out = false;
   bool closed_by_endpoint = false; // the endpoint, not this daemon, ended the exchange
-  bool response_started = false;   // an event, or the head of a non-stream response, was received
-  std::string reason;              // why it failed; empty if it did not
+  // Why it failed. Set if the exchange broke off or no connection was opened.
+  failure_cause cause = failure_cause::endpoint;
+  bool response_started = false; // an event, or the head of a non-stream response, was received
+  std::string reason;            // why it failed; empty if it did not
   gateway::attempt_outcome outcome = gateway::attempt_outcome::no_valid_answer;
   bool head_received = false;
   gateway::endpoint_statement statement; // what the endpoint stated of itself in the head
@@ -86,10 +91,10 @@
 };
 
 // Sends `call` to one endpoint. An object runs one attempt: `run` must be called once only.
-// `context`, `state`, `client` and `call` must outlive it. Not thread-safe.
+// `context`, `state`, `transport` and `call` must outlive it. Not thread-safe.
 class attempt {
  public:
-  attempt(boost::asio::io_context& context, fleet_state& state, http::client& client,
+  attempt(boost::asio::io_context& context, fleet_state& state, endpoint_transport& transport,
           admitted_call& call, gateway::pooled_endpoint endpoint);
 
   attempt(const attempt&) = delete;
@@ -102,7 +107,6 @@
 
  private:
   void on_head(const http::response& head);
-  void apply_statement();
   boost::asio::awaitable<void> on_body_bytes(std::string_view bytes, http::response_writer& writer);
   boost::asio::awaitable<void> forward_events(std::vector<gateway::stream_event> events,
                                               http::response_writer& writer);
@@ -124,10 +128,16 @@
   void on_response_started();
   // Counts the prompt tokens that an attempt after the first sends again.
   void count_retry();
-  attempt_result finalize_result();
+  // Derives how the attempt ended from the response and from the way the exchange ended.
+  void classify_end();
+  // Whether the exchange broke off in a way that the endpoint, or the link to it, may have caused.
+  [[nodiscard]] bool needs_cause() const;
+  // Whether the link to the endpoint was lost while this attempt used it.
+  [[nodiscard]] bool lost_link() const;
+  void record_outcome();
 
   fleet_state& state_;
-  http::client& client_;
+  endpoint_transport& transport_;
   admitted_call& call_;
   gateway::pooled_endpoint endpoint_;
   deadline_timer silence_timer_;
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -99,6 +99,12 @@
       {"status", result.head_received ? std::to_string(result.answer.status) : "none"},
       {"silent", result.silent ? "yes" : "no"},
       {"events", std::to_string(call.last_event_id.value_or(0))}};
+  if (result.relay) {
+    fields.emplace_back("relay", result.relay->value());
+  }
+  if (!answered) {
+    fields.emplace_back("cause", std::string(to_string(result.cause)));
+  }
   if (result.prefix_source) {
     fields.emplace_back("prefix_source", to_string(*result.prefix_source));
   }
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -16,13 +16,6 @@
 namespace asio = boost::asio;
 using gateway::attempt_outcome;
 
-// Opening a connection to an endpoint takes about 1 ms. An endpoint that has not accepted one
-// within this time is considered unreachable.
-constexpr milliseconds connect_timeout{250};
-// An endpoint whose TCP stack acknowledges nothing for this long has lost power or its network.
-constexpr milliseconds unacknowledged_timeout{1'500};
-constexpr milliseconds max_idle_time{4'000};
-constexpr std::size_t max_idle_connections = 8;
 // A call is ended after this many failed connections, each to another endpoint.
 constexpr unsigned max_connect_failures = 4;
 // Retry-After of a daemon that has no configuration, endpoint list or list of daemons yet. It reads
@@ -51,15 +44,10 @@
 
 } // namespace
 
-call_relay::call_relay(asio::io_context& context, fleet_state& state, peer_sync& peers)
-    : context_(context), state_(state), peers_(peers),
-      client_(context, {.idle_connections_per_address = max_idle_connections,
-                        .idle_timeout = max_idle_time,
-                        .connect_timeout = connect_timeout,
-                        .unacknowledged_timeout = unacknowledged_timeout,
-                        .retry_stale_get = false,
-                        .require_keep_alive_timeout = true}),
-      crash_detector_(context, state), log_(state), random_(state.seed())
+call_relay::call_relay(asio::io_context& context, fleet_state& state, peer_sync& peers,
+                       endpoint_transport& transport)
+    : context_(context), state_(state), peers_(peers), transport_(transport),
+      crash_detector_(state), log_(state), random_(state.seed())
 {
 }
 
@@ -260,6 +248,14 @@
   }
   const auto hold_probe = crash_detector_.begin_hold_probe(call);
   auto choice = choose_endpoint(call);
+  if (std::holds_alternative<routing::no_endpoint>(choice) && !call.unsent.empty()) {
+    // Nothing has reached these endpoints; by now a peer may carry the call to them.
+    std::erase_if(call.excluded, [&call](const endpoint_id& id) {
+      return std::find(call.unsent.begin(), call.unsent.end(), id) != call.unsent.end();
+    });
+    call.unsent.clear();
+    choice = choose_endpoint(call);
+  }
   if (const auto* none = std::get_if<routing::no_endpoint>(&choice)) {
     co_await fail_call(call, writer, *none);
     co_return false;
@@ -271,10 +267,10 @@
         {{"service", call.service}, {"reason", std::string(to_string(*endpoint.reason))}});
   }
   call.excluded.push_back(endpoint.id);
-  attempt one(context_, state_, client_, call, std::move(endpoint));
+  attempt one(context_, state_, transport_, call, std::move(endpoint));
   auto result = co_await one.run(writer);
   log_.on_attempt(call, result);
-  co_await crash_detector_.on_attempt(call, result);
+  crash_detector_.on_attempt(call, result);
   const bool needs_retry = co_await handle_result(call, result, writer);
   co_return needs_retry;
 }
@@ -289,6 +285,9 @@
   }
   const bool in_time = std::chrono::steady_clock::now() < call.deadline;
   if (last.end == attempt_result::end_state::not_sent) {
+    if (last.cause == failure_cause::link && !last.relay) {
+      call.unsent.push_back(last.endpoint.id);
+    }
     if (++call.connect_failures < max_connect_failures && in_time) {
       co_return true;
     }
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -21,10 +21,10 @@
 #include "relay/attempt.h"
 #include "relay/call_log.h"
 #include "relay/crash_detector.h"
+#include "relay/endpoint_transport.h"
 #include "relay/fleet_state.h"
 #include "relay/peer_sync.h"
 #include "wisteriaflow/gateway/attempt_outcome.h"
-#include "wisteriaflow/http/client.h"
 #include "wisteriaflow/http/server.h"
 
 namespace wisteriaflow::relay {
@@ -32,7 +32,8 @@
 // Serves the calls of one gateway daemon. Not thread-safe: used on the context's thread.
 class call_relay {
  public:
-  call_relay(boost::asio::io_context& context, fleet_state& state, peer_sync& peers);
+  call_relay(boost::asio::io_context& context, fleet_state& state, peer_sync& peers,
+             endpoint_transport& transport);
 
   // Answers one call. Errors of the exchange with the caller are counted, not thrown.
   boost::asio::awaitable<void> serve(http::request received, http::response_writer& writer);
@@ -40,9 +41,6 @@
   // Number of calls without a final answer.
   [[nodiscard]] std::size_t open_calls() const { return open_calls_; }
 
-  // Number of connections opened to endpoints since the start.
-  [[nodiscard]] std::uint64_t connections_opened() const { return client_.connections_opened(); }
-
  private:
   using admission = std::variant<admitted_call, call_refusal>;
 
@@ -86,7 +84,7 @@
   boost::asio::io_context& context_;
   fleet_state& state_;
   peer_sync& peers_;
-  http::client client_;
+  endpoint_transport& transport_;
   crash_detector crash_detector_;
   call_log log_;
   std::mt19937_64 random_;
--- a/src/relay/crash_detector.cc
+++ b/src/relay/crash_detector.cc
@@ -6,15 +6,14 @@
 
 namespace wisteriaflow::relay {
 
-boost::asio::awaitable<void> crash_detector::on_attempt(const admitted_call& call,
-                                                        const attempt_result& result)
+void crash_detector::on_attempt(const admitted_call& call, const attempt_result& result)
 {
   using gateway::attempt_outcome;
   if (result.outcome == attempt_outcome::answered) {
     if (http::status::is_success(result.answer.status)) {
       record_success(call);
     }
-    co_return;
+    return;
   }
   // An endpoint that is known to leave ends on its own and drops its unfinished calls. When a zone
   // is reclaimed, the calls that ran there are not to blame.
@@ -22,18 +21,16 @@
                               result.closed_by_endpoint &&
                               state_.endpoints.is_active(result.endpoint);
   if (!may_have_ended) {
-    co_return;
+    return;
   }
-  const auto verdict = co_await probe_.probe(result.address);
-  state_.counters.count("endpoint_probes", {{"verdict", std::string(to_string(verdict))}});
-  if (verdict == probe_verdict::ended) {
+  if (result.cause == failure_cause::ended) {
     record_crash(call, result);
-    co_return;
+    return;
   }
   state_.log.write(daemon::log_level::info, "endpoint has not ended",
                    {{"request", call.description.request_id},
                     {"endpoint", result.endpoint.id.value()},
-                    {"verdict", std::string(to_string(verdict))}});
+                    {"cause", std::string(to_string(result.cause))}});
 }
 
 void crash_detector::record_success(const admitted_call& call)
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -4,7 +4,7 @@
 //   crash_detector crashes(context, state);
 //   if (const auto hold = crashes.active_hold(call)) { ... } // refuse the call
 //   const auto probe = crashes.begin_hold_probe(call);       // lives as long as the attempt
-//   co_await crashes.on_attempt(call, result);
+//   crashes.on_attempt(call, result);
 
 #ifndef WISTERIAFLOW_SRC_RELAY_CRASH_DETECTOR_H_
 #define WISTERIAFLOW_SRC_RELAY_CRASH_DETECTOR_H_
@@ -13,11 +13,7 @@
 #include <memory>
 #include <optional>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
-
 #include "relay/attempt.h"
-#include "relay/endpoint_probe.h"
 #include "relay/fleet_state.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
 
@@ -26,15 +22,10 @@
 // Not thread-safe.
 class crash_detector {
  public:
-  crash_detector(boost::asio::io_context& context, fleet_state& state)
-      : state_(state), probe_(context)
-  {
-  }
+  explicit crash_detector(fleet_state& state) : state_(state) {}
 
-  // Handles the end of an attempt. If the endpoint broke off the exchange, probes whether its
-  // process has ended, and returns only then, so that the decision on a retry can take it into
-  // account.
-  boost::asio::awaitable<void> on_attempt(const admitted_call& call, const attempt_result& result);
+  // Handles the end of an attempt. Must be called before the decision on a retry.
+  void on_attempt(const admitted_call& call, const attempt_result& result);
 
   // The hold for which the call must not be sent; nothing if it may be sent.
   [[nodiscard]] std::optional<gateway::content_hold> active_hold(const admitted_call& call);
@@ -55,7 +46,6 @@
   [[nodiscard]] bool is_hold_probe_due(const gateway::content_id& content, wall_time try_at);
 
   fleet_state& state_;
-  endpoint_probe probe_;
   std::map<gateway::content_id, std::weak_ptr<const gateway::content_id>> active_hold_probes_;
 };
 
--- /dev/null
+++ b/src/relay/endpoint_relay.cc
@@ -0,0 +1,130 @@
+#include "relay/endpoint_relay.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "messages.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+namespace asio = boost::asio;
+
+// Calls carried for all peers together. This daemon serves callers of its own.
+constexpr std::size_t max_open_calls = 128;
+
+} // namespace
+
+struct endpoint_relay::carried_call {
+  endpoint_request request;
+  gateway::endpoint_process endpoint;
+  http::socket_address address;
+  mono_time received_at;
+  http::cancel_handle exchange;
+  bool peer_gone = false;
+  std::optional<http::response> head; // of the endpoint's answer
+  bool answer_begun = false;
+};
+
+asio::awaitable<void> endpoint_relay::serve(http::request received, http::response_writer& writer)
+{
+  const auto now = std::chrono::steady_clock::now();
+  auto request = decode_relay_request(std::move(received), now);
+  const auto* endpoint = request ? usable_endpoint(request->endpoint) : nullptr;
+  auto result = std::optional(relay_result::refused);
+  std::string request_id;
+  if (endpoint != nullptr && open_calls_ < max_open_calls) {
+    request_id = request->request_id;
+    auto call = std::make_shared<carried_call>();
+    call->request = std::move(*request);
+    call->endpoint = {.id = endpoint->id, .incarnation = endpoint->incarnation};
+    call->address = endpoint->address;
+    call->received_at = now;
+    ++open_calls_;
+    result = co_await carry(std::move(call), writer);
+    --open_calls_;
+  }
+  state_.counters.count(
+      "calls_carried",
+      {{"result", std::string(to_string(result.value_or(relay_result::answered)))}});
+  if (result) {
+    state_.log.write(daemon::log_level::info, "call of a peer not answered",
+                     {{"request", request_id}, {"result", std::string(to_string(*result))}});
+    auto out = with_relay_result({.status = http::status::bad_gateway}, *result);
+    co_await writer.send(std::move(out));
+  }
+}
+
+const gateway::endpoint_record* endpoint_relay::usable_endpoint(const endpoint_id& id) const
+{
+  const auto& all = state_.endpoints.all();
+  const auto it = all.find(id);
+  const bool is_usable = it != all.end() && !it->second.leaving && !state_.links.is_lost(id) &&
+                         !state_.draining_since();
+  return is_usable ? &it->second : nullptr;
+}
+
+asio::awaitable<std::optional<relay_result>>
+endpoint_relay::carry(std::shared_ptr<carried_call> call, http::response_writer& writer)
+{
+  writer.on_peer_closed([weak = std::weak_ptr<carried_call>(call)] {
+    if (const auto live = weak.lock()) {
+      live->peer_gone = true;
+      live->exchange.cancel();
+    }
+  });
+  http::stream_observer observer;
+  observer.on_head = [this, call](const http::response& head) {
+    call->head = head;
+    apply_statement(*call);
+  };
+  observer.on_bytes_async = [call, &writer](std::string_view bytes) -> asio::awaitable<void> {
+    if (!std::exchange(call->answer_begun, true)) {
+      auto head = with_relay_result(*call->head, relay_result::answered);
+      co_await writer.start_stream(std::move(head));
+    }
+    co_await writer.write_chunk(bytes);
+  };
+  observer.is_expected = [call](const http::response& head) {
+    const auto id = adapter::decode_answer(head).request_id;
+    return id.empty() || id == call->request.request_id;
+  };
+  auto request = call->request;
+  request.message = adapter::with_time_left(std::move(request.message), request.deadline,
+                                            std::chrono::steady_clock::now());
+  std::optional<relay_result> failure;
+  try {
+    co_await transport_.exchange_directly(std::move(request), call->address, std::move(observer),
+                                          call->exchange);
+    if (!call->answer_begun) {
+      auto head = with_relay_result(*call->head, relay_result::answered);
+      co_await writer.start_stream(std::move(head));
+    }
+    co_await writer.finish_stream();
+    co_return std::nullopt;
+  } catch (const http::connect_error& e) {
+    failure = relay_result::unreachable;
+  } catch (const http::exchange_timeout_error& e) {
+    failure = relay_result::timed_out;
+  } catch (const http::http_error& e) {
+    failure = relay_result::interrupted;
+  }
+  if (call->answer_begun || call->peer_gone) {
+    writer.abort(); // the peer must see that the answer is incomplete
+    co_return std::nullopt;
+  }
+  co_return failure;
+}
+
+void endpoint_relay::apply_statement(const carried_call& call)
+{
+  const auto answer = adapter::decode_answer(*call.head);
+  if (!answer.other_endpoint) {
+    state_.apply_answer_statement(call.endpoint, answer, call.request.request_id, call.received_at);
+  }
+}
+
+} // namespace wisteriaflow::relay
--- /dev/null
+++ b/src/relay/endpoint_transport.cc
@@ -0,0 +1,197 @@
+#include "relay/endpoint_transport.h"
+
+#include <chrono>
+#include <exception>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace wisteriaflow::relay {
+namespace {
+
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// Opening a connection to an endpoint or a peer takes about 1 ms. One that has not accepted it
+// within this time is considered unreachable.
+constexpr milliseconds connect_timeout{250};
+// A TCP stack that acknowledges nothing for this long has lost power or its network.
+constexpr milliseconds unacknowledged_timeout{1'500};
+constexpr milliseconds max_idle_time{4'000};
+constexpr std::size_t max_idle_connections = 8;
+// Peers that one exchange tries, until one passes it on.
+constexpr unsigned max_peers_tried = 3;
+
+// The peer has passed nothing on: it cannot be reached, or refused the call.
+class relay_refused_error : public http::connect_error {
+ public:
+  using connect_error::connect_error;
+};
+
+} // namespace
+
+endpoint_transport::endpoint_transport(asio::io_context& context, fleet_state& state,
+                                       link_checker& checker)
+    : state_(state), checker_(checker),
+      endpoint_client_(context, {.idle_connections_per_address = max_idle_connections,
+                                 .idle_timeout = max_idle_time,
+                                 .connect_timeout = connect_timeout,
+                                 .unacknowledged_timeout = unacknowledged_timeout,
+                                 .retry_stale_get = false,
+                                 .require_keep_alive_timeout = true}),
+      peer_client_(context, {.idle_connections_per_address = max_idle_connections,
+                             .connect_timeout = connect_timeout,
+                             .unacknowledged_timeout = unacknowledged_timeout,
+                             .retry_stale_get = false}),
+      relays_({.zone = state.options.zone, .seed = state.seed()})
+{
+}
+
+asio::awaitable<void> endpoint_transport::exchange(endpoint_request request,
+                                                   http::socket_address address, bool avoid_link,
+                                                   http::stream_observer observer,
+                                                   http::cancel_handle& handle,
+                                                   std::optional<daemon_id>& relay)
+{
+  if (avoid_link || state_.links.is_lost(request.endpoint)) {
+    // An open connection may have died with the link.
+    endpoint_client_.close_idle_connections(address);
+    const bool is_sent = co_await exchange_through_peers(request, observer, handle, relay);
+    if (is_sent) {
+      co_return;
+    }
+  }
+  co_await exchange_directly(std::move(request), std::move(address), std::move(observer), handle);
+}
+
+asio::awaitable<bool> endpoint_transport::exchange_through_peers(
+    const endpoint_request& request, const http::stream_observer& observer,
+    http::cancel_handle& handle, std::optional<daemon_id>& relay)
+{
+  std::string refusal;
+  for (unsigned tried = 0; tried < max_peers_tried; ++tried) {
+    const auto now = std::chrono::steady_clock::now();
+    auto choice = relays_.choose(state_.peers.live(now), now);
+    if (const auto* none = std::get_if<gateway::no_relay_peer>(&choice)) {
+      if (*none == gateway::no_relay_peer::none && refusal.empty()) {
+        co_return false;
+      }
+      break;
+    }
+    auto& peer = std::get<gateway::daemon_contact>(choice);
+    relay = peer.id;
+    try {
+      co_await exchange_through(std::move(peer), request, observer, handle);
+      co_return true;
+    } catch (const relay_refused_error& e) {
+      refusal = e.what();
+    }
+  }
+  throw http::connect_error(refusal.empty() ? "no peer has room for a call" : refusal);
+}
+
+asio::awaitable<void> endpoint_transport::exchange_directly(endpoint_request request,
+                                                            http::socket_address address,
+                                                            http::stream_observer observer,
+                                                            http::cancel_handle& handle)
+{
+  const auto began_at = std::chrono::steady_clock::now();
+  http::stream_observer own{.is_expected = observer.is_expected};
+  own.on_head = [this, &observer](const http::response& head) {
+    state_.links.on_received(std::chrono::steady_clock::now());
+    observer.on_head(head);
+  };
+  own.on_bytes_async = [this, &observer](std::string_view bytes) {
+    state_.links.on_received(std::chrono::steady_clock::now());
+    return observer.on_bytes_async(bytes);
+  };
+  try {
+    co_await endpoint_client_.stream(std::move(address), std::move(request.message),
+                                     request.deadline, std::move(own), &handle);
+  } catch (const http::connect_error& e) {
+    if (began_at < request.deadline) { // otherwise no connection was tried
+      checker_.on_connect_failure(request.endpoint, began_at);
+    }
+    throw;
+  }
+}
+
+asio::awaitable<void> endpoint_transport::exchange_through(gateway::daemon_contact peer,
+                                                           endpoint_request request,
+                                                           http::stream_observer observer,
+                                                           http::cancel_handle& handle)
+{
+  const auto endpoint = request.endpoint;
+  const auto deadline = request.deadline;
+  relayed_answer answer;
+  http::stream_observer own;
+  own.is_expected = [&observer](const http::response& head) {
+    return relay_result_of(head) != relay_result::answered || observer.is_expected(head);
+  };
+  own.on_head = [&observer, &answer](const http::response& head) {
+    answer = {.result = relay_result_of(head), .head_received = true};
+    if (answer.result == relay_result::answered) {
+      observer.on_head(without_relay_result(head));
+    }
+  };
+  own.on_bytes_async = [&observer, &answer](std::string_view bytes) -> asio::awaitable<void> {
+    if (answer.result == relay_result::answered) {
+      co_await observer.on_bytes_async(bytes);
+    }
+  };
+  auto message = encode_relay_request(std::move(request), std::chrono::steady_clock::now());
+  relays_.on_started(peer.id);
+  auto end = gateway::relay_end::carried;
+  std::string label = "failed";
+  std::exception_ptr failure;
+  try {
+    co_await peer_client_.stream(peer.peer_address, std::move(message), deadline, std::move(own),
+                                 &handle);
+    label = answer.result ? std::string(to_string(*answer.result)) : "not_understood";
+    if (!answer.result || answer.result == relay_result::refused) {
+      end = gateway::relay_end::refused;
+    }
+  } catch (const http::connect_error& e) {
+    end = gateway::relay_end::no_answer;
+    failure = std::make_exception_ptr(relay_refused_error(e.what()));
+  } catch (const http::exchange_timeout_error& e) {
+    failure = std::current_exception(); // the endpoint may be slow
+  } catch (const http::broken_exchange_error& e) {
+    if (!answer.head_received && !handle.is_cancelled()) {
+      end = gateway::relay_end::no_answer;
+    }
+    failure =
+        std::make_exception_ptr(relay_lost_error("through " + peer.id.value() + ": " + e.what()));
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  relays_.on_ended(peer.id, end, std::chrono::steady_clock::now());
+  state_.counters.count("relayed_calls", {{"result", label}});
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+  check_result(answer, endpoint);
+}
+
+void endpoint_transport::check_result(const relayed_answer& answer, const endpoint_id& endpoint)
+{
+  if (!answer.result) {
+    throw relay_refused_error("the peer does not relay calls");
+  }
+  switch (*answer.result) {
+  case relay_result::answered:
+    return;
+  case relay_result::refused:
+    throw relay_refused_error("no peer passed on the call to " + endpoint.value());
+  case relay_result::unreachable:
+    throw endpoint_unreachable_error("the peer cannot connect to " + endpoint.value() + " either");
+  case relay_result::interrupted:
+    throw http::broken_exchange_error("the exchange between the peer and " + endpoint.value() +
+                                      " broke off");
+  case relay_result::timed_out:
+    throw http::exchange_timeout_error("no answer to the peer from " + endpoint.value() +
+                                       " in time");
+  }
+}
+
+} // namespace wisteriaflow::relay
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -85,7 +85,7 @@
 fleet_state::fleet_state(const settings& s, event_log& event_log,
                          std::optional<std::uint64_t> process_start)
     : options(s), log(event_log), incarnation(process_start.value_or(start_time())),
-      endpoints({.self = s.id, .zone = s.zone, .seed = seed()}),
+      endpoints({.self = s.id, .zone = s.zone, .seed = seed()}), links({.seed = seed()}),
       feed({.max_leaving_delay = s.endpoint_notice, .seed = seed()}),
       quota({.self = s.id, .seed = seed(), .slack = s.quota_slack}),
       retries({.retry_ratio = s.retry_ratio,
@@ -178,7 +178,8 @@
           .zone = options.zone,
           .ready = is_ready(),
           .leaving = draining_since_.has_value(),
-          .acting = is_leader_};
+          .acting = is_leader_,
+          .cut_off = links.is_cut_off()};
 }
 
 bool fleet_state::set_leader(bool leader)
@@ -277,6 +278,21 @@
   }
 }
 
+void fleet_state::apply_answer_statement(const gateway::endpoint_process& from,
+                                         const gateway::answer_head& head,
+                                         const std::string& request_id, mono_time sent_at)
+{
+  const auto terms = gateway::validated_terms(head.statement);
+  for (const auto& text : terms.rejected) {
+    counters.count("endpoint_statements_rejected");
+    log.write(daemon::log_level::warn, "endpoint statement not believed",
+              {{"request", request_id}, {"endpoint", from.id.value()}, {"statement", text}});
+  }
+  apply_answer_terms(
+      {.process = from, .terms = terms, .sent_at = sent_at, .is_signed = head.has_signature},
+      std::chrono::steady_clock::now());
+}
+
 void fleet_state::log_terms(const endpoint_id& id, bool leaving, std::optional<double> rate,
                             std::string_view source)
 {
@@ -452,28 +468,34 @@
   }
 }
 
+// A daemon without links to endpoints knows nothing about which of them can be reached.
+gateway::endpoint_work_map fleet_state::work_to_report(mono_time now) const
+{
+  return links.is_cut_off() ? endpoints.own_work() : endpoints.work_to_gossip(now);
+}
+
 gateway::peer_report fleet_state::report(const clock_reading& now, report_extent extent)
 {
   const auto is_silent = [&](const daemon_id& id) {
     return id != options.id && !peers.is_live(id, now.mono);
   };
-  gateway::peer_report out{
-      .self = self_contact(),
-      .configuration_version = configuration_version(),
-      .clock = now.wall,
-      .running_daemons = quota.knows_fleet() ? peers.observed_running_count(now.mono) : 0,
-      .work = top_endpoints(endpoints.work_to_gossip(now.mono), max_own_work_entries),
-      .prefill = endpoints.own_prefill(),
-      .outcomes = endpoints.outcomes_to_gossip(now.mono),
-      .departures = endpoints.departures(now.mono),
-      .terms = endpoints.terms_to_gossip(max_terms_per_report, now.mono),
-      .endpoints = endpoint_view(now.mono),
-      .usage = usage.rows_for_peer(is_silent, max_usage_rows),
-      .rollouts = rollouts.all(),
-      .rollouts_revision = versions.rollouts_revision(),
-      .rollout_rows = version_calls.rows(clock.now(now)),
-      .crashes = crashes.recent_changes(clock.now(now)),
-      .crash_digest = crashes.digest()};
+  gateway::peer_report out{.self = self_contact(),
+                           .configuration_version = configuration_version(),
+                           .clock = now.wall,
+                           .running_daemons =
+                               quota.knows_fleet() ? peers.observed_running_count(now.mono) : 0,
+                           .work = top_endpoints(work_to_report(now.mono), max_own_work_entries),
+                           .prefill = endpoints.own_prefill(),
+                           .outcomes = endpoints.outcomes_to_gossip(now.mono),
+                           .departures = endpoints.departures(now.mono),
+                           .terms = endpoints.terms_to_gossip(max_terms_per_report, now.mono),
+                           .endpoints = endpoint_view(now.mono),
+                           .usage = usage.rows_for_peer(is_silent, max_usage_rows),
+                           .rollouts = rollouts.all(),
+                           .rollouts_revision = versions.rollouts_revision(),
+                           .rollout_rows = version_calls.rows(clock.now(now)),
+                           .crashes = crashes.recent_changes(clock.now(now)),
+                           .crash_digest = crashes.digest()};
   if (extent != report_extent::brief) {
     add_known_peers(out, extent, now.mono);
   }
@@ -589,6 +611,8 @@
     counters.set("configuration_age_seconds", seconds(now - *configuration_read_at_).count());
   }
   counters.set("endpoints_known", static_cast<double>(endpoints.all().size()));
+  counters.set("endpoint_links_lost", static_cast<double>(links.lost_count()));
+  counters.set("cut_off_from_endpoints", links.is_cut_off() ? 1 : 0);
   counters.set("endpoints_limited", static_cast<double>(endpoints.rate_limited_count()));
   counters.set("endpoints_paused", static_cast<double>(endpoints.paused_count()));
   if (endpoints.has_list()) {
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -23,6 +23,7 @@
 #include "wisteriaflow/gateway/configuration.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
+#include "wisteriaflow/gateway/endpoint_links.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/fleet_clock.h"
 #include "wisteriaflow/gateway/fleet_groups.h"
@@ -118,6 +119,12 @@
   // Applies the terms (leaving, rate limit) that an endpoint stated in an answer.
   void apply_answer_terms(const gateway::answer_terms& answered, mono_time now);
 
+  // Applies what an endpoint states of itself in the head of its answer to the request
+  // `request_id`, which was sent to it at `sent_at`. Statements that are not believed are logged.
+  void apply_answer_statement(const gateway::endpoint_process& from,
+                              const gateway::answer_head& head, const std::string& request_id,
+                              mono_time sent_at);
+
   // Returns the interval between two calls of one daemon at which the whole fleet makes
   // `fleet_calls_per_second`.
   [[nodiscard]] std::chrono::milliseconds call_period(double fleet_calls_per_second) const;
@@ -174,6 +181,7 @@
   metrics counters;
   std::uint64_t incarnation;
   gateway::endpoint_pool endpoints;
+  gateway::endpoint_links links;
   gateway::endpoint_feed feed; // tracks how current `endpoints` is
   gateway::workspace_quota quota;
   gateway::retry_budget retries;
@@ -201,6 +209,7 @@
   std::vector<gateway::relayed_peer> relayed_peers(mono_time now);
   // Contacts for a report: all peers of a small fleet, a rotating few of a large one.
   std::vector<gateway::daemon_contact> next_contacts(mono_time now);
+  [[nodiscard]] gateway::endpoint_work_map work_to_report(mono_time now) const;
   void add_known_peers(gateway::peer_report& to, report_extent extent, mono_time now);
   // Divides rates and quotas among the daemons that are known now.
   void update_fleet_view(const std::vector<gateway::daemon_contact>& live, mono_time now);
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -16,9 +16,12 @@
 #include "messages.h"
 #include "relay/call_relay.h"
 #include "relay/crash_store.h"
+#include "relay/endpoint_relay.h"
+#include "relay/endpoint_transport.h"
 #include "relay/event_log.h"
 #include "relay/fleet_state.h"
 #include "relay/leader_duties.h"
+#include "relay/link_checker.h"
 #include "relay/peer_sync.h"
 #include "relay/rollout_sync.h"
 #include "relay/store_client.h"
@@ -64,7 +67,8 @@
         store_(context_, state_), store_sync_(context_, state_, store_),
         crash_store_(context_, state_, store_), peers_(context_, state_),
         duties_(context_, state_, store_), rollouts_(context_, state_, store_),
-        relay_(context_, state_, peers_),
+        link_checker_(context_, state_), transport_(context_, state_, link_checker_),
+        endpoint_relay_(state_, transport_), relay_(context_, state_, peers_, transport_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
                    return relay_.serve(std::move(r), w);
@@ -95,7 +99,16 @@
                {{"daemon", state_.options.id.value()}, {"callers", to_string(caller_address())}});
     store_sync_.start();
     crash_store_.start();
+    peers_.add_handler(std::string(relay_target),
+                       [this](http::request r, http::response_writer& w) {
+                         return endpoint_relay_.serve(std::move(r), w);
+                       });
+    peers_.add_handler(std::string(probe_target),
+                       [this](http::request r, http::response_writer& w) {
+                         return link_checker_.answer_probe(std::move(r), w);
+                       });
     peers_.start();
+    link_checker_.start();
     duties_.start();
     rollouts_.start();
     await_signal();
@@ -149,17 +162,22 @@
     asio::steady_timer timer(context_);
     boost::system::error_code ec;
     for (auto now = start; now < drain_deadline; now = std::chrono::steady_clock::now()) {
-      if (now >= callers_gone_at && relay_.open_calls() == 0) {
+      if (now >= callers_gone_at && open_calls() == 0) {
         break;
       }
       timer.expires_after(drain_check_period);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    log_.write(daemon::log_level::info, "drained",
-               {{"open_calls", std::to_string(relay_.open_calls())}});
+    log_.write(daemon::log_level::info, "drained", {{"open_calls", std::to_string(open_calls())}});
     context_.stop();
   }
 
+  // Calls of callers and of peers.
+  [[nodiscard]] std::size_t open_calls() const
+  {
+    return relay_.open_calls() + endpoint_relay_.open_calls();
+  }
+
   asio::awaitable<void> answer_addresses(http::request request, http::response_writer& writer)
   {
     http::response out{.status = http::status::not_found};
@@ -207,6 +225,9 @@
   peer_sync peers_;
   leader_duties duties_;
   rollout_sync rollouts_;
+  link_checker link_checker_;
+  endpoint_transport transport_;
+  endpoint_relay endpoint_relay_;
   call_relay relay_;
   http::server callers_;
   http::server addresses_;
--- /dev/null
+++ b/src/relay/link_checker.h
@@ -0,0 +1,95 @@
+// Finds out whether an endpoint or this daemon's own link to it is the cause of a failure, and
+// tests lost links until they work again.
+//
+// A connection of this daemon cannot tell a process that has ended from a link that is cut. If one
+// fails, a peer is asked to connect to the endpoint, too.
+//
+//   link_checker checker(context, state);
+//   checker.on_connect_failure(id, address, began_at);
+//   const auto cause = co_await checker.find_cause(id, address);
+
+#ifndef WISTERIAFLOW_SRC_RELAY_LINK_CHECKER_H_
+#define WISTERIAFLOW_SRC_RELAY_LINK_CHECKER_H_
+
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "relay/endpoint_probe.h"
+#include "relay/fleet_state.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/server.h"
+
+namespace wisteriaflow::relay {
+
+inline constexpr std::string_view probe_target = "/probe"; // POST with the id of an endpoint
+
+// Why an exchange with an endpoint failed.
+enum class failure_cause {
+  endpoint,    // the endpoint, whose process runs, failed or ended the exchange
+  ended,       // its process has ended
+  unreachable, // neither this daemon nor a peer can connect to it
+  link,        // this daemon's way to it: a peer can connect to it, or the peer in between was lost
+  unknown,     // this daemon cannot connect to it, and no peer could tell why
+};
+
+[[nodiscard]] std::string_view to_string(failure_cause cause);
+
+// Not thread-safe.
+class link_checker {
+ public:
+  link_checker(boost::asio::io_context& context, fleet_state& state);
+
+  // Starts to test lost links. It never ends.
+  void start();
+
+  // Finds out why an exchange with the endpoint broke off. Takes a few milliseconds, or some
+  // hundred if there is no reply. Does not throw.
+  boost::asio::awaitable<failure_cause> find_cause(endpoint_id id, http::socket_address address);
+
+  // A connection to the endpoint that was begun at `began_at` could not be opened. Its link counts
+  // as lost at once, and the endpoint as unreachable if a peer cannot connect to it either.
+  void on_connect_failure(const endpoint_id& id, mono_time began_at);
+
+  // A call sent at `sent_at` waits for the endpoint. If no endpoint has sent anything for a while,
+  // the links of some are tested.
+  void on_silence(const endpoint_id& id, mono_time sent_at);
+
+  // Answers a peer that asks whether an endpoint accepts connections.
+  boost::asio::awaitable<void> answer_probe(http::request request, http::response_writer& writer);
+
+ private:
+  boost::asio::awaitable<void> test_lost_links();
+  boost::asio::awaitable<void> test_link(endpoint_id id);
+  // Opens a connection to the endpoint. Returns nullopt if the endpoint is not known any more.
+  boost::asio::awaitable<std::optional<probe_verdict>> connect(endpoint_id id);
+  boost::asio::awaitable<probe_verdict> probe(http::socket_address address);
+  boost::asio::awaitable<void> confirm_connect_failure(endpoint_id id);
+  // Asks peers, one after another, until one can tell. Returns `unknown` if none can, and nullopt
+  // if there is no peer to ask.
+  boost::asio::awaitable<std::optional<failure_cause>> ask_peers(endpoint_id id);
+  boost::asio::awaitable<std::optional<probe_verdict>> ask_peer(http::socket_address peer,
+                                                                endpoint_id id);
+  // Peers that can tell, those in other zones first: a cut often concerns a whole zone.
+  [[nodiscard]] std::vector<http::socket_address> peers_to_ask();
+  void on_unreachable(const endpoint_id& id, failure_cause cause);
+  void update_cut_off(bool was_cut_off);
+
+  boost::asio::io_context& context_;
+  fleet_state& state_;
+  endpoint_probe probe_;
+  http::client peer_client_;
+  std::mt19937_64 random_;
+  std::set<endpoint_id> confirmations_in_flight_;
+  mono_time next_silence_check_;
+};
+
+} // namespace wisteriaflow::relay
+
+#endif // WISTERIAFLOW_SRC_RELAY_LINK_CHECKER_H_
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -45,6 +45,11 @@
 // KB.
 constexpr std::size_t max_report_bytes = std::size_t{1} << 20U;
 
+// Limits of a message of a peer: those of a caller's request, which it may send through this
+// daemon, and room for a few header fields.
+constexpr std::size_t max_header_bytes = std::size_t{68} << 10U;
+constexpr std::size_t max_body_bytes = std::size_t{16} << 20U;
+
 // A report is reused for all exchanges within this time, a quarter of a period: building one takes
 // 0.11 ms with 195 daemons, decoding and merging one 0.05 ms (without sockets).
 constexpr milliseconds report_cache_time{100};
@@ -93,7 +98,10 @@
 peer_sync::peer_sync(asio::io_context& context, fleet_state& state)
     : context_(context), state_(state),
       client_(context, {.connect_timeout = exchange_timeout, .retry_stale_get = false}),
-      server_(context, {.address = state.options.peers},
+      server_(context,
+              {.address = state.options.peers,
+               .header_limit = max_header_bytes,
+               .body_limit = max_body_bytes},
               [this](http::request request, http::response_writer& w) {
                 return serve(std::move(request), w);
               }),
@@ -101,6 +109,11 @@
 {
 }
 
+void peer_sync::add_handler(std::string target, http::handler serve)
+{
+  handlers_.emplace(std::move(target), std::move(serve));
+}
+
 void peer_sync::start()
 {
   state_.set_urgent_update_callback([this] { schedule_urgent_exchange(); });
@@ -450,6 +463,10 @@
 
 asio::awaitable<void> peer_sync::serve(http::request request, http::response_writer& writer)
 {
+  if (const auto it = handlers_.find(request.target); it != handlers_.end()) {
+    co_await it->second(std::move(request), writer);
+    co_return;
+  }
   http::response out{.status = http::status::not_found};
   try {
     if (request.target == report_target || request.target == brief_report_target) {
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -30,6 +30,9 @@
   // Starts the exchange. It never ends.
   void start();
 
+  // Passes the requests of peers at `target` to `serve`.
+  void add_handler(std::string target, http::handler serve);
+
   // Takes `units` from a workspace's rate limit, with a request to the daemon that owns the limit
   // if needed.
   boost::asio::awaitable<gateway::quota_decision> admit(workspace_id workspace, double units,
@@ -89,6 +92,7 @@
   boost::asio::steady_timer timer_;
   std::set<http::socket_address> exchanges_in_flight_;
   gateway::gossip_scheduler rounds_;
+  std::map<std::string, http::handler> handlers_; // by target
   std::map<fleet_state::report_extent, cached_report> cached_reports_;
   bool urgent_update_pending_ = false;
   mono_time next_round_;
--- a/test/fakes/fake_endpoint.cc
+++ b/test/fakes/fake_endpoint.cc
@@ -69,6 +69,7 @@
     w.abort();
     co_return;
   case endpoint_behaviour::never_responds:
+    w.on_peer_closed([this] { ++abandoned; });
     co_await async_sleep(std::chrono::seconds(30));
     co_return;
   case endpoint_behaviour::streams:
--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -49,6 +49,8 @@
   // does that crashes the process; empty: no request does.
   std::string crash_path;
   std::vector<fake_request> received;
+  // Requests that it held as never_responds when the gateway closed the connection.
+  std::size_t abandoned = 0;
   // Called for each request before `behaviour` is read.
   std::function<void()> on_request = [] {};
 
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -49,7 +49,8 @@
   boost::asio::io_context context_;
   event_log log_{[](daemon::log_line) { return true; }};
   fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
-  http::client client_{context_};
+  link_checker links_{context_, state_};
+  endpoint_transport transport_{context_, state_, links_};
   fakes::fake_endpoint endpoint_{context_, "i-1"};
   null_writer writer_;
   gateway::route route_{.target_latency = 10ms, .max_attempts = 2};
@@ -60,7 +61,7 @@
 {
   attempt_result result;
   auto task = [&]() -> boost::asio::awaitable<void> {
-    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    const auto one = std::make_unique<attempt>(context_, state_, transport_, call_, choose());
     result = co_await one->run(writer_);
   };
   endpoint_.blocking_delay = 100ms;
@@ -73,7 +74,7 @@
   endpoint_.behaviour = fakes::endpoint_behaviour::never_responds;
   attempt_result result;
   auto task = [&]() -> boost::asio::awaitable<void> {
-    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    const auto one = std::make_unique<attempt>(context_, state_, transport_, call_, choose());
     result = co_await one->run(writer_);
   };
   fakes::run(context_, task());
@@ -87,7 +88,7 @@
 {
   endpoint_.behaviour = fakes::endpoint_behaviour::never_responds;
   auto task = [&]() -> boost::asio::awaitable<void> {
-    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    const auto one = std::make_unique<attempt>(context_, state_, transport_, call_, choose());
     co_await one->run(writer_);
   };
   fakes::run(context_, task());
@@ -99,7 +100,7 @@
 {
   endpoint_.behaviour = fakes::endpoint_behaviour::disconnects;
   auto task = [&]() -> boost::asio::awaitable<void> {
-    const auto one = std::make_unique<attempt>(context_, state_, client_, call_, choose());
+    const auto one = std::make_unique<attempt>(context_, state_, transport_, call_, choose());
     co_await one->run(writer_);
   };
   fakes::run(context_, task());
