Reproduce the departures that are ignored after the store was restored

Calls reached endpoints more than two seconds after the store had acknowledged that they leave. The fake store learns to be restored from a copy: revisions go back and are given out again.

--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
 namespace wisteriaflow::fakes {
@@ -77,7 +78,18 @@
     co_await async_sleep(watch_pause);
     reply = dispatch(received);
   }
-  co_await send(w, std::move(reply));
+  http::response out{.status = reply.status,
+                     .fields = {{"Content-Type", "application/json"},
+                                {"Store-Era", std::to_string(content_->era)}},
+                     .body = json::serialize(reply.body)};
+  co_await w.send(std::move(out));
+}
+
+void fake_store::restore()
+{
+  const auto era = content_->era + 1;
+  *content_ = backup_.value();
+  content_->era = era;
 }
 
 fake_reply fake_store::dispatch(const fake_request& r)
@@ -137,6 +149,9 @@
 
 fake_reply fake_store::changes(const std::string& kind, std::uint64_t after)
 {
+  if (after > content_->revision) {
+    return {.status = 410};
+  }
   std::map<std::uint64_t, std::string> changed; // by revision
   for (const auto& [name, o] : content_->kinds[kind]) {
     if (o.revision > after) {
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -1,6 +1,7 @@
 // A fake of the part of the platform's store that the gateway uses: objects by kind and name under
 // one revision counter, paged lists, conditional writes, and watches that return at once if there
-// are changes and otherwise after 20 ms.
+// are changes and otherwise after 20 ms. It can be restored from a copy: revisions then go back and
+// are given out again, and a watch from one that the copy does not have is refused.
 //
 //   fake_store store(context);
 //   store.put("Service", "echo", {{"timeout_ms", 500}});
@@ -56,6 +57,10 @@
   std::map<std::string, http::socket_address> endpoint_addresses;
   // Maximum number of objects in a page of a list, and of changes in an answer to a watch.
   std::size_t page_size = 1'000;
+  // Keeps a copy of all objects, and replaces them by it.
+  void back_up() { backup_ = *content_; }
+  void restore();
+
   // From now on, lists whose caller accepts stale results show the present objects, whatever
   // changes afterwards.
   void snapshot_for_stale_lists();
@@ -87,9 +92,11 @@
   struct content {
     std::map<std::string, std::map<std::string, object>> kinds;
     std::uint64_t revision = 0;
+    std::uint64_t era = 1; // counts the restores
   };
 
   std::shared_ptr<content> content_;
+  std::optional<content> backup_;
   std::optional<content> stale_snapshot_;
 };
 
