--- a/include/wisteriaflow/capacity/lease_client.h
+++ b/include/wisteriaflow/capacity/lease_client.h
@@ -9,6 +9,9 @@
 //   than another daemon may claim it.
 // - The lease expires on the holder's own clock: call `may_issue_order` right before each order
 //   (a command that the duty sends to an endpoint).
+// - After the store has been restored from a copy, the lease is acquired anew, under a number that
+// no
+//   holder is known to have used.
 // - Endpoints that ignore fencing numbers get no orders from a new holder until the last orders of
 //   the former holder can no longer arrive.
 // - After a write without an answer, the client reads the lease and compares the nonce to find out
@@ -90,6 +93,7 @@
 // Answer to a read: the lease object does not exist.
 struct lease_missing {
   std::uint64_t call = 0;
+  std::uint64_t last_fencing_number = 0; // highest number known to have been used; 0: none
 };
 
 // Answer to a write: it took effect and the object now has this version.
@@ -107,6 +111,11 @@
   std::uint64_t call = 0;
 };
 
+// The store has been restored from a copy, so that what it shows of the lease may be outdated. The
+// lease is lost, and no daemon that knows of the restore claims it before the holder's time is
+// over.
+struct store_restored {};
+
 // The duty's notes have changed; they are written without waiting for the next renewal.
 struct notes_changed {
   boost::json::value notes;
@@ -115,8 +124,9 @@
 // Time has passed; due at `wake_at`.
 struct lease_tick {};
 
-using lease_event = std::variant<lease_wanted, lease_found, lease_missing, lease_written,
-                                 lease_conflict, lease_call_unanswered, notes_changed, lease_tick>;
+using lease_event =
+    std::variant<lease_wanted, lease_found, lease_missing, lease_written, lease_conflict,
+                 lease_call_unanswered, store_restored, notes_changed, lease_tick>;
 
 // Actions.
 
--- a/include/wisteriaflow/gateway/departures.h
+++ b/include/wisteriaflow/gateway/departures.h
@@ -1,9 +1,12 @@
 // Endpoints that are leaving or were removed. They are remembered, so that an outdated description
 // doesn't bring an endpoint back, and gossiped to peers for a limited time.
 //
+// A store that was restored from a copy describes endpoints as they were before they departed. A
+// departure therefore holds in all later eras for the same process.
+//
 //   departures left(gossip_duration);
-//   left.record({.id = id, .revision = revision}, now);
-//   if (left.had_departed(id, record.revision)) { ... the record is outdated ... }
+//   left.record({.id = id, .revision = revision}, incarnation, now);
+//   if (left.had_departed(process, record.revision)) { ... the record is outdated ... }
 
 #ifndef WISTERIAFLOW_GATEWAY_DEPARTURES_H_
 #define WISTERIAFLOW_GATEWAY_DEPARTURES_H_
@@ -15,13 +18,15 @@
 
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/endpoint_process.h"
+#include "wisteriaflow/gateway/store_revision.h"
 
 namespace wisteriaflow::gateway {
 
 // The departure of an endpoint as of a revision of the store.
 struct endpoint_departure {
   endpoint_id id;
-  std::uint64_t revision = 0;
+  store_revision revision;
 
   friend bool operator==(const endpoint_departure&, const endpoint_departure&) = default;
 };
@@ -36,17 +41,20 @@
   {
   }
 
-  // Records a departure; ignored unless its revision is higher than the known one.
-  void record(const endpoint_departure& d, mono_time now);
+  // Records a departure; ignored unless its revision is higher than the known one. `incarnation` is
+  // that of the process that departed; 0: unknown.
+  void record(const endpoint_departure& d, std::uint64_t incarnation, mono_time now);
 
-  // Whether a departure of the endpoint is known at `revision` or later.
-  [[nodiscard]] bool had_departed(const endpoint_id& id, std::uint64_t revision) const;
+  // Whether the description of the process that the store had at `revision` is outdated: a
+  // departure of the endpoint is known at that revision or later, or of the same process in an
+  // earlier era.
+  [[nodiscard]] bool had_departed(const endpoint_process& process, store_revision revision) const;
 
   // Departures to gossip to peers now.
   [[nodiscard]] std::vector<endpoint_departure> to_gossip(mono_time now) const;
 
   // Departures after `revision`, for a peer whose endpoint view is at that revision.
-  [[nodiscard]] std::vector<endpoint_departure> since(std::uint64_t revision) const;
+  [[nodiscard]] std::vector<endpoint_departure> since(store_revision revision) const;
 
   // Endpoints that departed so long ago that the last requests there have ended.
   [[nodiscard]] std::vector<endpoint_id> completed(mono_time now) const;
@@ -56,7 +64,8 @@
 
  private:
   struct entry {
-    std::uint64_t revision = 0;
+    store_revision revision;
+    std::uint64_t incarnation = 0; // of the process that departed; 0: unknown
     mono_time recorded_at;
   };
 
--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -25,16 +25,17 @@
 #include "wisteriaflow/base/ids.h"
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
+#include "wisteriaflow/gateway/store_revision.h"
 
 namespace wisteriaflow::gateway {
 
 // State of a daemon's view of the endpoints, as sent to peers.
 struct endpoint_view {
-  std::uint64_t revision = 0; // store revision up to which every change is known; 0: none
-  std::uint64_t changed = 0;  // revision of the last change other than a heartbeat
+  store_revision revision; // store revision up to which every change is known; 0: none
+  store_revision changed;  // revision of the last change other than a heartbeat
   // Every removal after this revision has been seen and sent to peers. A list shows the present
   // endpoints, not those that were removed before.
-  std::uint64_t removals_after = 0;
+  store_revision removals_after;
   std::chrono::milliseconds age{0}; // since the store was read at `revision`
 
   friend bool operator==(const endpoint_view&, const endpoint_view&) = default;
@@ -75,15 +76,15 @@
 
   // The store was listed completely at `revision`, and update() was called for its endpoints.
   // Endpoints that are not in `known` are removed.
-  void on_list(const std::map<endpoint_id, endpoint_record>& known, std::uint64_t revision,
+  void on_list(const std::map<endpoint_id, endpoint_record>& known, store_revision revision,
                mono_time asked_at);
 
   // The store was at `revision` when it was read, and all changes up to there have been applied.
-  void on_read(std::uint64_t revision, mono_time asked_at);
+  void on_read(store_revision revision, mono_time asked_at);
 
   // The same for an answer that may be incomplete: all changes up to `revision` are known, but the
   // view does not become fresher, so that the next read follows at once.
-  void on_partial_read(std::uint64_t revision);
+  void on_partial_read(store_revision revision);
 
   // Applies an endpoint's description. Only a description that differs from the known one in more
   // than its revision counts as a change.
@@ -104,35 +105,38 @@
 
   // A peer sent the changes after the revision `after` in answer to a request made at `asked_at`,
   // and they have been applied.
-  void on_fetched(const endpoint_view& peer_view, std::uint64_t after, mono_time asked_at);
+  void on_fetched(const endpoint_view& peer_view, store_revision after, mono_time asked_at);
+
+  // The store was found to be another copy than the one that was read: it must be read again now.
+  void on_store_restored(mono_time now) { next_read_at_ = now; }
 
   // Whether this daemon has to read the store itself now.
   [[nodiscard]] bool is_read_due(mono_time now) const { return now >= next_read_at_; }
   // When the next read is due unless a peer's view postpones it.
   [[nodiscard]] mono_time next_read_at() const { return next_read_at_; }
 
-  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] store_revision revision() const { return revision_; }
   // The view to send to peers; empty before the first read.
   [[nodiscard]] endpoint_view view(mono_time now) const;
 
   // Changes that a peer lacks whose view is at `revision`.
-  [[nodiscard]] endpoint_changes changes_after(std::uint64_t revision, mono_time now) const;
+  [[nodiscard]] endpoint_changes changes_after(store_revision revision, mono_time now) const;
 
  private:
   struct description {
     endpoint_record record;
-    std::uint64_t changed = 0; // revision of the last change to the record
+    store_revision changed; // revision of the last change to the record
   };
 
-  void mark_changed(description& known, std::uint64_t revision);
+  void mark_changed(description& known, store_revision revision);
   [[nodiscard]] bool can_catch_up(const endpoint_view& peer_view, mono_time read_at) const;
-  void advance_to(std::uint64_t revision, mono_time read_at);
+  void advance_to(store_revision revision, mono_time read_at);
 
   endpoint_feed_options options_;
   std::mt19937_64 random_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t changed_ = 0;
-  std::uint64_t removals_after_ = 0;
+  store_revision revision_;
+  store_revision changed_;
+  store_revision removals_after_;
   mono_time read_at_;
   mono_time next_read_at_;
   bool is_reader_ = false;
--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -40,6 +40,7 @@
 #include "wisteriaflow/gateway/peer_work_totals.h"
 #include "wisteriaflow/gateway/prefix_affinity.h"
 #include "wisteriaflow/gateway/stated_terms.h"
+#include "wisteriaflow/gateway/store_revision.h"
 #include "wisteriaflow/gateway/traffic_splitter.h"
 #include "wisteriaflow/http/message.h"
 #include "wisteriaflow/load/endpoint_avoidance.h"
@@ -59,7 +60,7 @@
 // Description of an endpoint in the store.
 struct endpoint_record {
   endpoint_id id;
-  std::uint64_t revision = 0; // store revision of this description
+  store_revision revision; // of this description in the store
   // Start time of its process in Unix milliseconds by the instance's own clock; 0: not stated. It
   // is only compared for equality, to detect another process: the clocks of two instances may
   // differ. The revision decides which of two descriptions is newer.
@@ -146,7 +147,7 @@
 
   // Replaces the list of endpoints by that of store revision `revision`. Endpoints that are not
   // listed are removed, unless removals are on hold.
-  void replace_all(std::span<const endpoint_record> listed, std::uint64_t revision, mono_time now);
+  void replace_all(std::span<const endpoint_record> listed, store_revision revision, mono_time now);
 
   // Applies one endpoint's new description; ignored if it is older than the known one.
   void apply(const endpoint_record& changed, mono_time now);
@@ -191,7 +192,7 @@
   // Departures to gossip to peers now.
   [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now) const;
   // Departures after `revision`, for a peer whose endpoint view is at that revision.
-  [[nodiscard]] std::vector<endpoint_departure> departures_after(std::uint64_t revision) const
+  [[nodiscard]] std::vector<endpoint_departure> departures_after(store_revision revision) const
   {
     return departures_.since(revision);
   }
@@ -370,7 +371,7 @@
   std::map<endpoint_id, endpoint_record> records_;
   usable_filter is_usable_;
   std::set<endpoint_id> unusable_;
-  std::map<endpoint_id, std::uint64_t> held_removals_; // revision of each removal
+  std::map<endpoint_id, store_revision> held_removals_; // revision of each removal
   gateway::departures departures_;
   stated_terms terms_;
   peer_work_totals peers_;
--- a/include/wisteriaflow/gateway/peer_report.h
+++ b/include/wisteriaflow/gateway/peer_report.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,7 @@
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/rollout.h"
 #include "wisteriaflow/gateway/stated_terms.h"
+#include "wisteriaflow/gateway/store_revision.h"
 #include "wisteriaflow/gateway/usage_counts.h"
 #include "wisteriaflow/gateway/version_counts.h"
 #include "wisteriaflow/gateway/workspace_quota.h"
@@ -50,6 +52,9 @@
   friend bool operator==(const daemon_contact&, const daemon_contact&) = default;
 };
 
+// The counts of windows that were reported, or are about to be.
+using decided_usage_map = std::map<usage_window, window_counts>;
+
 // Time since a daemon was last seen by the sender or by any daemon that reported to the sender.
 struct peer_last_seen {
   daemon_id id;
@@ -91,10 +96,12 @@
   std::vector<peer_terms> terms; // terms that endpoints have stated
   endpoint_view endpoints;       // how current the sender's view of the endpoints is
   std::vector<usage_row> usage;
+  decided_usage_map decided_usage;  // counts that the sender, the leader, has begun to report
+  std::uint64_t fencing_number = 0; // of the fleet's lease: the highest that the sender knows of
   // Rollout orders, complete up to the store revision `rollouts_revision`, and the outcomes of the
   // sender's calls on the two versions of each.
   rollout_registry::entries rollouts;
-  std::uint64_t rollouts_revision = 0;
+  store_revision rollouts_revision;
   std::vector<rollout_row> rollout_rows;
   crash_report crashes;           // crashes that the sender learned of recently
   std::uint64_t crash_digest = 0; // over all crashes that the sender knows; see crash_suspects
--- a/include/wisteriaflow/gateway/rollout.h
+++ b/include/wisteriaflow/gateway/rollout.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/store_revision.h"
 
 namespace wisteriaflow::gateway {
 
@@ -33,11 +34,11 @@
 // One order for one service.
 struct rollout {
   std::string service;
-  std::uint64_t order = 0;    // identifies the order; see order_id
-  std::uint64_t revision = 0; // latest store revision at which the order was seen
-  std::string target;         // the version that the traffic moves to
-  wall_time ordered_at;       // when the first daemon saw the order
-  wall_time deadline;         // by when it should have succeeded or been rolled back
+  std::uint64_t order = 0; // identifies the order; see order_id
+  store_revision revision; // latest store revision at which the order was seen
+  std::string target;      // the version that the traffic moves to
+  wall_time ordered_at;    // when the first daemon saw the order
+  wall_time deadline;      // by when it should have succeeded or been rolled back
   rollout_phase phase = rollout_phase::trial;
   // Interval of the move in phase `moving`: the fraction of the calls that goes to the target grows
   // from 0 to 1.
@@ -67,7 +68,7 @@
 class rollout_registry {
  public:
   // Versions that get no more traffic, each with the store revision of the order that caused it.
-  using refused_versions = std::map<std::string, std::uint64_t, std::less<>>;
+  using refused_versions = std::map<std::string, store_revision, std::less<>>;
 
   struct entry {
     rollout latest;
@@ -87,7 +88,7 @@
 
   // Records that the operator withdrew the order as of `revision`: an open order is rolled back.
   // Returns true if anything changed.
-  bool withdraw(std::string_view service, std::uint64_t revision);
+  bool withdraw(std::string_view service, store_revision revision);
 
   [[nodiscard]] const rollout* find(std::string_view service) const;
   [[nodiscard]] const entries& all() const { return entries_; }
--- a/include/wisteriaflow/gateway/version_gate.h
+++ b/include/wisteriaflow/gateway/version_gate.h
@@ -15,14 +15,15 @@
 #include <string_view>
 
 #include "wisteriaflow/gateway/rollout.h"
+#include "wisteriaflow/gateway/store_revision.h"
 
 namespace wisteriaflow::gateway {
 
 // The properties of an endpoint that the gate uses.
 struct versioned_endpoint {
   std::string_view service;
-  std::string_view version;   // empty: not stated
-  std::uint64_t revision = 0; // store revision at which this state was read
+  std::string_view version; // empty: not stated
+  store_revision revision;  // at which this state was read
 };
 
 // Not thread-safe.
@@ -32,8 +33,8 @@
   explicit version_gate(bool enabled) : enabled_(enabled) {}
 
   // All orders up to this store revision are in the registry.
-  void set_rollouts_revision(std::uint64_t revision);
-  [[nodiscard]] std::uint64_t rollouts_revision() const { return rollouts_revision_; }
+  void set_rollouts_revision(store_revision revision);
+  [[nodiscard]] store_revision rollouts_revision() const { return rollouts_revision_; }
 
   // Whether calls may be sent to `endpoint`.
   [[nodiscard]] bool is_usable(const versioned_endpoint& endpoint,
@@ -44,8 +45,8 @@
 
  private:
   bool enabled_;
-  std::uint64_t rollouts_revision_ = 0;
-  std::uint64_t awaited_revision_ = 0; // store revision
+  store_revision rollouts_revision_;
+  store_revision awaited_revision_;
   // Versions found usable, by service.
   std::map<std::string, std::set<std::string, std::less<>>, std::less<>> accepted_versions_;
 };
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -191,6 +191,7 @@
 #include "wisteriaflow/gateway/scaling_planner.h"
 #include "wisteriaflow/gateway/slow_call_detector.h"
 #include "wisteriaflow/gateway/stated_terms.h"
+#include "wisteriaflow/gateway/store_revision.h"
 #include "wisteriaflow/gateway/terms_codec.h"
 #include "wisteriaflow/gateway/traffic_splitter.h"
 #include "wisteriaflow/gateway/usage_counts.h"
--- a/src/capacity/lease_client.cc
+++ b/src/capacity/lease_client.cc
@@ -82,6 +82,7 @@
   using is_own_write = call<&lease_core::is_own_write>;
   using is_claimable = call<&lease_core::is_claimable>;
   using is_write_base = call<&lease_core::is_write_base>;
+  using may_claim_missing = call<&lease_core::may_claim_missing>;
 
   // Of several rows with the same state and event, the last one whose guard is true applies.
   // clang-format off
@@ -90,7 +91,8 @@
       Row<reading, lease_found, waiting, observe>,
       Row<reading, lease_found, claiming, call<&lease_core::claim_existing>, is_claimable>,
       Row<reading, lease_found, holding, on_acquired, is_own_write>,
-      Row<reading, lease_missing, claiming, call<&lease_core::claim_new>>,
+      Row<reading, lease_missing, waiting, schedule_reread>,
+      Row<reading, lease_missing, claiming, call<&lease_core::claim_new>, may_claim_missing>,
       Row<reading, lease_call_unanswered, waiting, schedule_reread>,
       Row<waiting, read_due, reading, read>,
       Row<waiting, unwanted, idle, on_released>,
@@ -186,6 +188,13 @@
   void on(const lease_wanted& e) { wanted_ = e.wanted; }
   void on(const notes_changed& e) { fsm_.core.set_notes(e.notes); }
   void on(const lease_tick& /*e*/) {}
+  void on(const store_restored& /*e*/)
+  {
+    fsm_.core.on_store_restored();
+    if (is_holder()) {
+      fsm_.process_event(expired{});
+    }
+  }
   template <typename answer> void on(const answer& e)
   {
     if (fsm_.core.accept_answer(e.call)) {
--- a/src/capacity/lease_core.cc
+++ b/src/capacity/lease_core.cc
@@ -25,7 +25,14 @@
 // whole lease duration.
 bool lease_core::is_claimable(const lease_found& e) const
 {
-  return e.record.holder.empty() || (e.version == observed_version_ && claimable_at_ <= now_.mono);
+  const bool has_ended =
+      e.record.holder.empty() || (e.version == observed_version_ && claimable_at_ <= now_.mono);
+  return has_ended && claims_allowed_at_ <= now_.mono;
+}
+
+bool lease_core::may_claim_missing(const lease_missing& /*e*/) const
+{
+  return claims_allowed_at_ <= now_.mono;
 }
 
 bool lease_core::is_own_write(const lease_found& e) const
@@ -81,7 +88,7 @@
         e.version);
 }
 
-void lease_core::claim_new()
+void lease_core::claim_new(const lease_missing& e)
 {
   if (pending_write_ && pending_write_->base == 0) {
     send_write();
@@ -89,7 +96,7 @@
   }
   notes_ = nullptr;
   write({.holder = options_.self,
-         .fencing_number = 1,
+         .fencing_number = e.last_fencing_number + 1,
          .nonce = 0,
          .duration = options_.duration,
          .notes = notes_},
@@ -126,7 +133,7 @@
 
 void lease_core::on_acquired(std::uint64_t version)
 {
-  const bool had_holder = pending_write_->base != 0;
+  const bool had_holder = pending_write_->base != 0 || pending_write_->record.fencing_number > 1;
   const auto wait =
       had_holder ? options_.order_timeout + options_.skew_margin : std::chrono::milliseconds{0};
   // The former holder's lease has ended, but its last orders may still be in transit.
@@ -175,6 +182,12 @@
   observed_holder_ = daemon_id();
 }
 
+// A holder whose lease the copy does not show may act until its time is over.
+void lease_core::on_store_restored()
+{
+  claims_allowed_at_ = now_.mono + options_.duration + options_.skew_margin;
+}
+
 void lease_core::set_notes(const boost::json::value& notes)
 {
   notes_ = notes;
--- a/src/capacity/lease_core.h
+++ b/src/capacity/lease_core.h
@@ -25,6 +25,7 @@
 
   // Guards.
   [[nodiscard]] bool is_claimable(const lease_found& e) const;
+  [[nodiscard]] bool may_claim_missing(const lease_missing& e) const;
   [[nodiscard]] bool is_own_write(const lease_found& e) const;
   // Whether the stored version is the one that the pending write replaces, so that this write may
   // still take effect.
@@ -35,7 +36,7 @@
   void schedule_reread();
   void observe(const lease_found& e);
   void claim_existing(const lease_found& e);
-  void claim_new();
+  void claim_new(const lease_missing& e);
   void renew();
   void resend_write();
   void on_acquired(std::uint64_t version);
@@ -43,6 +44,7 @@
   void release();
   void on_lost();
   void on_released();
+  void on_store_restored();
 
   void set_notes(const boost::json::value& notes);
 
@@ -78,6 +80,7 @@
   daemon_id observed_holder_;
   std::uint64_t observed_version_ = 0;
   mono_time claimable_at_;
+  mono_time claims_allowed_at_; // end of the wait after the store was restored
   mono_time read_at_;
 
   // State as the holder.
--- a/src/gateway/departures.cc
+++ b/src/gateway/departures.cc
@@ -12,18 +12,25 @@
 
 } // namespace
 
-void departures::record(const endpoint_departure& d, mono_time now)
+void departures::record(const endpoint_departure& d, std::uint64_t incarnation, mono_time now)
 {
   auto& it = entries_[d.id];
   if (d.revision > it.revision) {
-    it = {.revision = d.revision, .recorded_at = now};
+    it = {.revision = d.revision, .incarnation = incarnation, .recorded_at = now};
   }
 }
 
-bool departures::had_departed(const endpoint_id& id, std::uint64_t revision) const
+bool departures::had_departed(const endpoint_process& process, store_revision revision) const
 {
-  const auto it = entries_.find(id);
-  return it != entries_.end() && revision <= it->second.revision;
+  const auto it = entries_.find(process.id);
+  if (it == entries_.end()) {
+    return false;
+  }
+  const auto& departed = it->second;
+  if (departed.revision.era < revision.era) {
+    return !is_restart({.id = process.id, .incarnation = departed.incarnation}, process);
+  }
+  return revision <= departed.revision;
 }
 
 std::vector<endpoint_departure> departures::to_gossip(mono_time now) const
@@ -37,7 +44,7 @@
   return out;
 }
 
-std::vector<endpoint_departure> departures::since(std::uint64_t revision) const
+std::vector<endpoint_departure> departures::since(store_revision revision) const
 {
   std::vector<endpoint_departure> out;
   for (const auto& [id, d] : entries_) {
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -20,7 +20,7 @@
 {
 }
 
-void endpoint_feed::advance_to(std::uint64_t revision, mono_time read_at)
+void endpoint_feed::advance_to(store_revision revision, mono_time read_at)
 {
   revision_ = std::max(revision_, revision);
   if (read_at <= read_at_) {
@@ -34,19 +34,19 @@
 }
 
 void endpoint_feed::on_list(const std::map<endpoint_id, endpoint_record>& known,
-                            std::uint64_t revision, mono_time asked_at)
+                            store_revision revision, mono_time asked_at)
 {
   retain(known);
   removals_after_ = revision;
   advance_to(revision, asked_at);
 }
 
-void endpoint_feed::on_read(std::uint64_t revision, mono_time asked_at)
+void endpoint_feed::on_read(store_revision revision, mono_time asked_at)
 {
   advance_to(revision, asked_at);
 }
 
-void endpoint_feed::on_partial_read(std::uint64_t revision)
+void endpoint_feed::on_partial_read(store_revision revision)
 {
   advance_to(revision, read_at_);
 }
@@ -78,7 +78,7 @@
   changed_ = std::max(changed_, departure.revision);
 }
 
-void endpoint_feed::mark_changed(description& known, std::uint64_t revision)
+void endpoint_feed::mark_changed(description& known, store_revision revision)
 {
   known.changed = std::max(known.changed, revision);
   changed_ = std::max(changed_, revision);
@@ -101,6 +101,9 @@
 {
   // Measured from when the request was sent, since the answer may have been delayed.
   const auto read_at = asked_at - peer_view.age;
+  if (revision_ != store_revision{} && peer_view.revision.era > revision_.era) {
+    on_store_restored(asked_at);
+  }
   if (!can_catch_up(peer_view, read_at)) {
     return feed_action::nothing;
   }
@@ -111,7 +114,7 @@
   return feed_action::nothing;
 }
 
-void endpoint_feed::on_fetched(const endpoint_view& peer_view, std::uint64_t after,
+void endpoint_feed::on_fetched(const endpoint_view& peer_view, store_revision after,
                                mono_time asked_at)
 {
   const auto read_at = asked_at - peer_view.age;
@@ -132,7 +135,7 @@
           .age = std::chrono::ceil<milliseconds>(now - read_at_)};
 }
 
-endpoint_changes endpoint_feed::changes_after(std::uint64_t revision, mono_time now) const
+endpoint_changes endpoint_feed::changes_after(store_revision revision, mono_time now) const
 {
   endpoint_changes out{.view = view(now)};
   for (const auto& [id, d] : descriptions_) {
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -27,7 +27,7 @@
   routing_.tokens_per_block = tokens_per_block;
 }
 
-void endpoint_pool::replace_all(std::span<const endpoint_record> listed, std::uint64_t revision,
+void endpoint_pool::replace_all(std::span<const endpoint_record> listed, store_revision revision,
                                 mono_time now)
 {
   has_list_ = true;
@@ -63,11 +63,12 @@
   }
   held_removals_.erase(changed.id);
   auto record = changed;
-  record.leaving = record.leaving || departures_.had_departed(record.id, record.revision) ||
+  record.leaving = record.leaving ||
+                   departures_.had_departed(process_of(record), record.revision) ||
                    terms_.is_leaving(process_of(record));
   store(record);
   if (changed.leaving) {
-    departures_.record({.id = changed.id, .revision = changed.revision}, now);
+    departures_.record({.id = changed.id, .revision = changed.revision}, changed.incarnation, now);
   }
 }
 
@@ -120,7 +121,7 @@
     held_removals_[departure.id] = departure.revision;
     return;
   }
-  departures_.record(departure, now);
+  departures_.record(departure, it->second.incarnation, now);
   erase(departure.id, now);
 }
 
@@ -146,7 +147,7 @@
   if (it != records_.end() && it->second.revision > departure.revision) {
     return false;
   }
-  departures_.record(departure, now);
+  departures_.record(departure, it == records_.end() ? 0 : it->second.incarnation, now);
   if (it == records_.end() || it->second.leaving) {
     return false;
   }
@@ -214,7 +215,8 @@
   // Peers know from the store that the other endpoints are leaving or were removed.
   const auto is_in_use = [this](const endpoint_id& id) {
     const auto it = records_.find(id);
-    return it != records_.end() && !departures_.had_departed(id, it->second.revision);
+    return it != records_.end() &&
+           !departures_.had_departed(process_of(it->second), it->second.revision);
   };
   return terms_.to_gossip(max_count, is_in_use, now);
 }
--- a/src/gateway/json_fields.h
+++ b/src/gateway/json_fields.h
@@ -13,6 +13,8 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "wisteriaflow/gateway/store_revision.h"
+
 namespace wisteriaflow::gateway::internal {
 
 inline std::string text_at(const boost::json::value& from, std::string_view key)
@@ -25,6 +27,11 @@
   return from.at(key).to_number<std::uint64_t>();
 }
 
+inline store_revision revision_at(const boost::json::value& from, std::string_view key)
+{
+  return store_revision::from_packed(number_at(from, key));
+}
+
 // An age is never negative, whatever a peer sends: a timestamp in the future would never expire.
 inline std::chrono::milliseconds decode_age(const boost::json::value& from)
 {
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -23,6 +23,7 @@
 namespace json = boost::json;
 using internal::decode_age;
 using internal::number_at;
+using internal::revision_at;
 using internal::text_at;
 
 json::value encode(const daemon_contact& c)
@@ -61,6 +62,19 @@
   return out;
 }
 
+// A lease that changes hands every second reaches this number after 30,000 years. Believing more
+// would leave no number for the next holder.
+constexpr std::uint64_t max_fencing_number = 1'000'000'000'000;
+
+std::uint64_t decode_fencing_number(const json::value& from)
+{
+  const auto out = from.to_number<std::uint64_t>();
+  if (out > max_fencing_number) {
+    throw peer_report_error("absurd fencing number");
+  }
+  return out;
+}
+
 daemon_contact decode_contact(const json::value& from)
 {
   return {.id = daemon_id(text_at(from, "id")),
@@ -209,13 +223,37 @@
   return out;
 }
 
+window_counts decode_window_counts(const json::value& from)
+{
+  window_counts out;
+  for (const auto& [workspace, n] : from.as_object()) {
+    out[workspace_id(std::string(workspace))] = n.to_number<std::uint64_t>();
+  }
+  return out;
+}
+
 usage_row decode_row(const json::value& from)
 {
-  usage_row out{.source = {.daemon = daemon_id(text_at(from, "daemon")),
-                           .incarnation = number_at(from, "incarnation")},
-                .window = number_at(from, "window")};
-  for (const auto& [workspace, n] : from.at("counts").as_object()) {
-    out.counts[workspace_id(std::string(workspace))] = n.to_number<std::uint64_t>();
+  return {.source = {.daemon = daemon_id(text_at(from, "daemon")),
+                     .incarnation = number_at(from, "incarnation")},
+          .window = number_at(from, "window"),
+          .counts = decode_window_counts(from.at("counts"))};
+}
+
+json::array encode(const decided_usage_map& decided)
+{
+  json::array out;
+  for (const auto& [window, counts] : decided) {
+    out.push_back({{"window", window}, {"counts", encode(counts)}});
+  }
+  return out;
+}
+
+decided_usage_map decode_decided_usage(const json::value& from)
+{
+  decided_usage_map out;
+  for (const auto& each : from.as_array()) {
+    out[number_at(each, "window")] = decode_window_counts(each.at("counts"));
   }
   return out;
 }
@@ -233,7 +271,7 @@
 {
   json::object out;
   for (const auto& d : departures) {
-    out[d.id.value()] = d.revision;
+    out[d.id.value()] = d.revision.packed();
   }
   return out;
 }
@@ -242,8 +280,8 @@
 {
   std::vector<endpoint_departure> out;
   for (const auto& [id, revision] : from.as_object()) {
-    out.push_back(
-        {.id = endpoint_id(std::string(id)), .revision = revision.to_number<std::uint64_t>()});
+    out.push_back({.id = endpoint_id(std::string(id)),
+                   .revision = store_revision::from_packed(revision.to_number<std::uint64_t>())});
   }
   return out;
 }
@@ -258,26 +296,33 @@
 
 json::value encode(const endpoint_view& view)
 {
-  return {{"revision", view.revision},
-          {"changed", view.changed},
-          {"removals_after", view.removals_after},
+  return {{"revision", view.revision.packed()},
+          {"changed", view.changed.packed()},
+          {"removals_after", view.removals_after.packed()},
           {"age", view.age.count()}};
 }
 
 endpoint_view decode_view(const json::value& from)
 {
-  return {.revision = number_at(from, "revision"),
-          .changed = number_at(from, "changed"),
-          .removals_after = number_at(from, "removals_after"),
+  return {.revision = revision_at(from, "revision"),
+          .changed = revision_at(from, "changed"),
+          .removals_after = revision_at(from, "removals_after"),
           .age = std::chrono::milliseconds(from.at("age").to_number<std::int64_t>())};
 }
 
 json::value encode(const endpoint_record& r)
 {
-  return {{"id", r.id.value()},   {"revision", r.revision}, {"incarnation", r.incarnation},
-          {"service", r.service}, {"zone", r.zone.value()}, {"address", to_string(r.address)},
-          {"places", r.places},   {"leaving", r.leaving},   {"reclaimable", r.reclaimable},
-          {"version", r.version}, {"cold", r.cold}};
+  return {{"id", r.id.value()},
+          {"revision", r.revision.packed()},
+          {"incarnation", r.incarnation},
+          {"service", r.service},
+          {"zone", r.zone.value()},
+          {"address", to_string(r.address)},
+          {"places", r.places},
+          {"leaving", r.leaving},
+          {"reclaimable", r.reclaimable},
+          {"version", r.version},
+          {"cold", r.cold}};
 }
 
 // Peers of an earlier version omit this field.
@@ -297,7 +342,7 @@
 endpoint_record decode_record(const json::value& from)
 {
   return {.id = endpoint_id(text_at(from, "id")),
-          .revision = number_at(from, "revision"),
+          .revision = revision_at(from, "revision"),
           .incarnation = decode_incarnation(from),
           .service = text_at(from, "service"),
           .version = optional_text_at(from, "version"),
@@ -375,6 +420,13 @@
   out.departures = decode_departures(from.at("departures"));
   out.endpoints = decode_view(from.at("endpoints"));
   out.usage = decode_rows(from.at("usage"));
+  // Peers of an earlier version omit these.
+  if (const auto* decided = from.as_object().if_contains("decided_usage")) {
+    out.decided_usage = decode_decided_usage(*decided);
+  }
+  if (from.as_object().contains("fencing_number")) {
+    out.fencing_number = decode_fencing_number(from.at("fencing_number"));
+  }
   // Peers of an earlier version send no terms.
   if (const auto* terms = from.as_object().if_contains("terms")) {
     out.terms = decode_terms(*terms);
@@ -387,7 +439,7 @@
   // Peers of an earlier version send no rollouts.
   if (const auto* rollouts = from.as_object().if_contains("rollouts")) {
     out.rollouts = decode_rollouts(*rollouts);
-    out.rollouts_revision = number_at(from, "rollouts_known_up_to");
+    out.rollouts_revision = revision_at(from, "rollouts_known_up_to");
     out.rollout_rows = decode_rollout_rows(from.at("rollout_rows"));
   }
   return out;
@@ -462,10 +514,16 @@
                            {"endpoints", encode(report.endpoints)},
                            {"usage", encode(report.usage)},
                            {"rollouts", encode_rollouts(report.rollouts)},
-                           {"rollouts_known_up_to", report.rollouts_revision},
+                           {"rollouts_known_up_to", report.rollouts_revision.packed()},
                            {"rollout_rows", encode_rollout_rows(report.rollout_rows)},
                            {"crashes", encode_crash_report(report.crashes)},
                            {"crash_digest", report.crash_digest}};
+  if (report.fencing_number > 0) {
+    top_level.as_object()["fencing_number"] = report.fencing_number;
+  }
+  if (!report.decided_usage.empty()) {
+    top_level.as_object()["decided_usage"] = encode(report.decided_usage);
+  }
   if (!report.outcomes.empty()) {
     top_level.as_object()["outcomes"] = encode_outcomes(report.outcomes);
   }
--- a/src/gateway/rollout.cc
+++ b/src/gateway/rollout.cc
@@ -105,7 +105,7 @@
   return changed;
 }
 
-bool rollout_registry::withdraw(std::string_view service, std::uint64_t revision)
+bool rollout_registry::withdraw(std::string_view service, store_revision revision)
 {
   const auto* known = find(service);
   if (known == nullptr || !is_open(*known) || known->revision > revision) {
--- a/src/gateway/rollout_codec.cc
+++ b/src/gateway/rollout_codec.cc
@@ -16,6 +16,7 @@
 namespace json = boost::json;
 
 using internal::number_at;
+using internal::revision_at;
 using internal::text_at;
 
 wall_time time_at(const json::value& from, std::string_view key)
@@ -36,7 +37,7 @@
 {
   return {{"service", r.service},
           {"order", r.order},
-          {"revision", r.revision},
+          {"revision", r.revision.packed()},
           {"target", r.target},
           {"ordered_at", to_unix_ms(r.ordered_at)},
           {"deadline", to_unix_ms(r.deadline)},
@@ -50,7 +51,7 @@
 {
   return {.service = text_at(from, "service"),
           .order = number_at(from, "order"),
-          .revision = number_at(from, "revision"),
+          .revision = revision_at(from, "revision"),
           .target = text_at(from, "target"),
           .ordered_at = time_at(from, "ordered_at"),
           .deadline = time_at(from, "deadline"),
@@ -107,7 +108,7 @@
   for (const auto& [service, e] : entries) {
     json::object refused;
     for (const auto& [version, revision] : e.refused) {
-      refused[version] = revision;
+      refused[version] = revision.packed();
     }
     out.push_back({{"latest", encode(e.latest)}, {"refused", std::move(refused)}});
   }
@@ -120,7 +121,8 @@
   for (const auto& each : from.as_array()) {
     rollout_registry::entry e{.latest = decode_rollout(each.at("latest"))};
     for (const auto& [version, revision] : each.at("refused").as_object()) {
-      e.refused[std::string(version)] = revision.to_number<std::uint64_t>();
+      e.refused[std::string(version)] =
+          store_revision::from_packed(revision.to_number<std::uint64_t>());
     }
     out.emplace(e.latest.service, std::move(e));
   }
--- a/src/gateway/version_gate.cc
+++ b/src/gateway/version_gate.cc
@@ -4,7 +4,7 @@
 
 namespace wisteriaflow::gateway {
 
-void version_gate::set_rollouts_revision(std::uint64_t revision)
+void version_gate::set_rollouts_revision(store_revision revision)
 {
   rollouts_revision_ = std::max(rollouts_revision_, revision);
 }
--- a/src/relay/crash_store.cc
+++ b/src/relay/crash_store.cc
@@ -120,7 +120,7 @@
   auto reply = co_await store_.call(std::move(create), "create", store_call_timeout);
   if (reply.result == adapter::store_result::conflict) {
     try {
-      const auto present = adapter::decode_object(reply.body);
+      const auto present = adapter::decode_object(reply.body, reply.era);
       if (merge(name, present.spec) >= crash_count) {
         stored_crash_counts_[content] = crash_count; // another coordinator has written it
         co_return true;
--- a/src/relay/crash_store.h
+++ b/src/relay/crash_store.h
@@ -27,6 +27,10 @@
   crash_store(boost::asio::io_context& context, fleet_state& state, store_client& store)
       : context_(context), state_(state), store_(store)
   {
+    store_.add_restore_callback([this] {
+      stored_crash_counts_.clear();
+      initial_read_done_ = false;
+    });
   }
 
   // Starts a coroutine that reads and writes until the context stops. Call it once; the object must
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -20,6 +20,8 @@
 // Number of usage windows kept: a report is due two windows after the end of its window, and a new
 // leader may send it one lease duration later.
 constexpr gateway::usage_window usage_windows_kept = 5;
+// Windows whose reported counts are kept and told to peers: those that may be reported again.
+constexpr std::size_t decided_windows_kept = 3;
 
 // Limits of one report. Work is relayed for the peers with the most recent reports: in a large
 // fleet a daemon's own reports reach the others too rarely to be useful. max_report_ages applies to
@@ -159,7 +161,7 @@
 
 bool fleet_state::is_ready() const
 {
-  const bool rollouts_known = !rollouts_enabled() || versions.rollouts_revision() > 0;
+  const bool rollouts_known = !rollouts_enabled() || versions.rollouts_revision().number > 0;
   return rollouts_known && configuration_ && endpoints.has_list() && quota.knows_fleet() &&
          !draining_since_;
 }
@@ -191,6 +193,26 @@
   return changed;
 }
 
+gateway::window_counts fleet_state::decide_usage(gateway::usage_window window,
+                                                 gateway::window_counts counts)
+{
+  const auto [it, added] = decided_usage_.try_emplace(window, std::move(counts));
+  auto out = it->second;
+  while (decided_usage_.size() > decided_windows_kept) {
+    decided_usage_.erase(decided_usage_.begin());
+  }
+  if (added && is_leader_) {
+    signal_urgent_update(); // another leader may report the window next
+  }
+  return out;
+}
+
+std::optional<gateway::window_counts> fleet_state::decided_usage(gateway::usage_window window) const
+{
+  const auto it = decided_usage_.find(window);
+  return it == decided_usage_.end() ? std::nullopt : std::optional(it->second);
+}
+
 bool fleet_state::is_coordinator(mono_time now) const
 {
   const auto non_draining = ids_of_non_draining(peers.live(now));
@@ -378,14 +400,14 @@
   }
 }
 
-void fleet_state::withdraw_rollout(std::string_view service, std::uint64_t revision)
+void fleet_state::withdraw_rollout(std::string_view service, gateway::store_revision revision)
 {
   if (rollouts.withdraw(service, revision)) {
     on_rollouts_changed();
   }
 }
 
-void fleet_state::on_rollouts_read(std::uint64_t revision)
+void fleet_state::on_rollouts_read(gateway::store_revision revision)
 {
   const bool was_behind = versions.awaits_rollouts();
   versions.set_rollouts_revision(revision);
@@ -444,7 +466,8 @@
   return endpoints.holds_removals(now) ? gateway::endpoint_view{} : feed.view(now);
 }
 
-gateway::endpoint_changes fleet_state::endpoint_changes(std::uint64_t revision, mono_time now) const
+gateway::endpoint_changes fleet_state::endpoint_changes(gateway::store_revision revision,
+                                                        mono_time now) const
 {
   if (endpoints.holds_removals(now)) {
     return {};
@@ -479,23 +502,25 @@
   const auto is_silent = [&](const daemon_id& id) {
     return id != options.id && !peers.is_live(id, now.mono);
   };
-  gateway::peer_report out{.self = self_contact(),
-                           .configuration_version = configuration_version(),
-                           .clock = now.wall,
-                           .running_daemons =
-                               quota.knows_fleet() ? peers.observed_running_count(now.mono) : 0,
-                           .work = top_endpoints(work_to_report(now.mono), max_own_work_entries),
-                           .prefill = endpoints.own_prefill(),
-                           .outcomes = endpoints.outcomes_to_gossip(now.mono),
-                           .departures = endpoints.departures(now.mono),
-                           .terms = endpoints.terms_to_gossip(max_terms_per_report, now.mono),
-                           .endpoints = endpoint_view(now.mono),
-                           .usage = usage.rows_for_peer(is_silent, max_usage_rows),
-                           .rollouts = rollouts.all(),
-                           .rollouts_revision = versions.rollouts_revision(),
-                           .rollout_rows = version_calls.rows(clock.now(now)),
-                           .crashes = crashes.recent_changes(clock.now(now)),
-                           .crash_digest = crashes.digest()};
+  gateway::peer_report out{
+      .self = self_contact(),
+      .configuration_version = configuration_version(),
+      .clock = now.wall,
+      .running_daemons = quota.knows_fleet() ? peers.observed_running_count(now.mono) : 0,
+      .work = top_endpoints(work_to_report(now.mono), max_own_work_entries),
+      .prefill = endpoints.own_prefill(),
+      .outcomes = endpoints.outcomes_to_gossip(now.mono),
+      .departures = endpoints.departures(now.mono),
+      .terms = endpoints.terms_to_gossip(max_terms_per_report, now.mono),
+      .endpoints = endpoint_view(now.mono),
+      .usage = usage.rows_for_peer(is_silent, max_usage_rows),
+      .decided_usage = is_leader_ ? decided_usage_ : gateway::decided_usage_map(),
+      .fencing_number = last_fencing_number_,
+      .rollouts = rollouts.all(),
+      .rollouts_revision = versions.rollouts_revision(),
+      .rollout_rows = version_calls.rows(clock.now(now)),
+      .crashes = crashes.recent_changes(clock.now(now)),
+      .crash_digest = crashes.digest()};
   if (extent != report_extent::brief) {
     add_known_peers(out, extent, now.mono);
   }
@@ -537,6 +562,10 @@
   for (const auto& row : received.usage) {
     usage.merge(row);
   }
+  for (const auto& [window, counts] : received.decided_usage) {
+    decide_usage(window, counts);
+  }
+  record_fencing_number(received.fencing_number);
   for (const auto& row : received.rollout_rows) {
     rollout_rows.merge(row);
   }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -6,6 +6,7 @@
 #ifndef WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
 #define WISTERIAFLOW_SRC_RELAY_FLEET_STATE_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -96,6 +97,22 @@
   // Whether this daemon is the leader.
   [[nodiscard]] bool is_leader() const { return is_leader_; }
 
+  // The highest fencing number of the lease that any daemon is known to have used. The store may
+  // forget numbers when it is restored; no daemon may use one again.
+  [[nodiscard]] std::uint64_t last_fencing_number() const { return last_fencing_number_; }
+  void record_fencing_number(std::uint64_t n)
+  {
+    last_fencing_number_ = std::max(last_fencing_number_, n);
+  }
+
+  // Counts of a window that a leader has begun to report. Every report of a window must state the
+  // same, also if the store has lost them. The first counts that become known are kept; returns
+  // these.
+  gateway::window_counts decide_usage(gateway::usage_window window, gateway::window_counts counts);
+  // Nothing if no counts are known to have been reported.
+  [[nodiscard]] std::optional<gateway::window_counts>
+  decided_usage(gateway::usage_window window) const;
+
   // Whether this daemon is a coordinator: one of the few daemons that hold or compete for the
   // lease, read the endpoints from the store and watch the configuration for all others.
   [[nodiscard]] bool is_coordinator(mono_time now) const;
@@ -137,15 +154,15 @@
   // `revision`. Both are empty while removals are held back after a store outage: a peer that took
   // over such a view would miss these removals for good.
   [[nodiscard]] gateway::endpoint_view endpoint_view(mono_time now) const;
-  [[nodiscard]] gateway::endpoint_changes endpoint_changes(std::uint64_t revision,
+  [[nodiscard]] gateway::endpoint_changes endpoint_changes(gateway::store_revision revision,
                                                            mono_time now) const;
 
   // Applies the state of a rollout, read from the store or decided by this daemon.
   void apply_rollout(const gateway::rollout& rollout);
   // Call when the operator has deleted a service's rollout order as of the store's `revision`.
-  void withdraw_rollout(std::string_view service, std::uint64_t revision);
+  void withdraw_rollout(std::string_view service, gateway::store_revision revision);
   // Call when all rollout orders up to `revision` of the store have been applied.
-  void on_rollouts_read(std::uint64_t revision);
+  void on_rollouts_read(gateway::store_revision revision);
   // Whether the settings enable rollouts.
   [[nodiscard]] bool rollouts_enabled() const { return options.trial_part > 0; }
 
@@ -224,7 +241,9 @@
   std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_urgent_update_;
   std::optional<mono_time> draining_since_;
-  bool is_leader_ = false;         // holds the fleet's lease
+  bool is_leader_ = false; // holds the fleet's lease
+  std::uint64_t last_fencing_number_ = 0;
+  gateway::decided_usage_map decided_usage_;
   std::set<daemon_id> live_peers_; // as of the last tick
   gateway::fleet_groups groups_;   // as of the last tick
   hold_log hold_log_;
--- a/src/relay/leader_duties.cc
+++ b/src/relay/leader_duties.cc
@@ -178,17 +178,17 @@
 asio::awaitable<std::optional<gateway::window_counts>>
 leader_duties::persist_counts(gateway::usage_window window)
 {
-  auto counts = state_.usage.total(window);
+  auto counts = state_.decided_usage(window).value_or(state_.usage.total(window));
   auto message = adapter::create_call(usage_kind, object_name(window), encode(counts));
   const auto reply = co_await store_.call(std::move(message), "usage", store_timeout);
   if (reply.result == adapter::store_result::done) {
-    co_return counts;
+    co_return state_.decide_usage(window, std::move(counts));
   }
   if (reply.result != adapter::store_result::conflict) {
     co_return std::nullopt; // the write may have been done; the next attempt then finds it
   }
   try {
-    co_return decode(adapter::decode_object(reply.body).spec);
+    co_return state_.decide_usage(window, decode(adapter::decode_object(reply.body).spec));
   } catch (const std::exception& e) {
     state_.log.write(daemon::log_level::error, "usage entry unreadable",
                      {{"window", std::to_string(window)}, {"reason", e.what()}});
--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -87,6 +87,7 @@
     : context_(context), state_(state), store_(store), holder_(lease_options_of(state)),
       clock_(std::move(uptime))
 {
+  store_.add_restore_callback([this] { on_event(capacity::store_restored{}); });
 }
 
 clock_reading lease_keeper::lease_time() const
@@ -111,6 +112,9 @@
     execute(holder_.handle(capacity::lease_tick{}, now));
   }
   const bool is_leader = holds_lease();
+  if (is_leader) {
+    state_.record_fencing_number(fencing_number());
+  }
   state_.counters.set("duties_held", is_leader ? 1 : 0);
   const std::chrono::duration<double> left = holder_.deadline() - now.mono;
   state_.counters.set("lease_left_seconds", is_leader ? left.count() : 0);
@@ -156,7 +160,8 @@
   auto message = adapter::get_call(lease_kind, lease_name);
   const auto reply = co_await store_.call(std::move(message), "lease", call_timeout);
   if (reply.result == adapter::store_result::missing) {
-    on_event(capacity::lease_missing{.call = a.call});
+    on_event(capacity::lease_missing{.call = a.call,
+                                     .last_fencing_number = state_.last_fencing_number()});
     co_return;
   }
   if (reply.result != adapter::store_result::done) {
@@ -164,9 +169,12 @@
     co_return;
   }
   try {
-    const auto object = adapter::decode_object(reply.body);
+    const auto object = adapter::decode_object(reply.body, reply.era);
+    auto record = decode(object.spec);
+    // A restored store may show a number that has been used since.
+    record.fencing_number = std::max(record.fencing_number, state_.last_fencing_number());
     on_event(capacity::lease_found{
-        .call = a.call, .record = decode(object.spec), .version = object.revision});
+        .call = a.call, .record = std::move(record), .version = object.revision.packed()});
   } catch (const adapter::format_error& e) {
     state_.log.write(daemon::log_level::error, "lease unreadable", {{"reason", e.what()}});
     on_event(capacity::lease_call_unanswered{.call = a.call});
@@ -175,15 +183,24 @@
 
 asio::awaitable<void> lease_keeper::write(capacity::write_lease a)
 {
+  const auto base = gateway::store_revision::from_packed(a.version);
+  if (a.version != 0 && base.era != store_.era()) {
+    on_event(capacity::lease_conflict{.call = a.call}); // the number may be that of another write
+    co_return;
+  }
   const auto spec = encode(a.record);
   auto message = a.version == 0 ? adapter::create_call(lease_kind, lease_name, spec)
-                                : adapter::replace_call(lease_kind, lease_name, spec, a.version);
+                                : adapter::replace_call(lease_kind, lease_name, spec, base);
   const auto reply = co_await store_.call(std::move(message), "lease", call_timeout);
+  if (a.version != 0 && reply.era != base.era) {
+    on_event(capacity::lease_call_unanswered{.call = a.call}); // the next read shows what it did
+    co_return;
+  }
   switch (reply.result) {
   case adapter::store_result::done:
     try {
-      const auto object = adapter::decode_object(reply.body);
-      on_event(capacity::lease_written{.call = a.call, .version = object.revision});
+      const auto object = adapter::decode_object(reply.body, reply.era);
+      on_event(capacity::lease_written{.call = a.call, .version = object.revision.packed()});
     } catch (const adapter::format_error& e) {
       state_.log.write(daemon::log_level::error, "lease unreadable", {{"reason", e.what()}});
       on_event(capacity::lease_call_unanswered{.call = a.call});
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -280,8 +280,8 @@
   const auto after = state_.feed.revision();
   const auto asked_at = std::chrono::steady_clock::now();
   fetch_request request{.name = "endpoints",
-                        .target =
-                            std::string(endpoints_target) + "?after=" + std::to_string(after)};
+                        .target = std::string(endpoints_target) +
+                                  "?after=" + std::to_string(after.packed())};
   request.apply = [this, after, asked_at](const std::string& body) {
     const auto changes = gateway::decode_endpoint_changes(body);
     const auto now = std::chrono::steady_clock::now();
@@ -457,7 +457,8 @@
   if (!after) {
     return {.status = http::status::bad_request};
   }
-  const auto changes = state_.endpoint_changes(*after, std::chrono::steady_clock::now());
+  const auto changes = state_.endpoint_changes(gateway::store_revision::from_packed(*after),
+                                               std::chrono::steady_clock::now());
   return {.status = http::status::ok, .body = encode_endpoint_changes(changes)};
 }
 
--- a/src/relay/rollout_sync.cc
+++ b/src/relay/rollout_sync.cc
@@ -29,6 +29,8 @@
 // daemon reads the store itself.
 constexpr milliseconds peer_propagation_time{1'500};
 constexpr milliseconds advance_period{400};
+// What a restored store lacks is written again within two seconds.
+constexpr milliseconds withdrawal_hold_time{2'300};
 
 } // namespace
 
@@ -46,20 +48,25 @@
 {
   for (unsigned failures = 0;;) {
     const auto after = state_.versions.rollouts_revision();
-    if (after == 0 || !state_.is_coordinator(std::chrono::steady_clock::now())) {
+    if (after.number == 0 || !state_.is_coordinator(std::chrono::steady_clock::now())) {
       co_await async_sleep(coordinator_check_period);
       continue;
     }
     auto message = adapter::watch_call(adapter::rollout_kind, after, watch_wait);
     const auto reply = co_await store_.call(std::move(message), "watch", watch_wait + watch_slack);
-    if (reply.result == adapter::store_result::expired) {
+    const bool is_other_era = reply.result == adapter::store_result::done && reply.era != after.era;
+    if (is_other_era || reply.result == adapter::store_result::expired) {
       list_requested_ = true;
     }
+    if (is_other_era) {
+      co_await async_sleep(list_check_period);
+      continue;
+    }
     if (reply.result != adapter::store_result::done) {
       co_await async_sleep(store_.backoff(++failures));
       continue;
     }
-    failures = apply_changes(reply.body) ? 0 : failures + 1;
+    failures = apply_changes(reply) ? 0 : failures + 1;
     if (failures > 0) {
       list_requested_ = true;
       co_await async_sleep(store_.backoff(failures));
@@ -67,10 +74,10 @@
   }
 }
 
-bool rollout_sync::apply_changes(const std::string& body)
+bool rollout_sync::apply_changes(const store_reply& reply)
 {
   try {
-    const auto page = adapter::decode_changes(body);
+    const auto page = adapter::decode_changes(reply.body, reply.era);
     report_unnamed(state_, adapter::rollout_kind, page.unnamed);
     for (const auto& change : page.changes) {
       if (change.deleted) {
@@ -100,8 +107,18 @@
   return state_.is_leader() && std::any_of(all.begin(), all.end(), is_missing);
 }
 
+void rollout_sync::on_store_restored()
+{
+  list_requested_ = true;
+  withdrawals_held_until_ = std::chrono::steady_clock::now() + withdrawal_hold_time;
+}
+
 bool rollout_sync::is_list_due(mono_time now)
 {
+  if (withdrawals_held_until_ && now >= *withdrawals_held_until_) {
+    withdrawals_held_until_.reset();
+    list_requested_ = true;
+  }
   if (!state_.versions.awaits_rollouts()) {
     behind_since_.reset();
     return list_requested_ || lacks_stored_order();
@@ -140,7 +157,7 @@
   }
   std::vector<std::string> removed;
   for (const auto& [service, e] : state_.rollouts.all()) {
-    if (!present.contains(service)) {
+    if (!present.contains(service) && !withdrawals_held_until_) {
       removed.push_back(service);
     }
   }
@@ -159,10 +176,9 @@
     decoded = adapter::decode_rollout(entry);
   } catch (const adapter::format_error& e) {
     state_.counters.count("rollout_entries_rejected");
-    state_.log.write(daemon::log_level::error, "roll-out rejected",
-                     {{"service", entry.name},
-                      {"revision", std::to_string(entry.revision)},
-                      {"reason", e.what()}});
+    state_.log.write(
+        daemon::log_level::error, "roll-out rejected",
+        {{"service", entry.name}, {"revision", to_string(entry.revision)}, {"reason", e.what()}});
     return;
   }
   const auto now = state_.fleet_time();
@@ -176,6 +192,10 @@
   const auto* known = state_.rollouts.find(decoded.service);
   // After a new order for the same version the entry still has the status of the earlier order,
   // until the new one's status is written.
+  if (known != nullptr && known->target == order.target &&
+      known->revision.era < order.revision.era) {
+    order.order = known->order; // the same order, written again after a restore
+  }
   const bool is_new = known == nullptr || known->order != order.order;
   const bool same_target_as_known = is_new && known != nullptr && known->target == decoded.target;
   if (same_target_as_known && decoded.recorded_phase != gateway::rollout_phase::trial) {
--- a/src/relay/rollout_sync.h
+++ b/src/relay/rollout_sync.h
@@ -28,6 +28,7 @@
   rollout_sync(boost::asio::io_context& context, fleet_state& state, store_client& store)
       : context_(context), state_(state), store_(store)
   {
+    store_.add_restore_callback([this] { on_store_restored(); });
   }
 
   // Starts to follow orders if the settings enable rollouts. Never ends.
@@ -37,13 +38,13 @@
   // An order's entry in the store, as last read.
   struct stored_order {
     std::uint64_t order = 0;
-    std::uint64_t revision = 0;
+    gateway::store_revision revision;
     std::optional<gateway::rollout_phase> written_phase;
   };
 
   boost::asio::awaitable<void> watch();
   // Applies the answer of a watch. Returns false if it is unreadable.
-  bool apply_changes(const std::string& body);
+  bool apply_changes(const store_reply& reply);
   boost::asio::awaitable<void> refresh_list();
   boost::asio::awaitable<void> advance_rollouts();
 
@@ -54,6 +55,8 @@
   // Reads all orders. Returns false if the list is incomplete.
   boost::asio::awaitable<bool> list_rollouts();
   void apply_entry(const adapter::stored_object& entry);
+  // Orders that the restored store lacks are written again by the operator.
+  void on_store_restored();
 
   void stop_if_bad(const gateway::rollout& order, const clock_reading& now);
   boost::asio::awaitable<void> advance(gateway::rollout order);
@@ -71,6 +74,8 @@
   std::map<std::string, stored_order> stored_orders_; // by service
   std::optional<mono_time> behind_since_;
   bool list_requested_ = true;
+  // Until then, orders that are missing in the store do not count as withdrawn.
+  std::optional<mono_time> withdrawals_held_until_;
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/store_client.cc
+++ b/src/relay/store_client.cc
@@ -54,6 +54,7 @@
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     auto response = co_await client_.call(state_.options.store, std::move(message), deadline);
     out.result = adapter::result_of(response.status);
+    out.era = adapter::decode_era(response);
     out.body = std::move(response.body);
     reason = "status " + std::to_string(response.status);
   } catch (const http::http_error& e) {
@@ -68,9 +69,30 @@
                      {{"call", name}, {"result", result}, {"reason", reason}});
   }
   record_result(answered);
+  record_era(out.era);
+  if (out.era != 0 && out.era < era_) {
+    out.result = adapter::store_result::failed; // from a copy of before the restore
+  }
   co_return out;
 }
 
+void store_client::record_era(std::uint64_t era)
+{
+  if (era <= era_) {
+    return;
+  }
+  const auto before = std::exchange(era_, era);
+  if (before == 0) {
+    return; // the first answer
+  }
+  state_.counters.count("store_restores");
+  state_.log.write(daemon::log_level::warn, "store restored from a copy",
+                   {{"era", std::to_string(era)}, {"era_before", std::to_string(before)}});
+  for (const auto& callback : on_restored_) {
+    callback();
+  }
+}
+
 void store_client::record_result(bool answered)
 {
   const auto outage = outages_.on_call_result(answered, std::chrono::steady_clock::now());
--- a/src/relay/store_list.cc
+++ b/src/relay/store_list.cc
@@ -33,7 +33,10 @@
     }
     failures = 0;
     try {
-      auto page = adapter::decode_list(reply.body);
+      auto page = adapter::decode_list(reply.body, reply.era);
+      if (!after.empty() && page.revision.era != out.revision.era) {
+        co_return out; // the store was restored between two pages
+      }
       // A watch from the earliest revision finds changes made between two pages; the pages of a
       // stale list may have different revisions.
       out.revision = after.empty() ? page.revision : std::min(out.revision, page.revision);
--- a/src/relay/store_list.h
+++ b/src/relay/store_list.h
@@ -24,7 +24,7 @@
 struct listing {
   bool is_complete = false; // false: a page is missing
   std::vector<adapter::stored_object> items;
-  std::uint64_t revision = 0; // of the store, from which to watch for changes
+  gateway::store_revision revision; // of the store, from which to watch for changes
 };
 
 // Reads all objects of `kind`, which must stay valid until the list is read. Unreadable answers are
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -54,13 +54,13 @@
 // Returns the revision at which the removed entry of change `i` was gone. This is the page's
 // revision, unless the entry exists again later in the page: an endpoint that stops and starts
 // again under the same id must not be considered gone.
-std::uint64_t removal_revision(const adapter::change_page& page, std::size_t i)
+gateway::store_revision removal_revision(const adapter::change_page& page, std::size_t i)
 {
   const auto& name = page.changes[i].object.name;
   for (auto next = i + 1; next < page.changes.size(); ++next) {
     const auto& later = page.changes[next];
     if (!later.deleted && later.object.name == name) {
-      return std::min(page.revision, later.object.revision - 1);
+      return std::min(page.revision, later.object.revision.before());
     }
   }
   return page.revision;
@@ -72,6 +72,7 @@
     : context_(context), state_(state), store_(store)
 {
   store_.set_recovery_callback([this] { on_store_recovery(); });
+  store_.add_restore_callback([this] { on_store_restored(); });
 }
 
 void store_sync::start()
@@ -86,6 +87,15 @@
   state_.endpoints.hold_removals_until(std::chrono::steady_clock::now() + removal_hold_time);
 }
 
+// Endpoints that the copy lacks write their entries again, as after an outage.
+void store_sync::on_store_restored()
+{
+  on_store_recovery();
+  endpoint_list_age_ = adapter::list_age::current;
+  state_.feed.on_store_restored(std::chrono::steady_clock::now());
+  asio::co_spawn(context_, register_daemon(), asio::detached);
+}
+
 asio::awaitable<void> store_sync::follow_configuration()
 {
   for (unsigned failures = 0;;) {
@@ -106,15 +116,20 @@
 }
 
 asio::awaitable<store_sync::change_read_result>
-store_sync::read_changes(std::string_view kind, std::uint64_t revision, milliseconds wait)
+store_sync::read_changes(std::string_view kind, gateway::store_revision revision, milliseconds wait)
 {
   auto message = adapter::watch_call(kind, revision, wait);
   const auto reply = co_await store_.call(std::move(message), "watch", wait + watch_slack);
   if (reply.result != adapter::store_result::done) {
     co_return change_read_result{.result = reply.result};
   }
+  if (reply.era != revision.era) {
+    // The number may exist again, with other changes before it.
+    co_return change_read_result{.result = adapter::store_result::expired};
+  }
   try {
-    change_read_result out{.result = reply.result, .page = adapter::decode_changes(reply.body)};
+    change_read_result out{.result = reply.result,
+                           .page = adapter::decode_changes(reply.body, reply.era)};
     report_unnamed(state_, kind, out.page.unnamed);
     co_return out;
   } catch (const adapter::format_error& e) {
@@ -134,7 +149,7 @@
                     coordinator_configuration_wait, max_configuration_wait);
 }
 
-asio::awaitable<void> store_sync::watch_configuration(std::uint64_t revision)
+asio::awaitable<void> store_sync::watch_configuration(gateway::store_revision revision)
 {
   for (unsigned failures = 0;;) {
     const auto wait = configuration_wait();
@@ -161,12 +176,12 @@
 {
   // A stale list does not count towards the store's rate limit; the changes since then are read
   // after it. If the store no longer has this history, the next list is a current one.
-  auto age = adapter::list_age::may_be_stale;
   for (unsigned failures = 0;;) {
-    const auto all = co_await list_objects(store_, state_, adapter::endpoint_kind, age);
+    const auto all =
+        co_await list_objects(store_, state_, adapter::endpoint_kind, endpoint_list_age_);
     if (all.is_complete) {
       const bool caught_up = co_await apply_list_and_changes(all);
-      age = caught_up ? adapter::list_age::may_be_stale : adapter::list_age::current;
+      endpoint_list_age_ = caught_up ? adapter::list_age::may_be_stale : adapter::list_age::current;
       if (caught_up) {
         failures = 0;
         co_await watch_endpoints();
@@ -265,11 +280,11 @@
   }
   state_.log.write(
       daemon::log_level::info, "endpoints listed",
-      {{"count", std::to_string(records.size())}, {"revision", std::to_string(all.revision)}});
+      {{"count", std::to_string(records.size())}, {"revision", to_string(all.revision)}});
 }
 
-void store_sync::reject_endpoint(const adapter::stored_object& entry, std::uint64_t revision,
-                                 const std::string& reason)
+void store_sync::reject_endpoint(const adapter::stored_object& entry,
+                                 gateway::store_revision revision, const std::string& reason)
 {
   const auto now = std::chrono::steady_clock::now();
   state_.apply_departures({{.id = endpoint_id(entry.name), .revision = revision}}, now);
@@ -281,7 +296,7 @@
   state_.counters.count("endpoint_entries_rejected");
   state_.log.write(
       daemon::log_level::error, "endpoint rejected",
-      {{"endpoint", entry.name}, {"revision", std::to_string(entry.revision)}, {"reason", reason}});
+      {{"endpoint", entry.name}, {"revision", to_string(entry.revision)}, {"reason", reason}});
   if (logged_rejections_.size() > max_remembered_rejections) {
     logged_rejections_.clear(); // some entries are logged again
   }
@@ -314,7 +329,7 @@
   if (state_.endpoints.departures(now).size() != before) {
     state_.log.write(daemon::log_level::info, "endpoint leaves",
                      {{"endpoint", c.object.name},
-                      {"revision", std::to_string(c.object.revision)},
+                      {"revision", to_string(c.object.revision)},
                       {"entry", c.deleted ? "removed" : "leaving"}});
     state_.signal_urgent_update();
   }
@@ -331,7 +346,7 @@
   }
   // An entry of a previous process under this id, perhaps with another address.
   try {
-    const auto present = adapter::decode_object(reply.body);
+    const auto present = adapter::decode_object(reply.body, reply.era);
     if (present.spec != entry) {
       auto replace = adapter::replace_call(daemon_kind, name, entry, present.revision);
       co_await store_.call(std::move(replace), "replace", store_call_timeout);
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -36,17 +36,19 @@
   boost::asio::awaitable<void> follow_configuration();
   boost::asio::awaitable<void> follow_endpoints();
   boost::asio::awaitable<void> follow_daemons();
-  // The changes after a revision; `page` is empty unless `result` is done.
+  // The changes after a revision; `page` is empty unless `result` is done. `expired` if the store
+  // has been restored since that revision.
   struct change_read_result {
     adapter::store_result result = adapter::store_result::failed;
     adapter::change_page page;
   };
 
-  boost::asio::awaitable<change_read_result>
-  read_changes(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait);
+  boost::asio::awaitable<change_read_result> read_changes(std::string_view kind,
+                                                          gateway::store_revision revision,
+                                                          std::chrono::milliseconds wait);
   // Maximum wait of the next configuration watch.
   [[nodiscard]] std::chrono::milliseconds configuration_wait() const;
-  boost::asio::awaitable<void> watch_configuration(std::uint64_t revision);
+  boost::asio::awaitable<void> watch_configuration(gateway::store_revision revision);
   // Reads changes whenever they are due. Returns when the store no longer has the history since the
   // last read.
   boost::asio::awaitable<void> watch_endpoints();
@@ -63,14 +65,17 @@
   void apply_endpoint_change(const adapter::change_page& page, std::size_t i);
   // Handles an endpoint's entry that cannot be used: logs it, and removes the endpoint as of
   // `revision`.
-  void reject_endpoint(const adapter::stored_object& entry, std::uint64_t revision,
+  void reject_endpoint(const adapter::stored_object& entry, gateway::store_revision revision,
                        const std::string& reason);
   void on_store_recovery();
+  void on_store_restored();
 
   boost::asio::io_context& context_;
   fleet_state& state_;
   store_client& store_;
-  std::map<std::string, std::uint64_t> logged_rejections_; // revision by entry name
+  // A list that may be stale could show the store as it was before it was restored.
+  adapter::list_age endpoint_list_age_ = adapter::list_age::may_be_stale;
+  std::map<std::string, gateway::store_revision> logged_rejections_; // by entry name
 };
 
 } // namespace wisteriaflow::relay
--- a/test/adapter/store_calls_test.cc
+++ b/test/adapter/store_calls_test.cc
@@ -19,6 +19,21 @@
   EXPECT_EQ(watch_call("k", 7, 2s).target, "/objects/k?watch=7&waitMs=2000");
 }
 
+TEST(StoreCallsTest, ReadsTheEraOfAResponse)
+{
+  EXPECT_EQ(decode_era({.fields = {{"Store-Era", "3"}}}), 3U);
+  EXPECT_EQ(decode_era({.fields = {{"Store-Era", "soon"}}}), 0U);
+  EXPECT_EQ(decode_era({}), 0U);
+}
+
+TEST(StoreCallsTest, RevisionsAreOfTheEraOfTheResponse)
+{
+  const auto page = decode_list(
+      R"({"items":[{"metadata":{"name":"a","revision":5},"spec":{}}],"hasMore":false,"at":7})", 3);
+  EXPECT_EQ(page.revision, gateway::store_revision(3, 7));
+  EXPECT_EQ(page.items.at(0).revision, gateway::store_revision(3, 5));
+}
+
 TEST(StoreCallsTest, CreatesUnderTheKindAndReplacesUnderTheName)
 {
   const auto create = create_call("k", "n", "value");
--- a/test/capacity/lease_client_test.cc
+++ b/test/capacity/lease_client_test.cc
@@ -93,6 +93,24 @@
   EXPECT_FALSE(simulation_.client(0).may_issue_order(true, simulation_.now()));
 }
 
+TEST_F(LeaseClientTest, TheHolderLosesTheLeaseWhenTheStoreIsRestored)
+{
+  acquire();
+  simulation_.deliver(0, store_restored{});
+  EXPECT_FALSE(simulation_.client(0).holds(simulation_.now()));
+}
+
+TEST_F(LeaseClientTest, NobodyClaimsTheLeaseBeforeAHolderThatTheCopyLacksHasEnded)
+{
+  simulation_.deliver(0, lease_wanted{true});
+  simulation_.deliver(0, store_restored{});
+  const auto restored_at = simulation_.now();
+  while (!simulation_.client(0).holds(simulation_.now())) {
+    simulation_.advance_time(100ms, {0});
+  }
+  EXPECT_GE(simulation_.now() - restored_at, simulation_.options.duration);
+}
+
 TEST_F(LeaseClientTest, ResolvesALostAnswerToItsClaimByReadingBack)
 {
   simulation_.deliver(0, lease_wanted{true});
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -49,6 +49,20 @@
   EXPECT_TRUE(follower_.is_read_due(start + 1'200ms));
 }
 
+TEST_F(EndpointFeedTest, AReadIsDueAtOnceWhenAPeerHasReadARestoredStore)
+{
+  reader_.on_list({{endpoint_id("a"), record("a", 5)}}, {1, 3}, start + 100ms);
+  EXPECT_EQ(exchange_view(start + 200ms), feed_action::nothing);
+  EXPECT_EQ(follower_.revision(), store_revision(10));
+  EXPECT_TRUE(follower_.is_read_due(start + 200ms));
+}
+
+TEST_F(EndpointFeedTest, AListOfARestoredStoreReplacesAViewOfAHigherNumber)
+{
+  follower_.on_list({{endpoint_id("a"), record("a", 5)}}, {1, 3}, start + 100ms);
+  EXPECT_EQ(follower_.revision(), store_revision(1, 3));
+}
+
 TEST_F(EndpointFeedTest, ReadOfAReaderIsDueInHalfTheTime)
 {
   reader_.set_reader(true);
--- a/test/gateway/peer_report_test.cc
+++ b/test/gateway/peer_report_test.cc
@@ -33,15 +33,17 @@
       .peer_outcomes = {{.daemon = daemon_id("b"),
                          .age = std::chrono::milliseconds(80),
                          .counts = {{endpoint_id("e"), {.failed = 1}}}}},
-      .departures = {{.id = endpoint_id("f"), .revision = 44}},
+      .departures = {{.id = endpoint_id("f"), .revision = {2, 44}}},
       .terms = {{.process = {.id = endpoint_id("e"), .incarnation = 7},
                  .request_rate = 1.5,
                  .age = std::chrono::milliseconds(90)},
                 {.process = {.id = endpoint_id("f"), .incarnation = 8}, .leaving = true}},
-      .endpoints = {.revision = 50, .changed = 44, .age = std::chrono::milliseconds(70)},
+      .endpoints = {.revision = {2, 50}, .changed = {1, 44}, .age = std::chrono::milliseconds(70)},
       .usage = {{.source = {.daemon = daemon_id("a"), .incarnation = 5},
                  .window = 17,
                  .counts = {{workspace_id("hotel"), 3}}}},
+      .decided_usage = {{16, {{workspace_id("hotel"), 4}}}},
+      .fencing_number = 12,
       .crashes = {.crashes = {{.process = {.id = endpoint_id("g"), .incarnation = 8},
                                .at = from_unix_ms(1'234'500),
                                .suspects = {{{.hash = {.high = 1, .low = 2}},
@@ -81,6 +83,13 @@
   EXPECT_THROW(static_cast<void>(decode_peer_report(text)), peer_report_error);
 }
 
+TEST(PeerReportTest, RejectsAnAbsurdFencingNumber)
+{
+  const auto text =
+      encode_peer_report({.self = contact("a", 1), .fencing_number = ~std::uint64_t{0}});
+  EXPECT_THROW(decode_peer_report(text), peer_report_error);
+}
+
 TEST(PeerReportTest, ReadsTheReportOfAPeerOfAnEarlierVersion)
 {
   auto text = encode_peer_report({.self = contact("a", 1)});
--- a/test/relay/lease_keeper_test.cc
+++ b/test/relay/lease_keeper_test.cc
@@ -6,6 +6,7 @@
 // renewal, two thirds of a second later, its orders had the old fencing number.
 
 #include <chrono>
+#include <cstdint>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -28,11 +29,11 @@
         "test");
   }
 
-  // Calls tick() until it holds the lease.
-  void acquire_lease()
+  // Calls tick() until it holds the lease, under another number than `former_number`.
+  void acquire_lease(std::uint64_t former_number = 0)
   {
     const auto deadline = std::chrono::steady_clock::now() + 60s;
-    while (!lease_.holds_lease()) {
+    while (!lease_.holds_lease() || lease_.fencing_number() == former_number) {
       ASSERT_LT(std::chrono::steady_clock::now(), deadline) << "the lease was not acquired in time";
       lease_.tick();
       context_.restart();
@@ -84,6 +85,36 @@
   EXPECT_GT(lease_.fencing_number(), before);
 }
 
+// A store that was restored from a copy forgets which fencing numbers have been used.
+TEST_F(LeaseKeeperTest, UsesNoFencingNumberAgainAfterTheStoreHasLostTheLease)
+{
+  fake_.back_up();
+  acquire_lease();
+  const auto before = lease_.fencing_number();
+  fake_.restore();
+  acquire_lease(before);
+  EXPECT_GT(lease_.fencing_number(), before);
+}
+
+TEST_F(LeaseKeeperTest, UsesNoFencingNumberAgainAfterTheStoreHasAnEarlierOne)
+{
+  acquire_lease();
+  fake_.back_up();
+  suspended_ = 5s;
+  acquire_lease();
+  const auto before = lease_.fencing_number();
+  fake_.restore();
+  acquire_lease(before);
+  EXPECT_GT(lease_.fencing_number(), before);
+}
+
+TEST_F(LeaseKeeperTest, UsesNoFencingNumberThatAPeerHasReported)
+{
+  state_.record_fencing_number(7);
+  acquire_lease();
+  EXPECT_EQ(lease_.fencing_number(), 8U);
+}
+
 TEST_F(LeaseKeeperTest, ReportsHowLongTheInstanceWasSuspended)
 {
   acquire_lease();
