Test lost links only while there are any, and log when an answer ends a cut-off

The loop woke twenty times a second and copied the ids of all endpoints. It runs now while a link is lost, ten times a second.

--- a/include/wisteriaflow/gateway/store_revision.h
+++ b/include/wisteriaflow/gateway/store_revision.h
@@ -37,7 +37,9 @@
     return {value >> number_bits, value & ((std::uint64_t{1} << number_bits) - 1)};
   }
 
-  friend constexpr auto operator<=>(const store_revision&, const store_revision&) = default;
+  friend constexpr auto
+  operator<=>(const store_revision&,
+              const store_revision&) = default; // NOLINT(modernize-use-nullptr)
 
  private:
   static constexpr unsigned number_bits = 48;
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -108,7 +108,6 @@
                          return link_checker_.answer_probe(std::move(r), w);
                        });
     peers_.start();
-    link_checker_.start();
     duties_.start();
     rollouts_.start();
     await_signal();
--- a/src/relay/link_checker.cc
+++ b/src/relay/link_checker.cc
@@ -23,7 +23,7 @@
 // A peer's connection takes about 100 ms if there is no reply.
 constexpr milliseconds question_timeout{250};
 constexpr std::size_t max_peers_asked = 2;
-constexpr milliseconds link_test_check_period{50};
+constexpr milliseconds link_test_check_period{100};
 // Some endpoint sends an event or an answer every few milliseconds while calls are under way.
 constexpr milliseconds suspicious_silence{250};
 constexpr milliseconds silence_check_period{1'000};
@@ -66,11 +66,6 @@
 {
 }
 
-void link_checker::start()
-{
-  asio::co_spawn(context_, test_lost_links(), asio::detached);
-}
-
 asio::awaitable<std::optional<probe_verdict>> link_checker::connect(endpoint_id id)
 {
   const auto it = state_.endpoints.all().find(id);
@@ -103,21 +98,25 @@
     co_return own == probe_verdict::ended ? failure_cause::ended : failure_cause::unreachable;
   }
   if (*told == failure_cause::link) {
-    const bool was_cut_off = state_.links.is_cut_off();
-    state_.links.on_connect_failure(id, began_at, std::chrono::steady_clock::now());
-    update_cut_off(was_cut_off);
+    record_lost_link(id, began_at);
   }
   co_return *told;
 }
 
-void link_checker::on_connect_failure(const endpoint_id& id, mono_time began_at)
+void link_checker::record_lost_link(const endpoint_id& id, mono_time began_at)
 {
-  const bool was_cut_off = state_.links.is_cut_off();
-  const auto now = std::chrono::steady_clock::now();
-  if (state_.links.on_connect_failure(id, began_at, now)) {
+  if (state_.links.on_connect_failure(id, began_at, std::chrono::steady_clock::now())) {
     state_.counters.count("links_lost");
   }
-  update_cut_off(was_cut_off);
+  report_cut_off();
+  if (!std::exchange(is_testing_, true)) {
+    asio::co_spawn(context_, test_lost_links(), asio::detached);
+  }
+}
+
+void link_checker::on_connect_failure(const endpoint_id& id, mono_time began_at)
+{
+  record_lost_link(id, began_at);
   if (confirmations_in_flight_.insert(id).second) {
     asio::co_spawn(context_, confirm_connect_failure(id), asio::detached);
   }
@@ -145,10 +144,10 @@
   }
 }
 
-void link_checker::update_cut_off(bool was_cut_off)
+void link_checker::report_cut_off()
 {
   const bool is_cut_off = state_.links.is_cut_off();
-  if (is_cut_off == was_cut_off) {
+  if (std::exchange(was_cut_off_, is_cut_off) == is_cut_off) {
     return;
   }
   state_.log.write(is_cut_off ? daemon::log_level::warn : daemon::log_level::info,
@@ -257,16 +256,17 @@
     on_connect_failure(id, began_at);
     co_return;
   }
-  const bool was_cut_off = state_.links.is_cut_off();
   if (state_.links.on_probe_success(id, std::chrono::steady_clock::now())) {
     state_.log.write(daemon::log_level::info, "link restored", {{"endpoint", id.value()}});
   }
-  update_cut_off(was_cut_off);
+  report_cut_off();
 }
 
 asio::awaitable<void> link_checker::test_lost_links()
 {
-  for (;;) {
+  while (state_.links.is_cut_off() || state_.links.lost_count() > 0) {
+    co_await async_sleep(link_test_check_period);
+    report_cut_off(); // an answer may have ended it
     std::vector<endpoint_id> known;
     for (const auto& [id, record] : state_.endpoints.all()) {
       known.push_back(id);
@@ -274,8 +274,8 @@
     for (auto& id : state_.links.take_due_probes(known, std::chrono::steady_clock::now())) {
       asio::co_spawn(context_, test_link(std::move(id)), asio::detached);
     }
-    co_await async_sleep(link_test_check_period);
   }
+  is_testing_ = false;
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/link_checker.h
+++ b/src/relay/link_checker.h
@@ -5,7 +5,7 @@
 // fails, a peer is asked to connect to the endpoint, too.
 //
 //   link_checker checker(context, state);
-//   checker.on_connect_failure(id, address, began_at);
+//   checker.on_connect_failure(id, began_at);
 //   const auto cause = co_await checker.find_cause(id, address);
 
 #ifndef WISTERIAFLOW_SRC_RELAY_LINK_CHECKER_H_
@@ -46,9 +46,6 @@
  public:
   link_checker(boost::asio::io_context& context, fleet_state& state);
 
-  // Starts to test lost links. It never ends.
-  void start();
-
   // Finds out why an exchange with the endpoint broke off. Takes a few milliseconds, or some
   // hundred if there is no reply. Does not throw.
   boost::asio::awaitable<failure_cause> find_cause(endpoint_id id, http::socket_address address);
@@ -65,6 +62,9 @@
   boost::asio::awaitable<void> answer_probe(http::request request, http::response_writer& writer);
 
  private:
+  // Marks the link as lost and starts to test lost links.
+  void record_lost_link(const endpoint_id& id, mono_time began_at);
+  // Tests lost links until there are none.
   boost::asio::awaitable<void> test_lost_links();
   boost::asio::awaitable<void> test_link(endpoint_id id);
   // Opens a connection to the endpoint. Returns nullopt if the endpoint is not known any more.
@@ -79,7 +79,8 @@
   // Peers that can tell, those in other zones first: a cut often concerns a whole zone.
   [[nodiscard]] std::vector<http::socket_address> peers_to_ask();
   void on_unreachable(const endpoint_id& id, failure_cause cause);
-  void update_cut_off(bool was_cut_off);
+  // Logs whether this daemon is cut off, and tells peers, if that has changed.
+  void report_cut_off();
 
   boost::asio::io_context& context_;
   fleet_state& state_;
@@ -88,6 +89,8 @@
   std::mt19937_64 random_;
   std::set<endpoint_id> confirmations_in_flight_;
   mono_time next_silence_check_;
+  bool is_testing_ = false;
+  bool was_cut_off_ = false; // as last reported
 };
 
 } // namespace wisteriaflow::relay
