--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -85,11 +85,23 @@
   co_await w.send(std::move(out));
 }
 
-void fake_store::restore()
+void fake_store::restore(const std::vector<std::string>& written_again)
 {
-  const auto era = content_->era + 1;
-  *content_ = backup_.value();
-  content_->era = era;
+  const auto lost = std::exchange(*content_, backup_.value());
+  content_->era = lost.era + 1;
+  for (const auto& kind : written_again) {
+    const auto of_kind = lost.kinds.find(kind);
+    if (of_kind == lost.kinds.end()) {
+      continue;
+    }
+    for (const auto& [name, o] : of_kind->second) {
+      if (o.deleted) {
+        erase(kind, name);
+      } else if (get(kind, name) != o.spec) {
+        put(kind, name, o.spec);
+      }
+    }
+  }
 }
 
 fake_reply fake_store::dispatch(const fake_request& r)
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -57,9 +57,10 @@
   std::map<std::string, http::socket_address> endpoint_addresses;
   // Maximum number of objects in a page of a list, and of changes in an answer to a watch.
   std::size_t page_size = 1'000;
-  // Keeps a copy of all objects, and replaces them by it.
+  // Keeps a copy of all objects, and replaces them by it. Objects of the kinds `written_again` are
+  // then as before the restore, under new revisions: their writers write them again.
   void back_up() { backup_ = *content_; }
-  void restore();
+  void restore(const std::vector<std::string>& written_again = {});
 
   // From now on, lists whose caller accepts stale results show the present objects, whatever
   // changes afterwards.
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -126,6 +126,7 @@
         {"network fault at an endpoint", &soak::disrupt_endpoint_connections, 4},
         {"network fault between a daemon and the store", &soak::disrupt_store_connections, 1},
         {"the store is unavailable", &soak::make_store_unavailable, 1},
+        {"the store is restored from a copy", &soak::restore_store, 1},
         {"a new configuration", &soak::change_configuration, 2}};
     std::vector<double> weights;
     weights.reserve(kinds.size());
@@ -365,6 +366,15 @@
     fleet_.store().unavailable = store_outages_ > 0;
   }
 
+  // What the operator and the endpoints have written since the copy is written again; what the
+  // daemons have written is lost.
+  asio::awaitable<void> restore_store()
+  {
+    fleet_.store().back_up();
+    co_await sleep(random_fault_duration());
+    fleet_.store().restore({"servers", "config"});
+  }
+
   asio::awaitable<void> change_configuration()
   {
     calls_.note_configuration(fleet_.write_configuration());
