--- a/src/relay/link_checker.cc
+++ b/src/relay/link_checker.cc
@@ -93,14 +93,14 @@
       co_return failure_cause::endpoint;
     }
   }
-  const auto told = co_await ask_peers(id);
-  if (!told) {
+  const auto peers_answer = co_await ask_peers(id);
+  if (!peers_answer) {
     co_return own == probe_verdict::ended ? failure_cause::ended : failure_cause::unreachable;
   }
-  if (*told == failure_cause::link) {
+  if (*peers_answer == failure_cause::link) {
     record_lost_link(id, began_at);
   }
-  co_return *told;
+  co_return *peers_answer;
 }
 
 void link_checker::record_lost_link(const endpoint_id& id, mono_time began_at)
@@ -124,8 +124,8 @@
 
 asio::awaitable<void> link_checker::confirm_connect_failure(endpoint_id id)
 {
-  const auto told = co_await ask_peers(id);
-  const auto cause = told.value_or(failure_cause::unreachable);
+  const auto peers_answer = co_await ask_peers(id);
+  const auto cause = peers_answer.value_or(failure_cause::unreachable);
   if (cause == failure_cause::ended || cause == failure_cause::unreachable) {
     on_unreachable(id, cause);
   }
