Take a call for not sent only if the peer says so

A peer that fails after it has sent a call answers with a status of its server, without a result. The daemon took that for a refusal and tried the next peer, so that a call that may run once could have run twice. Only a stated refusal, or status 404 of a peer that does not know the target, counts as not sent now. Found by reading; the test APeerThatFailsMayHaveSentTheCall failed before. Besides, open connections are closed only with their link, and a call without time left does not count against the peer.

--- a/src/relay/endpoint_transport.cc
+++ b/src/relay/endpoint_transport.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "wisteriaflow/http/status.h"
+
 namespace wisteriaflow::relay {
 namespace {
 
@@ -53,9 +55,11 @@
                                                    http::cancel_handle& handle,
                                                    std::optional<daemon_id>& relay)
 {
-  if (avoid_link || state_.links.is_lost(request.endpoint)) {
-    // An open connection may have died with the link.
-    endpoint_client_.close_idle_connections(address);
+  const bool is_lost = state_.links.is_lost(request.endpoint);
+  if (is_lost) {
+    endpoint_client_.close_idle_connections(address); // they may have died with the link
+  }
+  if (is_lost || avoid_link) {
     const bool is_sent = co_await exchange_through_peers(request, observer, handle, relay);
     if (is_sent) {
       co_return;
@@ -129,7 +133,7 @@
     return relay_result_of(head) != relay_result::answered || observer.is_expected(head);
   };
   own.on_head = [&observer, &answer](const http::response& head) {
-    answer = {.result = relay_result_of(head), .head_received = true};
+    answer = {.status = head.status, .result = relay_result_of(head)};
     if (answer.result == relay_result::answered) {
       observer.on_head(without_relay_result(head));
     }
@@ -148,16 +152,18 @@
     co_await peer_client_.stream(peer.peer_address, std::move(message), deadline, std::move(own),
                                  &handle);
     label = answer.result ? std::string(to_string(*answer.result)) : "not_understood";
-    if (!answer.result || answer.result == relay_result::refused) {
+    if (is_refused(answer)) {
       end = gateway::relay_end::refused;
     }
   } catch (const http::connect_error& e) {
-    end = gateway::relay_end::no_answer;
+    if (std::chrono::steady_clock::now() < deadline) { // otherwise there was no time to connect
+      end = gateway::relay_end::no_answer;
+    }
     failure = std::make_exception_ptr(relay_refused_error(e.what()));
   } catch (const http::exchange_timeout_error& e) {
     failure = std::current_exception(); // the endpoint may be slow
   } catch (const http::broken_exchange_error& e) {
-    if (!answer.head_received && !handle.is_cancelled()) {
+    if (answer.status == 0 && !handle.is_cancelled()) {
       end = gateway::relay_end::no_answer;
     }
     failure =
@@ -173,16 +179,25 @@
   check_result(answer, endpoint);
 }
 
+bool endpoint_transport::is_refused(const relayed_answer& answer)
+{
+  // A peer of an earlier version knows nothing at the target.
+  return answer.result == relay_result::refused ||
+         (!answer.result && answer.status == http::status::not_found);
+}
+
 void endpoint_transport::check_result(const relayed_answer& answer, const endpoint_id& endpoint)
 {
-  if (!answer.result) {
-    throw relay_refused_error("the peer does not relay calls");
+  if (is_refused(answer)) {
+    throw relay_refused_error("no peer passed on the call to " + endpoint.value());
+  }
+  if (!answer.result) { // the peer failed, and may have sent the request before
+    throw relay_lost_error("the peer answered with status " + std::to_string(answer.status));
   }
   switch (*answer.result) {
   case relay_result::answered:
-    return;
   case relay_result::refused:
-    throw relay_refused_error("no peer passed on the call to " + endpoint.value());
+    return;
   case relay_result::unreachable:
     throw endpoint_unreachable_error("the peer cannot connect to " + endpoint.value() + " either");
   case relay_result::interrupted:
--- a/src/relay/endpoint_transport.h
+++ b/src/relay/endpoint_transport.h
@@ -59,8 +59,8 @@
  private:
   // The answer of a peer so far.
   struct relayed_answer {
+    int status = 0; // 0: no head was received
     std::optional<relay_result> result;
-    bool head_received = false;
   };
 
   // Returns false if there is no peer to try. Throws connect_error if all that were tried refused.
@@ -74,6 +74,8 @@
                                                 http::cancel_handle& handle);
   // Throws the exception that corresponds to the result, unless the endpoint has answered.
   static void check_result(const relayed_answer& answer, const endpoint_id& endpoint);
+  // Whether the peer has certainly sent nothing to the endpoint.
+  [[nodiscard]] static bool is_refused(const relayed_answer& answer);
 
   fleet_state& state_;
   link_checker& checker_;
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -1,8 +1,8 @@
 // Messages by which a daemon sends a call to an endpoint through a peer.
 //
 // The request is the endpoint's own, at the target `relay_target`, with header fields that name the
-// endpoint and the original target. The answer is the endpoint's, with a field that says that it
-// is; without that field the peer has passed nothing on.
+// endpoint and the original target. The answer is the endpoint's, or the peer's own if there is
+// none; a field of it states which.
 
 #ifndef WISTERIAFLOW_SRC_RELAY_RELAY_MESSAGES_H_
 #define WISTERIAFLOW_SRC_RELAY_RELAY_MESSAGES_H_
