--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -35,9 +35,8 @@
   auto request = decode_relay_request(std::move(received), now);
   const auto* endpoint = request ? usable_endpoint(request->endpoint) : nullptr;
   auto result = std::optional(relay_result::refused);
-  std::string request_id;
+  const auto request_id = request ? request->request_id : std::string();
   if (endpoint != nullptr && open_calls_ < max_open_calls) {
-    request_id = request->request_id;
     auto call = std::make_shared<carried_call>();
     call->request = std::move(*request);
     call->endpoint = {.id = endpoint->id, .incarnation = endpoint->incarnation};
@@ -47,12 +46,11 @@
     result = co_await carry(std::move(call), writer);
     --open_calls_;
   }
-  state_.counters.count(
-      "calls_carried",
-      {{"result", std::string(to_string(result.value_or(relay_result::answered)))}});
+  const std::string outcome(to_string(result.value_or(relay_result::answered)));
+  state_.counters.count("calls_carried", {{"result", outcome}});
+  state_.log.write(daemon::log_level::info, "call carried for a peer",
+                   {{"request", request_id}, {"result", outcome}});
   if (result) {
-    state_.log.write(daemon::log_level::info, "call of a peer not answered",
-                     {{"request", request_id}, {"result", std::string(to_string(*result))}});
     auto out = with_relay_result({.status = http::status::bad_gateway}, *result);
     co_await writer.send(std::move(out));
   }
--- a/test/relay/partitioned_daemon_test.cc
+++ b/test/relay/partitioned_daemon_test.cc
@@ -305,6 +305,17 @@
   EXPECT_EQ(gauge(*gateways_[0], "cut_off_from_endpoints"), 0);
 }
 
+TEST_F(PartitionedDaemonTest, BothDaemonsLogACallUnderItsRequestId)
+{
+  start_cut_off();
+  auto message = request_for("POST", "/unsafe/1");
+  const auto id = std::string(http::find_header(message.fields, "Request-Id"));
+  send(gateways_[0]->options.callers, std::move(message));
+  for (const auto& g : gateways_) {
+    EXPECT_FALSE(g->lines_for_request(id).empty());
+  }
+}
+
 TEST_F(PartitionedDaemonTest, APeerPassesOnNoCallToAnEndpointThatLeaves)
 {
   start(1, 2);
