Log what was asked of the store, and when daemons learn of departures

Cause: the logs of the incident couldn't tell its hypotheses apart. A failed call of the store named neither what was read nor how long it took; only daemons that read a departure from the store logged it, not those that learned it from peers; nothing said how old a daemon's view of the endpoints was when it chose one. Change: failed calls of the store state their target and duration; departures learned from peers get one line a message, with the source and the age of the view; each attempt states the age of the view that its endpoint was chosen from; a daemon logs when its view becomes older than 70% of the notice and when it is recent again. Bytes of the store's answers and of fetches are counted by kind. No decision changes. Tests: FleetState, Gateway and LeavingAnswer of relay_test pass; the rest is run before the landing.

--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -91,7 +91,9 @@
 
   end_state end = end_state::interrupted;
   gateway::endpoint_process endpoint;
-  std::string version;            // of the endpoint's software; empty: not stated
+  std::string version; // of the endpoint's software; empty: not stated
+  // Age of the view of the endpoints from which this one was chosen.
+  std::chrono::milliseconds view_age{0};
   http::socket_address address;   // of the endpoint
   std::optional<daemon_id> relay; // the peer that carried the exchange, if one did
   // The endpoint that it was directed to copy the prompt's shared prefix from.
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -113,7 +113,8 @@
       {"configuration", std::to_string(call.configuration->version())},
       {"status", result.head_received ? std::to_string(result.answer.status) : "none"},
       {"silent", result.silent ? "yes" : "no"},
-      {"events", std::to_string(call.last_event_id.value_or(0))}};
+      {"events", std::to_string(call.last_event_id.value_or(0))},
+      {"view_age_ms", std::to_string(result.view_age.count())}};
   add_prompt_parts(fields, call.description);
   if (result.head_received && http::ends_with_connection(result.answer)) {
     fields.emplace_back("body_ends_with", "connection");
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -48,6 +48,11 @@
 constexpr std::size_t max_terms_per_report = 32;
 constexpr std::size_t max_usage_rows = 16; // rows of daemons that are silent
 
+// Endpoints that one log line names.
+constexpr std::size_t max_logged_departures = 16;
+// Age from which a view counts as old in the log, as a part of the endpoint notice.
+constexpr int old_view_percent = 70;
+
 // Fractions of the limits for a version on trial that the fleet uses. The rest covers calls that
 // the platform counts differently, such as calls of a daemon that crashed before it reported them.
 constexpr double trial_margin = 0.8;
@@ -278,20 +283,58 @@
 }
 
 void fleet_state::apply_departures(const std::vector<gateway::endpoint_departure>& departures,
-                                   mono_time now)
+                                   std::string_view source, mono_time now)
 {
-  bool changed = false;
+  std::vector<endpoint_id> learned;
   for (const auto& d : departures) {
     if (endpoints.on_departure(d, now)) {
       feed.on_departure(d);
-      changed = true;
+      learned.push_back(d.id);
     }
   }
-  if (changed) {
+  if (!learned.empty()) {
+    log_departures(learned, source, now);
     signal_urgent_update();
   }
 }
 
+void fleet_state::log_departures(const std::vector<endpoint_id>& learned, std::string_view source,
+                                 mono_time now)
+{
+  std::string ids;
+  for (std::size_t i = 0; i < std::min(learned.size(), max_logged_departures); ++i) {
+    ids += (i == 0 ? "" : ",") + learned[i].value();
+  }
+  log.write(daemon::log_level::info, "departures learned",
+            {{"source", std::string(source)},
+             {"number", std::to_string(learned.size())},
+             {"endpoints", ids},
+             {"view_revision", to_string(feed.revision())},
+             {"view_age_ms", std::to_string(feed.view(now).age.count())}});
+}
+
+void fleet_state::log_view_age(mono_time now)
+{
+  if (!endpoints.has_list()) {
+    return;
+  }
+  const auto age = feed.view(now).age;
+  const bool is_old = age >= options.endpoint_notice * old_view_percent / 100;
+  if (is_old) {
+    oldest_view_age_ = std::max(oldest_view_age_, age);
+  }
+  if (std::exchange(was_view_old_, is_old) == is_old) {
+    return;
+  }
+  const auto oldest = is_old ? age : std::exchange(oldest_view_age_, std::chrono::milliseconds{0});
+  log.write(is_old ? daemon::log_level::warn : daemon::log_level::info,
+            is_old ? "view of the endpoints is old" : "view of the endpoints is recent again",
+            {{"age_ms", std::to_string(age.count())},
+             {"oldest_ms", std::to_string(oldest.count())},
+             {"revision", to_string(feed.revision())},
+             {"reader", feed.is_reader() ? "yes" : "no"}});
+}
+
 void fleet_state::apply_answer_terms(const gateway::answer_terms& answered, mono_time now)
 {
   if (endpoints.on_answer(answered, now) == gateway::terms_action::gossip) {
@@ -541,7 +584,7 @@
     update_fleet_view(peers.live(now.mono), now.mono);
   }
   clock.on_reading(received.self.id, received.clock, now.mono);
-  apply_departures(received.departures, now.mono);
+  apply_departures(received.departures, received.self.id.value(), now.mono);
   apply_peer_terms(received, now.mono);
   const auto reported_at = now.mono - received.age;
   endpoints.on_peer_work(received.self.id, received.work, reported_at);
@@ -676,6 +719,7 @@
   const auto live = peers.live(now.mono);
   counters.set("peers_live", static_cast<double>(live.size()));
   update_gauges(now.mono);
+  log_view_age(now.mono);
   const auto non_draining = ids_of_non_draining(live);
   update_groups(non_draining);
   log_peer_changes(non_draining);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -132,7 +132,9 @@
   void apply_endpoint(const gateway::endpoint_record& record, mono_time now);
 
   // Applies departures of endpoints, reported by a peer or deduced from an unreadable entry.
-  void apply_departures(const std::vector<gateway::endpoint_departure>& departures, mono_time now);
+  // `source` names where they came from, for the log.
+  void apply_departures(const std::vector<gateway::endpoint_departure>& departures,
+                        std::string_view source, mono_time now);
 
   // Applies the terms (leaving, rate limit) that an endpoint stated in an answer.
   void apply_answer_terms(const gateway::answer_terms& answered, mono_time now);
@@ -237,6 +239,10 @@
   void log_peer_changes(const std::vector<daemon_id>& live);
   // Computes the groups again if `live` differs from the live daemons of the last tick.
   void update_groups(const std::vector<daemon_id>& live);
+  void log_departures(const std::vector<endpoint_id>& learned, std::string_view source,
+                      mono_time now);
+  // Logs when the view of the endpoints becomes old, and when it is recent again.
+  void log_view_age(mono_time now);
   // Updates the gauges of the age of the configuration and endpoints, and of the log.
   void update_gauges(mono_time now);
 
@@ -251,7 +257,9 @@
   std::set<daemon_id> live_peers_; // as of the last tick
   gateway::fleet_groups groups_;   // as of the last tick
   hold_log hold_log_;
-  std::size_t next_contact_ = 0; // index of the next contact to report
+  bool was_view_old_ = false;                    // at the last tick
+  std::chrono::milliseconds oldest_view_age_{0}; // since the view became old
+  std::size_t next_contact_ = 0;                 // index of the next contact to report
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -206,6 +206,13 @@
   state_.counters.count("peer_report_bytes", {{"direction", direction}}, body.size());
 }
 
+void peer_sync::count_bytes(const std::string& message, const char* direction,
+                            const std::string& body)
+{
+  state_.counters.count("peer_fetch_bytes", {{"fetched", message}, {"direction", direction}},
+                        body.size());
+}
+
 gateway::peer_report peer_sync::unpack_report(const std::string& body, const http::headers& fields)
 {
   count_report(body, "received");
@@ -257,6 +264,7 @@
     const auto deadline = std::chrono::steady_clock::now() + fetch_timeout;
     const auto reply = co_await client_.call(peer, std::move(message), deadline);
     if (reply.status == http::status::ok) {
+      count_bytes(request.name, "received", reply.body);
       request.apply(reply.body);
     }
   } catch (const error& e) {
@@ -282,10 +290,10 @@
   fetch_request request{.name = "endpoints",
                         .target = std::string(endpoints_target) +
                                   "?after=" + std::to_string(after.packed())};
-  request.apply = [this, after, asked_at](const std::string& body) {
+  request.apply = [this, peer, after, asked_at](const std::string& body) {
     const auto changes = gateway::decode_endpoint_changes(body);
     const auto now = std::chrono::steady_clock::now();
-    state_.apply_departures(changes.departures, now);
+    state_.apply_departures(changes.departures, "changes of " + to_string(peer), now);
     for (const auto& r : changes.records) {
       state_.endpoints.apply(r, now);
       state_.feed.update_from_peer(r);
@@ -479,8 +487,10 @@
     } else if (request.target == configuration_target && state_.configuration()) {
       out = {.status = http::status::ok,
              .body = boost::json::serialize(state_.configuration_document())};
+      count_bytes("configuration", "sent", out.body);
     } else if (http::parse_target(request.target).path == endpoints_target) {
       out = answer_endpoints(request);
+      count_bytes("endpoints", "sent", out.body);
     } else if (request.target == crashes_target) {
       out = {.status = http::status::ok,
              .body = boost::json::serialize(encode_crash_report(state_.crashes.all()))};
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -50,6 +50,8 @@
   };
   const cached_report& current_report(fleet_state::report_extent extent);
   void count_report(const std::string& body, const char* direction);
+  // Counts the body of an answer to a fetch, by what was fetched.
+  void count_bytes(const std::string& message, const char* direction, const std::string& body);
   gateway::peer_report unpack_report(const std::string& body,
                                      const http::headers& fields); // throws peer_report_error
   boost::asio::awaitable<std::optional<gateway::quota_grant>>
--- a/src/relay/store_client.cc
+++ b/src/relay/store_client.cc
@@ -50,8 +50,10 @@
 {
   store_reply out;
   std::string reason;
+  const auto target = message.target;
+  const auto asked_at = std::chrono::steady_clock::now();
   try {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto deadline = asked_at + timeout;
     auto response = co_await client_.call(state_.options.store, std::move(message), deadline);
     out.result = adapter::result_of(response.status);
     out.era = adapter::decode_era(response);
@@ -60,13 +62,19 @@
   } catch (const http::http_error& e) {
     reason = e.what();
   }
+  const auto elapsed = std::chrono::steady_clock::now() - asked_at;
   const auto result = std::string(to_string(out.result));
   state_.counters.count("store_calls", {{"call", name}, {"result", result}});
+  state_.counters.count("store_answer_bytes", {{"call", name}}, out.body.size());
   const bool answered =
       out.result != adapter::store_result::failed && out.result != adapter::store_result::refused;
   if (!answered) {
     state_.log.write(daemon::log_level::warn, "store call failed",
-                     {{"call", name}, {"result", result}, {"reason", reason}});
+                     {{"call", name},
+                      {"target", target},
+                      {"after_ms", std::to_string(elapsed / milliseconds(1))},
+                      {"result", result},
+                      {"reason", reason}});
   }
   record_result(answered);
   record_era(out.era);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -287,7 +287,8 @@
                                  gateway::store_revision revision, const std::string& reason)
 {
   const auto now = std::chrono::steady_clock::now();
-  state_.apply_departures({{.id = endpoint_id(entry.name), .revision = revision}}, now);
+  state_.apply_departures({{.id = endpoint_id(entry.name), .revision = revision}},
+                          "unreadable entry", now);
   const auto [it, added] = logged_rejections_.try_emplace(entry.name, entry.revision);
   if (!added && it->second == entry.revision) {
     return; // already logged
@@ -330,7 +331,8 @@
     state_.log.write(daemon::log_level::info, "endpoint leaves",
                      {{"endpoint", c.object.name},
                       {"revision", to_string(c.object.revision)},
-                      {"entry", c.deleted ? "removed" : "leaving"}});
+                      {"entry", c.deleted ? "removed" : "leaving"},
+                      {"view_age_ms", std::to_string(state_.feed.view(now).age.count())}});
     state_.signal_urgent_update();
   }
 }
--- a/test/relay/simulated_fleet.h
+++ b/test/relay/simulated_fleet.h
@@ -392,7 +392,7 @@
     }
     const auto after = d.state.feed.revision();
     const auto changes = peer.state.endpoint_changes(after, now_);
-    d.state.apply_departures(changes.departures, now_);
+    d.state.apply_departures(changes.departures, "peer", now_);
     for (const auto& r : changes.records) {
       d.state.endpoints.apply(r, now_);
       d.state.feed.update_from_peer(r);
