Bound the knowledge of departures apart from the descriptions of endpoints

Cause: a peer's view made a daemon's knowledge recent only together with all descriptions that had changed. When the leader replaces most endpoints at once, these are thousands: fetched whole and uncompressed, nearly always from three coordinators on thin links; no view got through, all daemons read the store at once, and its link was full of answers that came later than they wait. A daemon with old knowledge sent calls on as before. Change: departures have a position and an age of their own, and each report lists those of the last half of the notice and where this list begins. Members of a fleet of over 100 daemons exchange reports with the relays of their group and only relays with the coordinators (the leader gets all reports while it has room). Descriptions come in compressed pages of 200, not from coordinators except to relays. From 80% of the notice on, if a peer knows better, calls go through a peer whose knowledge is recent. The removal of an endpoint that had said that it leaves is not gossiped as news, and a departure that is recorded costs one look-up. Ruled out: a longer time-out for the store (the answers of all daemons still need seconds of its link); pushes of views (their time on the way is unknown); refusing calls with old knowledge, as most endpoints are still there. A test whose bound changed: a view is now adopted across a gap of up to 60 s, not 5 s, since departures are remembered for 120 s; the check is the same, at 61 s. Tests: gateway_test except its two known ones; ExchangeReplay, LargeFleet, GatewayTest, Rollout and EndpointOutcomes of relay_test except the known ones.

--- a/include/wisteriaflow/gateway/departures.h
+++ b/include/wisteriaflow/gateway/departures.h
@@ -42,16 +42,21 @@
   }
 
   // Records a departure; ignored unless its revision is higher than the known one. `incarnation` is
-  // that of the process that departed; 0: unknown.
-  void record(const endpoint_departure& d, std::uint64_t incarnation, mono_time now);
+  // that of the process that departed; 0: unknown. `in_use`: this daemon did not know yet that the
+  // process leaves. The removal of an endpoint that had said so is not gossiped again.
+  void record(const endpoint_departure& d, std::uint64_t incarnation, bool in_use, mono_time now);
+
+  // Whether this departure of the endpoint, or a later one, is recorded.
+  [[nodiscard]] bool is_recorded(const endpoint_departure& d) const;
 
   // Whether the description of the process that the store had at `revision` is outdated: a
   // departure of the endpoint is known at that revision or later, or of the same process in an
   // earlier era.
   [[nodiscard]] bool had_departed(const endpoint_process& process, store_revision revision) const;
 
-  // Departures to gossip to peers now.
-  [[nodiscard]] std::vector<endpoint_departure> to_gossip(mono_time now) const;
+  // Departures to gossip to peers now: the recent ones, and all after `after` unless that is 0.
+  [[nodiscard]] std::vector<endpoint_departure> to_gossip(store_revision after,
+                                                          mono_time now) const;
 
   // Departures after `revision`, for a peer whose endpoint view is at that revision.
   [[nodiscard]] std::vector<endpoint_departure> since(store_revision revision) const;
--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -7,6 +7,13 @@
 // A few daemons, the readers, do so after a short time; all others after twice that time, so that
 // they seldom have to.
 //
+// A daemon may lack the latest descriptions of endpoints for a while, but must not send calls to an
+// endpoint that has left. Its knowledge of departures therefore has a position and an age of its
+// own. Every message with a view contains the departures of the last seconds, so that a daemon that
+// was up to date then is up to date again, without the descriptions, which may be large. If a
+// daemon's knowledge is older than it may be although a peer's is not, is_outdated() says so: it
+// must not choose endpoints by itself.
+//
 //   if (feed.is_read_due(now)) {
 //     ... read the changes after feed.revision(), update() each ...
 //     feed.on_read(revision_of_the_answer, now);
@@ -17,8 +24,11 @@
 #define WISTERIAFLOW_GATEWAY_ENDPOINT_FEED_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -37,6 +47,11 @@
   // endpoints, not those that were removed before.
   store_revision removals_after;
   std::chrono::milliseconds age{0}; // since the store was read at `revision`
+  // Every departure up to `departures_revision` is known, where the store was read
+  // `departures_age` ago. The message with this view contains those after `departures_after`.
+  store_revision departures_revision;
+  store_revision departures_after;
+  std::chrono::milliseconds departures_age{0};
 
   friend bool operator==(const endpoint_view&, const endpoint_view&) = default;
 };
@@ -47,6 +62,9 @@
   endpoint_view view;
   std::vector<endpoint_record> records;
   std::vector<endpoint_departure> departures = {};
+  // Whether there are no more descriptions than these. If there are, `view.revision` is that of the
+  // last one here.
+  bool is_complete = true;
 
   friend bool operator==(const endpoint_changes&, const endpoint_changes&) = default;
 };
@@ -59,7 +77,7 @@
   std::uint64_t seed = 0;
   // A view older than this is not brought up to date by peers, since they remember departures for a
   // limited time only.
-  std::chrono::milliseconds max_view_gap{5'000};
+  std::chrono::milliseconds max_view_gap{60'000};
 };
 
 // What to do after receiving a peer's view.
@@ -105,22 +123,31 @@
 
   // A peer sent the changes after the revision `after` in answer to a request made at `asked_at`,
   // and they have been applied.
-  void on_fetched(const endpoint_view& peer_view, store_revision after, mono_time asked_at);
+  void on_fetched(const endpoint_changes& changes, store_revision after, mono_time asked_at);
 
   // The store was found to be another copy than the one that was read: it must be read again now.
   void on_store_restored(mono_time now) { next_read_at_ = now; }
 
   // Whether this daemon has to read the store itself now.
-  [[nodiscard]] bool is_read_due(mono_time now) const { return now >= next_read_at_; }
+  [[nodiscard]] bool is_read_due(mono_time now) const { return now >= next_read_at(); }
   // When the next read is due unless a peer's view postpones it.
-  [[nodiscard]] mono_time next_read_at() const { return next_read_at_; }
+  [[nodiscard]] mono_time next_read_at() const;
+
+  // Whether a departure may have been missed for longer than `max_leaving_delay` although a peer
+  // knows the departures of that time. While no peer does, as during an outage of the store, nobody
+  // can know better.
+  [[nodiscard]] bool is_outdated(mono_time now) const;
+  // Time since the store was read at the position up to which every departure is known.
+  [[nodiscard]] std::chrono::milliseconds departures_age(mono_time now) const;
 
   [[nodiscard]] store_revision revision() const { return revision_; }
-  // The view to send to peers; empty before the first read.
+  // The view to send to peers, with the departures after its `departures_after`; empty before the
+  // first read.
   [[nodiscard]] endpoint_view view(mono_time now) const;
 
-  // Changes that a peer lacks whose view is at `revision`.
-  [[nodiscard]] endpoint_changes changes_after(store_revision revision, mono_time now) const;
+  // Changes that a peer lacks whose view is at `revision`: the earliest `max_records` of them.
+  [[nodiscard]] endpoint_changes changes_after(store_revision revision, std::size_t max_records,
+                                               mono_time now) const;
 
  private:
   struct description {
@@ -131,6 +158,18 @@
   void mark_changed(description& known, store_revision revision);
   [[nodiscard]] bool can_catch_up(const endpoint_view& peer_view, mono_time read_at) const;
   void advance_to(store_revision revision, mono_time read_at);
+  void advance_departures_to(store_revision revision, mono_time read_at);
+  // Takes over what the peer knows of departures, if nothing is missing in between.
+  void adopt_departures(const endpoint_view& peer_view, mono_time asked_at);
+  // How long a departure is in every message with a view, and the position that long ago.
+  [[nodiscard]] std::chrono::milliseconds listed_for() const;
+  [[nodiscard]] store_revision departures_after(mono_time now) const;
+
+  // The store was read at `revision`.
+  struct reading {
+    mono_time at;
+    store_revision revision;
+  };
 
   endpoint_feed_options options_;
   std::mt19937_64 random_;
@@ -138,6 +177,11 @@
   store_revision changed_;
   store_revision removals_after_;
   mono_time read_at_;
+  store_revision departures_revision_;
+  mono_time departures_read_at_;
+  std::deque<reading> recent_readings_;   // of departures, by time; the first is the oldest needed
+  mono_time peers_read_at_;               // latest reading of departures that a peer has stated
+  std::optional<mono_time> behind_since_; // when a peer first stated one that could not be adopted
   mono_time next_read_at_;
   bool is_reader_ = false;
   std::map<endpoint_id, description> descriptions_;
--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -193,8 +193,9 @@
   // All known endpoints, including leaving and unusable ones.
   [[nodiscard]] const std::map<endpoint_id, endpoint_record>& all() const { return records_; }
 
-  // Departures to gossip to peers now.
-  [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now) const;
+  // Departures to gossip to peers now: the recent ones, and all after `after` unless that is 0.
+  [[nodiscard]] std::vector<endpoint_departure> departures(mono_time now,
+                                                           store_revision after = {}) const;
   // Departures after `revision`, for a peer whose endpoint view is at that revision.
   [[nodiscard]] std::vector<endpoint_departure> departures_after(store_revision revision) const
   {
@@ -238,6 +239,9 @@
     versions_.on_stated(version, now);
   }
 
+  // Whether the endpoint is known and not known to be leaving.
+  [[nodiscard]] bool is_in_use(const endpoint_id& id) const;
+
   // Whether the process is known and not known to be leaving.
   [[nodiscard]] bool is_active(const endpoint_process& process) const;
 
--- a/include/wisteriaflow/gateway/gossip_scheduler.h
+++ b/include/wisteriaflow/gateway/gossip_scheduler.h
@@ -4,13 +4,13 @@
 // few peers per round, those with the oldest report first, and relays what it received, so that the
 // state of every peer arrives within a few rounds by way of others. In a fleet of hundreds it asks
 // the same few neighbours in turn, so that connections are used again; the neighbours of all
-// daemons together connect the fleet at random. The coordinators, a few daemons
-// that sum up counters and relay what they read from the store, need direct reports from all
-// daemons: one of them is asked every 0.8 s.
+// daemons together connect the fleet at random. Beside that, it regularly asks one of a few daemons
+// that pass on counters to the leader and what was read from the store: the coordinators, or the
+// relays of a large fleet.
 //
 //   gossip_scheduler scheduler({.period = 400ms}, 1);
 //   const auto known = table.addresses_to_contact(now);
-//   const auto targets = scheduler.next_targets(known, coordinators, now);
+//   const auto targets = scheduler.next_targets(known, {coordinators, fleet_size}, now);
 //   scheduler.on_report(targets.front(), later);
 
 #ifndef WISTERIAFLOW_GATEWAY_GOSSIP_SCHEDULER_H_
@@ -48,17 +48,23 @@
   std::chrono::milliseconds neighbour_lifetime{5'000}; // until they are chosen again
   // Peers that receive an urgent update at once.
   std::size_t urgent_fanout = 6;
-  // Time between two requests to coordinators. With three coordinators each of them gets a report
-  // of each daemon within four seconds, and the endpoint view of every daemon is at most two
+  // Time between two requests to regular targets. With three coordinators each of them gets a
+  // report of each daemon within four seconds, and the endpoint view of every daemon is at most two
   // seconds old, which is the age at which the daemon would read the store itself.
-  std::chrono::milliseconds coordinator_period{800};
-  // The same per peer of the fleet; the longer of the two periods applies. It bounds the requests
-  // that a coordinator receives from the whole fleet.
-  std::chrono::milliseconds coordinator_period_per_peer{4};
+  std::chrono::milliseconds regular_period{800};
+  // The same per daemon that asks these targets; the longer of the two periods applies. It bounds
+  // the requests that a target receives.
+  std::chrono::milliseconds regular_period_per_asker{4};
   // An address that left n requests unanswered is asked only in every n-th round.
   unsigned silent_backoff_rounds = 5;
 };
 
+// Daemons that are asked regularly.
+struct regular_targets {
+  std::vector<http::socket_address> addresses;
+  std::size_t askers = 1; // number of daemons that ask them
+};
+
 // Not thread-safe.
 class gossip_scheduler {
  public:
@@ -73,12 +79,12 @@
     return daemons > options_.full_mesh_limit + 1;
   }
 
-  // Returns those of `addresses` to ask in a regular round, and in addition, once per
-  // coordinator period, the one of `coordinators` with the oldest report. Leaves out peers that
-  // reported within half a period, since they have just asked this daemon.
+  // Returns those of `addresses` to ask in a regular round, and in addition, once per regular
+  // period, the one of `regular` with the oldest report. Leaves out peers that reported within half
+  // a period, since they have just asked this daemon.
   [[nodiscard]] std::vector<http::socket_address>
-  next_targets(std::vector<http::socket_address> addresses,
-               const std::vector<http::socket_address>& coordinators, mono_time now);
+  next_targets(std::vector<http::socket_address> addresses, const regular_targets& regular,
+               mono_time now);
 
   // Returns the targets of an urgent update: a random choice, whether or not a peer has just
   // reported or is silent.
@@ -98,10 +104,9 @@
   [[nodiscard]] bool is_due(const peer_state& it, mono_time now) const;
   // Number of peers to ask in a round, of `peers`.
   [[nodiscard]] std::size_t fanout(std::size_t peers, mono_time now) const;
-  // Returns the coordinator to ask next; none if one was asked less than a period ago.
-  std::optional<http::socket_address>
-  coordinator_to_ask(const std::vector<http::socket_address>& coordinators, std::size_t peers,
-                     mono_time now);
+  // Returns the regular target to ask next; none if one was asked less than a period ago.
+  std::optional<http::socket_address> regular_target_to_ask(const regular_targets& regular,
+                                                            mono_time now);
   void record_asked(const std::vector<http::socket_address>& peers);
   // Returns those of `addresses` that may be asked in this round; `addresses` are shuffled.
   [[nodiscard]] std::vector<http::socket_address>
@@ -116,7 +121,7 @@
   std::vector<http::socket_address> neighbours_;
   std::size_t chosen_among_ = 0; // number of addresses that the neighbours were chosen from
   mono_time neighbours_until_;
-  mono_time coordinator_asked_at_;
+  mono_time regular_asked_at_;
   unsigned round_ = 0;
 };
 
--- a/src/gateway/departures.cc
+++ b/src/gateway/departures.cc
@@ -12,12 +12,22 @@
 
 } // namespace
 
-void departures::record(const endpoint_departure& d, std::uint64_t incarnation, mono_time now)
+void departures::record(const endpoint_departure& d, std::uint64_t incarnation, bool in_use,
+                        mono_time now)
 {
-  auto& it = entries_[d.id];
-  if (d.revision > it.revision) {
-    it = {.revision = d.revision, .incarnation = incarnation, .recorded_at = now};
+  const auto [it, added] = entries_.try_emplace(d.id);
+  auto& known = it->second;
+  if (d.revision <= known.revision) {
+    return;
   }
+  const auto recorded_at = added || in_use ? now : known.recorded_at;
+  known = {.revision = d.revision, .incarnation = incarnation, .recorded_at = recorded_at};
+}
+
+bool departures::is_recorded(const endpoint_departure& d) const
+{
+  const auto it = entries_.find(d.id);
+  return it != entries_.end() && d.revision <= it->second.revision;
 }
 
 bool departures::had_departed(const endpoint_process& process, store_revision revision) const
@@ -33,11 +43,12 @@
   return revision <= departed.revision;
 }
 
-std::vector<endpoint_departure> departures::to_gossip(mono_time now) const
+std::vector<endpoint_departure> departures::to_gossip(store_revision after, mono_time now) const
 {
   std::vector<endpoint_departure> out;
   for (const auto& [id, d] : entries_) {
-    if (now < d.recorded_at + gossip_duration_) {
+    const bool is_listed = after > 0 && d.revision > after;
+    if (is_listed || now < d.recorded_at + gossip_duration_) {
       out.push_back({.id = id, .revision = d.revision});
     }
   }
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -71,13 +71,15 @@
     erase(changed.id, now);
   }
   held_removals_.erase(changed.id);
+  const bool was_in_use = is_in_use(changed.id);
   auto record = changed;
   record.leaving = record.leaving ||
                    departures_.had_departed(process_of(record), record.revision) ||
                    terms_.is_leaving(process_of(record));
   store(record, now);
   if (changed.leaving) {
-    departures_.record({.id = changed.id, .revision = changed.revision}, changed.incarnation, now);
+    departures_.record({.id = changed.id, .revision = changed.revision}, changed.incarnation,
+                       was_in_use, now);
   }
 }
 
@@ -137,7 +139,7 @@
     held_removals_[departure.id] = departure.revision;
     return;
   }
-  departures_.record(departure, it->second.incarnation, now);
+  departures_.record(departure, it->second.incarnation, !it->second.leaving, now);
   erase(departure.id, now);
 }
 
@@ -160,14 +162,24 @@
   held_removals_.erase(id);
 }
 
+bool endpoint_pool::is_in_use(const endpoint_id& id) const
+{
+  const auto it = records_.find(id);
+  return it != records_.end() && !it->second.leaving;
+}
+
 bool endpoint_pool::on_departure(const endpoint_departure& departure, mono_time now)
 {
+  if (departures_.is_recorded(departure)) {
+    return false; // each report of a peer repeats it
+  }
   const auto it = records_.find(departure.id);
   if (it != records_.end() && it->second.revision > departure.revision) {
     return false;
   }
-  departures_.record(departure, it == records_.end() ? 0 : it->second.incarnation, now);
-  if (it == records_.end() || it->second.leaving) {
+  const bool in_use = is_in_use(departure.id);
+  departures_.record(departure, it == records_.end() ? 0 : it->second.incarnation, in_use, now);
+  if (!in_use) {
     return false;
   }
   it->second.leaving = true;
@@ -252,9 +264,9 @@
   return out;
 }
 
-std::vector<endpoint_departure> endpoint_pool::departures(mono_time now) const
+std::vector<endpoint_departure> endpoint_pool::departures(mono_time now, store_revision after) const
 {
-  return departures_.to_gossip(now);
+  return departures_.to_gossip(after, now);
 }
 
 void endpoint_pool::end_wait(endpoint_work& own, const routing::sent_attempt& work)
--- a/src/gateway/fleet_groups.cc
+++ b/src/gateway/fleet_groups.cc
@@ -33,6 +33,7 @@
 } // namespace
 
 fleet_groups::fleet_groups(fleet_groups_options options, const std::vector<daemon_id>& daemons)
+    : options_(options)
 {
   if (daemons.size() <= options.max_direct_daemons) {
     return;
@@ -45,6 +46,13 @@
   }
 }
 
+bool fleet_groups::is_relay(const daemon_id& id) const
+{
+  return std::any_of(relays_.begin(), relays_.end(), [&id](const auto& of_group) {
+    return std::find(of_group.begin(), of_group.end(), id) != of_group.end();
+  });
+}
+
 const std::vector<daemon_id>& fleet_groups::relays_of(const daemon_id& member) const
 {
   static const std::vector<daemon_id> none;
--- a/src/gateway/gossip_scheduler.cc
+++ b/src/gateway/gossip_scheduler.cc
@@ -45,16 +45,15 @@
 }
 
 std::optional<http::socket_address>
-gossip_scheduler::coordinator_to_ask(const std::vector<http::socket_address>& coordinators,
-                                     std::size_t peers, mono_time now)
+gossip_scheduler::regular_target_to_ask(const regular_targets& regular, mono_time now)
 {
-  const auto period = std::max(options_.coordinator_period,
-                               static_cast<int>(peers) * options_.coordinator_period_per_peer);
-  if (coordinators.empty() || now < coordinator_asked_at_ + period) {
+  const auto period = std::max(options_.regular_period, static_cast<int>(regular.askers) *
+                                                            options_.regular_period_per_asker);
+  if (regular.addresses.empty() || now < regular_asked_at_ + period) {
     return std::nullopt;
   }
-  coordinator_asked_at_ = now;
-  return *std::min_element(coordinators.begin(), coordinators.end(),
+  regular_asked_at_ = now;
+  return *std::min_element(regular.addresses.begin(), regular.addresses.end(),
                            [this](const auto& a, const auto& b) {
                              return state_of(a).answered_at < state_of(b).answered_at;
                            });
@@ -99,7 +98,7 @@
 
 std::vector<http::socket_address>
 gossip_scheduler::next_targets(std::vector<http::socket_address> addresses,
-                               const std::vector<http::socket_address>& coordinators, mono_time now)
+                               const regular_targets& regular, mono_time now)
 {
   if (round_++ == 0) {
     started_at_ = now;
@@ -127,9 +126,9 @@
   for (std::size_t i = 0; i < asked; ++i) {
     out.push_back(std::move(due[i].address));
   }
-  const auto coordinator = coordinator_to_ask(coordinators, peer_count, now);
-  if (coordinator && std::find(out.begin(), out.end(), *coordinator) == out.end()) {
-    out.push_back(*coordinator);
+  const auto target = regular_target_to_ask(regular, now);
+  if (target && std::find(out.begin(), out.end(), *target) == out.end()) {
+    out.push_back(*target);
   }
   record_asked(out);
   return out;
--- a/src/gateway/peer_report.cc
+++ b/src/gateway/peer_report.cc
@@ -299,15 +299,25 @@
   return {{"revision", view.revision.packed()},
           {"changed", view.changed.packed()},
           {"removals_after", view.removals_after.packed()},
-          {"age", view.age.count()}};
+          {"age", view.age.count()},
+          {"departures_revision", view.departures_revision.packed()},
+          {"departures_after", view.departures_after.packed()},
+          {"departures_age", view.departures_age.count()}};
 }
 
 endpoint_view decode_view(const json::value& from)
 {
-  return {.revision = revision_at(from, "revision"),
-          .changed = revision_at(from, "changed"),
-          .removals_after = revision_at(from, "removals_after"),
-          .age = std::chrono::milliseconds(from.at("age").to_number<std::int64_t>())};
+  endpoint_view out{.revision = revision_at(from, "revision"),
+                    .changed = revision_at(from, "changed"),
+                    .removals_after = revision_at(from, "removals_after"),
+                    .age = std::chrono::milliseconds(from.at("age").to_number<std::int64_t>())};
+  // Peers of an earlier version promise nothing about departures alone.
+  if (from.as_object().contains("departures_revision")) {
+    out.departures_revision = revision_at(from, "departures_revision");
+    out.departures_after = revision_at(from, "departures_after");
+    out.departures_age = decode_age(from.at("departures_age"));
+  }
+  return out;
 }
 
 json::value encode(const endpoint_record& r)
@@ -474,6 +484,7 @@
   report.age += age;
   report.clock += age;
   report.endpoints.age += age;
+  report.endpoints.departures_age += age;
   for (auto& h : report.last_seen) {
     h.age += age;
   }
@@ -569,7 +580,8 @@
   }
   const json::value out = {{"view", encode(changes.view)},
                            {"records", std::move(records)},
-                           {"departures", encode(changes.departures)}};
+                           {"departures", encode(changes.departures)},
+                           {"complete", changes.is_complete}};
   return json::serialize(out);
 }
 
@@ -581,6 +593,9 @@
       out.records.push_back(decode_record(r));
     }
     out.departures = decode_departures(from.at("departures"));
+    // Peers of an earlier version send all changes at once.
+    const auto* complete = from.as_object().if_contains("complete");
+    out.is_complete = complete == nullptr || complete->as_bool();
     return out;
   });
 }
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -62,7 +62,7 @@
   }
   result_.endpoint = endpoint_.process();
   result_.version = endpoint_.version;
-  result_.view_age = state_.feed.view(sent_at_).age;
+  result_.view_age = state_.feed.departures_age(sent_at_);
   result_.address = endpoint_.address;
   result_.prefix_source = endpoint_.prefix_source;
 }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -92,7 +92,7 @@
   end_state end = end_state::interrupted;
   gateway::endpoint_process endpoint;
   std::string version; // of the endpoint's software; empty: not stated
-  // Age of the view of the endpoints from which this one was chosen.
+  // Age of the knowledge of departures with which the endpoint was chosen.
   std::chrono::milliseconds view_age{0};
   http::socket_address address;   // of the endpoint
   std::optional<daemon_id> relay; // the peer that carried the exchange, if one did
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -62,7 +62,7 @@
   const auto& all = state_.endpoints.all();
   const auto it = all.find(request.endpoint);
   if (it == all.end() || it->second.leaving || state_.links.is_lost(request.endpoint) ||
-      state_.draining_since()) {
+      state_.draining_since() || state_.feed.is_outdated(std::chrono::steady_clock::now())) {
     return nullptr;
   }
   // Peers of an earlier version state none.
--- a/src/relay/endpoint_transport.cc
+++ b/src/relay/endpoint_transport.cc
@@ -59,7 +59,11 @@
   if (is_lost) {
     endpoint_client_.close_idle_connections(address); // they may have died with the link
   }
-  if (is_lost || avoid_link) {
+  const bool is_outdated = state_.feed.is_outdated(std::chrono::steady_clock::now());
+  if (is_outdated) {
+    state_.counters.count("calls_with_outdated_view");
+  }
+  if (is_lost || avoid_link || is_outdated) {
     const bool is_sent = co_await exchange_through_peers(request, observer, handle, relay);
     if (is_sent) {
       co_return;
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -267,6 +267,42 @@
   return out;
 }
 
+gateway::regular_targets fleet_state::regular_targets(mono_time now) const
+{
+  if (groups_.empty() || rollout_is_open()) {
+    return {.addresses = other_coordinators(now), .askers = peers.running_count(now)};
+  }
+  if (groups_.is_relay(options.id)) {
+    return {.addresses = other_coordinators(now), .askers = groups_.relay_count()};
+  }
+  auto daemons = groups_.relays_of(options.id);
+  const auto leader = peers.leader(now);
+  if (leader && peers.running_count(now) <= max_reporters_per_collector * (daemons.size() + 1)) {
+    daemons.push_back(*leader); // it has room for the reports of all, each third time
+  }
+  gateway::regular_targets out{.askers = groups_.group_size()};
+  for (const auto& id : daemons) {
+    if (const auto address = peers.address_of(id)) {
+      out.addresses.push_back(*address);
+    }
+  }
+  return out;
+}
+
+bool fleet_state::learns_from_relays(mono_time now) const
+{
+  return !groups_.empty() && !groups_.is_relay(options.id) && !is_coordinator(now);
+}
+
+bool fleet_state::may_fetch_endpoints_from(const http::socket_address& peer, mono_time now) const
+{
+  if (!learns_from_relays(now)) {
+    return true;
+  }
+  const auto coordinators = other_coordinators(now);
+  return std::find(coordinators.begin(), coordinators.end(), peer) == coordinators.end();
+}
+
 void fleet_state::on_daemons_listed(const std::vector<http::socket_address>& registered,
                                     mono_time now)
 {
@@ -310,7 +346,7 @@
              {"number", std::to_string(learned.size())},
              {"endpoints", ids},
              {"view_revision", to_string(feed.revision())},
-             {"view_age_ms", std::to_string(feed.view(now).age.count())}});
+             {"view_age_ms", std::to_string(feed.departures_age(now).count())}});
 }
 
 void fleet_state::log_view_age(mono_time now)
@@ -318,7 +354,7 @@
   if (!endpoints.has_list()) {
     return;
   }
-  const auto age = feed.view(now).age;
+  const auto age = feed.departures_age(now);
   const bool is_old = age >= options.endpoint_notice * old_view_percent / 100;
   if (is_old) {
     oldest_view_age_ = std::max(oldest_view_age_, age);
@@ -332,6 +368,7 @@
             {{"age_ms", std::to_string(age.count())},
              {"oldest_ms", std::to_string(oldest.count())},
              {"revision", to_string(feed.revision())},
+             {"outdated", feed.is_outdated(now) ? "yes" : "no"},
              {"reader", feed.is_reader() ? "yes" : "no"}});
 }
 
@@ -510,13 +547,14 @@
 }
 
 gateway::endpoint_changes fleet_state::endpoint_changes(gateway::store_revision revision,
+                                                        std::size_t max_records,
                                                         mono_time now) const
 {
   if (endpoints.holds_removals(now)) {
     return {};
   }
-  auto out = feed.changes_after(revision, now);
-  out.departures = endpoints.departures_after(revision);
+  auto out = feed.changes_after(revision, max_records, now);
+  out.departures = endpoints.departures_after(std::min(revision, out.view.departures_after));
   return out;
 }
 
@@ -545,6 +583,7 @@
   const auto is_silent = [&](const daemon_id& id) {
     return id != options.id && !peers.is_live(id, now.mono);
   };
+  const auto view = endpoint_view(now.mono);
   gateway::peer_report out{
       .self = self_contact(),
       .configuration_version = configuration_version(),
@@ -553,9 +592,9 @@
       .work = top_endpoints(work_to_report(now.mono), max_own_work_entries),
       .prefill = endpoints.own_prefill(),
       .outcomes = endpoints.outcomes_to_gossip(now.mono),
-      .departures = endpoints.departures(now.mono),
+      .departures = endpoints.departures(now.mono, view.departures_after),
       .terms = endpoints.terms_to_gossip(max_terms_per_report, now.mono),
-      .endpoints = endpoint_view(now.mono),
+      .endpoints = view,
       .usage = usage.rows_for_peer(is_silent, max_usage_rows),
       .decided_usage = is_leader_ ? decided_usage_ : gateway::decided_usage_map(),
       .fencing_number = last_fencing_number_,
@@ -689,6 +728,7 @@
   counters.set("endpoints_paused", static_cast<double>(endpoints.paused_count()));
   if (endpoints.has_list()) {
     counters.set("endpoints_age_seconds", seconds(feed.view(now).age).count());
+    counters.set("departures_age_seconds", seconds(feed.departures_age(now)).count());
   }
   for (const auto& [service, model] : endpoints.prefill_rates().models()) {
     const metric_labels labels = {{"service", service}};
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -28,6 +28,7 @@
 #include "wisteriaflow/gateway/endpoint_pool.h"
 #include "wisteriaflow/gateway/fleet_clock.h"
 #include "wisteriaflow/gateway/fleet_groups.h"
+#include "wisteriaflow/gateway/gossip_scheduler.h"
 #include "wisteriaflow/gateway/peer_table.h"
 #include "wisteriaflow/gateway/retry_budget.h"
 #include "wisteriaflow/gateway/retry_policy.h"
@@ -125,6 +126,20 @@
   // Peer addresses of the other coordinators.
   [[nodiscard]] std::vector<http::socket_address> other_coordinators(mono_time now) const;
 
+  // The daemons that this one regularly exchanges reports with, beside its gossip: the
+  // coordinators, or, in a large fleet, the relays of its group, which ask the coordinators. While
+  // a version is on trial, the leader needs the reports of all daemons.
+  [[nodiscard]] gateway::regular_targets regular_targets(mono_time now) const;
+
+  // Whether the fleet is so large that relays pass on what the coordinators read from the store,
+  // and this daemon is neither a relay nor a coordinator.
+  [[nodiscard]] bool learns_from_relays(mono_time now) const;
+
+  // Whether this daemon may fetch descriptions of endpoints from the peer. In a large fleet, the
+  // coordinators send them to relays only.
+  [[nodiscard]] bool may_fetch_endpoints_from(const http::socket_address& peer,
+                                              mono_time now) const;
+
   // Call when the store has listed the addresses of all registered daemons.
   void on_daemons_listed(const std::vector<http::socket_address>& registered, mono_time now);
 
@@ -154,11 +169,11 @@
   [[nodiscard]] gateway::retry_context current_retry_context() const;
 
   // How current this daemon's endpoints are, and the changes that a peer lacks whose view is at
-  // `revision`. Both are empty while removals are held back after a store outage: a peer that took
-  // over such a view would miss these removals for good.
+  // `revision`, at most `max_records` descriptions. Both are empty while removals are held back
+  // after a store outage: a peer that took over such a view would miss these removals for good.
   [[nodiscard]] gateway::endpoint_view endpoint_view(mono_time now) const;
-  [[nodiscard]] gateway::endpoint_changes endpoint_changes(gateway::store_revision revision,
-                                                           mono_time now) const;
+  [[nodiscard]] gateway::endpoint_changes
+  endpoint_changes(gateway::store_revision revision, std::size_t max_records, mono_time now) const;
 
   // Applies the state of a rollout, read from the store or decided by this daemon.
   void apply_rollout(const gateway::rollout& rollout);
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -1,6 +1,8 @@
 #include "relay/peer_sync.h"
 
 #include <algorithm>
+#include <limits>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -37,6 +39,11 @@
 // needed only while daemons that were started at once learn of each other.
 constexpr unsigned max_quota_redirects = 2;
 constexpr milliseconds fetch_timeout{1'000};
+// Descriptions of endpoints in one answer: some 10 KB, compressed.
+constexpr std::size_t max_page_records = 200;
+// A shorter answer is not worth compressing.
+constexpr std::size_t min_compressed_bytes = 1'000;
+constexpr std::size_t max_fetched_bytes = std::size_t{16} << 20U; // decompressed
 // Crash records reach every daemon well within this time. If digests still differ after it, some
 // were missed, for example by a daemon that was partitioned. A daemon without any fetches them at
 // once.
@@ -62,10 +69,13 @@
 constexpr std::string_view usage_target = "/usage"; // for a relay
 constexpr std::string_view leader_usage_target = "/usage?leader";
 constexpr std::string_view configuration_target = "/configuration";
-constexpr std::string_view endpoints_target = "/endpoints"; // with ?after=REVISION of the store
+// With ?after=REVISION of the store, and &page=1 for at most max_page_records descriptions.
+constexpr std::string_view endpoints_target = "/endpoints";
 constexpr std::string_view crashes_target = "/crashes";
 constexpr std::string_view metrics_target = "/metrics";
 
+const http::header accept_deflate{.name = "Accept-Encoding", .value = "deflate"};
+
 http::header age_field(mono_time made_at, mono_time now)
 {
   const auto age = std::chrono::ceil<milliseconds>(now - made_at);
@@ -82,6 +92,31 @@
   }
 }
 
+// The body of a peer's answer to a fetch; throws peer_report_error.
+std::string unpack_fetched(const http::response& reply)
+{
+  if (http::find_header(reply.fields, "Content-Encoding") != "deflate") {
+    return reply.body; // short, or of a peer of an earlier version
+  }
+  try {
+    return inflate(reply.body, max_fetched_bytes);
+  } catch (const deflate_error& e) {
+    throw gateway::peer_report_error(e.what());
+  }
+}
+
+// The answer to a fetch, compressed if the peer accepts that.
+http::response make_fetched(const http::request& request, std::string body)
+{
+  const bool accepts = http::find_header(request.fields, accept_deflate.name) == "deflate";
+  if (!accepts || body.size() < min_compressed_bytes) {
+    return {.status = http::status::ok, .body = std::move(body)};
+  }
+  return {.status = http::status::ok,
+          .fields = {{.name = "Content-Encoding", .value = "deflate"}},
+          .body = deflate(body)};
+}
+
 // Parses the body of a peer's answer; throws peer_report_error.
 boost::json::value parse_json(const std::string& body)
 {
@@ -170,14 +205,14 @@
 void peer_sync::start_round(mono_time now)
 {
   using extent = fleet_state::report_extent;
-  auto coordinators = state_.other_coordinators(now);
-  std::erase_if(coordinators,
+  auto regular = state_.regular_targets(now);
+  auto& addresses = regular.addresses;
+  std::erase_if(addresses,
                 [this](const auto& peer) { return exchanges_in_flight_.contains(peer); });
   const bool large = rounds_.is_large(state_.peers.running_count(now));
-  for (const auto& peer : rounds_.next_targets(idle_peers(now), coordinators, now)) {
-    const bool is_coordinator =
-        std::find(coordinators.begin(), coordinators.end(), peer) != coordinators.end();
-    start_exchange(peer, large && is_coordinator ? extent::brief : extent::full);
+  for (const auto& peer : rounds_.next_targets(idle_peers(now), regular, now)) {
+    const bool is_regular = std::find(addresses.begin(), addresses.end(), peer) != addresses.end();
+    start_exchange(peer, large && is_regular ? extent::brief : extent::full);
   }
 }
 
@@ -259,13 +294,16 @@
   if (!fetches_in_flight_.insert(request.name).second) {
     co_return;
   }
-  http::request message{.target = request.target};
   try {
-    const auto deadline = std::chrono::steady_clock::now() + fetch_timeout;
-    const auto reply = co_await client_.call(peer, std::move(message), deadline);
-    if (reply.status == http::status::ok) {
-      count_bytes(request.name, "received", reply.body);
-      request.apply(reply.body);
+    for (bool has_more = true; has_more;) {
+      http::request message{.target = request.target(), .fields = {accept_deflate}};
+      const auto deadline = std::chrono::steady_clock::now() + fetch_timeout;
+      const auto reply = co_await client_.call(peer, std::move(message), deadline);
+      has_more = false;
+      if (reply.status == http::status::ok) {
+        count_bytes(request.name, "received", reply.body);
+        has_more = request.apply(unpack_fetched(reply));
+      }
     }
   } catch (const error& e) {
     state_.log.write(daemon::log_level::warn, request.name + " not fetched",
@@ -276,21 +314,32 @@
 
 void peer_sync::fetch_configuration(const http::socket_address& peer)
 {
-  fetch_request request{.name = "configuration", .target = std::string(configuration_target)};
+  fetch_request request{.name = "configuration"};
+  request.target = [] { return std::string(configuration_target); };
   request.apply = [this](const std::string& body) {
     state_.apply_configuration_if_newer(parse_json(body), "peer");
+    return false;
   };
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
 }
 
 void peer_sync::fetch_endpoints(const http::socket_address& peer)
 {
-  const auto after = state_.feed.revision();
-  const auto asked_at = std::chrono::steady_clock::now();
-  fetch_request request{.name = "endpoints",
-                        .target = std::string(endpoints_target) +
-                                  "?after=" + std::to_string(after.packed())};
-  request.apply = [this, peer, after, asked_at](const std::string& body) {
+  if (!state_.may_fetch_endpoints_from(peer, std::chrono::steady_clock::now())) {
+    return;
+  }
+  struct position {
+    gateway::store_revision after;
+    mono_time asked_at;
+  };
+  auto asked = std::make_shared<position>();
+  fetch_request request{.name = "endpoints"};
+  request.target = [this, asked] {
+    *asked = {.after = state_.feed.revision(), .asked_at = std::chrono::steady_clock::now()};
+    return std::string(endpoints_target) + "?after=" + std::to_string(asked->after.packed()) +
+           "&page=1";
+  };
+  request.apply = [this, peer, asked](const std::string& body) {
     const auto changes = gateway::decode_endpoint_changes(body);
     const auto now = std::chrono::steady_clock::now();
     state_.apply_departures(changes.departures, "changes of " + to_string(peer), now);
@@ -298,7 +347,8 @@
       state_.endpoints.apply(r, now);
       state_.feed.update_from_peer(r);
     }
-    state_.feed.on_fetched(changes.view, after, asked_at);
+    state_.feed.on_fetched(changes, asked->after, asked->asked_at);
+    return !changes.is_complete && state_.feed.revision() > asked->after;
   };
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
 }
@@ -331,9 +381,11 @@
 
 void peer_sync::fetch_crashes(const http::socket_address& peer)
 {
-  fetch_request request{.name = "crashes", .target = std::string(crashes_target)};
+  fetch_request request{.name = "crashes"};
+  request.target = [] { return std::string(crashes_target); };
   request.apply = [this](const std::string& body) {
     state_.crashes.merge(gateway::decode_crash_report(parse_json(body)), state_.fleet_time());
+    return false;
   };
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
 }
@@ -465,9 +517,13 @@
   if (!after) {
     return {.status = http::status::bad_request};
   }
-  const auto changes = state_.endpoint_changes(gateway::store_revision::from_packed(*after),
-                                               std::chrono::steady_clock::now());
-  return {.status = http::status::ok, .body = encode_endpoint_changes(changes)};
+  // Peers of an earlier version expect all changes at once.
+  const bool is_paged = !http::find_header(query, "page").empty();
+  const auto changes =
+      state_.endpoint_changes(gateway::store_revision::from_packed(*after),
+                              is_paged ? max_page_records : std::numeric_limits<std::size_t>::max(),
+                              std::chrono::steady_clock::now());
+  return make_fetched(request, encode_endpoint_changes(changes));
 }
 
 asio::awaitable<void> peer_sync::serve(http::request request, http::response_writer& writer)
@@ -485,15 +541,14 @@
     } else if (request.target == quota_target) {
       out = answer_quota(request);
     } else if (request.target == configuration_target && state_.configuration()) {
-      out = {.status = http::status::ok,
-             .body = boost::json::serialize(state_.configuration_document())};
+      out = make_fetched(request, boost::json::serialize(state_.configuration_document()));
       count_bytes("configuration", "sent", out.body);
     } else if (http::parse_target(request.target).path == endpoints_target) {
       out = answer_endpoints(request);
       count_bytes("endpoints", "sent", out.body);
     } else if (request.target == crashes_target) {
-      out = {.status = http::status::ok,
-             .body = boost::json::serialize(encode_crash_report(state_.crashes.all()))};
+      out =
+          make_fetched(request, boost::json::serialize(encode_crash_report(state_.crashes.all())));
     } else if (request.target == metrics_target) {
       out = {.status = http::status::ok, .body = state_.counters.exposition()};
     }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -65,8 +65,9 @@
   // A resource that a peer has in a newer state than this daemon.
   struct fetch_request {
     std::string name; // for the log; only one fetch of each name runs at a time
-    std::string target;
-    std::function<void(const std::string& body)> apply; // throws error if the body is unreadable
+    std::function<std::string()> target;
+    // Returns whether there is more to fetch; throws error if the body is unreadable.
+    std::function<bool(const std::string& body)> apply;
   };
   boost::asio::awaitable<void> fetch(http::socket_address peer, fetch_request request);
   void fetch_configuration(const http::socket_address& peer);
