--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -9,7 +9,6 @@
 #include "documents.h"
 #include "errors.h"
 #include "wisteriaflow/base/hash.h"
-#include "wisteriaflow/gateway/gossip_scheduler.h"
 
 namespace wisteriaflow::relay {
 namespace {
--- a/test/relay/congested_fleet.h
+++ b/test/relay/congested_fleet.h
@@ -129,8 +129,6 @@
 
   // Number of pairs of a daemon and an endpoint that the daemon used after the endpoint's notice.
   [[nodiscard]] std::size_t late_pairs() const { return late_pairs_; }
-  // Number of reads of the endpoints from the store that got no answer in time.
-  [[nodiscard]] std::size_t failed_reads() const { return failed_reads_; }
 
  private:
   struct congested_daemon : simulated_daemon {
@@ -379,7 +377,6 @@
     const auto done = std::make_shared<bool>(false);
     at(deadline, [this, &d, done] {
       if (!*done) {
-        ++failed_reads_;
         const auto pause =
             d.retries.backoff_after(++d.failed_reads, d.state.current_retry_context());
         at(now_ + pause, [this, &d] { read_store(d); });
@@ -440,7 +437,6 @@
   std::map<endpoint_id, std::uint64_t> last_write_; // revision
   host_link store_link_{1};
   std::size_t late_pairs_ = 0;
-  std::size_t failed_reads_ = 0;
 
  protected:
   std::vector<std::unique_ptr<congested_daemon>> daemons_;
