Bound the reads of the store by daemons that relays should inform

At -2.6 s 149 of 174 daemons in one zone read the store within half a second, from thousands of changes back; none got an answer, and the readers' own reads failed beside them. A daemon that hears of no peer has no relays and reads as before, too.

--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -92,6 +92,10 @@
   void set_reader(bool reader) { is_reader_ = reader; }
   [[nodiscard]] bool is_reader() const { return is_reader_; }
 
+  // Sets the mean interval at which this daemon may read the store although peers are to inform it;
+  // 0: whenever a read is due. In a large fleet the store could not answer all daemons at once.
+  void set_min_read_interval(std::chrono::milliseconds interval) { min_read_interval_ = interval; }
+
   // The store was listed completely at `revision`, and update() was called for its endpoints.
   // Endpoints that are not in `known` are removed.
   void on_list(const std::map<endpoint_id, endpoint_record>& known, store_revision revision,
@@ -184,6 +188,7 @@
   std::optional<mono_time> behind_since_; // when a peer first stated one that could not be adopted
   mono_time next_read_at_;
   bool is_reader_ = false;
+  std::chrono::milliseconds min_read_interval_{0};
   std::map<endpoint_id, description> descriptions_;
 };
 
--- a/src/gateway/endpoint_feed.cc
+++ b/src/gateway/endpoint_feed.cc
@@ -54,6 +54,11 @@
   const double fraction = varied(random_) * (is_reader_ ? reader_fraction : follower_fraction);
   const auto pause = fraction * static_cast<double>(options_.max_leaving_delay.count());
   next_read_at_ = read_at + milliseconds(static_cast<std::int64_t>(pause));
+  if (!is_reader_ && min_read_interval_.count() > 0) {
+    // Drawn anew with each view of a peer, so that few daemons are due once the views stop.
+    std::uniform_int_distribution<milliseconds::rep> extra(0, min_read_interval_.count());
+    next_read_at_ += milliseconds(extra(random_));
+  }
 }
 
 milliseconds endpoint_feed::listed_for() const
@@ -74,7 +79,9 @@
 
 mono_time endpoint_feed::next_read_at() const
 {
-  return std::min(next_read_at_, read_at_ + max_description_delay * options_.max_leaving_delay);
+  const auto delay =
+      std::max(max_description_delay * options_.max_leaving_delay, min_read_interval_);
+  return std::min(next_read_at_, read_at_ + delay);
 }
 
 bool endpoint_feed::is_outdated(mono_time now) const
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -47,6 +47,8 @@
 constexpr std::size_t max_terms_per_report = 32;
 constexpr std::size_t max_usage_rows = 16; // rows of daemons that are silent
 
+// Reads of the endpoints from the store by all daemons that relays should inform.
+constexpr double fallback_reads_per_second = 16;
 // Endpoints that one log line names.
 constexpr std::size_t max_logged_departures = 16;
 // Age from which a view counts as old in the log, as a part of the endpoint notice.
@@ -770,6 +772,8 @@
   endpoints.refresh_loads(now.mono);
   update_avoidance(now.mono);
   feed.set_reader(is_coordinator(now.mono));
+  feed.set_min_read_interval(learns_from_relays(now.mono) ? call_period(fallback_reads_per_second)
+                                                          : std::chrono::milliseconds{0});
   feed.retain(endpoints.all());
   usage.forget_old(clock.now(now));
   stream_origins.forget_expired(now.mono);
--- a/test/gateway/endpoint_feed_test.cc
+++ b/test/gateway/endpoint_feed_test.cc
@@ -278,6 +278,21 @@
   EXPECT_LE(reads_of_others, 10);
 }
 
+// All daemons of a large fleet read the store in the same second once the readers were late, and
+// its link was full of answers that came too late.
+TEST_F(EndpointFeedTest, OnceTheViewsStopFewDaemonsOfALargeFleetAreDue)
+{
+  int due = 0;
+  for (std::uint64_t seed = 0; seed < 1'000; ++seed) {
+    endpoint_feed member({.max_leaving_delay = 2s, .seed = seed});
+    member.set_min_read_interval(60s);
+    member.on_read(10, start);
+    due += member.is_read_due(start + 3s) ? 1 : 0;
+  }
+  EXPECT_GT(due, 0);
+  EXPECT_LE(due, 60);
+}
+
 // When hundreds of endpoints leave at once, each entry changes with every heartbeat, and there are
 // more changes than answers of the store can contain. If a daemon takes each answer for complete,
 // it considers its view fresh for seconds, and so do all its peers: with 3,002 endpoints,
