--- a/include/wisteriaflow/gateway/endpoint_feed.h
+++ b/include/wisteriaflow/gateway/endpoint_feed.h
@@ -92,8 +92,9 @@
   void set_reader(bool reader) { is_reader_ = reader; }
   [[nodiscard]] bool is_reader() const { return is_reader_; }
 
-  // Sets the mean interval at which this daemon may read the store although peers are to inform it;
-  // 0: whenever a read is due. In a large fleet the store could not answer all daemons at once.
+  // Sets the time over which daemons that peers should inform spread their own reads of the store
+  // once the peers' views stop; 0: each reads as soon as it is due. The store could not answer all
+  // daemons of a large fleet at once.
   void set_min_read_interval(std::chrono::milliseconds interval) { min_read_interval_ = interval; }
 
   // The store was listed completely at `revision`, and update() was called for its endpoints.
