Review case 3: a crash beside killed machines passes for the end of a stream

Three of six machines are killed at once and two runners crash half a second later, while they write answers without a length. The machines that are left ask two peers why the channels ended; where neither replies they take the answers for whole, although their own connections to the runners were refused.

How: six gateway daemons with the settings of the deploy file's template, nine runner processes and a store as stand-ins, 120 streams.

--- a/review/standins/reclaim.cpp
+++ b/review/standins/unfinished.cpp
@@ -1,11 +1,13 @@
-// Case: runners that are taken away while they answer without a length.
+// Cases: runners whose processes end while they answer without a length.
 //
-//   reclaim ROOT FOLDER RECORD TROUBLE
+//   unfinished ROOT FOLDER RECORD TROUBLE reclaim|herd
 //
-// Six machines, nine runners in four zones, 36 streams. The runners of one zone are told that
-// they will be taken away, and are gone 2 s later, while they still write. A stream that ends as
-// complete before its last piece breaks the rule ORDER. Exits with 1 if that happened, 0 if it did
-// not, and 2 if the case could not run.
+// Six machines and nine runners in four zones, with streams under way at all of them.
+// reclaim: the runners of one zone are told that they will be taken away, and are gone 2 s later.
+// herd: the processes of three machines are killed at once, to be started again 2 s later, and half
+// a second after they were killed two runners crash.
+// A stream that ends as complete before its last piece breaks the rule ORDER. Exits with 1 if that
+// happened, 0 if it did not, and 2 if the case could not run.
 
 #include "common.hpp"
 
@@ -13,7 +15,6 @@
 
 namespace {
 
-constexpr int streams = 36;
 constexpr int pieces = 160;
 constexpr int tokens_per_piece = 5;
 
@@ -100,12 +101,14 @@
 
 int main(int argc, char** argv)
 {
-  if (argc != 5) {
+  if (argc != 6) {
     return 2;
   }
   const std::string root = argv[1];
   const std::string folder = argv[2];
   const bool trouble = std::string(argv[4]) != "0";
+  const bool herd = std::string(argv[5]) == "herd";
+  const int streams = herd ? 120 : 36;
   ::signal(SIGPIPE, SIG_IGN);
   record log;
   platform p;
@@ -138,7 +141,7 @@
   }
   sleep_ms(2000);
 
-  std::vector<outcome> outcomes(streams);
+  std::vector<outcome> outcomes(static_cast<std::size_t>(streams));
   std::vector<std::thread> clients;
   for (int i = 0; i < streams; ++i) {
     clients.emplace_back([&, i] {
@@ -150,7 +153,27 @@
     sleep_ms(10);
   }
   sleep_ms(500);
-  if (trouble) {
+  const auto start_again = [&](machine& m) {
+    m.process = child(
+        {root + "/target/wisteriaflow-gatewayd", "--config=" + folder + "/" + m.name + ".ini"},
+        folder + "/" + m.name + ".log");
+  };
+  if (trouble && herd) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      machines.all[i].process.end(SIGKILL);
+      log.line("the process of " + machines.all[i].name + " is killed");
+    }
+    sleep_ms(500);
+    for (const std::size_t i : {0, 4}) {
+      runners[i].process.end(SIGKILL);
+      log.line(runners[i].id + " crashes");
+    }
+    sleep_ms(1500);
+    for (std::size_t i = 0; i < 3; ++i) {
+      start_again(machines.all[i]);
+      log.line("the process of " + machines.all[i].name + " starts again");
+    }
+  } else if (trouble) {
     for (const auto& r : runners) {
       if (r.zone == gone_zone) {
         r.process.signal(SIGUSR1);
