Log the calls that are open when a daemon's process ends

A call that was open at the end of a drain left no trace: neither its answer nor an attempt is logged then, so the users' record could not tell which calls were lost, of which kind, and with how much time left.

'call open at the end' names each one with its route, endpoint, progress, age, time left and arrival after the signal; 'carried call open at the end' those of peers; 'drained' says how many connections were busy and how long the drain took. Decisions are the same.

--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -86,6 +86,9 @@
   // Returns the number of received requests whose response is not complete.
   [[nodiscard]] std::size_t open_requests() const;
 
+  // Returns the number of connections on which a request is being received or answered.
+  [[nodiscard]] std::size_t busy_connections() const;
+
   // Closes each connection after its next response, which says so in its Connection field. The
   // server still accepts new connections.
   void disable_keep_alive();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -41,6 +41,9 @@
   // Serves requests until the peer or the server closes the connection.
   boost::asio::awaitable<void> run();
 
+  // Whether a request is being received or answered.
+  [[nodiscard]] bool is_busy() const { return phase_ != phase::idle; }
+
   // Closes the socket at once.
   void close();
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "wisteriaflow/http/server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,13 @@
 
   [[nodiscard]] std::size_t open_requests() const { return state_->open_requests; }
 
+  [[nodiscard]] std::size_t busy_connections() const
+  {
+    const auto& all = state_->connections;
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [](const auto* connection) { return connection->is_busy(); }));
+  }
+
   void disable_keep_alive() { state_->draining = true; }
 
   void stop_accepting()
@@ -181,6 +189,11 @@
   return implementation_->open_requests();
 }
 
+std::size_t server::busy_connections() const
+{
+  return implementation_->busy_connections();
+}
+
 void server::disable_keep_alive()
 {
   implementation_->disable_keep_alive();
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -84,6 +84,27 @@
   state_.log.write(daemon::log_level::warn, "call given up", std::move(fields));
 }
 
+void call_log::on_open_at_end(const admitted_call& call, mono_time now)
+{
+  const auto ms = [](mono_time::duration time) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+  };
+  const bool is_sent = call.exchange != nullptr || call.history.may_have_run;
+  log_fields fields = {
+      {"request", call.description.request_id},
+      {"route", call.route->name},
+      {"repeatable", call.route->repeatable() ? "yes" : "no"},
+      {"endpoint", call.excluded.empty() ? "none" : call.excluded.back().value()},
+      {"progress", call.stream_started ? "streaming" : (is_sent ? "sent" : "not sent")},
+      {"attempts", std::to_string(call.history.sent)},
+      {"since_arrival_ms", ms(now - call.received_at)},
+      {"time_left_ms", ms(call.deadline - now)}};
+  if (const auto since = state_.draining_since()) {
+    fields.emplace_back("arrived_after_drain_ms", ms(call.received_at - *since));
+  }
+  state_.log.write(daemon::log_level::warn, "call open at the end", std::move(fields));
+}
+
 void call_log::on_refused(const http::request& received, const call_refusal& why)
 {
   state_.counters.count("refusals", {{"reason", why.reason}});
--- a/src/relay/call_log.h
+++ b/src/relay/call_log.h
@@ -34,6 +34,8 @@
   // or "cut short" if a stream had begun. `why` tells what prevented a further attempt.
   void on_call_failed(const admitted_call& call, const std::string& status,
                       const routing::no_endpoint& why, mono_time now);
+  // The call has no final answer, but the process is about to end.
+  void on_open_at_end(const admitted_call& call, mono_time now);
 
  private:
   void count_answer(const admitted_call& call, const std::string& status);
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -67,6 +67,16 @@
     co_return;
   }
   auto call = std::make_shared<admitted_call>(std::move(std::get<admitted_call>(decision)));
+  admitted_.insert(call.get());
+  co_await serve_admitted(call, std::move(received), writer);
+  admitted_.erase(call.get());
+  --open_calls_;
+}
+
+asio::awaitable<void> call_relay::serve_admitted(std::shared_ptr<admitted_call> call,
+                                                 http::request received,
+                                                 http::response_writer& writer)
+{
   auto refusal = co_await take_quota(*call);
   if (!refusal) {
     refusal = co_await find_version(*call);
@@ -76,12 +86,18 @@
   }
   if (refusal) {
     co_await refuse(received, *refusal, writer);
-    --open_calls_;
     co_return;
   }
   call->received = std::move(received);
   co_await relay(std::move(call), writer);
-  --open_calls_;
+}
+
+void call_relay::log_open_calls()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto* call : admitted_) {
+    log_.on_open_at_end(*call, now);
+  }
 }
 
 asio::awaitable<void> call_relay::refuse(const http::request& received, call_refusal why,
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -42,6 +43,9 @@
   // Number of calls without a final answer.
   [[nodiscard]] std::size_t open_calls() const { return open_calls_; }
 
+  // Writes a log line for each admitted call without a final answer.
+  void log_open_calls();
+
  private:
   using admission = std::variant<admitted_call, call_refusal>;
 
@@ -59,6 +63,10 @@
   boost::asio::awaitable<std::optional<call_refusal>> find_version(admitted_call& call);
   // Gives back what the call has taken from its workspace's quota.
   void refund_quota(const admitted_call& call);
+  // Takes the call's quota, finds its version and relays it.
+  boost::asio::awaitable<void> serve_admitted(std::shared_ptr<admitted_call> call,
+                                              http::request received,
+                                              http::response_writer& writer);
   boost::asio::awaitable<void> refuse(const http::request& received, call_refusal why,
                                       http::response_writer& writer);
   boost::asio::awaitable<void> relay(std::shared_ptr<admitted_call> call,
@@ -97,6 +105,7 @@
   call_log log_;
   std::mt19937_64 random_;
   std::size_t open_calls_ = 0;
+  std::unordered_set<admitted_call*> admitted_; // those of the open calls that were admitted
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -11,6 +11,7 @@
 namespace wisteriaflow::relay {
 namespace {
 
+using std::chrono::milliseconds;
 namespace asio = boost::asio;
 
 // Calls carried for all peers together. This daemon serves callers of its own.
@@ -42,16 +43,16 @@
   const auto* endpoint = request ? usable_endpoint(*request) : nullptr;
   auto result = std::optional(relay_result::refused);
   const auto request_id = request ? request->request_id : std::string();
-  if (endpoint != nullptr && open_calls_ < max_open_calls &&
+  if (endpoint != nullptr && open_calls_.size() < max_open_calls &&
       state_.endpoints.start_carried(process_of(*endpoint), now)) {
     auto call = std::make_shared<carried_call>();
     call->request = std::move(*request);
     call->endpoint = process_of(*endpoint);
     call->address = endpoint->address;
     call->received_at = now;
-    ++open_calls_;
+    open_calls_.insert(call.get());
     result = co_await carry(call, writer);
-    --open_calls_;
+    open_calls_.erase(call.get());
     release_place(*call, result);
   }
   const std::string outcome(to_string(result.value_or(relay_result::answered)));
@@ -64,6 +65,19 @@
   }
 }
 
+void endpoint_relay::log_open_calls() const
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto* call : open_calls_) {
+    const auto left = std::chrono::duration_cast<milliseconds>(call->request.deadline - now);
+    state_.log.write(daemon::log_level::warn, "carried call open at the end",
+                     {{"request", call->request.request_id},
+                      {"endpoint", call->endpoint.id.value()},
+                      {"answer_begun", call->answer_begun ? "yes" : "no"},
+                      {"time_left_ms", std::to_string(left.count())}});
+  }
+}
+
 void endpoint_relay::release_place(const carried_call& call,
                                    std::optional<relay_result> failure) const
 {
--- a/src/relay/endpoint_relay.h
+++ b/src/relay/endpoint_relay.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <unordered_set>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -32,7 +33,10 @@
   boost::asio::awaitable<void> serve(http::request received, http::response_writer& writer);
 
   // Number of calls being carried.
-  [[nodiscard]] std::size_t open_calls() const { return open_calls_; }
+  [[nodiscard]] std::size_t open_calls() const { return open_calls_.size(); }
+
+  // Writes a log line for each call being carried.
+  void log_open_calls() const;
 
  private:
   struct carried_call;
@@ -49,7 +53,7 @@
 
   fleet_state& state_;
   endpoint_transport& transport_;
-  std::size_t open_calls_ = 0;
+  std::unordered_set<carried_call*> open_calls_;
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -180,10 +180,23 @@
       timer.expires_after(drain_check_period);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    log_.write(daemon::log_level::info, "drained", {{"open_calls", std::to_string(open_calls())}});
+    relay_.log_open_calls();
+    endpoint_relay_.log_open_calls();
+    log_drained(start);
     context_.stop();
   }
 
+  void log_drained(mono_time start)
+  {
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+    log_.write(daemon::log_level::info, "drained",
+               {{"open_calls", std::to_string(relay_.open_calls())},
+                {"carried_calls", std::to_string(endpoint_relay_.open_calls())},
+                {"busy_connections", std::to_string(callers_.busy_connections())},
+                {"took_ms", std::to_string(took.count())}});
+  }
+
   // Calls of callers and of peers.
   [[nodiscard]] std::size_t open_calls() const
   {
