Reproduce calls cut by the end of a daemon, and by silent endpoints

CallsCutByDrainTest sends SIGTERM to daemons that run as processes while 500 callers use the connections that they opened before, each at a random moment of the grace.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -76,7 +76,7 @@
 
 # Soak test of gateway daemons. A short run with a fixed seed is part of the test suite.
 set(gateway_fleet_sources test/system/process.cc)
-foreach(part counting_endpoint gateway_fleet overload_run soak_endpoint_terms)
+foreach(part counting_endpoint drain_run gateway_fleet overload_run soak_endpoint_terms)
   list(APPEND gateway_fleet_sources test/gateway_system/${part}.cc)
 endforeach()
 add_library(wisteriaflow_gateway_fleet STATIC ${gateway_fleet_sources})
@@ -98,6 +98,11 @@
 target_link_libraries(gateway_overload PRIVATE wisteriaflow_gateway_fleet absl::flags
                       absl::flags_parse)
 
+# Daemons that receive SIGTERM while callers use them, run by hand.
+add_executable(gateway_drain test/gateway_system/gateway_drain_main.cc)
+target_link_libraries(gateway_drain PRIVATE wisteriaflow_gateway_fleet absl::flags
+                      absl::flags_parse)
+
 # Benchmarks are built with everything else and run manually or by the scripts bench/run-*.sh.
 file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cc)
 foreach(bench ${benches})
--- a/test/gateway_system/counting_endpoint.cc
+++ b/test/gateway_system/counting_endpoint.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int events_before_a_cut = 3;
-constexpr std::chrono::milliseconds event_pause{20};
 constexpr std::chrono::milliseconds slow_time{500};
 constexpr std::chrono::seconds stall_time{20};
 constexpr std::chrono::milliseconds requested_pause_time{1'500};
@@ -105,6 +104,14 @@
   waiting_.pop_front();
 }
 
+boost::asio::awaitable<void> counting_endpoint::wait_while_silent()
+{
+  for (auto now = std::chrono::steady_clock::now(); now < silent_until_;
+       now = std::chrono::steady_clock::now()) {
+    co_await async_sleep(std::chrono::ceil<std::chrono::milliseconds>(silent_until_ - now));
+  }
+}
+
 http::response counting_endpoint::head_for(const std::string& request) const
 {
   return {.fields = {{"Request-Id", request},
@@ -154,6 +161,8 @@
 {
   const auto request = std::string(http::find_header(r.fields, "Request-Id"));
   ++runs_[request];
+  w.on_peer_closed(
+      [this, request] { abandoned_.emplace(request, std::chrono::steady_clock::now()); });
   if (r.path == crash_path) {
     on_crash_request();
     co_return;
@@ -180,7 +189,9 @@
     w.abort();
     co_return;
   }
-  co_await async_sleep(work_time_);
+  std::uniform_int_distribution<std::int64_t> drawn(pace_.shortest.count(), pace_.longest.count());
+  co_await async_sleep(work_time_ + std::chrono::milliseconds(drawn(random_)));
+  co_await wait_while_silent();
   auto out = head_for(request);
   out.status = active == misbehaviour::fails ? 500 : 200;
   out.body = complete_body(id_, request);
@@ -207,8 +218,9 @@
       co_return;
     }
     const auto text = event(i, version_, request);
+    co_await wait_while_silent();
     co_await w.write_chunk(text);
-    co_await async_sleep(event_pause);
+    co_await async_sleep(pace_.event_pause);
   }
   co_await w.finish_stream();
 }
--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -64,6 +64,14 @@
   std::optional<std::size_t> max_rejections = std::nullopt;
 };
 
+// How long an endpoint takes for its requests.
+struct endpoint_pace {
+  // For one that is not a stream, drawn for each request.
+  std::chrono::milliseconds shortest{0};
+  std::chrono::milliseconds longest{0};
+  std::chrono::milliseconds event_pause{20}; // after each event of a stream
+};
+
 // A request that arrived, whether it ran or not.
 struct received_request {
   std::string id;
@@ -104,6 +112,14 @@
     work_time_ = work_time;
   }
   [[nodiscard]] const fakes::limited_room& room() const { return room_; }
+
+  // Applies to later requests.
+  void set_pace(endpoint_pace pace) { pace_ = pace; }
+  // Writes nothing before `until`, but continues to accept and to run requests.
+  void fall_silent(mono_time until) { silent_until_ = until; }
+  // The requests that a daemon abandoned before the answer was complete, and when it did.
+  [[nodiscard]] const std::map<std::string, mono_time>& abandoned() const { return abandoned_; }
+
   // Called when the endpoint fails because it had to reject too many requests; must end it.
   std::function<void()> on_overload = [] {};
 
@@ -129,6 +145,7 @@
   // Waits until one of the places is free, in the order of arrival.
   boost::asio::awaitable<void> wait_for_place();
   void leave_place();
+  boost::asio::awaitable<void> wait_while_silent();
   boost::asio::awaitable<void> stream(const fakes::fake_request& r, misbehaviour active,
                                       announced_terms announced, http::response_writer& w);
   [[nodiscard]] http::response head_for(const std::string& request) const;
@@ -144,6 +161,9 @@
   double rate_ = 0;
   fakes::limited_room room_;
   std::chrono::milliseconds work_time_{0};
+  endpoint_pace pace_;
+  mono_time silent_until_;
+  std::map<std::string, mono_time> abandoned_;
   std::size_t running_ = 0;                        // requests that have a place
   std::deque<boost::asio::steady_timer*> waiting_; // requests without one, cancelled in turn
   std::vector<received_request> received_;
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -31,13 +31,15 @@
   return name;
 }
 
-json::object route(const std::string& name, const std::string& kind, bool resumable)
+json::object route(const std::string& name, const std::string& kind, bool resumable,
+                   const route_timeouts& timeouts)
 {
+  const auto timeout = kind == "streaming" ? timeouts.stream : timeouts.plain;
   return {{"name", name},
           {"host", gateway_fleet::host},
           {"pathPrefix", "/" + name + "/"},
           {"kind", kind},
-          {"timeoutMs", gateway_fleet::route_timeout.count()},
+          {"timeoutMs", timeout.count()},
           {"targetLatencyMs", 300},
           {"targetGapMs", 300},
           {"service", "chat"},
@@ -151,10 +153,12 @@
 std::uint64_t gateway_fleet::write_configuration()
 {
   ++version_;
-  json::array routes = {route("safe", "safe", false), route("unsafe", "unsafe", false),
-                        route("stream", "streaming", false), route("resumable", "streaming", true)};
+  json::array routes = {route("safe", "safe", false, timeouts_),
+                        route("unsafe", "unsafe", false, timeouts_),
+                        route("stream", "streaming", false, timeouts_),
+                        route("resumable", "streaming", true, timeouts_)};
   for (std::uint64_t i = 1; i <= version_; ++i) {
-    routes.push_back(route("extra-" + std::to_string(i), "safe", false));
+    routes.push_back(route("extra-" + std::to_string(i), "safe", false, timeouts_));
   }
   const json::value workspace = {{"name", "hotel"}, {"apiKeys", json::array{"k1"}}};
   store_.put("config", "main",
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -52,6 +52,12 @@
   std::unique_ptr<fault_proxy> proxy;
 };
 
+// How long the operator lets callers of the routes wait.
+struct route_timeouts {
+  std::chrono::milliseconds plain{3'000};
+  std::chrono::milliseconds stream{3'000};
+};
+
 struct daemon_options {
   std::string log; // file for the output; if empty, a temporary one
   std::string log_level = "info";
@@ -62,7 +68,7 @@
  public:
   // The host name of every route.
   static constexpr const char* host = "shop.example";
-  static constexpr std::chrono::milliseconds route_timeout{3'000};
+  static constexpr std::chrono::milliseconds route_timeout = route_timeouts{}.plain;
   static constexpr std::chrono::milliseconds endpoint_notice{3'000};
   static constexpr std::chrono::seconds drain_grace{8};
 
@@ -82,6 +88,8 @@
   // Writes the endpoint's entry with `state`, for example "ready" or "draining".
   void write_endpoint(const proxied_endpoint& e, const std::string& state);
 
+  // Timeouts in later versions of the configuration.
+  void set_route_timeouts(route_timeouts timeouts) { timeouts_ = timeouts; }
   // Writes the next version of the configuration, with the four routes /safe/, /unsafe/, /stream/
   // and /resumable/ and a route /extra-N/ for each version N up to this one. Returns the version.
   std::uint64_t write_configuration();
@@ -113,6 +121,7 @@
   int last_daemon_ = 0;
   int last_endpoint_ = 0;
   std::size_t endpoint_slots_ = 64;
+  route_timeouts timeouts_;
 };
 
 } // namespace wisteriaflow::gateway_system_tests
