Answer every call before a draining daemon's process ends

What callers saw: around SIGTERM, calls that an endpoint ran ended with a closed connection and no answer. Cause: a daemon admitted calls up to its last moment, however long they could take (streams alone were turned away, 2.5 s after the signal), and stopped its process half a second before the kill, whatever was open. Ruled out by the new log lines: nothing was cut at an earlier end of the process, and nothing was carried for a peer.

Now one schedule (gateway/drain_schedule) holds for calls of every kind. For 5/16 of the grace everything is accepted, as streams were; after that only a call whose deadline lies before answers are due. The others are refused at once as not run. When answers are due, what is open gets its true final answer: 503 if nothing was sent, 502 if it may have run; a stream that has begun is cut. A call carried for a peer is answered 'abandoned', by which the peer blames no endpoint; peers of an earlier version take it for a loss of the peer, as they took the closed connection. Connections that wait are accepted and answered, idle ones closed, and the process ends 0.3 s before the kill at the latest. From 3 s on it ends early only after a second without a request: its first idle moment closed the connections of callers that still used it.

ADrainingDaemonIsNotReadyAndStillAnswers now has the grace of 8 s: with 1.5 s its call of up to 5 s is refused after 0.5 s, which is the new rule and not what the test is about.

--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -86,17 +86,22 @@
   // Returns the number of received requests whose response is not complete.
   [[nodiscard]] std::size_t open_requests() const;
 
-  // Returns the number of connections on which a request is being received or answered.
+  // Returns the number of connections, and of those on which a request is being received or
+  // answered.
+  [[nodiscard]] std::size_t connections() const;
   [[nodiscard]] std::size_t busy_connections() const;
 
+  // Returns when the last request was received; the start of the server if none was.
+  [[nodiscard]] std::chrono::steady_clock::time_point last_request_at() const;
+
   // Closes each connection after its next response, which says so in its Connection field. The
   // server still accepts new connections.
   void disable_keep_alive();
 
   // Starts to drain: accepts no new connections and closes each connection after its current
-  // response. Idle connections stay open for a short time, in which the server still answers a
+  // response. Idle connections stay open for `idle_time`, in which the server still answers a
   // request that was in transit.
-  void stop_accepting();
+  void stop_accepting(std::chrono::milliseconds idle_time = std::chrono::milliseconds(1'000));
 
   // Closes the listener and all connections at once.
   void close();
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -222,6 +222,7 @@
   phase_ = phase::handling;
   response_open_ = true;
   ++state_->open_requests;
+  state_->last_request_at = std::chrono::steady_clock::now();
   stream_.expires_never();
   bool failed = false;
   try {
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -4,6 +4,7 @@
 #ifndef WISTERIAFLOW_SRC_HTTP_CONNECTION_H_
 #define WISTERIAFLOW_SRC_HTTP_CONNECTION_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -27,6 +28,7 @@
   handler on_request;
   std::unordered_set<connection*> connections;
   std::size_t open_requests = 0;
+  std::chrono::steady_clock::time_point last_request_at = std::chrono::steady_clock::now();
   bool draining = false;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -24,10 +24,6 @@
 // Delay after a failed accept, for example because the process has no file descriptors left.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
-// How long idle connections stay open once the server drains, so that a request that was in transit
-// when draining began is still answered.
-constexpr std::chrono::milliseconds drain_idle_timeout{1000};
-
 } // namespace
 
 class server::implementation : public std::enable_shared_from_this<implementation> {
@@ -52,6 +48,10 @@
 
   [[nodiscard]] std::size_t open_requests() const { return state_->open_requests; }
 
+  [[nodiscard]] std::size_t connections() const { return state_->connections.size(); }
+
+  [[nodiscard]] auto last_request_at() const { return state_->last_request_at; }
+
   [[nodiscard]] std::size_t busy_connections() const
   {
     const auto& all = state_->connections;
@@ -61,7 +61,7 @@
 
   void disable_keep_alive() { state_->draining = true; }
 
-  void stop_accepting()
+  void stop_accepting(std::chrono::milliseconds idle_time)
   {
     if (!acceptor_.is_open()) {
       return;
@@ -70,7 +70,7 @@
     accept_pending();
     error_code ec;
     acceptor_.close(ec);
-    drain_timer_.expires_after(drain_idle_timeout);
+    drain_timer_.expires_after(idle_time);
     drain_timer_.async_wait([state = state_](error_code ec) {
       if (!ec) {
         for_each_connection(*state, [](internal::connection& c) { c.close_if_idle(); });
@@ -189,6 +189,16 @@
   return implementation_->open_requests();
 }
 
+std::size_t server::connections() const
+{
+  return implementation_->connections();
+}
+
+std::chrono::steady_clock::time_point server::last_request_at() const
+{
+  return implementation_->last_request_at();
+}
+
 std::size_t server::busy_connections() const
 {
   return implementation_->busy_connections();
@@ -199,9 +209,9 @@
   implementation_->disable_keep_alive();
 }
 
-void server::stop_accepting()
+void server::stop_accepting(std::chrono::milliseconds idle_time)
 {
-  implementation_->stop_accepting();
+  implementation_->stop_accepting(idle_time);
 }
 
 void server::close()
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -121,7 +121,7 @@
   } catch (const http::http_error& e) {
     if (result_.reason.empty()) { // otherwise this attempt ended the exchange itself
       result_.reason = e.what();
-      result_.closed_by_endpoint = !result_.silent && !call_.caller_gone && !caller_write_failed_;
+      result_.closed_by_endpoint = !call_.exchange->is_cancelled() && !caller_write_failed_;
     }
   }
   silence_timer_.disarm();
@@ -200,6 +200,9 @@
   if ((result_.silent || result_.timed_out) && lost_link()) {
     result_.cause = failure_cause::link;
   }
+  if (call_.is_abandoned) {
+    result_.cause = failure_cause::unknown; // the endpoint is not to blame
+  }
 }
 
 asio::awaitable<void> attempt::check_cut_off()
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -68,6 +68,7 @@
   bool usage_counted = false; // the call is counted in its workspace's usage
 
   bool caller_gone = false;
+  bool is_abandoned = false; // this daemon's process ends before the endpoint's answer
   std::shared_ptr<http::cancel_handle> exchange; // of the current attempt
 
   [[nodiscard]] bool is_resumable_stream() const
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -99,8 +99,8 @@
       {"attempts", std::to_string(call.history.sent)},
       {"since_arrival_ms", ms(now - call.received_at)},
       {"time_left_ms", ms(call.deadline - now)}};
-  if (const auto since = state_.draining_since()) {
-    fields.emplace_back("arrived_after_drain_ms", ms(call.received_at - *since));
+  if (const auto& drain = state_.drain()) {
+    fields.emplace_back("arrived_after_drain_ms", ms(call.received_at - drain->began_at));
   }
   state_.log.write(daemon::log_level::warn, "call open at the end", std::move(fields));
 }
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -21,9 +21,7 @@
 // Retry-After of a daemon that has no configuration, endpoint list or list of daemons yet. It reads
 // them within a few exchanges with the store or a peer.
 constexpr milliseconds not_ready_retry_delay{250};
-// A stream that begins later than this after the drain has begun may not end before the process is
-// killed. It is refused, so that the caller sends it to another daemon at once.
-constexpr milliseconds stream_cutoff_after_drain{2'500};
+// Retry-After of a leaving daemon. The caller sends the call to another daemon.
 constexpr milliseconds other_daemon_retry_delay{20};
 // A daemon that knows the version of a stream and did not reply may do so after this time.
 constexpr milliseconds unknown_version_retry_delay{500};
@@ -92,11 +90,15 @@
   co_await relay(std::move(call), writer);
 }
 
-void call_relay::log_open_calls()
+void call_relay::end_open_calls()
 {
   const auto now = std::chrono::steady_clock::now();
-  for (const auto* call : admitted_) {
+  for (auto* call : admitted_) {
     log_.on_open_at_end(*call, now);
+    call->is_abandoned = true;
+    if (call->exchange) {
+      call->exchange->cancel();
+    }
   }
 }
 
@@ -139,16 +141,14 @@
   if (auto why = check_hold(call)) {
     return *why;
   }
-  const auto leaving = state_.draining_since();
-  const bool stream = call.route->kind == gateway::call_kind::stream;
-  if (leaving && stream && now > *leaving + stream_cutoff_after_drain) {
-    return call_refusal{http::status::service_unavailable, "this daemon is about to end",
-                        now + other_daemon_retry_delay};
-  }
   call.deadline = now + call.route->timeout;
   if (call.description.deadline) {
     call.deadline = std::min(call.deadline, *call.description.deadline);
   }
+  if (const auto& drain = state_.drain(); drain && !drain->can_finish(now, call.deadline)) {
+    return call_refusal{http::status::service_unavailable, "this daemon is about to end",
+                        now + other_daemon_retry_delay};
+  }
   call.service = pick_service(*call.route);
   return call;
 }
@@ -323,6 +323,10 @@
     writer.abort();
     co_return false;
   }
+  if (call.is_abandoned) {
+    co_await fail_call(call, writer);
+    co_return false;
+  }
   if (const auto why = check_hold(call)) {
     co_await end_held_call(call, *why, writer);
     co_return false;
@@ -365,7 +369,7 @@
     writer.abort();
     co_return false;
   }
-  const bool in_time = std::chrono::steady_clock::now() < call.deadline;
+  const bool in_time = !call.is_abandoned && std::chrono::steady_clock::now() < call.deadline;
   if (last.end == attempt_result::end_state::not_sent) {
     if (last.cause == failure_cause::link && !last.relay) {
       call.unsent.push_back(last.endpoint.id);
@@ -454,7 +458,9 @@
     refund_quota(call);
   }
   std::optional<mono_time> retry_at;
-  if (status == http::status::service_unavailable) {
+  if (call.is_abandoned) {
+    retry_at = now + other_daemon_retry_delay;
+  } else if (status == http::status::service_unavailable) {
     retry_at = gateway::retry_time(
         {.now = now, .available_at = why.retry_at, .rank = call.priority}, random_);
   }
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -43,8 +43,9 @@
   // Number of calls without a final answer.
   [[nodiscard]] std::size_t open_calls() const { return open_calls_; }
 
-  // Writes a log line for each admitted call without a final answer.
-  void log_open_calls();
+  // Ends all admitted calls: each gets its final answer now, which says that its outcome is unknown
+  // if it was sent to an endpoint. A stream that has begun is cut.
+  void end_open_calls();
 
  private:
   using admission = std::variant<admitted_call, call_refusal>;
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -33,7 +33,8 @@
   bool peer_gone = false;
   std::optional<http::response> head; // of the endpoint's answer
   bool answer_begun = false;
-  bool is_complete = false; // the endpoint has ended its answer
+  bool is_complete = false;  // the endpoint has ended its answer
+  bool is_abandoned = false; // see end_open_calls
 };
 
 asio::awaitable<void> endpoint_relay::serve(http::request received, http::response_writer& writer)
@@ -65,16 +66,18 @@
   }
 }
 
-void endpoint_relay::log_open_calls() const
+void endpoint_relay::end_open_calls()
 {
   const auto now = std::chrono::steady_clock::now();
-  for (const auto* call : open_calls_) {
+  for (auto* call : open_calls_) {
     const auto left = std::chrono::duration_cast<milliseconds>(call->request.deadline - now);
     state_.log.write(daemon::log_level::warn, "carried call open at the end",
                      {{"request", call->request.request_id},
                       {"endpoint", call->endpoint.id.value()},
                       {"answer_begun", call->answer_begun ? "yes" : "no"},
                       {"time_left_ms", std::to_string(left.count())}});
+    call->is_abandoned = true;
+    call->exchange.cancel();
   }
 }
 
@@ -99,7 +102,7 @@
   const auto& all = state_.endpoints.all();
   const auto it = all.find(request.endpoint);
   if (it == all.end() || it->second.leaving || state_.links.is_lost(request.endpoint) ||
-      state_.draining_since() || state_.feed.is_outdated(std::chrono::steady_clock::now())) {
+      state_.drain() || state_.feed.is_outdated(std::chrono::steady_clock::now())) {
     return nullptr;
   }
   // Peers of an earlier version state none.
@@ -156,7 +159,7 @@
   } catch (const http::exchange_timeout_error& e) {
     failure = relay_result::timed_out;
   } catch (const http::http_error& e) {
-    failure = relay_result::interrupted;
+    failure = call->is_abandoned ? relay_result::abandoned : relay_result::interrupted;
   }
   if (call->answer_begun || call->peer_gone) {
     writer.abort(); // the peer must see that the answer is incomplete
--- a/src/relay/endpoint_relay.h
+++ b/src/relay/endpoint_relay.h
@@ -35,8 +35,9 @@
   // Number of calls being carried.
   [[nodiscard]] std::size_t open_calls() const { return open_calls_.size(); }
 
-  // Writes a log line for each call being carried.
-  void log_open_calls() const;
+  // Ends all calls being carried, each with an answer that tells the peer that this daemon, not the
+  // endpoint, ended the exchange.
+  void end_open_calls();
 
  private:
   struct carried_call;
--- a/src/relay/endpoint_transport.cc
+++ b/src/relay/endpoint_transport.cc
@@ -225,6 +225,8 @@
   case relay_result::interrupted:
     throw http::broken_exchange_error("the exchange between the peer and " + endpoint.value() +
                                       " broke off");
+  case relay_result::abandoned:
+    throw relay_lost_error("the peer's process ended before the answer of " + endpoint.value());
   case relay_result::timed_out:
     throw http::exchange_timeout_error("no answer to the peer from " + endpoint.value() +
                                        " in time");
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -156,20 +156,19 @@
   }
 }
 
-void fleet_state::begin_drain(mono_time now)
+void fleet_state::begin_drain(const gateway::drain_schedule& drain)
 {
-  if (draining_since_) {
+  if (drain_) {
     return;
   }
-  draining_since_ = now;
+  drain_ = drain;
   signal_urgent_update();
 }
 
 bool fleet_state::is_ready() const
 {
   const bool rollouts_known = !rollouts_enabled() || versions.rollouts_revision().number > 0;
-  return rollouts_known && configuration_ && endpoints.has_list() && quota.knows_fleet() &&
-         !draining_since_;
+  return rollouts_known && configuration_ && endpoints.has_list() && quota.knows_fleet() && !drain_;
 }
 
 std::uint64_t fleet_state::seed() const
@@ -185,7 +184,7 @@
           .caller_address = options.callers,
           .zone = options.zone,
           .ready = is_ready(),
-          .leaving = draining_since_.has_value(),
+          .leaving = drain_.has_value(),
           .acting = is_leader_,
           .cut_off = links.is_cut_off()};
 }
@@ -776,7 +775,7 @@
                             .running = peers.running(now),
                             .live_count = live.size() + 1,
                             .running_count = daemons,
-                            .leaving = draining_since_.has_value()};
+                            .leaving = drain_.has_value()};
   endpoints.set_fleet(fleet, now);
   quota.set_fleet(std::move(fleet), now);
   version_calls.set_extra_calls(trial_slack_margin * options.trial_slack /
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -23,6 +23,7 @@
 #include "wisteriaflow/base/time.h"
 #include "wisteriaflow/gateway/configuration.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
+#include "wisteriaflow/gateway/drain_schedule.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_links.h"
 #include "wisteriaflow/gateway/endpoint_pool.h"
@@ -78,9 +79,11 @@
   }
   void signal_urgent_update() const;
 
-  // Starts the drain, and lets peers know at once that this daemon stops.
-  void begin_drain(mono_time now);
-  [[nodiscard]] std::optional<mono_time> draining_since() const { return draining_since_; }
+  // Starts the drain, unless it has started before, and lets peers know at once that this daemon
+  // stops.
+  void begin_drain(const gateway::drain_schedule& drain);
+  // The times of the drain; nothing if this daemon is not told to leave.
+  [[nodiscard]] const std::optional<gateway::drain_schedule>& drain() const { return drain_; }
 
   // Whether callers may use this daemon: it knows the configuration, the endpoints and the
   // rollouts, and is not draining.
@@ -267,7 +270,7 @@
   boost::json::value document_;
   std::optional<mono_time> configuration_read_at_;
   std::function<void()> on_urgent_update_;
-  std::optional<mono_time> draining_since_;
+  std::optional<gateway::drain_schedule> drain_;
   bool is_leader_ = false; // holds the fleet's lease
   std::uint64_t last_fencing_number_ = 0;
   gateway::decided_usage_map decided_usage_;
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -1,6 +1,8 @@
 #include "wisteriaflow/relay/gateway_daemon.h"
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -29,6 +31,7 @@
 #include "relay/store_sync.h"
 #include "relay/version_store.h"
 #include "wisteriaflow/gateway/caller_addresses.h"
+#include "wisteriaflow/gateway/drain_schedule.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
 
@@ -48,8 +51,6 @@
 // Limits of the server itself; the limits in the configuration are checked for each call.
 constexpr std::size_t header_limit = 64U << 10U;
 constexpr std::size_t body_limit = std::size_t{16} << 20U;
-// A drain ends this long before the platform kills the process, so that it exits by itself.
-constexpr milliseconds drain_margin{500};
 constexpr milliseconds drain_check_period{50};
 
 http::server_options caller_server_options(const settings& s)
@@ -136,12 +137,14 @@
  private:
   void drain()
   {
-    if (state_.draining_since()) {
+    if (state_.drain()) {
       return;
     }
     log_.write(daemon::log_level::info, "draining",
                {{"open_calls", std::to_string(relay_.open_calls())}});
-    state_.begin_drain(std::chrono::steady_clock::now());
+    state_.begin_drain(gateway::make_drain_schedule(std::chrono::steady_clock::now(),
+                                                    state_.options.drain_grace,
+                                                    max_validity_factor * address_validity));
     callers_.disable_keep_alive();
     asio::co_spawn(context_, finish_drain(), asio::detached);
   }
@@ -163,33 +166,44 @@
     });
   }
 
-  // Ends the process when callers no longer use this daemon and every call has been answered, or at
-  // the drain deadline, before the platform would kill the process.
+  // Ends the process when callers no longer use this daemon and every call has been answered, at
+  // the latest when the schedule says so. Every open call is answered before.
   asio::awaitable<void> finish_drain()
   {
-    const auto start = std::chrono::steady_clock::now();
-    const auto drain_deadline = start + state_.options.drain_grace - drain_margin;
-    const auto callers_gone_at =
-        std::min(drain_deadline, start + max_validity_factor * address_validity);
+    const auto drain = *state_.drain();
+    std::function<bool()> callers_have_left = [this, &drain] {
+      const bool is_idle = open_calls() == 0 && callers_.busy_connections() == 0;
+      return is_idle &&
+             drain.may_end_early(std::chrono::steady_clock::now(), callers_.last_request_at());
+    };
+    co_await wait_until(drain.answers_due_at, std::move(callers_have_left));
+    relay_.end_open_calls();
+    endpoint_relay_.end_open_calls();
+    callers_.stop_accepting(milliseconds(0));
+    std::function<bool()> all_are_answered = [this] {
+      return open_calls() == 0 && callers_.connections() == 0;
+    };
+    co_await wait_until(drain.process_ends_at, std::move(all_are_answered));
+    log_drained(drain.began_at);
+    context_.stop();
+  }
+
+  // Waits until `condition` holds, at most until `deadline`.
+  asio::awaitable<void> wait_until(mono_time deadline, std::function<bool()> condition)
+  {
     asio::steady_timer timer(context_);
     boost::system::error_code ec;
-    for (auto now = start; now < drain_deadline; now = std::chrono::steady_clock::now()) {
-      if (now >= callers_gone_at && open_calls() == 0) {
-        break;
-      }
-      timer.expires_after(drain_check_period);
+    for (auto now = std::chrono::steady_clock::now(); now < deadline && !condition();
+         now = std::chrono::steady_clock::now()) {
+      timer.expires_at(std::min(deadline, now + drain_check_period));
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    relay_.log_open_calls();
-    endpoint_relay_.log_open_calls();
-    log_drained(start);
-    context_.stop();
   }
 
-  void log_drained(mono_time start)
+  void log_drained(mono_time began_at)
   {
     const auto took =
-        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began_at);
     log_.write(daemon::log_level::info, "drained",
                {{"open_calls", std::to_string(relay_.open_calls())},
                 {"carried_calls", std::to_string(endpoint_relay_.open_calls())},
--- a/src/relay/lease_keeper.cc
+++ b/src/relay/lease_keeper.cc
@@ -105,7 +105,7 @@
 {
   report_suspension();
   const auto now = lease_time();
-  const bool competes = state_.configuration() && !state_.draining_since() &&
+  const bool competes = state_.configuration() && !state_.drain() &&
                         (holds_lease() || state_.is_coordinator(std::chrono::steady_clock::now()));
   execute(holder_.handle(capacity::lease_wanted{.wanted = competes}, now));
   if (const auto due = holder_.wake_at(); due && *due <= now.mono) {
--- a/src/relay/relay_messages.cc
+++ b/src/relay/relay_messages.cc
@@ -23,9 +23,9 @@
 constexpr std::array<std::string_view, 6> relay_fields = {
     endpoint_field, version_field, target_field, request_field, time_left_field, result_field};
 
-constexpr std::array<relay_result, 5> all_results = {
-    relay_result::answered, relay_result::refused, relay_result::unreachable,
-    relay_result::interrupted, relay_result::timed_out};
+constexpr std::array<relay_result, 6> all_results = {
+    relay_result::answered,    relay_result::refused,   relay_result::unreachable,
+    relay_result::interrupted, relay_result::timed_out, relay_result::abandoned};
 
 // Neither a caller nor an endpoint may state these fields.
 void remove_relay_fields(http::headers& fields)
@@ -56,6 +56,8 @@
     return "interrupted";
   case relay_result::timed_out:
     return "timed_out";
+  case relay_result::abandoned:
+    return "abandoned";
   }
   return "refused";
 }
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -38,6 +38,7 @@
   unreachable, // not sent: the peer cannot connect to the endpoint either
   interrupted, // may have run: the endpoint ended the exchange before its answer
   timed_out,   // may have run: no answer before the deadline
+  abandoned,   // may have run: the peer's process ends before the endpoint's answer
 };
 
 [[nodiscard]] std::string_view to_string(relay_result result);
--- a/test/http/server_test.cc
+++ b/test/http/server_test.cc
@@ -212,6 +212,28 @@
   EXPECT_EQ(out.substr(out.find("\r\n\r\n")), "\r\n\r\nlast");
 }
 
+TEST_F(ServerTest, AnswersARequestThatWaitsWhenIdleConnectionsAreClosedAtOnce)
+{
+  start({}, echo);
+  auto socket = connect();
+  boost::asio::write(socket, boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+  server_->stop_accepting(std::chrono::milliseconds(0));
+  const auto out = exchange(socket, "");
+  EXPECT_TRUE(out.starts_with("HTTP/1.1 200")) << out;
+}
+
+TEST_F(ServerTest, ClosesIdleConnectionsAtOnceIfToldTo)
+{
+  start({}, echo);
+  auto socket = connect();
+  context_.poll();
+  EXPECT_EQ(server_->connections(), 1U);
+  EXPECT_EQ(server_->busy_connections(), 0U);
+  server_->stop_accepting(std::chrono::milliseconds(0));
+  context_.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(server_->connections(), 0U);
+}
+
 TEST_F(ServerTest, RejectsConnectionsWhileDraining)
 {
   start({}, echo);
--- a/test/relay/endpoint_transport_test.cc
+++ b/test/relay/endpoint_transport_test.cc
@@ -91,6 +91,12 @@
   EXPECT_THROW(exchange(), http::broken_exchange_error);
 }
 
+TEST_F(EndpointTransportTest, AnExchangeThatEndedWithThePeersProcessIsALossOfThePeer)
+{
+  answer_ = with_relay_result({.status = 502}, relay_result::abandoned);
+  EXPECT_THROW(exchange(), relay_lost_error);
+}
+
 TEST_F(EndpointTransportTest, AnAnswerOfTheEndpointEndsTheExchange)
 {
   answer_ = with_relay_result({.status = 200, .body = "text"}, relay_result::answered);
--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -354,6 +354,7 @@
 
 TEST_F(GatewayTest, ADrainingDaemonIsNotReadyAndStillAnswers)
 {
+  customize_settings_ = [](settings& s) { s.drain_grace = std::chrono::seconds(8); };
   start();
   gateways_[0]->daemon.drain();
   wait_until(
@@ -364,6 +365,40 @@
   EXPECT_EQ(http::find_header(out.fields, "Connection"), "close");
 }
 
+TEST_F(GatewayTest, ACallThatIsOpenWhenTheProcessEndsIsAnsweredAsUnknown)
+{
+  start();
+  for (const auto& e : endpoints_) {
+    e->behaviour = endpoint_behaviour::never_responds;
+    e->on_request = [this] { gateways_[0]->daemon.drain(); };
+  }
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 502);
+  EXPECT_EQ(total_requests_received(), 1U);
+}
+
+TEST_F(GatewayTest, ARepeatableCallIsNotSentAgainWhenTheProcessEnds)
+{
+  start();
+  for (const auto& e : endpoints_) {
+    e->behaviour = endpoint_behaviour::never_responds;
+    e->on_request = [this] { gateways_[0]->daemon.drain(); };
+  }
+  EXPECT_EQ(call("GET", "/safe/1").status, 502);
+  EXPECT_EQ(total_requests_received(), 1U);
+}
+
+TEST_F(GatewayTest, ADrainingDaemonRefusesACallThatMayOutlastIt)
+{
+  start();
+  gateways_[0]->daemon.drain();
+  run_for(std::chrono::milliseconds(600));
+  const auto out = call("POST", "/unsafe/1");
+  EXPECT_EQ(out.status, 503);
+  EXPECT_FALSE(http::find_header(out.fields, "Retry-After").empty());
+  EXPECT_EQ(total_requests_received(), 0U);
+}
+
 TEST_F(GatewayTest, ACallAtAnEndpointThatRestartsEndsBeforeItsDeadline)
 {
   start();
--- a/test/relay/partitioned_daemon_test.cc
+++ b/test/relay/partitioned_daemon_test.cc
@@ -336,6 +336,14 @@
   EXPECT_GT(stated, 0);
 }
 
+TEST_F(PartitionedDaemonTest, APeerWhoseProcessEndsSaysSoOfACallThatItCarries)
+{
+  start(1, 2);
+  set_behaviour(endpoint_behaviour::never_responds);
+  endpoints_[0]->on_request = [this] { gateways_[1]->daemon.drain(); };
+  EXPECT_EQ(relay_result_of(relay("i-1", 20s)), relay_result::abandoned);
+}
+
 TEST_F(PartitionedDaemonTest, APeerKeepsItsOwnFieldsFromTheEndpoint)
 {
   start(1, 2);
