Leave a silent endpoint only with a retry in hand

What callers saw: while all endpoints of a service fell silent for a second, streams were cut and repeatable calls got 502, although the endpoints were sound and went on a moment later. Cause: an attempt was cancelled after three silent intervals if the route allowed another one; only afterwards was the budget asked, which a second of silence uses up, or an endpoint looked for.

Now the attempt ends early only if the route allows a retry, the stream can go on after an event with an id, the service has an endpoint that was not tried (of the stream's version), and the budget has granted the retry, which is kept for the next attempt. Without it the answer is waited for until the call's deadline. The same holds where the link to the endpoint is believed lost.

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -504,11 +504,36 @@
   }
 }
 
-// Whether the call may be sent to another endpoint after this attempt.
+// Whether the call may be sent to another endpoint after this attempt, and there is one.
 bool attempt::can_retry_elsewhere() const
 {
   const auto& r = *call_.route;
-  return r.repeatable() && call_.history.sent + 1 < r.max_attempts;
+  const bool can_go_on = !call_.stream_started || call_.last_event_id;
+  return r.repeatable() && call_.history.sent + 1 < r.max_attempts && can_go_on &&
+         has_other_endpoint();
+}
+
+bool attempt::has_other_endpoint() const
+{
+  const auto serving = state_.endpoints.serving(call_.service);
+  return std::any_of(serving.begin(), serving.end(), [this](const auto* endpoint) {
+    const auto& tried = call_.excluded;
+    const bool has_version =
+        !call_.stream_version || call_.stream_version->version == endpoint->version;
+    return has_version && std::find(tried.begin(), tried.end(), endpoint->id) == tried.end();
+  });
+}
+
+bool attempt::leave_for_retry()
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (!can_retry_elsewhere() || !state_.retries.take(call_.service, now)) {
+    return false;
+  }
+  call_.has_retry = true;
+  result_.silent = true;
+  call_.exchange->cancel();
+  return true;
 }
 
 milliseconds attempt::silence_interval() const
@@ -537,20 +562,15 @@
   if (!result_.relay) {
     transport_.links().on_silence(endpoint_.id, last_received_at_);
   }
-  if (lost_link() && can_retry_elsewhere()) {
-    result_.silent = true;
+  if (lost_link() && leave_for_retry()) {
     result_.reason = "the link to the endpoint was lost";
-    call_.exchange->cancel();
     return;
   }
   if (!lost_link() && last_received_at_ + unhealthy_after_intervals * silence_interval() <= now) {
     // The attempt continues, since the call may be running, but other calls avoid the endpoint.
     record_endpoint_failure(gateway::endpoint_failure::exchange_failed, now);
   }
-  if (can_retry_elsewhere() &&
-      last_received_at_ + cancel_after_intervals * silence_interval() <= now) {
-    result_.silent = true;
-    call_.exchange->cancel();
+  if (last_received_at_ + cancel_after_intervals * silence_interval() <= now && leave_for_retry()) {
     return;
   }
   arm_silence_timer();
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -68,6 +68,7 @@
   bool usage_counted = false; // the call is counted in its workspace's usage
 
   bool caller_gone = false;
+  bool has_retry = false;    // taken from the service's budget for the next attempt
   bool is_abandoned = false; // this daemon's process ends before the endpoint's answer
   std::shared_ptr<http::cancel_handle> exchange; // of the current attempt
 
@@ -151,6 +152,11 @@
   void check_silence();
   [[nodiscard]] std::chrono::milliseconds silence_interval() const;
   [[nodiscard]] bool can_retry_elsewhere() const;
+  // Whether the service has an endpoint that the call was not sent to and that may continue it.
+  [[nodiscard]] bool has_other_endpoint() const;
+  // Cancels the exchange if the call may be sent to another endpoint, and takes a retry for it from
+  // the service's budget; returns whether it did. Without a retry the answer may still come.
+  bool leave_for_retry();
   void update_endpoint_health(mono_time now);
   // Records success and latencies for the version of the service that the endpoint runs.
   void record_version_outcome(mono_time now);
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -405,8 +405,9 @@
   co_await refuse(call.received, why, writer);
 }
 
-bool call_relay::may_retry(const admitted_call& call, const attempt_result& last)
+bool call_relay::may_retry(admitted_call& call, const attempt_result& last)
 {
+  const bool has_retry = std::exchange(call.has_retry, false);
   if (last.outcome == attempt_outcome::answered || !gateway::may_retry(*call.route, call.history)) {
     return false;
   }
@@ -414,7 +415,7 @@
   if (call.stream_started && !call.last_event_id) {
     return false;
   }
-  return state_.retries.take(call.service, std::chrono::steady_clock::now());
+  return has_retry || state_.retries.take(call.service, std::chrono::steady_clock::now());
 }
 
 // Forwards the last attempt's answer, or ends the call with an error of the gateway.
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -95,7 +95,7 @@
   // Picks one of the route's services at random by weight.
   const std::string& pick_service(const gateway::route& r);
   // Whether the call may be sent again. Takes a retry from the service's budget if so.
-  bool may_retry(const admitted_call& call, const attempt_result& last);
+  bool may_retry(admitted_call& call, const attempt_result& last);
 
   boost::asio::io_context& context_;
   fleet_state& state_;
