Unregister open calls also when their handling throws

An exception other than an error of the exchange would have left a pointer to a call that is gone, which the end of a drain then follows. Retry-After goes with 503 only: an answer that says 'unknown' must not invite the caller back.

--- a/include/wisteriaflow/http/server.h
+++ b/include/wisteriaflow/http/server.h
@@ -23,6 +23,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "wisteriaflow/base/time.h"
 #include "wisteriaflow/http/message.h"
 
 namespace wisteriaflow::http {
@@ -92,7 +93,7 @@
   [[nodiscard]] std::size_t busy_connections() const;
 
   // Returns when the last request was received; the start of the server if none was.
-  [[nodiscard]] std::chrono::steady_clock::time_point last_request_at() const;
+  [[nodiscard]] mono_time last_request_at() const;
 
   // Closes each connection after its next response, which says so in its Connection field. The
   // server still accepts new connections.
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -28,7 +28,7 @@
   handler on_request;
   std::unordered_set<connection*> connections;
   std::size_t open_requests = 0;
-  std::chrono::steady_clock::time_point last_request_at = std::chrono::steady_clock::now();
+  mono_time last_request_at = std::chrono::steady_clock::now();
   bool draining = false;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -50,7 +50,7 @@
 
   [[nodiscard]] std::size_t connections() const { return state_->connections.size(); }
 
-  [[nodiscard]] auto last_request_at() const { return state_->last_request_at; }
+  [[nodiscard]] mono_time last_request_at() const { return state_->last_request_at; }
 
   [[nodiscard]] std::size_t busy_connections() const
   {
@@ -194,7 +194,7 @@
   return implementation_->connections();
 }
 
-std::chrono::steady_clock::time_point server::last_request_at() const
+mono_time server::last_request_at() const
 {
   return implementation_->last_request_at();
 }
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/cleanup/cleanup.h>
+
 #include "messages.h"
 #include "wisteriaflow/gateway/retry_time.h"
 #include "wisteriaflow/http/errors.h"
@@ -58,17 +60,16 @@
 asio::awaitable<void> call_relay::serve(http::request received, http::response_writer& writer)
 {
   ++open_calls_;
+  const absl::Cleanup end = [this] { --open_calls_; };
   auto decision = admit(received, std::chrono::steady_clock::now());
   if (const auto* why = std::get_if<call_refusal>(&decision)) {
     co_await refuse(received, *why, writer);
-    --open_calls_;
     co_return;
   }
   auto call = std::make_shared<admitted_call>(std::move(std::get<admitted_call>(decision)));
   admitted_.insert(call.get());
+  const absl::Cleanup remove = [this, id = call.get()] { admitted_.erase(id); };
   co_await serve_admitted(call, std::move(received), writer);
-  admitted_.erase(call.get());
-  --open_calls_;
 }
 
 asio::awaitable<void> call_relay::serve_admitted(std::shared_ptr<admitted_call> call,
@@ -459,11 +460,11 @@
     refund_quota(call);
   }
   std::optional<mono_time> retry_at;
-  if (call.is_abandoned) {
-    retry_at = now + other_daemon_retry_delay;
-  } else if (status == http::status::service_unavailable) {
-    retry_at = gateway::retry_time(
-        {.now = now, .available_at = why.retry_at, .rank = call.priority}, random_);
+  if (status == http::status::service_unavailable) {
+    const gateway::refused_call refused{
+        .now = now, .available_at = why.retry_at, .rank = call.priority};
+    retry_at =
+        call.is_abandoned ? now + other_daemon_retry_delay : gateway::retry_time(refused, random_);
   }
   auto out = adapter::make_error_response(status, to_string(why.reason), retry_at, now);
   co_await writer.send(std::move(out));
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include <absl/cleanup/cleanup.h>
+
 #include "messages.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
@@ -52,8 +54,8 @@
     call->address = endpoint->address;
     call->received_at = now;
     open_calls_.insert(call.get());
+    const absl::Cleanup remove = [this, id = call.get()] { open_calls_.erase(id); };
     result = co_await carry(call, writer);
-    open_calls_.erase(call.get());
     release_place(*call, result);
   }
   const std::string outcome(to_string(result.value_or(relay_result::answered)));
