Soak: use leaving daemons until their processes are gone

The soak's callers left a daemon one second after SIGTERM, and an answer that was cut at an undisturbed daemon was only counted, so it could not see this incident. Now 16 callers use a daemon from before its SIGTERM until its process is gone; endpoints take up to 150 ms for a call and fall silent together; daemons receive SIGTERM in series, and SIGHUP and a second SIGTERM while they drain; routes change their timeouts. A call that the end of a process ended must not have been at an endpoint, but for those that were sent early in the drain and ran until its last sixth; a request may go unanswered only if its process ended within 0.2 s and no endpoint got it.

--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -130,7 +130,7 @@
   // Whether it serves every request: it has no fault and limits nothing.
   [[nodiscard]] bool is_sound(mono_time now) const
   {
-    return misbehaviour_ == misbehaviour::none && !leaving_ && rate_ == 0 &&
+    return misbehaviour_ == misbehaviour::none && !leaving_ && rate_ == 0 && silent_until_ <= now &&
            !had_network_fault_at(now);
   }
 
--- a/test/gateway_system/drain_run.cc
+++ b/test/gateway_system/drain_run.cc
@@ -28,10 +28,6 @@
 constexpr milliseconds settle_time{4'000};
 constexpr std::size_t connections_opened_at_once = 20;
 constexpr milliseconds answer_slack{2'000};
-// A call may be cut if it was sent by this time after SIGTERM and its endpoint still worked on it
-// in the last sixth of the grace.
-constexpr milliseconds early_call_time{3'000};
-constexpr milliseconds last_sixth = gateway_fleet::drain_grace * 5 / 6;
 
 asio::awaitable<void> sleep(asio::io_context& context, steady_clock::duration time)
 {
@@ -240,9 +236,7 @@
   if (outcome == drained_call::cut) {
     co_await sleep(context_, poll_period); // for the endpoint to see that its connection is closed
     const auto abandoned = abandoned_at(made.id);
-    const bool may_be_cut =
-        since_sigterm <= early_call_time && abandoned && *abandoned >= *d.sigterm_at + last_sixth;
-    if (!may_be_cut) {
+    if (!abandoned || !d.may_cut(sent_at, *abandoned)) {
       result_.cut.push_back(made.id + " (" + route + ") at " + d.id + ": sent " +
                             std::to_string(since_sigterm.count()) + " ms after SIGTERM, ended " +
                             std::to_string(since(*d.sigterm_at, made.ended_at).count()) +
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -49,6 +49,14 @@
 
 } // namespace
 
+bool gateway_process::may_cut(mono_time sent_at, mono_time cut_at) const
+{
+  constexpr std::chrono::milliseconds early_time{3'000};
+  constexpr std::chrono::milliseconds last_sixth_begins = gateway_fleet::drain_grace * 5 / 6;
+  return sigterm_at && sent_at <= *sigterm_at + early_time &&
+         cut_at >= *sigterm_at + last_sixth_begins;
+}
+
 gateway_fleet::gateway_fleet(boost::asio::io_context& context)
     : context_(context), folder_(make_folder()), proxies_host_(fakes::process_loopback_host(0)),
       store_(context)
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -40,10 +40,14 @@
   mono_time disturbed_until; // end of the effects of signals other than SIGTERM, and of faults on
                              // the way to the store
   std::optional<mono_time> sigterm_at; // SIGTERM does not count as a disturbance
+  std::optional<mono_time> exited_at;  // after SIGTERM
   bool has_ended = false;
   bool was_suspended = false; // was stopped with SIGSTOP and continued
 
   [[nodiscard]] bool is_undisturbed_since(mono_time then) const { return disturbed_until < then; }
+  // Whether a call that was sent then, and which its endpoint was still running at `cut_at`, may be
+  // cut by the end of the process: it was sent early in the drain and ran until its last sixth.
+  [[nodiscard]] bool may_cut(mono_time sent_at, mono_time cut_at) const;
 };
 
 // An endpoint and the proxy through which daemons reach it.
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -25,6 +25,7 @@
 
 ABSL_FLAG(double, minutes, 1.0, "how long faults are made");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the faults and of the callers");
+ABSL_FLAG(std::string, logs, "", "folder for the daemons' output; empty: it is not kept");
 
 namespace wisteriaflow::gateway_system_tests {
 namespace {
@@ -51,18 +52,28 @@
 // After a fault has ended, a daemon reads the store or receives a peer's report within this time.
 constexpr milliseconds update_delay{1'500};
 constexpr milliseconds poll_period{50};
+// Daemons that receive SIGTERM in one series, and the time between two of them.
+constexpr int daemons_in_series = 3;
+constexpr milliseconds series_gap{300};
+// Callers that use a daemon from before its SIGTERM until its process is gone.
+constexpr int lasting_callers = 16;
+constexpr milliseconds time_to_open_connections{100};
+// Requests that are not streams take up to this time at their endpoint.
+constexpr milliseconds longest_work{150};
 constexpr std::size_t log_tail_bytes = 500; // shown of a failed daemon's log
 
 class soak {
  public:
-  soak(asio::io_context& context, std::uint64_t seed)
-      : context_(context), random_(seed), fleet_(context), calls_(context, fleet_, random_())
+  // `log_folder` receives the daemons' output; if it is empty, the output is not kept.
+  soak(asio::io_context& context, std::uint64_t seed, std::string log_folder)
+      : context_(context), random_(seed), log_folder_(std::move(log_folder)), fleet_(context),
+        calls_(context, fleet_, random_())
   {
     for (int i = 0; i < endpoints_at_start; ++i) {
       add_endpoint(versions.at(static_cast<std::size_t>(i) % versions.size()));
     }
     for (int i = 0; i < daemons_at_start; ++i) {
-      fleet_.start_daemon();
+      start_daemon();
     }
   }
 
@@ -119,6 +130,8 @@
     static const std::vector<fault_kind> kinds = {
         {"kill a daemon", &soak::kill_daemon, 2},
         {"terminate a daemon", &soak::terminate_daemon, 3},
+        {"terminate daemons in series", &soak::terminate_daemons_in_series, 1},
+        {"all endpoints fall silent", &soak::silence_endpoints, 2},
         {"pause a daemon", &soak::pause_daemon, 1},
         {"an endpoint leaves", &soak::drain_endpoint, 4},
         {"an endpoint announces only in its answers that it leaves",
@@ -167,6 +180,13 @@
     return running.size() < 2 ? nullptr : running.at(random_() % running.size());
   }
 
+  void start_daemon()
+  {
+    const auto number = std::to_string(fleet_.daemons().size() + 1);
+    fleet_.start_daemon(
+        {.log = log_folder_.empty() ? std::string() : log_folder_ + "/d" + number + ".log"});
+  }
+
   std::string random_endpoint()
   {
     auto it = fleet_.endpoints().begin();
@@ -192,7 +212,7 @@
     d->has_ended = true;
     d->running->kill();
     co_await sleep(random_fault_duration());
-    fleet_.start_daemon();
+    start_daemon();
   }
 
   asio::awaitable<void> terminate_daemon()
@@ -201,9 +221,19 @@
     if (d == nullptr) {
       co_return;
     }
+    for (int i = 0; i < lasting_callers; ++i) {
+      asio::co_spawn(context_, calls_.use_until_gone(*d), asio::detached);
+    }
+    co_await sleep(time_to_open_connections);
+    if (d->has_ended || d->sigterm_at) {
+      co_return;
+    }
     d->sigterm_at = steady_clock::now();
     d->running->signal(SIGTERM);
-    fleet_.start_daemon();
+    start_daemon();
+    co_await sleep(random_fault_duration());
+    d->running->signal(SIGHUP);
+    d->running->signal(SIGTERM); // the drain goes on
     // A pause (SIGSTOP) may delay the exit, although the platform would kill the process even then.
     const auto limit = *d->sigterm_at + gateway_fleet::drain_grace;
     while (!d->running->exited_cleanly()) {
@@ -221,9 +251,28 @@
       calls_.add_violation(d->id + " did not exit with status 0: " +
                            output.substr(output.size() - std::min(output.size(), log_tail_bytes)));
     }
+    d->exited_at = steady_clock::now();
     d->has_ended = true;
   }
 
+  asio::awaitable<void> terminate_daemons_in_series()
+  {
+    for (int i = 0; i < daemons_in_series; ++i) {
+      asio::co_spawn(context_, run_fault(&soak::terminate_daemon), asio::detached);
+      co_await sleep(series_gap);
+    }
+  }
+
+  // They accept and run requests, but write nothing.
+  asio::awaitable<void> silence_endpoints()
+  {
+    const auto time = random_fault_duration();
+    for (const auto& [id, each] : fleet_.endpoints()) {
+      each.endpoint->fall_silent(steady_clock::now() + time);
+    }
+    co_await sleep(time);
+  }
+
   asio::awaitable<void> pause_daemon()
   {
     auto* d = random_daemon();
@@ -293,6 +342,7 @@
   void add_endpoint(const std::string& version)
   {
     auto& endpoint = *fleet_.add_endpoint(version).endpoint;
+    endpoint.set_pace({.longest = longest_work});
     endpoint.on_crash_request = [this, id = endpoint.id()] {
       if (fleet_.endpoints().contains(id)) {
         log_event(id + " crashes on a request");
@@ -382,6 +432,10 @@
 
   asio::awaitable<void> change_configuration()
   {
+    const auto drawn = [this] {
+      return soak_route_timeouts.at(random_() % soak_route_timeouts.size());
+    };
+    fleet_.set_route_timeouts({.plain = drawn(), .stream = drawn()});
     calls_.note_configuration(fleet_.write_configuration());
     co_return;
   }
@@ -402,6 +456,7 @@
 
   asio::io_context& context_;
   std::mt19937_64 random_;
+  std::string log_folder_;
   gateway_fleet fleet_;
   soak_calls calls_;
   mono_time start_ = steady_clock::now();
@@ -432,7 +487,7 @@
   const std::chrono::duration<double, std::ratio<60>> time(absl::GetFlag(FLAGS_minutes));
   try {
     boost::asio::io_context context;
-    soak running(context, absl::GetFlag(FLAGS_seed));
+    soak running(context, absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_logs));
     std::exception_ptr failure;
     boost::asio::co_spawn(context,
                           running.run(std::chrono::duration_cast<std::chrono::milliseconds>(time)),
--- a/test/gateway_system/soak_calls.cc
+++ b/test/gateway_system/soak_calls.cc
@@ -24,7 +24,14 @@
 constexpr milliseconds answer_slack{2'000};
 // Callers may cache a daemon's address, so they use a draining daemon for this long after SIGTERM.
 constexpr milliseconds address_validity{1'000};
+// A request that a process has not read before it ends may go unanswered for this long.
+constexpr milliseconds crossing_time{200};
+// A call that reaches its route's timeout ends this much later at the latest.
+constexpr milliseconds timeout_delay{150};
+// A call that ends this shortly before its daemon's process does was ended by it.
+constexpr milliseconds process_end_time{1'000};
 constexpr milliseconds pause_between_calls{15};
+constexpr milliseconds pause_of_lasting_callers{40};
 constexpr milliseconds pause_before_resume{100};
 constexpr int max_resumes = 3;
 // With fewer resumed streams, the share that goes on is not checked.
@@ -56,6 +63,11 @@
   return call.route == "stream" || call.route == "resumable";
 }
 
+std::string milliseconds_between(mono_time from, mono_time to)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(to - from).count()) + " ms";
+}
+
 asio::awaitable<void> sleep(asio::io_context& context, milliseconds time)
 {
   asio::steady_timer timer(context, time);
@@ -115,6 +127,7 @@
   } catch (const http::http_error&) {
     // No answer or a part of one; checked later.
   }
+  call.ended_at = std::chrono::steady_clock::now();
 }
 
 asio::awaitable<void> soak_calls::send_calls_until_stopped()
@@ -122,33 +135,46 @@
   ++active_;
   while (!stopped_) {
     co_await sleep(context_, pause_between_calls);
-    const auto* d = random_daemon();
-    if (d == nullptr) {
-      continue;
-    }
-    observed_call call{.route = routes.at(random_() % routes.size())};
-    if (is_stream(call)) {
-      call.prompt = prompt_with("b" + std::to_string(random_() % innocent_parts));
-      call.body = call.prompt; // no two requests are alike
-    }
-    co_await call_once(*d, call, "/" + call.route + "/1");
-    if (call.started_at == mono_time()) {
-      continue;
-    }
-    record_outcome(call);
-    const bool is_resumable = call.route == "resumable";
-    if (is_resumable && fleet_.daemons().at(call.daemon)->is_undisturbed_since(call.started_at)) {
-      ++streams_sent_;
-      streams_started_ += call.answer.status == http::status::ok ? 1 : 0;
-    }
-    calls_.push_back(call);
-    if (is_resumable && !call.is_complete) {
-      co_await resume(std::move(call));
+    if (const auto* d = random_daemon()) {
+      co_await send_random_call(*d);
     }
   }
   --active_;
 }
 
+asio::awaitable<void> soak_calls::use_until_gone(const gateway_process& d)
+{
+  ++active_;
+  while (!stopped_ && !d.has_ended) {
+    co_await send_random_call(d);
+    co_await sleep(context_, pause_of_lasting_callers);
+  }
+  --active_;
+}
+
+asio::awaitable<void> soak_calls::send_random_call(const gateway_process& d)
+{
+  observed_call call{.route = routes.at(random_() % routes.size())};
+  if (is_stream(call)) {
+    call.prompt = prompt_with("b" + std::to_string(random_() % innocent_parts));
+    call.body = call.prompt; // no two requests are alike
+  }
+  co_await call_once(d, call, "/" + call.route + "/1");
+  if (call.started_at == mono_time()) {
+    co_return;
+  }
+  record_outcome(call);
+  const bool is_resumable = call.route == "resumable";
+  if (is_resumable && !d.sigterm_at && d.is_undisturbed_since(call.started_at)) {
+    ++streams_sent_;
+    streams_started_ += call.answer.status == http::status::ok ? 1 : 0;
+  }
+  calls_.push_back(call);
+  if (is_resumable && !call.is_complete) {
+    co_await resume(std::move(call));
+  }
+}
+
 std::size_t soak_calls::sound_endpoints(const std::string& version) const
 {
   const auto now = std::chrono::steady_clock::now();
@@ -296,8 +322,6 @@
   refused_for_part_ += call.answer.body.find("a part of its prompt") != std::string::npos ? 1 : 0;
   if (status != 0 && call.is_complete) {
     check_answer(call);
-  } else if (status == 0) {
-    check_missing_answer(call);
   }
 }
 
@@ -325,10 +349,14 @@
   }
 }
 
-// A call without an answer is allowed only if its daemon was disturbed.
+// A call without an answer is allowed only if its daemon was disturbed, or if the process of the
+// daemon ended before it read the request.
 void soak_calls::check_missing_answer(const observed_call& call)
 {
-  if (fleet_.daemons().at(call.daemon)->is_undisturbed_since(call.started_at)) {
+  const auto& d = *fleet_.daemons().at(call.daemon);
+  const bool crossed_the_end = was_ended_by_process(call) && runs_of(call.id) == 0 &&
+                               call.ended_at <= call.started_at + crossing_time;
+  if (call.answer.status == 0 && d.is_undisturbed_since(call.started_at) && !crossed_the_end) {
     add_violation(call.id + " (" + call.route + ") at " + call.daemon +
                   ": no answer from an undisturbed daemon");
   }
@@ -358,6 +386,36 @@
   }
 }
 
+bool soak_calls::was_ended_by_process(const observed_call& call) const
+{
+  const auto& d = *fleet_.daemons().at(call.daemon);
+  const auto took = call.ended_at - call.started_at;
+  const bool has_timed_out = std::any_of(
+      soak_route_timeouts.begin(), soak_route_timeouts.end(),
+      [took](milliseconds timeout) { return timeout <= took && took < timeout + timeout_delay; });
+  return !call.is_complete && !has_timed_out && d.exited_at &&
+         *d.exited_at <= call.ended_at + process_end_time;
+}
+
+void soak_calls::check_cut(const observed_call& call)
+{
+  const auto& d = *fleet_.daemons().at(call.daemon);
+  if (!was_ended_by_process(call) || !d.is_undisturbed_since(call.started_at)) {
+    return;
+  }
+  for (const auto* e : fleet_.all_endpoints()) {
+    const auto it = e->abandoned().find(call.id);
+    if (it != e->abandoned().end() && !e->had_network_fault_at(it->second) &&
+        !d.may_cut(call.started_at, it->second)) {
+      add_violation(call.id + " (" + call.route + ") at " + d.id + ": cut " +
+                    milliseconds_between(call.started_at, call.ended_at) +
+                    " after it was sent and " + milliseconds_between(call.ended_at, *d.exited_at) +
+                    " before the end of the process; " + e->id() + " was left " +
+                    milliseconds_between(it->second, call.ended_at) + " before");
+    }
+  }
+}
+
 void soak_calls::check_held(const std::vector<crash_call>& calls, std::size_t limit,
                             const std::string& what)
 {
@@ -413,7 +471,9 @@
   check_all_terms();
   check_resumed();
   for (const auto& call : calls_) {
+    check_missing_answer(call);
     check_runs(call);
+    check_cut(call);
   }
   check_held(crash_calls_, content_crash_limit, "a request");
   check_held(crash_part_calls_, part_crash_limit, "a part of prompts");
--- a/test/gateway_system/soak_calls.h
+++ b/test/gateway_system/soak_calls.h
@@ -9,6 +9,8 @@
 #ifndef WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_CALLS_H_
 #define WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_CALLS_H_
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <random>
@@ -31,12 +33,17 @@
   std::vector<std::string> violations;
 };
 
+// Timeouts that the routes have in turn.
+inline constexpr std::array<std::chrono::milliseconds, 2> soak_route_timeouts = {
+    std::chrono::milliseconds(1'500), gateway_fleet::route_timeout};
+
 // One call as its caller observed it.
 struct observed_call {
   std::string id;
   std::string route; // safe, unsafe, stream or resumable
   std::string daemon;
   mono_time started_at;
+  mono_time ended_at = {};
   std::string body = {};              // of the request
   std::string prompt = {};            // the parts of its prompt
   std::string resumes = {};           // the attempt that brought the first event; empty: none
@@ -64,6 +71,9 @@
   // Runs a caller that sends one request after the other, until stop().
   boost::asio::awaitable<void> send_calls_until_stopped();
 
+  // Runs a caller that uses the daemon, also after SIGTERM, until its process is gone or stop().
+  boost::asio::awaitable<void> use_until_gone(const gateway_process& d);
+
   // Runs a caller that sends the request that crashes endpoints again and again, until stop().
   boost::asio::awaitable<void> send_crash_requests_until_stopped();
 
@@ -90,6 +100,8 @@
   soak_result check_results();
 
  private:
+  // Sends a call of a random kind, and resumes it if it is a resumable stream that was cut.
+  boost::asio::awaitable<void> send_random_call(const gateway_process& d);
   // Resumes a stream that was cut, until it is whole or has been refused a few times.
   boost::asio::awaitable<void> resume(observed_call cut);
   // Number of endpoints of the version that serve every request.
@@ -104,6 +116,10 @@
   void check_answer(const observed_call& call);
   void check_missing_answer(const observed_call& call);
   void check_runs(const observed_call& call);
+  // Whether the end of the daemon's process ended the exchange.
+  [[nodiscard]] bool was_ended_by_process(const observed_call& call) const;
+  // Checks that the call was not cut by the end of its daemon's process.
+  void check_cut(const observed_call& call);
   // The prompt of a new request with this second part.
   std::string prompt_with(const std::string& part);
   // Sends one call that crashes endpoints and appends it to `to`.
