--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -164,6 +164,7 @@
 #include "wisteriaflow/gateway/daemon_ages.h"
 #include "wisteriaflow/gateway/demand_meter.h"
 #include "wisteriaflow/gateway/departures.h"
+#include "wisteriaflow/gateway/drain_schedule.h"
 #include "wisteriaflow/gateway/endpoint_feed.h"
 #include "wisteriaflow/gateway/endpoint_health.h"
 #include "wisteriaflow/gateway/endpoint_links.h"
--- a/test/gateway/drain_schedule_test.cc
+++ b/test/gateway/drain_schedule_test.cc
@@ -1,7 +1,7 @@
-#include "wisteriaflow/gateway/drain_schedule.h"
-
 #include <gtest/gtest.h>
 
+#include "wisteriaflow/gateway/drain_schedule.h"
+
 namespace wisteriaflow::gateway {
 namespace {
 
--- a/test/relay/partitioned_daemon_test.cc
+++ b/test/relay/partitioned_daemon_test.cc
@@ -310,10 +310,11 @@
   start_cut_off();
   auto message = request_for("POST", "/unsafe/1");
   const auto id = std::string(http::find_header(message.fields, "Request-Id"));
-  send(gateways_[0]->options.callers, std::move(message));
+  EXPECT_EQ(send(gateways_[0]->options.callers, std::move(message)).status, 200);
   // The peer logs the call after it has passed the answer on.
   for (const auto& g : gateways_) {
-    wait_until([&] { return !g->lines_for_request(id).empty(); }, "the daemon logs the call");
+    wait_until([&] { return !g->lines_for_request(id).empty(); },
+               (g->options.id.value() + " logs the call").c_str());
   }
 }
 
