Serve a request that was read just before its idle connection is closed

When a draining server closes idle connections, one whose request had been read by the reactor, but not yet handed to the connection's coroutine, still looked idle, and no bytes were left in the socket: it was closed without an answer. At the end of a drain this met every connection that was accepted last with its request already there.

Closing now cancels the pending read, which has no effect on one that is complete.

--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -128,7 +128,7 @@
 {
   error_code ec;
   if (phase_ == phase::idle && stream_.socket().available(ec) == 0) {
-    close();
+    stream_.cancel(); // has no effect on a read that is complete but not yet handled
   }
 }
 
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -49,7 +49,7 @@
   // Closes the socket at once.
   void close();
 
-  // Closes the socket if no byte of a request has arrived since the last response.
+  // Makes run() close the socket, unless bytes of a request have arrived since the last response.
   void close_if_idle();
 
   boost::asio::awaitable<void> send(response full_response) override;
