Wait for a test fleet's readiness in one place

overload_run and drain_run each had the same loop; gateway_fleet::await_ready serves both. gateway_system_test: 7 of 7 pass; the linter is clean on the three files.

--- a/test/gateway_system/drain_run.cc
+++ b/test/gateway_system/drain_run.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <csignal>
 #include <numeric>
-#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "fakes/run.h"
 #include "wisteriaflow/http/errors.h"
 #include "wisteriaflow/http/status.h"
 
@@ -23,7 +21,6 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds poll_period{10};
-constexpr milliseconds ready_timeout{120'000};
 // Daemons exchange reports for this long before calls arrive.
 constexpr milliseconds settle_time{4'000};
 constexpr std::size_t connections_opened_at_once = 20;
@@ -91,25 +88,6 @@
   context_.run_for(time);
 }
 
-void drain_run::wait_until_ready()
-{
-  const auto limit = steady_clock::now() + ready_timeout;
-  for (const auto& [id, d] : fleet_.daemons()) {
-    int status = 0;
-    while (status != http::status::ok) {
-      if (limit < steady_clock::now()) {
-        throw std::runtime_error(id + " does not become ready");
-      }
-      try {
-        status = fakes::call(context_, other_client_, d->readiness, {.target = "/ready"}).status;
-      } catch (const http::http_error&) {
-        sleep_all(poll_period);
-      }
-    }
-  }
-  sleep_all(settle_time);
-}
-
 void drain_run::open_connections()
 {
   for (std::size_t i = 0; i < callers_.size(); i += connections_opened_at_once) {
@@ -128,7 +106,7 @@
   }
 }
 
-asio::awaitable<void> drain_run::terminate(gateway_process& d)
+asio::awaitable<void> drain_run::await_exit(gateway_process& d)
 {
   ++active_;
   while (!d.running->exited_cleanly()) {
@@ -280,7 +258,8 @@
 
 drain_result drain_run::run()
 {
-  wait_until_ready();
+  fleet_.await_ready();
+  sleep_all(settle_time);
   open_connections();
   if (options_.silence.count() > 0) {
     asio::co_spawn(context_, silence_endpoints(), asio::detached);
@@ -293,7 +272,7 @@
   for (auto* d : leaving_) {
     d->sigterm_at = steady_clock::now();
     d->running->signal(SIGTERM);
-    asio::co_spawn(context_, terminate(*d), asio::detached);
+    asio::co_spawn(context_, await_exit(*d), asio::detached);
     for (const auto& from : callers_) {
       if (from->daemon == d) {
         const auto& route = options_.routes.at(random_() % options_.routes.size());
--- a/test/gateway_system/drain_run.h
+++ b/test/gateway_system/drain_run.h
@@ -95,9 +95,9 @@
     mono_time ended_at;
   };
 
-  void wait_until_ready();
   void open_connections();
-  boost::asio::awaitable<void> terminate(gateway_process& d);
+  // Waits for the end of a process that has received SIGTERM, and records it.
+  boost::asio::awaitable<void> await_exit(gateway_process& d);
   boost::asio::awaitable<void> silence_endpoints();
   boost::asio::awaitable<void> change_configuration();
   boost::asio::awaitable<void> call_at(caller& from, std::string route,
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -13,6 +13,10 @@
 #include <boost/json/object.hpp>
 
 #include "fakes/free_addresses.h"
+#include "fakes/run.h"
+#include "wisteriaflow/http/client.h"
+#include "wisteriaflow/http/errors.h"
+#include "wisteriaflow/http/status.h"
 
 namespace wisteriaflow::gateway_system_tests {
 namespace {
@@ -20,6 +24,8 @@
 namespace json = boost::json;
 
 constexpr std::chrono::seconds start_grace{2};
+constexpr std::chrono::milliseconds ready_timeout{120'000};
+constexpr std::chrono::milliseconds poll_period{20};
 constexpr int zones = 3; // of the daemons
 
 std::string make_folder()
@@ -110,6 +116,26 @@
   return *daemons_.emplace(d->id, std::move(d)).first->second;
 }
 
+void gateway_fleet::await_ready()
+{
+  http::client client(context_);
+  const auto limit = std::chrono::steady_clock::now() + ready_timeout;
+  for (const auto& [id, d] : daemons_) {
+    int status = 0;
+    while (status != http::status::ok) {
+      if (limit < std::chrono::steady_clock::now()) {
+        throw std::runtime_error(id + " does not become ready");
+      }
+      try {
+        status = fakes::call(context_, client, d->readiness, {.target = "/ready"}).status;
+      } catch (const http::http_error&) {
+        context_.restart();
+        context_.run_for(poll_period);
+      }
+    }
+  }
+}
+
 proxied_endpoint& gateway_fleet::add_endpoint(const std::string& version)
 {
   const auto id = "i-" + std::to_string(++last_endpoint_);
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -84,6 +84,9 @@
   // Starts a daemon with a new id and new ports. It counts as disturbed for 2 s, in which it
   // becomes ready.
   gateway_process& start_daemon(const daemon_options& options = {});
+  // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
+  // ready in time.
+  void await_ready();
   // Adds an endpoint of the only service, whose software has this version, and writes it to the
   // store.
   proxied_endpoint& add_endpoint(const std::string& version = "v1");
--- a/test/gateway_system/overload_run.cc
+++ b/test/gateway_system/overload_run.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iostream>
 #include <numeric>
-#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "fakes/run.h"
 #include "wisteriaflow/http/errors.h"
 
 namespace wisteriaflow::gateway_system_tests {
@@ -23,7 +21,6 @@
 
 constexpr milliseconds poll_period{20};
 constexpr milliseconds sample_period{1'000};
-constexpr milliseconds ready_timeout{120'000};
 // Daemons exchange reports for this long before calls arrive.
 constexpr milliseconds settle_time{4'000};
 // Half of the endpoints state a rate.
@@ -187,30 +184,11 @@
   }
 }
 
-void overload_run::wait_until_ready()
+overload_result overload_run::run()
 {
-  const auto limit = steady_clock::now() + ready_timeout;
-  for (const auto& [id, d] : fleet_.daemons()) {
-    int status = 0;
-    while (status != 200) {
-      if (limit < steady_clock::now()) {
-        throw std::runtime_error(id + " does not become ready");
-      }
-      try {
-        status = fakes::call(context_, client_, d->readiness, {.target = "/ready"}).status;
-      } catch (const http::http_error&) {
-        context_.restart();
-        context_.run_for(poll_period);
-      }
-    }
-  }
+  fleet_.await_ready();
   context_.restart();
   context_.run_for(settle_time);
-}
-
-overload_result overload_run::run()
-{
-  wait_until_ready();
   asio::co_spawn(context_, announce(), asio::detached);
   asio::co_spawn(context_, send_clumps(), asio::detached);
   asio::co_spawn(context_, sample(), asio::detached);
--- a/test/gateway_system/overload_run.h
+++ b/test/gateway_system/overload_run.h
@@ -70,7 +70,6 @@
     int failures = 0;
   };
 
-  void wait_until_ready();
   void add_endpoint();
   void apply_terms(counting_endpoint& endpoint) const;
   boost::asio::awaitable<void> replace_failed(std::string id);
