--- a/test/relay/gateway_test.cc
+++ b/test/relay/gateway_test.cc
@@ -379,6 +379,8 @@
 
 TEST_F(GatewayTest, ARepeatableCallIsNotSentAgainWhenTheProcessEnds)
 {
+  // Answers are due before the endpoint would be left for its silence.
+  customize_settings_ = [](settings& s) { s.drain_grace = std::chrono::milliseconds(1'500); };
   start();
   for (const auto& e : endpoints_) {
     e->behaviour = endpoint_behaviour::never_responds;
