Log what a resumed stream's version was inferred from, and how an answer's end is known

A resumed call left no line unless it was refused, and none said from which versions its own was inferred and how current that knowledge was; an answered attempt did not say why its end counted as whole.

Adds the line "stream resumed" (evidence, version, versions in use, replies, whether the versions and the view are known), "stored versions read" with the revision, the field end_known_by of each attempt, and the counter unframed_answers. No decision changes. Two assertions compare the version and the evidence in place of the whole struct, which now holds the basis too.

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -213,13 +213,14 @@
     co_return;
   }
   const auto from = endpoint_.process();
-  const auto cause =
+  const auto end =
       co_await transport_.links().find_cause_of_cut(result_.answer, from, endpoint_.address);
-  if (cause) {
+  result_.end_evidence = end.evidence;
+  if (end.cut) {
     result_.end = attempt_result::end_state::interrupted;
     result_.outcome = attempt_outcome::no_valid_answer;
     result_.closed_by_endpoint = true;
-    result_.cause = *cause;
+    result_.cause = *end.cut;
     result_.reason = "the endpoint ended with the answer";
   }
 }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -109,6 +110,7 @@
   bool response_started = false; // an event, or the head of a non-stream response, was received
   bool well_begun = false;       // see attempt::on_well_begun
   std::string reason;            // why it failed; empty if it did not
+  std::string_view end_evidence; // see answer_end; empty if a peer judged the end of the answer
   gateway::attempt_outcome outcome = gateway::attempt_outcome::no_valid_answer;
   bool head_received = false;
   bool had_place = true;                 // see pooled_endpoint::has_place
--- a/src/relay/call_log.cc
+++ b/src/relay/call_log.cc
@@ -117,6 +117,12 @@
   state_.log.write(daemon::log_level::warn, "call refused", std::move(fields));
 }
 
+void call_log::on_resumed(const admitted_call& call, log_fields details)
+{
+  details.emplace(details.begin(), "request", call.description.request_id);
+  state_.log.write(daemon::log_level::info, "stream resumed", std::move(details));
+}
+
 void call_log::on_attempt(const admitted_call& call, const attempt_result& result)
 {
   const bool answered = result.outcome == attempt_outcome::answered;
@@ -141,6 +147,9 @@
   if (result.head_received && http::ends_with_connection(result.answer)) {
     fields.emplace_back("body_ends_with", "connection");
   }
+  if (!result.end_evidence.empty()) {
+    fields.emplace_back("end_known_by", result.end_evidence);
+  }
   if (call.description.is_resume()) {
     fields.emplace_back("resumes", call.description.resumed_request);
   }
--- a/src/relay/call_log.h
+++ b/src/relay/call_log.h
@@ -27,6 +27,8 @@
   explicit call_log(fleet_state& state) : state_(state) {}
 
   void on_refused(const http::request& received, const call_refusal& why);
+  // The call resumes a stream. `details` tell how the version that started it was looked for.
+  void on_resumed(const admitted_call& call, log_fields details);
   void on_attempt(const admitted_call& call, const attempt_result& result);
   // An endpoint's answer with `status` is forwarded to the caller.
   void on_answer(const admitted_call& call, int status);
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -251,8 +251,15 @@
   auto found = co_await origins_.find(std::move(question));
   const std::string evidence(to_string(found.evidence));
   state_.counters.count("resume_requests", {{"version_from", evidence}});
-  call_refusal why{.status = http::status::service_unavailable,
-                   .log_details = {{"resumes", d.resumed_request}, {"version_from", evidence}}};
+  log_fields details = {{"resumes", d.resumed_request}, {"version_from", evidence}};
+  if (found.version) {
+    details.emplace_back("version", found.version->version);
+  }
+  for (auto& field : to_log_fields(found.basis)) {
+    details.push_back(std::move(field));
+  }
+  log_.on_resumed(call, details);
+  call_refusal why{.status = http::status::service_unavailable, .log_details = std::move(details)};
   if (!found.version) {
     why.reason = "the version that started the stream is not known";
     why.retry_at = now + unknown_version_retry_delay;
@@ -263,7 +270,6 @@
   if (!is_on_route || !state_.endpoints.serves_version(*found.version)) {
     why.reason = "no endpoint of the version that started the stream";
     why.retry_at = now + ended_version_retry_delay;
-    why.log_details.emplace_back("version", found.version->version);
     co_return why;
   }
   call.service = found.version->service;
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -145,9 +145,9 @@
     co_await transport_.exchange_directly(std::move(request), call->address, std::move(observer),
                                           call->exchange);
     call->is_complete = true;
-    const auto cut =
+    const auto end =
         co_await transport_.links().find_cause_of_cut(*call->head, call->endpoint, call->address);
-    if (cut) {
+    if (end.cut) {
       throw http::broken_exchange_error("the endpoint ended with the answer");
     }
     if (!call->answer_begun) {
--- a/src/relay/link_checker.cc
+++ b/src/relay/link_checker.cc
@@ -105,16 +105,22 @@
 }
 
 // An endpoint that is known to leave may end as soon as its last answer is complete.
-asio::awaitable<std::optional<failure_cause>>
-link_checker::find_cause_of_cut(const http::response& head, gateway::endpoint_process from,
-                                http::socket_address address)
+asio::awaitable<answer_end> link_checker::find_cause_of_cut(const http::response& head,
+                                                            gateway::endpoint_process from,
+                                                            http::socket_address address)
 {
-  if (!http::ends_with_connection(head) || !state_.endpoints.is_active(from)) {
-    co_return std::nullopt;
+  if (!http::ends_with_connection(head)) {
+    co_return answer_end{.evidence = "framing"};
+  }
+  answer_end out{.evidence = "endpoint leaves"};
+  if (state_.endpoints.is_active(from)) {
+    const auto cause = co_await find_cause(from.id, std::move(address));
+    const bool is_cut = cause == failure_cause::ended || cause == failure_cause::unreachable;
+    out = {.cut = is_cut ? std::optional(cause) : std::nullopt, .evidence = to_string(cause)};
   }
-  const auto cause = co_await find_cause(from.id, std::move(address));
-  const bool is_cut = cause == failure_cause::ended || cause == failure_cause::unreachable;
-  co_return is_cut ? std::optional(cause) : std::nullopt;
+  state_.counters.count("unframed_answers", {{"evidence", std::string(out.evidence)},
+                                             {"complete", out.cut ? "no" : "yes"}});
+  co_return out;
 }
 
 void link_checker::record_lost_link(const endpoint_id& id, mono_time began_at)
--- a/src/relay/link_checker.h
+++ b/src/relay/link_checker.h
@@ -42,6 +42,12 @@
 
 [[nodiscard]] std::string_view to_string(failure_cause cause);
 
+// Whether an answer that was received to its end is complete.
+struct answer_end {
+  std::optional<failure_cause> cut; // why it is incomplete; nothing if it counts as complete
+  std::string_view evidence;        // what decided it, for the log
+};
+
 // Not thread-safe.
 class link_checker {
  public:
@@ -52,11 +58,10 @@
   boost::asio::awaitable<failure_cause> find_cause(endpoint_id id, http::socket_address address);
 
   // Finds out whether an answer that ended with its connection, after `head`, was cut off because
-  // the process of the endpoint ended. Returns why it is incomplete, or nothing if it is complete.
-  // Does not throw.
-  boost::asio::awaitable<std::optional<failure_cause>>
-  find_cause_of_cut(const http::response& head, gateway::endpoint_process from,
-                    http::socket_address address);
+  // the process of the endpoint ended. Does not throw.
+  boost::asio::awaitable<answer_end> find_cause_of_cut(const http::response& head,
+                                                       gateway::endpoint_process from,
+                                                       http::socket_address address);
 
   // A connection to the endpoint that was begun at `began_at` could not be opened. Its link counts
   // as lost at once, and the endpoint as unreachable if a peer cannot connect to it either.
--- a/src/relay/origin_exchange.cc
+++ b/src/relay/origin_exchange.cc
@@ -62,6 +62,20 @@
   return "unknown";
 }
 
+log_fields to_log_fields(const origin_basis& basis)
+{
+  const auto yes_or_no = [](bool value) { return value ? "yes" : "no"; };
+  std::string versions;
+  for (const auto& v : basis.in_use) {
+    versions += (versions.empty() ? "" : ",") + v.service + "/" + v.version;
+  }
+  return {{"versions_in_use", std::move(versions)},
+          {"replies", std::to_string(basis.replies)},
+          {"knows_versions", yes_or_no(basis.knows_versions)},
+          {"current_view", yes_or_no(basis.is_current)},
+          {"majority", yes_or_no(basis.is_majority)}};
+}
+
 milliseconds stream_memory(const gateway::route& r)
 {
   return std::clamp(stream_memory_factor * r.timeout, min_stream_memory, max_stream_memory);
@@ -250,34 +264,40 @@
 found_origin origin_exchange::evaluate(const gateway::origin_question& question,
                                        const search& replies, mono_time now) const
 {
-  auto in_use = state_.endpoints.versions().in_use(question.services, question.since);
-  bool knows_versions = state_.stored_versions_read;
-  bool is_current = has_current_view(now);
+  origin_basis basis{.in_use =
+                         state_.endpoints.versions().in_use(question.services, question.since),
+                     .replies = replies.answers.size(),
+                     .knows_versions = state_.stored_versions_read,
+                     .is_current = has_current_view(now)};
   std::optional<gateway::service_version> version;
   for (const auto& answer : replies.answers) {
     const auto* stated = std::get_if<gateway::service_version>(&answer.origin);
     const bool contradicts = stated != nullptr && version && *version != *stated;
     if (contradicts || std::holds_alternative<gateway::ambiguous_origin>(answer.origin)) {
-      return {.evidence = origin_evidence::ambiguous};
+      return {.evidence = origin_evidence::ambiguous, .basis = std::move(basis)};
     }
     if (stated != nullptr) {
       version = *stated;
     }
-    in_use.insert(answer.in_use.begin(), answer.in_use.end());
-    knows_versions = knows_versions || answer.knows_versions;
-    is_current = is_current || answer.has_current_view;
-  }
-  if (version) {
-    return {.version = version, .evidence = origin_evidence::peer_record};
+    basis.in_use.insert(answer.in_use.begin(), answer.in_use.end());
+    basis.knows_versions = basis.knows_versions || answer.knows_versions;
+    basis.is_current = basis.is_current || answer.has_current_view;
   }
   // While the store is down for all, no view is recent, but no new version becomes known either. A
   // minority may only be cut off from it and from the others.
   const auto daemons = std::min(state_.peers.running_count(now), max_queried + 1);
-  const bool is_majority = 1 + replies.answers.size() > daemons / 2;
-  if (knows_versions && (is_current || is_majority) && is_only_version(in_use)) {
-    return {.version = *in_use.begin(), .evidence = origin_evidence::only_version};
+  basis.is_majority = 1 + basis.replies > daemons / 2;
+  if (version) {
+    return {
+        .version = version, .evidence = origin_evidence::peer_record, .basis = std::move(basis)};
+  }
+  if (basis.knows_versions && (basis.is_current || basis.is_majority) &&
+      is_only_version(basis.in_use)) {
+    return {.version = *basis.in_use.begin(),
+            .evidence = origin_evidence::only_version,
+            .basis = std::move(basis)};
   }
-  return {.evidence = origin_evidence::unknown};
+  return {.evidence = origin_evidence::unknown, .basis = std::move(basis)};
 }
 
 bool origin_exchange::has_current_view(mono_time now) const
--- a/src/relay/origin_exchange.h
+++ b/src/relay/origin_exchange.h
@@ -27,6 +27,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "relay/event_log.h"
 #include "relay/fleet_state.h"
 #include "wisteriaflow/gateway/configuration.h"
 #include "wisteriaflow/gateway/stream_origin_codec.h"
@@ -51,11 +52,24 @@
 
 [[nodiscard]] std::string_view to_string(origin_evidence evidence);
 
+// What an origin was inferred from, or why it could not be.
+struct origin_basis {
+  gateway::service_version_set in_use; // at this daemon and at those that replied
+  std::size_t replies = 0;
+  bool knows_versions = false; // one of them knows which versions went before
+  bool is_current = false;     // one of them has a recent view of the endpoints
+  bool is_majority = false;
+
+  friend bool operator==(const origin_basis&, const origin_basis&) = default;
+};
+
+// The basis as fields of a log line.
+[[nodiscard]] log_fields to_log_fields(const origin_basis& basis);
+
 struct found_origin {
   std::optional<gateway::service_version> version; // absent: not found
   origin_evidence evidence = origin_evidence::unknown;
-
-  friend bool operator==(const found_origin&, const found_origin&) = default;
+  origin_basis basis = {};
 };
 
 // How long a stream of the route may be resumed.
--- a/src/relay/version_store.cc
+++ b/src/relay/version_store.cc
@@ -84,6 +84,11 @@
   for (const auto& item : listing.items) {
     merge(item);
   }
+  if (listing.is_complete) {
+    state_.log.write(
+        daemon::log_level::info, "stored versions read",
+        {{"services", std::to_string(stored_.size())}, {"revision", to_string(listing.revision)}});
+  }
   co_return listing.is_complete;
 }
 
--- a/test/relay/origin_exchange_test.cc
+++ b/test/relay/origin_exchange_test.cc
@@ -93,7 +93,9 @@
 TEST_F(OriginExchangeTest, TheOnlyDaemonFindsTheOnlyVersion)
 {
   list_endpoints({"v1"}, 60s);
-  EXPECT_EQ(find(), (found_origin{.version = first, .evidence = origin_evidence::only_version}));
+  const auto found = find();
+  EXPECT_EQ(found.version, first);
+  EXPECT_EQ(found.evidence, origin_evidence::only_version);
 }
 
 TEST_F(OriginExchangeTest, ADaemonOutOfTouchDoesNotTakeItsOnlyVersionForTheOnlyOne)
@@ -145,7 +147,9 @@
   list_endpoints({"v1", "v2"}, 60s);
   add_peers_that_cannot_be_reached(1);
   settles();
-  EXPECT_EQ(find(), (found_origin{.version = first, .evidence = origin_evidence::own_record}));
+  const auto found = find();
+  EXPECT_EQ(found.version, first);
+  EXPECT_EQ(found.evidence, origin_evidence::own_record);
 }
 
 TEST_F(OriginExchangeTest, BeginsNoStreamThatOthersMayTakeForOneOfAnotherVersion)
