--- a/test/relay/stream_version_test.cc
+++ b/test/relay/stream_version_test.cc
@@ -328,6 +328,54 @@
   }
 }
 
+// Nothing stored was taken for a proof that no other version went before.
+TEST_F(StreamVersionTest, IsNotMixedWhenEndpointsAreReplacedWhileNoDaemonRuns)
+{
+  add_endpoint_of_version("a-0", "v1");
+  add_endpoint_of_version("a-1", "v1");
+  start_fleet(2);
+  auto streams = begin_cut_streams(*gateways_[0], 12);
+  gateways_.clear();
+  remove_endpoints_of("v1");
+  add_endpoint_of_version("b-0", "v2").behaviour = endpoint_behaviour::streams;
+  add_endpoint_of_version("b-1", "v2").behaviour = endpoint_behaviour::streams;
+  start_fleet(2);
+  for (auto& stream : streams) {
+    resume(*gateways_[1], stream);
+    EXPECT_EQ(stream.versions().size(), 1U) << stream.events;
+    EXPECT_EQ(stream.status, 503);
+  }
+}
+
+// Origins were held by daemons only, so all streams were refused after the end of all daemons.
+TEST_F(StreamVersionTest, GoesOnAfterTheEndOfAllDaemonsWhileSeveralVersionsServe)
+{
+  add_endpoints(2);
+  start_fleet(3);
+  auto streams = begin_cut_streams(*gateways_[0], 12);
+  run_for(1s);
+  gateways_.clear();
+  start_fleet(3);
+  for (auto& stream : streams) {
+    resume(*gateways_[1], stream);
+    expect_whole_and_of_one_version(stream);
+  }
+}
+
+TEST_F(StreamVersionTest, GoesOnAfterTheEndOfAllDaemonsWhileOneVersionServes)
+{
+  add_endpoint_of_version("a-0", "v1");
+  add_endpoint_of_version("a-1", "v1");
+  start_fleet(2);
+  auto streams = begin_cut_streams(*gateways_[0], 12);
+  gateways_.clear();
+  start_fleet(2);
+  for (auto& stream : streams) {
+    resume(*gateways_[1], stream);
+    expect_whole_and_of_one_version(stream);
+  }
+}
+
 TEST_F(StreamVersionTest, LastEventIdAloneDoesNotSayWhichVersionBeganTheStream)
 {
   add_endpoints(1);
