--- a/src/relay/crash_store.cc
+++ b/src/relay/crash_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,9 +10,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "errors.h"
 #include "relay/async_sleep.h"
 #include "relay/store_list.h"
+#include "relay/stored_object.h"
 #include "wisteriaflow/gateway/crash_report_codec.h"
 
 namespace wisteriaflow::relay {
@@ -116,30 +117,20 @@
                                               std::size_t crash_count)
 {
   const auto name = to_string(suspect);
-  const auto spec = encode_crash_report(state_.crashes.evidence_of(suspect));
-  auto create = adapter::create_call(hold_kind, name, spec);
-  auto reply = co_await store_.call(std::move(create), "create", store_call_timeout);
-  if (reply.result == adapter::store_result::conflict) {
-    try {
-      const auto present = adapter::decode_object(reply.body, reply.era);
-      if (merge(name, present.spec) >= crash_count) {
-        stored_crash_counts_[suspect] = crash_count; // another coordinator has written it
-        co_return true;
-      }
-      auto replace = adapter::replace_call(hold_kind, name, spec, present.revision);
-      reply = co_await store_.call(std::move(replace), "replace", store_call_timeout);
-    } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "store answer unreadable",
-                       {{"kind", std::string(hold_kind)}, {"reason", e.what()}});
-      co_return false;
-    }
-  }
-  if (reply.result != adapter::store_result::done) {
+  auto spec = encode_crash_report(state_.crashes.evidence_of(suspect));
+  bool is_news = true;
+  object_merge merge = [&](const adapter::stored_object& present) {
+    is_news = this->merge(name, present.spec) < crash_count; // else a coordinator has written it
+    return is_news ? std::optional<boost::json::value>(spec) : std::nullopt;
+  };
+  if (!co_await create_or_replace(store_, state_, hold_kind, name, spec, std::move(merge))) {
     co_return false;
   }
   stored_crash_counts_[suspect] = crash_count;
-  state_.log.write(daemon::log_level::info, "hold stored",
-                   {{"held", name}, {"endpoints", std::to_string(crash_count)}});
+  if (is_news) {
+    state_.log.write(daemon::log_level::info, "hold stored",
+                     {{"held", name}, {"endpoints", std::to_string(crash_count)}});
+  }
   co_return true;
 }
 
@@ -154,11 +145,8 @@
     }
   }
   for (const auto& suspect : expired) {
-    auto message = adapter::remove_call(hold_kind, to_string(suspect));
-    const auto reply = co_await store_.call(std::move(message), "remove", store_call_timeout);
-    const bool removed = reply.result == adapter::store_result::done ||
-                         reply.result == adapter::store_result::missing;
-    if (!removed) {
+    auto name = to_string(suspect);
+    if (!co_await remove_object(store_, hold_kind, std::move(name))) {
       co_return false;
     }
     stored_crash_counts_.erase(suspect);
