Record versions and origins in the store before they are relied on

Callers whose streams were cut by the end of all daemons resumed them and got, with 200, the rest from another version, or were refused although their version served.

Cause: absence of a record was read as a fact. The store held the versions only of services with several, written after the fact, and origins lived in daemons only. After the end of all, an empty list meant "only the version that serves now", and otherwise every stream was unknown.

Now a version is recorded in the store before its endpoints get resumable streams, also when it is the only one, so that a missing object is a fact; each object names the store's era for which its list is complete. An origin is inferred from a reading made after the question; what was known before counts only while the store doesn't answer. While several versions serve, each process keeps the origins of its open streams in one object, which the others read at their start and when a question finds no record.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -110,6 +110,9 @@
   // The only version that the call may go to, because it started the call's stream. Replaces
   // `versions`. No endpoint has the empty version.
   std::optional<std::string_view> required_version = std::nullopt;
+  // Versions that the call must not go to, because a stream that they begin could be taken for one
+  // of another version.
+  std::span<const std::string> barred_versions = {};
   // Whether the call may still be refused as not run. If not, it is sent to the least loaded
   // endpoint even if it is likely to miss its deadline.
   bool may_be_refused = true;
--- a/src/gateway/endpoint_pool_choice.cc
+++ b/src/gateway/endpoint_pool_choice.cc
@@ -22,6 +22,10 @@
 // Whether the call may be sent to this endpoint according to its software version.
 bool has_allowed_version(const selection_criteria& criteria, const endpoint_record& r)
 {
+  const auto& barred = criteria.barred_versions;
+  if (std::find(barred.begin(), barred.end(), r.version) != barred.end()) {
+    return false;
+  }
   if (criteria.required_version) {
     return !r.version.empty() && r.version == *criteria.required_version;
   }
--- a/src/gateway/stream_origin_codec.cc
+++ b/src/gateway/stream_origin_codec.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <variant>
 
+#include <absl/strings/escaping.h>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -23,6 +24,9 @@
 // A peer with a wrong value must not make this daemon remember a stream for good.
 constexpr milliseconds max_stream_memory{600'000};
 constexpr std::size_t max_items = 4'096; // of one message
+constexpr unsigned bits_per_byte = 8;
+constexpr std::size_t packed_number_size = sizeof(std::uint64_t);
+constexpr std::size_t packed_stream_size = 2 * packed_number_size; // both parts of its hash
 
 milliseconds decode_time(const json::value& from)
 {
@@ -39,6 +43,23 @@
   return json::value_to<std::string>(from);
 }
 
+// Appends the number with its highest byte first.
+void append(std::string& to, std::uint64_t number)
+{
+  for (std::size_t i = packed_number_size; i-- > 0;) {
+    to += static_cast<char>(number >> (bits_per_byte * i) & 0xffU);
+  }
+}
+
+std::uint64_t number_in(std::string_view bytes)
+{
+  std::uint64_t out = 0;
+  for (const char c : bytes) {
+    out = out << bits_per_byte | static_cast<unsigned char>(c);
+  }
+  return out;
+}
+
 json::array encode(const stream_id& id)
 {
   return {id.hash.high, id.hash.low};
@@ -60,6 +81,15 @@
   return {.service = text_of(from.at(0)), .version = text_of(from.at(1))};
 }
 
+json::array encode(const service_version_set& versions)
+{
+  json::array out;
+  for (const auto& v : versions) {
+    out.push_back(encode(v));
+  }
+  return out;
+}
+
 const json::array& items_of(const json::value& from)
 {
   const auto& out = from.as_array();
@@ -69,6 +99,15 @@
   return out;
 }
 
+service_version_set decode_version_set(const json::value& from)
+{
+  service_version_set out;
+  for (const auto& v : items_of(from)) {
+    out.insert(decode_version(v));
+  }
+  return out;
+}
+
 // Calls `decode` with the parsed text, and makes its exceptions stream_origin_error.
 template <typename function> auto decode_with(std::string_view text, function decode)
 {
@@ -138,11 +177,7 @@
   } else if (std::holds_alternative<ambiguous_origin>(answer.origin)) {
     out["ambiguous"] = true;
   }
-  json::array in_use;
-  for (const auto& v : answer.in_use) {
-    in_use.push_back(encode(v));
-  }
-  out["in_use"] = std::move(in_use);
+  out["in_use"] = encode(answer.in_use);
   out["knows_versions"] = answer.knows_versions;
   out["current"] = answer.has_current_view;
   return json::serialize(out);
@@ -159,11 +194,60 @@
     } else if (fields.contains("ambiguous")) {
       out.origin = ambiguous_origin{};
     }
-    for (const auto& v : items_of(from.at("in_use"))) {
-      out.in_use.insert(decode_version(v));
-    }
+    out.in_use = decode_version_set(from.at("in_use"));
     return out;
   });
 }
 
+json::value encode_stored_origins(const origins_by_version& origins)
+{
+  json::array out;
+  for (const auto& [version, streams] : origins) {
+    std::string packed;
+    for (const auto& id : streams) {
+      append(packed, id.hash.high);
+      append(packed, id.hash.low);
+    }
+    out.push_back(json::object{{"version", encode(version)},
+                               {"streams", json::string(absl::Base64Escape(packed))}});
+  }
+  return json::object{{"origins", std::move(out)}};
+}
+
+origins_by_version decode_stored_origins(const json::value& from)
+{
+  origins_by_version out;
+  try {
+    for (const auto& item : items_of(from.at("origins"))) {
+      std::string packed;
+      if (!absl::Base64Unescape(text_of(item.at("streams")), &packed) ||
+          packed.size() % packed_stream_size != 0) {
+        throw stream_origin_error("streams unreadable");
+      }
+      auto& streams = out[decode_version(item.at("version"))];
+      for (std::size_t i = 0; i < packed.size(); i += packed_stream_size) {
+        const std::string_view bytes(packed);
+        streams.insert(
+            {.hash = {.high = number_in(bytes.substr(i, packed_number_size)),
+                      .low = number_in(bytes.substr(i + packed_number_size, packed_number_size))}});
+      }
+    }
+  } catch (const stream_origin_error&) {
+    throw;
+  } catch (const std::exception& e) {
+    throw stream_origin_error(e.what());
+  }
+  return out;
+}
+
+std::string encode_versions(const service_version_set& versions)
+{
+  return json::serialize(encode(versions));
+}
+
+service_version_set decode_versions(std::string_view text)
+{
+  return decode_with(text, decode_version_set);
+}
+
 } // namespace wisteriaflow::gateway
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -432,6 +432,7 @@
   if (last.end == attempt_result::end_state::stream_complete && call.stream_started) {
     log_.on_answer(call, last.answer.status);
     co_await writer.finish_stream();
+    on_stream_completed(call);
     co_return;
   }
   const bool is_complete =
@@ -445,6 +446,18 @@
   co_await fail_call(call, writer);
 }
 
+void call_relay::on_stream_completed(const admitted_call& call)
+{
+  if (!call.is_resumable_stream()) {
+    return;
+  }
+  const auto& d = call.description;
+  origins_.on_completed(gateway::stream_id_of(call.workspace, d.request_id));
+  if (!d.resumed_request.empty()) {
+    origins_.on_completed(gateway::stream_id_of(call.workspace, d.resumed_request));
+  }
+}
+
 asio::awaitable<void> call_relay::fail_call(admitted_call& call, http::response_writer& writer,
                                             routing::no_endpoint why)
 {
@@ -476,6 +489,19 @@
   co_await writer.send(std::move(out));
 }
 
+std::vector<std::string> call_relay::unrecorded_versions(const admitted_call& call,
+                                                         mono_time now) const
+{
+  std::vector<std::string> out;
+  if (call.is_resumable_stream()) {
+    const auto in_use = state_.endpoints.versions().in_use({call.service}, now);
+    for (const auto& v : state_.recorded.missing(in_use)) {
+      out.push_back(v.version);
+    }
+  }
+  return out;
+}
+
 gateway::pool_choice call_relay::choose_endpoint(const admitted_call& call)
 {
   const auto now = std::chrono::steady_clock::now();
@@ -498,6 +524,8 @@
   if (call.configuration->has_ranks(call.service)) {
     criteria.rank = load::rank_class_of(call.route->priority);
   }
+  const auto unrecorded = unrecorded_versions(call, now);
+  criteria.barred_versions = unrecorded;
   if (call.stream_version) {
     criteria.required_version = call.stream_version->version;
     return state_.endpoints.choose(criteria, now);
--- a/src/relay/call_relay.h
+++ b/src/relay/call_relay.h
@@ -83,11 +83,17 @@
                                              http::response_writer& writer);
   boost::asio::awaitable<void> send_final_answer(admitted_call& call, attempt_result& last,
                                                  http::response_writer& writer);
+  // The caller has been sent the whole stream, and will not resume it.
+  void on_stream_completed(const admitted_call& call);
   // Ends the call with an earlier error response of an endpoint, or with an error of the gateway.
   // `why` tells why no endpoint could be chosen, if that is the cause.
   boost::asio::awaitable<void> fail_call(admitted_call& call, http::response_writer& writer,
                                          routing::no_endpoint why = {});
   gateway::pool_choice choose_endpoint(const admitted_call& call);
+  // The versions that must not begin or go on with the call's stream, because they are not known to
+  // be recorded. Empty for other calls.
+  [[nodiscard]] std::vector<std::string> unrecorded_versions(const admitted_call& call,
+                                                             mono_time now) const;
   // Chooses among the endpoints of the version that the call is assigned to during a rollout.
   gateway::pool_choice choose_endpoint_by_version(const admitted_call& call,
                                                   gateway::selection_criteria& criteria,
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -168,7 +168,8 @@
 bool fleet_state::is_ready() const
 {
   const bool rollouts_known = !rollouts_enabled() || versions.rollouts_revision().number > 0;
-  return rollouts_known && configuration_ && endpoints.has_list() && quota.knows_fleet() && !drain_;
+  return rollouts_known && serves_recorded_versions && configuration_ && endpoints.has_list() &&
+         quota.knows_fleet() && !drain_;
 }
 
 std::uint64_t fleet_state::seed() const
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -31,6 +31,7 @@
 #include "wisteriaflow/gateway/fleet_groups.h"
 #include "wisteriaflow/gateway/gossip_scheduler.h"
 #include "wisteriaflow/gateway/peer_table.h"
+#include "wisteriaflow/gateway/recorded_versions.h"
 #include "wisteriaflow/gateway/retry_budget.h"
 #include "wisteriaflow/gateway/retry_policy.h"
 #include "wisteriaflow/gateway/rollout.h"
@@ -85,8 +86,8 @@
   // The times of the drain; empty unless this daemon drains.
   [[nodiscard]] const std::optional<gateway::drain_schedule>& drain() const { return drain_; }
 
-  // Whether callers may use this daemon: it knows the configuration, the endpoints and the
-  // rollouts, and is not draining.
+  // Whether callers may use this daemon: it knows the configuration, the endpoints, their recorded
+  // versions and the rollouts, and is not draining.
   [[nodiscard]] bool is_ready() const;
 
   // This daemon's entry for the peers' tables.
@@ -229,8 +230,12 @@
   gateway::usage_courier courier; // brings `usage` to the leader of a large fleet
   gateway::crash_suspects crashes{{}};
   gateway::stream_origins stream_origins{
-      {}};                           // of own streams and of those that peers replicate here
-  bool stored_versions_read = false; // see version_store
+      {}}; // of own streams and of those that peers replicate here
+  // The versions that are known to be recorded in the store; see version_store.
+  gateway::recorded_versions recorded;
+  bool serves_recorded_versions = false; // those that served when this daemon started
+  // This daemon knows all versions that were in use after this time.
+  mono_time versions_known_since = mono_time::max();
   gateway::rollout_registry rollouts;
   gateway::version_gate versions;
   gateway::traffic_splitter version_calls;
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -25,6 +25,7 @@
 #include "relay/leader_duties.h"
 #include "relay/link_checker.h"
 #include "relay/origin_exchange.h"
+#include "relay/origin_store.h"
 #include "relay/peer_sync.h"
 #include "relay/rollout_sync.h"
 #include "relay/store_client.h"
@@ -69,10 +70,16 @@
       : log_(std::move(log.write), std::move(log.queued)), state_(s, log_),
         store_(context_, state_), store_sync_(context_, state_, store_),
         crash_store_(context_, state_, store_), version_store_(context_, state_, store_),
-        peers_(context_, state_), origins_(context_, state_), duties_(context_, state_, store_),
-        rollouts_(context_, state_, store_), link_checker_(context_, state_),
-        transport_(context_, state_, link_checker_), endpoint_relay_(state_, transport_),
-        relay_(context_, state_, peers_, transport_, origins_),
+        origin_store_(context_, state_, store_), peers_(context_, state_),
+        origins_(
+            context_, state_,
+            [this](std::vector<std::string> services) {
+              return version_store_.read_recorded(std::move(services));
+            },
+            origin_store_),
+        duties_(context_, state_, store_), rollouts_(context_, state_, store_),
+        link_checker_(context_, state_), transport_(context_, state_, link_checker_),
+        endpoint_relay_(state_, transport_), relay_(context_, state_, peers_, transport_, origins_),
         callers_(context_, caller_server_options(s),
                  [this](http::request r, http::response_writer& w) {
                    return relay_.serve(std::move(r), w);
@@ -104,6 +111,7 @@
     store_sync_.start();
     crash_store_.start();
     version_store_.start();
+    origin_store_.start();
     peers_.add_handler(std::string(relay_target),
                        [this](http::request r, http::response_writer& w) {
                          return endpoint_relay_.serve(std::move(r), w);
@@ -120,6 +128,10 @@
                        [this](http::request r, http::response_writer& w) {
                          return origins_.serve_question(std::move(r), w);
                        });
+    peers_.add_handler(std::string(recorded_versions_target),
+                       [this](http::request r, http::response_writer& w) {
+                         return version_store_.serve_recorded(std::move(r), w);
+                       });
     peers_.start();
     origins_.start();
     duties_.start();
@@ -262,6 +274,7 @@
   store_sync store_sync_;
   crash_store crash_store_;
   version_store version_store_;
+  origin_store origin_store_;
   peer_sync peers_;
   origin_exchange origins_;
   leader_duties duties_;
--- a/src/relay/origin_exchange.cc
+++ b/src/relay/origin_exchange.cc
@@ -1,6 +1,7 @@
 #include "relay/origin_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -50,6 +51,8 @@
     return "own_record";
   case origin_evidence::peer_record:
     return "peer_record";
+  case origin_evidence::stored:
+    return "stored";
   case origin_evidence::only_version:
     return "only_version";
   case origin_evidence::unknown:
@@ -73,7 +76,8 @@
           {"replies", std::to_string(basis.replies)},
           {"knows_versions", yes_or_no(basis.knows_versions)},
           {"current_view", yes_or_no(basis.is_current)},
-          {"majority", yes_or_no(basis.is_majority)}};
+          {"majority", yes_or_no(basis.is_majority)},
+          {"read_in_store", yes_or_no(basis.is_read)}};
 }
 
 milliseconds stream_memory(const gateway::route& r)
@@ -81,6 +85,17 @@
   return std::clamp(stream_memory_factor * r.timeout, min_stream_memory, max_stream_memory);
 }
 
+milliseconds longest_stream_memory(const fleet_state& state)
+{
+  auto out = min_stream_memory;
+  if (const auto& configuration = state.configuration()) {
+    for (const auto& r : configuration->declared().routes) {
+      out = std::max(out, stream_memory(r));
+    }
+  }
+  return out;
+}
+
 std::vector<std::string> services_of(const gateway::route& r)
 {
   std::vector<std::string> out;
@@ -113,8 +128,9 @@
   asio::steady_timer changed;
 };
 
-origin_exchange::origin_exchange(asio::io_context& context, fleet_state& state)
-    : context_(context), state_(state),
+origin_exchange::origin_exchange(asio::io_context& context, fleet_state& state,
+                                 recorded_versions_reader read_recorded, origin_store& stored)
+    : context_(context), state_(state), read_recorded_(std::move(read_recorded)), stored_(stored),
       client_(context, {.connect_timeout = peer_timeout, .retry_stale_get = false})
 {
 }
@@ -145,6 +161,7 @@
   if (!state_.stream_origins.record(stream.origin, began_at)) {
     state_.counters.count("stream_origins_dropped");
   }
+  stored_.on_started(stream);
   if (!has_several_versions(stream, began_at)) {
     if (unreplicated_.size() < max_unreplicated) {
       unreplicated_[stream.origin.stream] = std::move(stream);
@@ -177,6 +194,11 @@
   asio::co_spawn(context_, settle(std::move(stream)), asio::detached);
 }
 
+void origin_exchange::on_completed(const gateway::stream_id& stream)
+{
+  stored_.on_completed(stream);
+}
+
 asio::awaitable<void> origin_exchange::replicate_to_next_holders(std::shared_ptr<replication> task)
 {
   while (task->next_holder < task->holders.size()) {
@@ -209,35 +231,80 @@
   co_return confirmed;
 }
 
-asio::awaitable<found_origin> origin_exchange::find(gateway::origin_question question)
+std::optional<found_origin> origin_exchange::find_own(const gateway::stream_id& stream,
+                                                      mono_time now) const
 {
-  const auto now = std::chrono::steady_clock::now();
-  const auto known = state_.stream_origins.find(question.stream, now);
+  const auto known = state_.stream_origins.find(stream, now);
   if (const auto* version = std::get_if<gateway::service_version>(&known)) {
-    co_return found_origin{.version = *version, .evidence = origin_evidence::own_record};
+    return found_origin{.version = *version, .evidence = origin_evidence::own_record};
   }
   if (std::holds_alternative<gateway::ambiguous_origin>(known)) {
-    co_return found_origin{.evidence = origin_evidence::ambiguous};
+    return found_origin{.evidence = origin_evidence::ambiguous};
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<found_origin> origin_exchange::find(gateway::origin_question question)
+{
+  if (auto own = find_own(question.stream, std::chrono::steady_clock::now())) {
+    co_return std::move(*own);
   }
   if (open_searches_ >= max_open_searches) {
     co_return found_origin{.evidence = origin_evidence::overloaded};
   }
   ++open_searches_;
+  const auto stream = question.stream;
+  auto found = co_await query_peers(question);
+  if (found.evidence == origin_evidence::unknown) {
+    found = co_await infer(std::move(question), std::move(found));
+  }
+  if (found.evidence == origin_evidence::unknown) {
+    found = co_await find_stored(stream, std::move(found));
+  }
+  --open_searches_;
+  co_return found;
+}
+
+asio::awaitable<found_origin> origin_exchange::query_peers(const gateway::origin_question& question)
+{
+  const auto now = std::chrono::steady_clock::now();
   auto replies = std::make_shared<search>(context_);
   auto order = gateway::order_holders(question.stream, state_.peers.live(now));
   order.resize(std::min(order.size(), max_queried));
-  replies->waiting = order.size();
-  const auto body = gateway::encode_origin_question(question, now);
+  std::set<http::socket_address> queried;
   for (const auto& peer : order) {
-    asio::co_spawn(context_, query(peer.peer_address, body, replies), asio::detached);
+    queried.insert(peer.peer_address);
+  }
+  if (!stored_.is_reader(now)) {
+    for (auto& reader : state_.other_coordinators(now)) {
+      queried.insert(std::move(reader));
+    }
+  }
+  replies->waiting = queried.size();
+  const auto body = gateway::encode_origin_question(question, now);
+  for (const auto& peer : queried) {
+    asio::co_spawn(context_, query(peer, body, replies), asio::detached);
   }
   while (replies->waiting > 0 && !replies->has_origin) {
     boost::system::error_code ec;
     replies->changed.expires_at(mono_time::max());
     co_await replies->changed.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
-  --open_searches_;
-  co_return evaluate(question, *replies, std::chrono::steady_clock::now());
+  co_return evaluate_records(question, *replies, std::chrono::steady_clock::now());
+}
+
+asio::awaitable<found_origin> origin_exchange::find_stored(gateway::stream_id stream,
+                                                           found_origin known)
+{
+  if (!stored_.is_reader(std::chrono::steady_clock::now())) {
+    co_return known;
+  }
+  co_await stored_.read();
+  if (auto own = find_own(stream, std::chrono::steady_clock::now())) {
+    known.version = own->version;
+    known.evidence = own->version ? origin_evidence::stored : own->evidence;
+  }
+  co_return known;
 }
 
 asio::awaitable<void> origin_exchange::query(http::socket_address peer, std::string body,
@@ -261,13 +328,13 @@
   replies->changed.cancel();
 }
 
-found_origin origin_exchange::evaluate(const gateway::origin_question& question,
-                                       const search& replies, mono_time now) const
+found_origin origin_exchange::evaluate_records(const gateway::origin_question& question,
+                                               const search& replies, mono_time now) const
 {
   origin_basis basis{.in_use =
                          state_.endpoints.versions().in_use(question.services, question.since),
                      .replies = replies.answers.size(),
-                     .knows_versions = state_.stored_versions_read,
+                     .knows_versions = knows_versions(question),
                      .is_current = has_current_view(now)};
   std::optional<gateway::service_version> version;
   for (const auto& answer : replies.answers) {
@@ -283,21 +350,32 @@
     basis.knows_versions = basis.knows_versions || answer.knows_versions;
     basis.is_current = basis.is_current || answer.has_current_view;
   }
-  // While the store is down for all, no view is recent, but no new version becomes known either. A
-  // minority may only be cut off from it and from the others.
   const auto daemons = std::min(state_.peers.running_count(now), max_queried + 1);
   basis.is_majority = 1 + basis.replies > daemons / 2;
-  if (version) {
-    return {
-        .version = version, .evidence = origin_evidence::peer_record, .basis = std::move(basis)};
+  const auto evidence = version ? origin_evidence::peer_record : origin_evidence::unknown;
+  return {.version = version, .evidence = evidence, .basis = std::move(basis)};
+}
+
+asio::awaitable<found_origin> origin_exchange::infer(gateway::origin_question question,
+                                                     found_origin known)
+{
+  auto& basis = known.basis;
+  if (!is_only_version(basis.in_use)) {
+    co_return known;
   }
-  if (basis.knows_versions && (basis.is_current || basis.is_majority) &&
-      is_only_version(basis.in_use)) {
-    return {.version = *basis.in_use.begin(),
-            .evidence = origin_evidence::only_version,
-            .basis = std::move(basis)};
+  const auto recorded = co_await read_recorded_(std::move(question.services));
+  if (recorded) {
+    basis.is_read = true;
+    basis.in_use.insert(recorded->begin(), recorded->end());
   }
-  return {.evidence = origin_evidence::unknown, .basis = std::move(basis)};
+  // While the store is down for all, no view is recent, but no new version is recorded either. A
+  // minority may only be cut off from it and from the others.
+  const bool is_in_touch = basis.is_current || basis.is_majority;
+  if ((basis.is_read || (basis.knows_versions && is_in_touch)) && is_only_version(basis.in_use)) {
+    known.version = *basis.in_use.begin();
+    known.evidence = origin_evidence::only_version;
+  }
+  co_return known;
 }
 
 bool origin_exchange::has_current_view(mono_time now) const
@@ -328,14 +406,19 @@
                                                       http::response_writer& writer)
 {
   http::response out{.status = http::status::bad_request};
-  const auto now = std::chrono::steady_clock::now();
   try {
-    const auto question = gateway::decode_origin_question(request.body, now);
+    const auto question =
+        gateway::decode_origin_question(request.body, std::chrono::steady_clock::now());
+    const bool is_known = find_own(question.stream, std::chrono::steady_clock::now()).has_value();
+    if (!is_known && stored_.reads_for_others(std::chrono::steady_clock::now())) {
+      co_await stored_.read();
+    }
+    const auto now = std::chrono::steady_clock::now();
     out = {.status = http::status::ok,
            .body = gateway::encode_origin_answer(
                {.origin = state_.stream_origins.find(question.stream, now),
                 .in_use = state_.endpoints.versions().in_use(question.services, question.since),
-                .knows_versions = state_.stored_versions_read,
+                .knows_versions = knows_versions(question),
                 .has_current_view = has_current_view(now)})};
   } catch (const gateway::stream_origin_error& e) {
     state_.log.write(daemon::log_level::error, "stream origins unreadable", {{"reason", e.what()}});
--- a/src/relay/origin_exchange.h
+++ b/src/relay/origin_exchange.h
@@ -4,8 +4,9 @@
 // While all endpoints of a route's services have been running one version for as long as the
 // longest stream may last, nothing is replicated. Otherwise a few daemons in other availability
 // zones hold the origin, and one of them confirms it before the first event is forwarded. A daemon
-// at which the stream is resumed queries the daemons that would hold it. If none does, and more
-// than one version may have started the stream, the origin stays unknown.
+// at which the stream is resumed queries the daemons that would hold it. If none does, the versions
+// in the store decide. If more than one may have started the stream, its origin is known only if
+// its daemon has stored it; see origin_store.
 //
 //   const bool settled = co_await origins.settle({.origin = origin, ...});
 //   if (settled) { ... forward the first event ... }
@@ -17,6 +18,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +31,7 @@
 
 #include "relay/event_log.h"
 #include "relay/fleet_state.h"
+#include "relay/origin_store.h"
 #include "wisteriaflow/gateway/configuration.h"
 #include "wisteriaflow/gateway/stream_origin_codec.h"
 #include "wisteriaflow/gateway/stream_origins.h"
@@ -44,6 +47,7 @@
 enum class origin_evidence {
   own_record,   // this daemon holds it
   peer_record,  // another daemon holds it
+  stored,       // a process that may have ended has left it in the store
   only_version, // no other version has been in use for as long as a stream may last
   unknown,      // several versions may have started the stream, or too little is known
   ambiguous,    // two streams were started under this id
@@ -59,6 +63,7 @@
   bool knows_versions = false; // one of them knows which versions went before
   bool is_current = false;     // one of them has a recent view of the endpoints
   bool is_majority = false;
+  bool is_read = false; // the versions in the store are among them
 
   friend bool operator==(const origin_basis&, const origin_basis&) = default;
 };
@@ -78,19 +83,21 @@
 // Names of the route's services.
 [[nodiscard]] std::vector<std::string> services_of(const gateway::route& r);
 
-// A stream of which an event has arrived.
-struct started_stream {
-  gateway::stream_origin origin;
-  std::vector<std::string> services;   // of the route
-  std::chrono::milliseconds memory{0}; // of the route's streams; see stream_memory()
+// The longest time for which a stream of some route may be resumed.
+[[nodiscard]] std::chrono::milliseconds longest_stream_memory(const fleet_state& state);
 
-  friend bool operator==(const started_stream&, const started_stream&) = default;
-};
+using gateway::started_stream;
+
+// Reads from the store which versions of the services may have begun streams; see version_store.
+using recorded_versions_reader =
+    std::function<boost::asio::awaitable<std::optional<gateway::service_version_set>>(
+        std::vector<std::string> services)>;
 
 // Not thread-safe.
 class origin_exchange {
  public:
-  origin_exchange(boost::asio::io_context& context, fleet_state& state);
+  origin_exchange(boost::asio::io_context& context, fleet_state& state,
+                  recorded_versions_reader read_recorded, origin_store& stored);
 
   // Starts to replicate the origins of streams that started while only one version was in use, when
   // another one appears. Never ends.
@@ -101,6 +108,8 @@
   boost::asio::awaitable<bool> settle(started_stream stream);
   // The same without waiting for other daemons.
   void refresh(started_stream stream);
+  // The stream's answer has been sent to its end.
+  void on_completed(const gateway::stream_id& stream);
 
   // Finds the version that started a stream.
   boost::asio::awaitable<found_origin> find(gateway::origin_question question);
@@ -130,8 +139,22 @@
   boost::asio::awaitable<bool> send(http::socket_address peer, std::string body);
   boost::asio::awaitable<void> query(http::socket_address peer, std::string body,
                                      std::shared_ptr<search> replies);
-  [[nodiscard]] found_origin evaluate(const gateway::origin_question& question,
-                                      const search& replies, mono_time now) const;
+  // The origin that a record states; `unknown` if there is no record.
+  [[nodiscard]] found_origin evaluate_records(const gateway::origin_question& question,
+                                              const search& replies, mono_time now) const;
+  // The origin that this daemon holds, if it does.
+  [[nodiscard]] std::optional<found_origin> find_own(const gateway::stream_id& stream,
+                                                     mono_time now) const;
+  // Queries the daemons that would hold the stream's origin.
+  boost::asio::awaitable<found_origin> query_peers(const gateway::origin_question& question);
+  // Looks for the origin among those in the store.
+  boost::asio::awaitable<found_origin> find_stored(gateway::stream_id stream, found_origin known);
+  // Infers the origin of a stream without a record, if one version alone may have started it.
+  boost::asio::awaitable<found_origin> infer(gateway::origin_question question, found_origin known);
+  [[nodiscard]] bool knows_versions(const gateway::origin_question& question) const
+  {
+    return state_.versions_known_since <= question.since;
+  }
   // Whether this daemon's view of the endpoints is so recent that it shows every version that is
   // widely known.
   [[nodiscard]] bool has_current_view(mono_time now) const;
@@ -142,6 +165,8 @@
 
   boost::asio::io_context& context_;
   fleet_state& state_;
+  recorded_versions_reader read_recorded_;
+  origin_store& stored_;
   http::client client_;
   // This daemon's streams that started while only one version was in use.
   std::map<gateway::stream_id, started_stream> unreplicated_;
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -23,6 +23,11 @@
   void on_peer_closed(std::function<void()>) override {}
 };
 
+boost::asio::awaitable<std::optional<gateway::service_version_set>> no_recorded_versions()
+{
+  co_return std::nullopt;
+}
+
 class AttemptTest : public testing::Test {
  protected:
   AttemptTest()
@@ -60,7 +65,11 @@
       log_};
   link_checker links_{context_, state_};
   endpoint_transport transport_{context_, state_, links_};
-  origin_exchange origins_{context_, state_};
+  store_client store_{context_, state_};
+  origin_store stored_{context_, state_, store_};
+  origin_exchange origins_{context_, state_,
+                           [](const std::vector<std::string>&) { return no_recorded_versions(); },
+                           stored_};
   fakes::fake_endpoint endpoint_{context_, "i-1"};
   null_writer writer_;
   gateway::route route_{.target_latency = 10ms, .max_attempts = 2};
--- a/test/relay/origin_exchange_test.cc
+++ b/test/relay/origin_exchange_test.cc
@@ -22,7 +22,7 @@
 
 class OriginExchangeTest : public testing::Test {
  protected:
-  OriginExchangeTest() { state_.stored_versions_read = true; }
+  OriginExchangeTest() { state_.versions_known_since = mono_time::min(); }
 
   // Lists one endpoint of each version, all known for `time`.
   void list_endpoints(const std::vector<std::string>& versions, std::chrono::seconds time)
@@ -63,6 +63,11 @@
     return out;
   }
 
+  boost::asio::awaitable<std::optional<gateway::service_version_set>> read_recorded()
+  {
+    co_return recorded_;
+  }
+
   bool settles()
   {
     bool out = false;
@@ -78,10 +83,17 @@
     return out;
   }
 
+  // What the store answers; nothing: it does not answer.
+  std::optional<gateway::service_version_set> recorded_;
+
   boost::asio::io_context context_;
   event_log log_{[](daemon::log_line) { return true; }};
   fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
-  origin_exchange origins_{context_, state_};
+  store_client store_{context_, state_};
+  origin_store stored_{context_, state_, store_};
+  origin_exchange origins_{context_, state_,
+                           [this](const std::vector<std::string>&) { return read_recorded(); },
+                           stored_};
   http::server peer_{context_,
                      {.address = {.host = "127.0.0.1"}},
                      [this](http::request r, http::response_writer& w) {
@@ -124,7 +136,23 @@
 
 TEST_F(OriginExchangeTest, FindsNothingBeforeItKnowsWhichVersionsWentBefore)
 {
-  state_.stored_versions_read = false;
+  state_.versions_known_since = mono_time::max();
+  list_endpoints({"v1"}, 60s);
+  EXPECT_EQ(find().version, std::nullopt);
+}
+
+TEST_F(OriginExchangeTest, TheOnlyRecordedVersionBeganTheStreamWhateverElseIsKnown)
+{
+  state_.versions_known_since = mono_time::max();
+  recorded_ = gateway::service_version_set{first};
+  list_endpoints({"v1"}, 60s);
+  add_peers_that_cannot_be_reached(2);
+  EXPECT_EQ(find().version, first);
+}
+
+TEST_F(OriginExchangeTest, ARecordedVersionThatNobodyKnowsMayHaveBegunTheStream)
+{
+  recorded_ = gateway::service_version_set{first, {.service = "chat", .version = "v0"}};
   list_endpoints({"v1"}, 60s);
   EXPECT_EQ(find().version, std::nullopt);
 }
--- /dev/null
+++ b/test/relay/version_store_test.cc
@@ -0,0 +1,293 @@
+// The record of versions in the platform's store, and the origins of streams beside it.
+//
+// Guards against a daemon that takes a missing, lost or outdated object for the fact that no other
+// version has served.
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <gtest/gtest.h>
+
+#include "fakes/fake_store.h"
+#include "fakes/run.h"
+#include "relay/origin_store.h"
+#include "relay/version_store.h"
+#include "wisteriaflow/base/hash.h"
+#include "wisteriaflow/gateway/stream_origin_codec.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using namespace std::chrono_literals;
+using gateway::service_version_set;
+
+constexpr const char* versions_kind = "gateway-recorded-versions";
+constexpr const char* origins_kind = "gateway-stream-origins";
+const gateway::service_version first{.service = "chat", .version = "v1"};
+const gateway::service_version second{.service = "chat", .version = "v2"};
+
+// One process of a daemon, without its servers.
+struct daemon_process {
+  daemon_process(boost::asio::io_context& context, const fakes::fake_store& store,
+                 std::uint64_t incarnation)
+      : state(settings{.id = daemon_id("d"), .store = store.address(), .usage_window = 5s}, log,
+              incarnation),
+        client(context, state), versions(context, state, client), origins(context, state, client)
+  {
+  }
+
+  event_log log{[](daemon::log_line) { return true; }};
+  fleet_state state;
+  store_client client;
+  version_store versions;
+  origin_store origins;
+};
+
+class VersionStoreTest : public testing::Test {
+ protected:
+  // Starts a process that sees an endpoint of each of the versions.
+  daemon_process& start(const std::vector<std::string>& versions)
+  {
+    processes_.push_back(std::make_unique<daemon_process>(context_, fake_, ++incarnation_));
+    auto& out = *processes_.back();
+    list_endpoints(out, versions);
+    out.versions.start();
+    return out;
+  }
+
+  void list_endpoints(daemon_process& at, const std::vector<std::string>& versions)
+  {
+    std::vector<gateway::endpoint_record> all;
+    for (const auto& v : versions) {
+      all.push_back({.id = endpoint_id("i-" + v), .revision = 1, .service = "chat", .version = v});
+    }
+    at.state.endpoints.replace_all(all, ++revision_, std::chrono::steady_clock::now());
+  }
+
+  void wait_until(const std::function<bool()>& condition, const char* description)
+  {
+    const auto deadline = std::chrono::steady_clock::now() + 60s;
+    while (!condition()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), deadline) << description;
+      context_.restart();
+      context_.run_for(20ms);
+    }
+  }
+
+  void run_for(std::chrono::milliseconds time)
+  {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  void await_recorded(daemon_process& at, const gateway::service_version& version)
+  {
+    wait_until([&] { return at.state.recorded.contains(version); }, "the version is recorded");
+  }
+
+  std::optional<service_version_set> read_recorded(daemon_process& at)
+  {
+    std::optional<service_version_set> out;
+    auto task = [&]() -> boost::asio::awaitable<void> {
+      std::vector<std::string> services = {"chat"};
+      out = co_await at.versions.read_recorded(std::move(services));
+    };
+    fakes::run(context_, task());
+    return out;
+  }
+
+  [[nodiscard]] boost::json::value stored_versions() const
+  {
+    return fake_.get(versions_kind, "service-" + std::to_string(hash64_of("chat")));
+  }
+
+  // Starts a stream of the version at the process.
+  static gateway::stream_id start_stream(daemon_process& at, const std::string& request,
+                                         const gateway::service_version& version)
+  {
+    const auto id = gateway::stream_id_of(workspace_id("hotel"), request);
+    at.origins.on_started({.origin = {.stream = id,
+                                      .version = version,
+                                      .expires_at = std::chrono::steady_clock::now() + 30s},
+                           .services = {"chat"},
+                           .memory = 30s});
+    return id;
+  }
+
+  static std::string own_object(const daemon_process& at)
+  {
+    return "process-" + std::to_string(hash64_of("d", at.state.incarnation));
+  }
+
+  void read_origins(daemon_process& at)
+  {
+    auto task = [&]() -> boost::asio::awaitable<void> { co_await at.origins.read(); };
+    fakes::run(context_, task());
+  }
+
+  static gateway::origin_lookup find(const daemon_process& at, const gateway::stream_id& id)
+  {
+    return at.state.stream_origins.find(id, std::chrono::steady_clock::now());
+  }
+
+  boost::asio::io_context context_;
+  fakes::fake_store fake_{context_};
+  std::vector<std::unique_ptr<daemon_process>> processes_;
+  std::uint64_t incarnation_ = 0;
+  std::uint64_t revision_ = 0;
+};
+
+TEST_F(VersionStoreTest, RecordsAlsoASingleVersion)
+{
+  auto& d = start({"v1"});
+  await_recorded(d, first);
+  EXPECT_EQ(stored_versions().at("versions"), boost::json::array{"v1"});
+  EXPECT_EQ(read_recorded(d), service_version_set{first});
+}
+
+TEST_F(VersionStoreTest, AVersionIsNotRecordedWhileTheStoreIsAway)
+{
+  auto& d = start({"v1"});
+  await_recorded(d, first);
+  fake_.unavailable = true;
+  list_endpoints(d, {"v1", "v2"});
+  run_for(1s);
+  EXPECT_TRUE(d.state.recorded.contains(first));
+  EXPECT_FALSE(d.state.recorded.contains(second));
+  fake_.unavailable = false;
+  await_recorded(d, second);
+}
+
+TEST_F(VersionStoreTest, AVersionOfBeforeTheEndOfAllDaemonsIsStillRecorded)
+{
+  await_recorded(start({"v1"}), first);
+  processes_.clear();
+  auto& next = start({"v2"});
+  await_recorded(next, second);
+  EXPECT_EQ(read_recorded(next), (service_version_set{first, second}));
+}
+
+TEST_F(VersionStoreTest, AServiceWithoutAnObjectHasBegunNoStream)
+{
+  auto& d = start({});
+  wait_until([&] { return d.state.versions_known_since == mono_time::min(); }, "the list is read");
+  EXPECT_EQ(read_recorded(d), service_version_set{});
+}
+
+TEST_F(VersionStoreTest, NothingIsKnownWhileTheStoreIsAway)
+{
+  auto& d = start({"v1"});
+  await_recorded(d, first);
+  fake_.unavailable = true;
+  EXPECT_EQ(read_recorded(d), std::nullopt);
+}
+
+TEST_F(VersionStoreTest, AFleetThatEndsAfterARestoreLeavesAListThatIsNotComplete)
+{
+  auto& d = start({"v1"});
+  await_recorded(d, first);
+  fake_.back_up();
+  list_endpoints(d, {"v1", "v2"});
+  await_recorded(d, second);
+  processes_.clear();
+  fake_.restore();
+  auto& next = start({"v1"});
+  await_recorded(next, first);
+  run_for(1s);
+  EXPECT_EQ(read_recorded(next), std::nullopt);
+}
+
+TEST_F(VersionStoreTest, WhatWasKnownIsWrittenAgainAfterARestore)
+{
+  auto& d = start({"v1"});
+  await_recorded(d, first);
+  fake_.back_up();
+  list_endpoints(d, {"v1", "v2"});
+  await_recorded(d, second);
+  fake_.restore();
+  read_recorded(d); // the answer shows the restore
+  wait_until([&] { return stored_versions().at("versions").as_array().size() == 2; },
+             "both versions are written again");
+  EXPECT_EQ(read_recorded(d), (service_version_set{first, second}));
+}
+
+TEST_F(VersionStoreTest, AnUnreadableObjectIsNoComplete)
+{
+  fake_.put(versions_kind, "service-" + std::to_string(hash64_of("chat")), {{"versions", 7}});
+  auto& d = start({"v1"});
+  run_for(1s);
+  EXPECT_NE(d.state.versions_known_since, mono_time::min());
+}
+
+TEST_F(VersionStoreTest, OriginsOutliveTheirProcessWhileSeveralVersionsServe)
+{
+  auto& d = start({"v1", "v2"});
+  d.origins.start();
+  const auto id = start_stream(d, "r1", second);
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored");
+  processes_.clear();
+  auto& next = start({"v1", "v2"});
+  read_origins(next);
+  EXPECT_EQ(find(next, id), gateway::origin_lookup(second));
+}
+
+TEST_F(VersionStoreTest, OriginsOfBeforeTheSecondVersionAreStoredWhenItAppears)
+{
+  auto& d = start({"v1"});
+  d.origins.start();
+  start_stream(d, "r1", first);
+  run_for(600ms);
+  EXPECT_TRUE(fake_.get(origins_kind, own_object(d)).is_null());
+  list_endpoints(d, {"v1", "v2"});
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored");
+}
+
+TEST_F(VersionStoreTest, ACompletedStreamIsTakenOutOfTheStore)
+{
+  auto& d = start({"v1", "v2"});
+  d.origins.start();
+  const auto id = start_stream(d, "r1", first);
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored");
+  d.origins.on_completed(id);
+  wait_until([&] { return fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the object is removed");
+}
+
+TEST_F(VersionStoreTest, OriginsAreWrittenAgainAfterARestore)
+{
+  auto& d = start({"v1", "v2"});
+  d.origins.start();
+  fake_.back_up();
+  start_stream(d, "r1", first);
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored");
+  fake_.restore();
+  EXPECT_TRUE(fake_.get(origins_kind, own_object(d)).is_null());
+  read_recorded(d); // the answer shows the restore
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored again");
+}
+
+TEST_F(VersionStoreTest, UnreadableOriginsAreSkipped)
+{
+  fake_.put(origins_kind, "process-1", {{"origins", "none"}});
+  auto& d = start({"v1", "v2"});
+  d.origins.start();
+  const auto id = start_stream(d, "r1", second);
+  wait_until([&] { return !fake_.get(origins_kind, own_object(d)).is_null(); },
+             "the origin is stored");
+  processes_.clear();
+  auto& next = start({"v1", "v2"});
+  read_origins(next);
+  EXPECT_EQ(find(next, id), gateway::origin_lookup(second));
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
