Replace an own object in one call, and keep the record of a service for good

Each update of an own object was a create that failed and a replace: two counted writes. create_or_replace() begins with the revision of the last write, if there is one. Objects with the versions of a service are no longer removed: a removal carries no revision, so one that the store does late would take the record of a service that has come back.

IsNotMixedWhenAllDaemonsThatKnewItsVersionAreGone wants some streams refused, and all 24 now went on, because the store has their origins. It keeps the store away while they begin, and its checks stay; a new test wants all 24 to go on with the store at hand.

--- a/src/relay/crash_store.cc
+++ b/src/relay/crash_store.cc
@@ -117,13 +117,15 @@
                                               std::size_t crash_count)
 {
   const auto name = to_string(suspect);
-  auto spec = encode_crash_report(state_.crashes.evidence_of(suspect));
   bool is_news = true;
-  object_merge merge = [&](const adapter::stored_object& present) {
-    is_news = this->merge(name, present.spec) < crash_count; // else a coordinator has written it
+  object_write wanted{.kind = hold_kind,
+                      .name = name,
+                      .spec = encode_crash_report(state_.crashes.evidence_of(suspect))};
+  wanted.merge = [&, spec = wanted.spec](const adapter::stored_object& present) {
+    is_news = merge(name, present.spec) < crash_count; // else a coordinator has written it
     return is_news ? std::optional<boost::json::value>(spec) : std::nullopt;
   };
-  if (!co_await create_or_replace(store_, state_, hold_kind, name, spec, std::move(merge))) {
+  if (!co_await create_or_replace(store_, state_, std::move(wanted))) {
     co_return false;
   }
   stored_crash_counts_[suspect] = crash_count;
--- a/src/relay/origin_store.cc
+++ b/src/relay/origin_store.cc
@@ -64,6 +64,7 @@
 {
   store_.add_restore_callback([this] {
     written_.clear();
+    own_revision_ = {};
     others_.clear();
     next_read_at_ = {};
   });
@@ -135,13 +136,19 @@
   if (origins.empty()) {
     auto name = own_name_;
     written = co_await remove_object(store_, origins_kind, std::move(name));
+    own_revision_ = {};
   } else {
-    auto spec = gateway::encode_stored_origins(origins);
-    state_.counters.count("stored_origin_bytes", {}, boost::json::serialize(spec).size());
-    object_merge replace = [&spec](const adapter::stored_object&) { return std::optional(spec); };
-    auto name = own_name_;
-    written = co_await create_or_replace(store_, state_, origins_kind, std::move(name), spec,
-                                         std::move(replace));
+    object_write change{.kind = origins_kind,
+                        .name = own_name_,
+                        .spec = gateway::encode_stored_origins(origins),
+                        .last_revision = own_revision_};
+    state_.counters.count("stored_origin_bytes", {}, boost::json::serialize(change.spec).size());
+    change.merge = [spec = change.spec](const adapter::stored_object&) {
+      return std::optional(spec);
+    };
+    const auto revision = co_await create_or_replace(store_, state_, std::move(change));
+    written = revision.has_value();
+    own_revision_ = revision.value_or(gateway::store_revision());
   }
   state_.counters.count("stored_origin_writes", {{"done", written ? "yes" : "no"}});
   if (written) {
--- a/src/relay/origin_store.h
+++ b/src/relay/origin_store.h
@@ -77,6 +77,7 @@
   gateway::open_streams open_{{}};
   gateway::origins_by_version written_; // what the own object holds
   mono_time written_at_;
+  gateway::store_revision own_revision_;         // of the own object; 0: there may be none
   std::map<std::string, foreign_object> others_; // by name
   mono_time next_read_at_;
   bool is_reading_ = false;
--- a/src/relay/stored_object.h
+++ b/src/relay/stored_object.h
@@ -14,19 +14,25 @@
 #include "relay/fleet_state.h"
 #include "relay/store_client.h"
 #include "store_calls.h"
+#include "wisteriaflow/gateway/store_revision.h"
 
 namespace wisteriaflow::relay {
 
-// Decides what replaces an object that another daemon has written; nothing if it may stay as it is.
-using object_merge =
-    std::function<std::optional<boost::json::value>(const adapter::stored_object& present)>;
-
-// Creates the object, or replaces the present one by what `merge` returns for it. Returns whether
-// the store holds the result. If another daemon writes at the same time, or the store does not
-// answer, it returns false, and the caller tries again. `kind` must stay valid until then.
-boost::asio::awaitable<bool> create_or_replace(store_client& store, fleet_state& state,
-                                               std::string_view kind, std::string name,
-                                               boost::json::value spec, object_merge merge);
+struct object_write {
+  std::string_view kind; // must stay valid until the write has ended
+  std::string name;
+  boost::json::value spec;
+  // Decides what replaces an object that another daemon has written; nothing if it may stay.
+  std::function<std::optional<boost::json::value>(const adapter::stored_object& present)> merge;
+  // Of the object as this daemon last wrote it; 0: the object is to be created.
+  gateway::store_revision last_revision = {};
+};
+
+// Creates the object or replaces the present one. Returns the revision at which the store holds the
+// result; nothing if another daemon wrote at the same time, or the store did not answer: the caller
+// then tries again.
+boost::asio::awaitable<std::optional<gateway::store_revision>>
+create_or_replace(store_client& store, fleet_state& state, object_write wanted);
 
 // Removes the object. Returns whether the store does not hold it any more.
 boost::asio::awaitable<bool> remove_object(store_client& store, std::string_view kind,
--- a/src/relay/version_store.cc
+++ b/src/relay/version_store.cc
@@ -88,6 +88,7 @@
   store_.add_restore_callback([this] {
     stored_.clear();
     readings_.clear();
+    is_read_ = false;
   });
 }
 
@@ -267,6 +268,12 @@
     const auto it = stored_.find(service);
     stated.complete_in = era || it == stored_.end() ? era : it->second.complete_in;
   }
+  // An object stays without versions: if it were removed, the call could be executed after the
+  // service has come back.
+  for (const auto& [service, stated] : stored_) {
+    out.try_emplace(service, service_versions{.service = service,
+                                              .complete_in = era ? era : stated.complete_in});
+  }
   return out;
 }
 
@@ -280,15 +287,6 @@
       co_return false;
     }
   }
-  auto unused = stored_;
-  std::erase_if(unused, [&all](const auto& it) { return all.contains(it.first); });
-  for (const auto& [service, versions] : unused) {
-    auto name = object_name(service);
-    if (!co_await remove_object(store_, versions_kind, std::move(name))) {
-      co_return false;
-    }
-    stored_.erase(service);
-  }
   co_return true;
 }
 
@@ -296,8 +294,10 @@
 asio::awaitable<bool> version_store::write(service_versions wanted)
 {
   const auto era = store_.era();
-  object_merge merge_present =
-      [&](const adapter::stored_object& present) -> std::optional<json::value> {
+  object_write change{.kind = versions_kind,
+                      .name = object_name(wanted.service),
+                      .spec = encode(wanted.service, wanted.versions, wanted.complete_in)};
+  change.merge = [&](const adapter::stored_object& present) -> std::optional<json::value> {
     const auto stated = decode(present);
     if (stated && *stated != stored_[wanted.service]) {
       merge(present);
@@ -311,10 +311,7 @@
     }
     return encode(wanted.service, wanted.versions, wanted.complete_in);
   };
-  auto name = object_name(wanted.service);
-  auto spec = encode(wanted.service, wanted.versions, wanted.complete_in);
-  const bool written = co_await create_or_replace(store_, state_, versions_kind, std::move(name),
-                                                  std::move(spec), std::move(merge_present));
+  const auto written = co_await create_or_replace(store_, state_, std::move(change));
   if (!written || store_.era() != era) {
     co_return false;
   }
--- a/test/relay/stream_version_test.cc
+++ b/test/relay/stream_version_test.cc
@@ -229,8 +229,11 @@
 {
   add_endpoints(2);
   start_in_zones({"a", "a", "b", "b", "c", "c"});
+  store_.unavailable = true; // so that the origins are known to daemons only
   auto streams = begin_cut_streams(*gateways_[0], 24);
   gateways_.erase(gateways_.begin(), gateways_.end() - 1);
+  run_for(200ms); // the store refuses what it received meanwhile
+  store_.unavailable = false;
   int refused = 0;
   for (auto& stream : streams) {
     resume(*gateways_[0], stream);
@@ -241,6 +244,19 @@
   EXPECT_GT(refused, 0); // otherwise every daemon knows every stream
 }
 
+TEST_F(StreamVersionTest, GoesOnWhenAllDaemonsThatKnewItsVersionAreGoneButTheStoreHasIt)
+{
+  add_endpoints(2);
+  start_in_zones({"a", "a", "b", "b", "c", "c"});
+  auto streams = begin_cut_streams(*gateways_[0], 24);
+  run_for(1s);
+  gateways_.erase(gateways_.begin(), gateways_.end() - 1);
+  for (auto& stream : streams) {
+    resume(*gateways_[0], stream);
+    expect_whole_and_of_one_version(stream);
+  }
+}
+
 TEST_F(StreamVersionTest, EveryAttemptThatBroughtEventsLeadsToTheVersion)
 {
   add_endpoints(2);
