Trust the record of versions only where it says that it is complete

- The store has one more object, which states the era for which there is an object for every service.
A daemon writes it, and calls a list complete, once it has known all versions for as long as a stream may be resumed.
Until then the origins of single streams are stored.
- A version without endpoints is retired first and removed 60 s later at the earliest, at an unchanged revision; a retired one counts when origins are inferred, and must be revived by a write before it serves.
Peers state only versions with endpoints.
- A question waits for a reading that begins after it; peers and store share one deadline of 280 ms.
A daemon whose view was old knows the versions only since then.
- Peers of an earlier software say "knows_versions" whenever they have read a list: another field is read now.

--- a/include/wisteriaflow/gateway/recorded_versions.h
+++ b/include/wisteriaflow/gateway/recorded_versions.h
@@ -13,7 +13,6 @@
 
 #include <set>
 #include <string>
-#include <string_view>
 
 #include "wisteriaflow/gateway/version_history.h"
 
@@ -28,6 +27,9 @@
     versions_.insert(versions.begin(), versions.end());
   }
 
+  // Replaces what is known of the service.
+  void set(const std::string& service, const std::set<std::string>& versions);
+
   // Forgets all versions but those in `used`: one that is not in use is removed from the store
   // sooner or later.
   void retain(const service_version_set& used);
--- a/src/gateway/recorded_versions.cc
+++ b/src/gateway/recorded_versions.cc
@@ -5,6 +5,14 @@
 
 namespace wisteriaflow::gateway {
 
+void recorded_versions::set(const std::string& service, const std::set<std::string>& versions)
+{
+  std::erase_if(versions_, [&service](const auto& v) { return v.service == service; });
+  for (const auto& v : versions) {
+    versions_.insert({.service = service, .version = v});
+  }
+}
+
 void recorded_versions::retain(const service_version_set& used)
 {
   std::erase_if(versions_, [&used](const auto& v) { return !used.contains(v); });
--- a/src/gateway/stream_origin_codec.cc
+++ b/src/gateway/stream_origin_codec.cc
@@ -178,7 +178,8 @@
     out["ambiguous"] = true;
   }
   out["in_use"] = encode(answer.in_use);
-  out["knows_versions"] = answer.knows_versions;
+  out["knows_all_versions"] = answer.knows_versions;
+  out["knows_versions"] = false; // read by daemons of earlier versions, which infer more from it
   out["current"] = answer.has_current_view;
   return json::serialize(out);
 }
@@ -186,9 +187,10 @@
 origin_answer decode_origin_answer(std::string_view text)
 {
   return decode_with(text, [](const json::value& from) {
-    origin_answer out{.knows_versions = from.at("knows_versions").as_bool(),
-                      .has_current_view = from.at("current").as_bool()};
     const auto& fields = from.as_object();
+    const auto* knows_all = fields.if_contains("knows_all_versions");
+    origin_answer out{.knows_versions = knows_all != nullptr && knows_all->as_bool(),
+                      .has_current_view = from.at("current").as_bool()};
     if (const auto* version = fields.if_contains("version")) {
       out.origin = decode_version(*version);
     } else if (fields.contains("ambiguous")) {
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -13,6 +13,8 @@
 namespace wisteriaflow::relay {
 namespace {
 
+// A view of the endpoints that is not older than this shows all versions that are widely known.
+constexpr std::chrono::milliseconds max_current_view_age{4'000};
 // A peer's clock reading is used for this long, the time of several reports.
 constexpr std::chrono::milliseconds clock_reading_valid{4'000};
 
@@ -565,6 +567,11 @@
   return out;
 }
 
+bool fleet_state::has_current_view(mono_time now) const
+{
+  return feed.revision().number > 0 && feed.view(now).age <= max_current_view_age;
+}
+
 gateway::endpoint_view fleet_state::endpoint_view(mono_time now) const
 {
   return endpoints.holds_removals(now) ? gateway::endpoint_view{} : feed.view(now);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -147,6 +147,10 @@
   // Call when the store has listed the addresses of all registered daemons.
   void on_daemons_listed(const std::vector<http::socket_address>& registered, mono_time now);
 
+  // Whether the view of the endpoints is so recent that it shows every version that is widely
+  // known.
+  [[nodiscard]] bool has_current_view(mono_time now) const;
+
   // Applies an endpoint's entry read from the store.
   void apply_endpoint(const gateway::endpoint_record& record, mono_time now);
 
--- a/src/relay/origin_exchange.cc
+++ b/src/relay/origin_exchange.cc
@@ -30,6 +30,8 @@
 // A peer replies within a few milliseconds. The caller waits for the reply.
 constexpr milliseconds peer_timeout{150};
 constexpr std::size_t max_open_searches = 64;
+// A caller waits for the peers' replies, and then for the store, at most this long.
+constexpr milliseconds search_timeout{280};
 // Attempts of one caller may together last longer than the route's timeout.
 constexpr int stream_memory_factor = 2;
 constexpr milliseconds min_stream_memory{30'000};
@@ -37,8 +39,6 @@
 // Every daemon in touch with the store, or with one that is, knows within this time that a version
 // has appeared.
 constexpr milliseconds version_propagation_time{5'000};
-// A view of the endpoints that is not older than this shows all versions that are widely known.
-constexpr milliseconds max_current_view_age{4'000};
 constexpr milliseconds replication_check_period{400};
 constexpr std::size_t max_unreplicated = 8'192;
 
@@ -231,10 +231,17 @@
   co_return confirmed;
 }
 
+gateway::origin_lookup origin_exchange::lookup(const gateway::stream_id& stream,
+                                               mono_time now) const
+{
+  const auto known = state_.stream_origins.find(stream, now);
+  return std::holds_alternative<gateway::unknown_origin>(known) ? stored_.find(stream, now) : known;
+}
+
 std::optional<found_origin> origin_exchange::find_own(const gateway::stream_id& stream,
                                                       mono_time now) const
 {
-  const auto known = state_.stream_origins.find(stream, now);
+  const auto known = lookup(stream, now);
   if (const auto* version = std::get_if<gateway::service_version>(&known)) {
     return found_origin{.version = *version, .evidence = origin_evidence::own_record};
   }
@@ -254,12 +261,13 @@
   }
   ++open_searches_;
   const auto stream = question.stream;
+  const auto deadline = std::chrono::steady_clock::now() + search_timeout;
   auto found = co_await query_peers(question);
   if (found.evidence == origin_evidence::unknown) {
-    found = co_await infer(std::move(question), std::move(found));
+    found = co_await infer(std::move(question), std::move(found), deadline);
   }
   if (found.evidence == origin_evidence::unknown) {
-    found = co_await find_stored(stream, std::move(found));
+    found = co_await find_stored(stream, std::move(found), deadline);
   }
   --open_searches_;
   co_return found;
@@ -294,12 +302,12 @@
 }
 
 asio::awaitable<found_origin> origin_exchange::find_stored(gateway::stream_id stream,
-                                                           found_origin known)
+                                                           found_origin known, mono_time deadline)
 {
   if (!stored_.is_reader(std::chrono::steady_clock::now())) {
     co_return known;
   }
-  co_await stored_.read();
+  co_await stored_.read(deadline);
   if (auto own = find_own(stream, std::chrono::steady_clock::now())) {
     known.version = own->version;
     known.evidence = own->version ? origin_evidence::stored : own->evidence;
@@ -335,7 +343,7 @@
                          state_.endpoints.versions().in_use(question.services, question.since),
                      .replies = replies.answers.size(),
                      .knows_versions = knows_versions(question),
-                     .is_current = has_current_view(now)};
+                     .is_current = state_.has_current_view(now)};
   std::optional<gateway::service_version> version;
   for (const auto& answer : replies.answers) {
     const auto* stated = std::get_if<gateway::service_version>(&answer.origin);
@@ -357,13 +365,13 @@
 }
 
 asio::awaitable<found_origin> origin_exchange::infer(gateway::origin_question question,
-                                                     found_origin known)
+                                                     found_origin known, mono_time deadline)
 {
   auto& basis = known.basis;
   if (!is_only_version(basis.in_use)) {
     co_return known;
   }
-  const auto recorded = co_await read_recorded_(std::move(question.services));
+  const auto recorded = co_await read_recorded_(std::move(question.services), deadline);
   if (recorded) {
     basis.is_read = true;
     basis.in_use.insert(recorded->begin(), recorded->end());
@@ -378,11 +386,6 @@
   co_return known;
 }
 
-bool origin_exchange::has_current_view(mono_time now) const
-{
-  return state_.feed.revision().number > 0 && state_.feed.view(now).age <= max_current_view_age;
-}
-
 asio::awaitable<void> origin_exchange::serve_origins(http::request request,
                                                      http::response_writer& writer)
 {
@@ -411,15 +414,15 @@
         gateway::decode_origin_question(request.body, std::chrono::steady_clock::now());
     const bool is_known = find_own(question.stream, std::chrono::steady_clock::now()).has_value();
     if (!is_known && stored_.reads_for_others(std::chrono::steady_clock::now())) {
-      co_await stored_.read();
+      co_await stored_.read(std::chrono::steady_clock::now() + peer_timeout / 2);
     }
     const auto now = std::chrono::steady_clock::now();
     out = {.status = http::status::ok,
            .body = gateway::encode_origin_answer(
-               {.origin = state_.stream_origins.find(question.stream, now),
+               {.origin = lookup(question.stream, now),
                 .in_use = state_.endpoints.versions().in_use(question.services, question.since),
                 .knows_versions = knows_versions(question),
-                .has_current_view = has_current_view(now)})};
+                .has_current_view = state_.has_current_view(now)})};
   } catch (const gateway::stream_origin_error& e) {
     state_.log.write(daemon::log_level::error, "stream origins unreadable", {{"reason", e.what()}});
   }
--- a/src/relay/origin_exchange.h
+++ b/src/relay/origin_exchange.h
@@ -91,7 +91,7 @@
 // Reads from the store which versions of the services may have begun streams; see version_store.
 using recorded_versions_reader =
     std::function<boost::asio::awaitable<std::optional<gateway::service_version_set>>(
-        std::vector<std::string> services)>;
+        std::vector<std::string> services, mono_time deadline)>;
 
 // Not thread-safe.
 class origin_exchange {
@@ -142,22 +142,24 @@
   // The origin that a record states; `unknown` if there is no record.
   [[nodiscard]] found_origin evaluate_records(const gateway::origin_question& question,
                                               const search& replies, mono_time now) const;
+  // What this daemon's own records, and those that it read from the store, state.
+  [[nodiscard]] gateway::origin_lookup lookup(const gateway::stream_id& stream,
+                                              mono_time now) const;
   // The origin that this daemon holds, if it does.
   [[nodiscard]] std::optional<found_origin> find_own(const gateway::stream_id& stream,
                                                      mono_time now) const;
   // Queries the daemons that would hold the stream's origin.
   boost::asio::awaitable<found_origin> query_peers(const gateway::origin_question& question);
   // Looks for the origin among those in the store.
-  boost::asio::awaitable<found_origin> find_stored(gateway::stream_id stream, found_origin known);
+  boost::asio::awaitable<found_origin> find_stored(gateway::stream_id stream, found_origin known,
+                                                   mono_time deadline);
   // Infers the origin of a stream without a record, if one version alone may have started it.
-  boost::asio::awaitable<found_origin> infer(gateway::origin_question question, found_origin known);
+  boost::asio::awaitable<found_origin> infer(gateway::origin_question question, found_origin known,
+                                             mono_time deadline);
   [[nodiscard]] bool knows_versions(const gateway::origin_question& question) const
   {
     return state_.versions_known_since <= question.since;
   }
-  // Whether this daemon's view of the endpoints is so recent that it shows every version that is
-  // widely known.
-  [[nodiscard]] bool has_current_view(mono_time now) const;
   boost::asio::awaitable<void> replicate_in_background();
   // The unreplicated origins of services with several versions, by holder.
   [[nodiscard]] std::vector<batch> unreplicated_batches(mono_time now);
--- a/src/relay/origin_store.cc
+++ b/src/relay/origin_store.cc
@@ -8,8 +8,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "relay/async_sleep.h"
@@ -33,10 +31,11 @@
 constexpr double writes_per_second = 300;
 constexpr std::size_t max_readers = 16;
 constexpr milliseconds min_read_period{1'000};
-constexpr double reads_per_second = 8; // of all daemons that read
-// Callers wait for a reading.
-constexpr milliseconds max_read_wait{200};
-constexpr milliseconds sweep_period{20'000};
+constexpr double reads_per_second = 8;                 // of all daemons that read
+constexpr milliseconds large_fleet_read_period{5'000}; // there, only the coordinators read
+constexpr milliseconds sweep_period{60'000};
+// The record of the versions is complete this long after this daemon could have completed it.
+constexpr milliseconds record_delay{5'000};
 constexpr milliseconds start_check_period{20};
 
 std::string name_of(const daemon_id& id, std::uint64_t incarnation)
@@ -100,12 +99,15 @@
 
 gateway::origins_by_version origin_store::own_origins(mono_time now) const
 {
-  std::map<std::vector<std::string>, bool> has_several; // by services
+  std::map<std::vector<std::string>, bool> needs_origins; // by services
   return open_.origins([&](const gateway::started_stream& stream) {
-    const auto [it, is_new] = has_several.try_emplace(stream.services);
+    const auto [it, is_new] = needs_origins.try_emplace(stream.services);
     if (is_new) {
       const auto& versions = state_.endpoints.versions();
-      it->second = !is_only_version(versions.in_use(stream.services, now - stream.memory));
+      const bool is_record_complete =
+          state_.versions_known_since <= now - stream.memory - record_delay;
+      it->second = !is_record_complete ||
+                   !is_only_version(versions.in_use(stream.services, now - stream.memory));
     }
     return it->second;
   });
@@ -116,6 +118,7 @@
   for (unsigned failures = 0;;) {
     const auto now = std::chrono::steady_clock::now();
     open_.forget_expired(now);
+    found_.forget_expired(now);
     auto wanted = own_origins(now);
     const bool is_due = has_new_streams(wanted, written_) ||
                         (wanted != written_ && now >= written_at_ + removal_period);
@@ -132,24 +135,17 @@
 
 asio::awaitable<bool> origin_store::write(gateway::origins_by_version origins)
 {
-  bool written = false;
-  if (origins.empty()) {
-    auto name = own_name_;
-    written = co_await remove_object(store_, origins_kind, std::move(name));
-    own_revision_ = {};
-  } else {
-    object_write change{.kind = origins_kind,
-                        .name = own_name_,
-                        .spec = gateway::encode_stored_origins(origins),
-                        .last_revision = own_revision_};
-    state_.counters.count("stored_origin_bytes", {}, boost::json::serialize(change.spec).size());
-    change.merge = [spec = change.spec](const adapter::stored_object&) {
-      return std::optional(spec);
-    };
-    const auto revision = co_await create_or_replace(store_, state_, std::move(change));
-    written = revision.has_value();
-    own_revision_ = revision.value_or(gateway::store_revision());
-  }
+  object_write change{.kind = origins_kind,
+                      .name = own_name_,
+                      .spec = gateway::encode_stored_origins(origins),
+                      .last_revision = own_revision_};
+  state_.counters.count("stored_origin_bytes", {}, boost::json::serialize(change.spec).size());
+  change.merge = [spec = change.spec](const adapter::stored_object&) {
+    return std::optional(spec);
+  };
+  const auto revision = co_await create_or_replace(store_, state_, std::move(change));
+  const bool written = revision.has_value();
+  own_revision_ = revision.value_or(gateway::store_revision());
   state_.counters.count("stored_origin_writes", {{"done", written ? "yes" : "no"}});
   if (written) {
     written_ = std::move(origins);
@@ -157,31 +153,27 @@
   co_return written;
 }
 
-asio::awaitable<void> origin_store::read()
+asio::awaitable<void> origin_store::read(mono_time deadline)
 {
-  if (!is_reading_ && std::chrono::steady_clock::now() >= next_read_at_) {
-    is_reading_ = true;
+  if (!reading_ && std::chrono::steady_clock::now() >= next_read_at_) {
+    reading_ = std::make_shared<completion>();
     asio::co_spawn(context_, read_and_notify(), asio::detached);
   }
-  if (is_reading_) {
-    boost::system::error_code ec;
-    asio::steady_timer timer(context_, max_read_wait);
-    waiting_.insert(&timer);
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    waiting_.erase(&timer);
+  if (const auto reading = reading_) {
+    co_await reading->wait_until(context_, deadline);
   }
 }
 
 asio::awaitable<bool> origin_store::read_and_notify()
 {
-  is_reading_ = true;
-  const auto period = std::max(state_.call_period(reads_per_second), min_read_period);
-  next_read_at_ = std::chrono::steady_clock::now() + period;
-  const bool succeeded = co_await read_all();
-  is_reading_ = false;
-  for (auto* timer : waiting_) {
-    timer->cancel();
+  if (!reading_) {
+    reading_ = std::make_shared<completion>();
   }
+  const bool is_large = state_.peers.running_count(std::chrono::steady_clock::now()) > max_readers;
+  const auto period = is_large ? large_fleet_read_period : state_.call_period(reads_per_second);
+  next_read_at_ = std::chrono::steady_clock::now() + std::max(period, min_read_period);
+  const bool succeeded = co_await read_all();
+  std::exchange(reading_, nullptr)->notify();
   co_return succeeded;
 }
 
@@ -227,8 +219,8 @@
       for (const auto& id : streams) {
         const gateway::stream_origin origin{
             .stream = id, .version = version, .expires_at = now + memory};
-        if (!state_.stream_origins.record(origin, now)) {
-          state_.counters.count("stream_origins_dropped");
+        if (!found_.record(origin, now)) {
+          state_.counters.count("stored_origins_dropped");
         }
         ++n;
       }
@@ -262,7 +254,7 @@
   for (;;) {
     co_await async_sleep(sweep_period);
     const auto now = std::chrono::steady_clock::now();
-    if (state_.is_coordinator(now) && (!others_.empty() || has_several_versions(now))) {
+    if (state_.is_leader() && (!others_.empty() || has_several_versions(now))) {
       co_await remove_abandoned();
     }
   }
@@ -271,7 +263,7 @@
 // Objects of processes that have ended are removed when their streams cannot be resumed any more.
 asio::awaitable<void> origin_store::remove_abandoned()
 {
-  if (is_reading_ || !co_await read_and_notify()) {
+  if (reading_ || !co_await read_and_notify()) {
     co_return;
   }
   const auto now = std::chrono::steady_clock::now();
--- a/src/relay/origin_store.h
+++ b/src/relay/origin_store.h
@@ -1,6 +1,6 @@
 // Keeps the origins of this daemon's open streams in the platform's store while a service has
-// several software versions, so that callers can resume them after the end of all daemons, and
-// reads the origins that other processes stored.
+// several software versions, or the record of its versions is not complete, so that callers can
+// resume them after the end of all daemons, and reads the origins that other processes stored.
 //
 // The store has one object for each process that has such streams. It is written some hundred
 // milliseconds after a stream has started: the origin of a stream that started just before the end
@@ -9,23 +9,24 @@
 //   origin_store stored(context, state, store);
 //   stored.on_started(stream);              // with its first event
 //   stored.on_completed(stream);            // with its last event
-//   co_await stored.read();                 // then look in state.stream_origins again
+//   co_await stored.read(deadline);         // then stored.find(id, now)
 
 #ifndef WISTERIAFLOW_SRC_RELAY_ORIGIN_STORE_H_
 #define WISTERIAFLOW_SRC_RELAY_ORIGIN_STORE_H_
 
 #include <map>
-#include <set>
+#include <memory>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "relay/completion.h"
 #include "relay/fleet_state.h"
 #include "relay/store_client.h"
 #include "store_calls.h"
 #include "wisteriaflow/gateway/open_streams.h"
+#include "wisteriaflow/gateway/stream_origins.h"
 
 namespace wisteriaflow::relay {
 
@@ -46,9 +47,15 @@
   // Whether this daemon is one of the few that read for all.
   [[nodiscard]] bool reads_for_others(mono_time now) const;
 
-  // Reads what the store holds, unless that was done just before. Waits for it a fraction of a
-  // second at most.
-  boost::asio::awaitable<void> read();
+  // Reads what the store holds, unless that was done just before. Waits for it until the deadline
+  // at most.
+  boost::asio::awaitable<void> read(mono_time deadline);
+
+  // The origin that another process has stored.
+  [[nodiscard]] gateway::origin_lookup find(const gateway::stream_id& stream, mono_time now) const
+  {
+    return found_.find(stream, now);
+  }
 
  private:
   // The object of another process.
@@ -80,8 +87,8 @@
   gateway::store_revision own_revision_;         // of the own object; 0: there may be none
   std::map<std::string, foreign_object> others_; // by name
   mono_time next_read_at_;
-  bool is_reading_ = false;
-  std::set<boost::asio::steady_timer*> waiting_; // of the callers of read()
+  gateway::stream_origins found_{{}};   // in the objects of other processes
+  std::shared_ptr<completion> reading_; // null while nothing is being read
 };
 
 } // namespace wisteriaflow::relay
--- a/src/relay/version_store.cc
+++ b/src/relay/version_store.cc
@@ -8,8 +8,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
@@ -32,14 +30,18 @@
 namespace json = boost::json;
 
 constexpr std::string_view versions_kind = "gateway-recorded-versions";
+// The object which states that the store has one for each service that ever served.
+constexpr std::string_view marker_name = "all-services";
 constexpr milliseconds poll_period{200};
 // Until the versions that serve when this daemon starts are recorded.
 constexpr milliseconds start_poll_period{20};
 // A daemon that cannot learn what is recorded serves the other calls after this time.
 constexpr milliseconds max_start_delay{2'000};
+// A version without endpoints is retired after this time or after the memory of the streams, and
+// removed after the same time again.
 constexpr milliseconds min_version_memory{60'000};
 // A daemon looks anew whether a version is recorded that has had no endpoint for this long. It must
-// be shorter than min_version_memory, after which the version is removed from the store.
+// be shorter than the time for which a version is retired.
 constexpr milliseconds recorded_memory{30'000};
 // Of the fleet, while a version is not known to be recorded.
 constexpr double questions_per_second = 300;
@@ -49,9 +51,9 @@
 constexpr unsigned questions_per_store_read = 3;
 constexpr milliseconds peer_timeout{250};
 // Of the fleet, to infer the origins of streams.
-constexpr double readings_per_second = 500;
-// A caller waits for the reading.
-constexpr milliseconds reading_timeout{150};
+constexpr double readings_per_second = 1'000;
+constexpr milliseconds max_reading_period{100}; // callers wait for a reading
+constexpr milliseconds reading_timeout{200};
 
 // Names of objects are limited to few characters, names of services are not.
 std::string object_name(const std::string& service)
@@ -59,26 +61,35 @@
   return "service-" + std::to_string(hash64_of(service));
 }
 
-// A version whose last endpoint has gone stays in the store for this long.
 milliseconds version_memory(const fleet_state& state)
 {
   return std::max(min_version_memory, longest_stream_memory(state));
 }
 
-json::value encode(const std::string& service, const std::set<std::string>& versions,
-                   std::optional<std::uint64_t> complete_in)
+json::array to_json(const std::set<std::string>& versions)
 {
-  json::array list;
+  json::array out;
   for (const auto& v : versions) {
-    list.emplace_back(v);
+    out.emplace_back(v);
   }
-  json::object out{{"service", service}, {"versions", std::move(list)}};
-  if (complete_in) {
-    out["complete_in_era"] = *complete_in;
+  return out;
+}
+
+std::set<std::string> to_set(const json::value& versions)
+{
+  std::set<std::string> out;
+  for (const auto& v : versions.as_array()) {
+    out.insert(json::value_to<std::string>(v));
   }
   return out;
 }
 
+std::optional<std::uint64_t> era_in(const json::value& spec)
+{
+  const auto* era = spec.as_object().if_contains("complete_in_era");
+  return era == nullptr ? std::nullopt : std::optional(era->to_number<std::uint64_t>());
+}
+
 } // namespace
 
 version_store::version_store(asio::io_context& context, fleet_state& state, store_client& store)
@@ -87,7 +98,7 @@
 {
   store_.add_restore_callback([this] {
     stored_.clear();
-    readings_.clear();
+    all_services_in_.reset();
     is_read_ = false;
   });
 }
@@ -109,9 +120,18 @@
     return;
   }
   state_.versions_known_since = std::min(state_.versions_known_since, now);
+  const bool is_view_current = state_.has_current_view(now);
+  if (is_view_current && std::exchange(has_view_gap_, false)) {
+    state_.versions_known_since = now; // others may have come and gone in between
+    is_read_ = false;
+  }
+  has_view_gap_ = has_view_gap_ || (!is_view_current && state_.feed.revision().number > 0);
   if (!stops_waiting_at_) {
     stops_waiting_at_ = now + max_start_delay;
   }
+  if (!has_missing(now)) {
+    questions_ = 0;
+  }
   if (!has_missing(now) || now >= *stops_waiting_at_) {
     state_.serves_recorded_versions = true;
   }
@@ -128,8 +148,8 @@
       succeeded = co_await read_all();
     }
     // The coordinators are computed from all live peers, so this is checked last.
-    const bool may_write = succeeded && is_read_ && wanted() != stored_ &&
-                           (questions_ >= patience || state_.is_coordinator(now));
+    const bool may_write =
+        succeeded && is_read_ && (questions_ >= patience || state_.is_coordinator(now));
     if (may_write) {
       succeeded = co_await write_changes();
     }
@@ -156,9 +176,6 @@
   } else {
     succeeded = co_await read_all();
   }
-  if (!has_missing(std::chrono::steady_clock::now())) {
-    questions_ = 0;
-  }
   co_return succeeded;
 }
 
@@ -171,11 +188,7 @@
     if (reply.status != http::status::ok) {
       co_return false;
     }
-    const auto versions = gateway::decode_versions(reply.body);
-    for (const auto& v : versions) {
-      state_.endpoints.on_version_stated(v, std::chrono::steady_clock::now());
-    }
-    state_.recorded.add(versions);
+    state_.recorded.add(gateway::decode_versions(reply.body));
     co_return true;
   } catch (const error& e) {
     state_.counters.count("recorded_version_questions_failed");
@@ -183,11 +196,18 @@
   co_return false;
 }
 
+// Only versions that have endpoints are stated: what this daemon knows of others may be old.
 asio::awaitable<void> version_store::serve_recorded(http::request /*request*/,
                                                     http::response_writer& writer)
 {
-  http::response out{.status = http::status::ok,
-                     .body = gateway::encode_versions(state_.recorded.all())};
+  const auto in_use = state_.endpoints.versions().in_use(std::chrono::steady_clock::now());
+  gateway::service_version_set stated;
+  for (const auto& v : in_use) {
+    if (state_.recorded.contains(v)) {
+      stated.insert(v);
+    }
+  }
+  http::response out{.status = http::status::ok, .body = gateway::encode_versions(stated)};
   co_await writer.send(std::move(out));
 }
 
@@ -195,139 +215,200 @@
 {
   const auto listing =
       co_await list_objects(store_, state_, versions_kind, adapter::list_age::current);
-  bool is_trusted = listing.is_complete;
+  bool is_readable = true;
+  std::optional<std::uint64_t> marker;
   for (const auto& item : listing.items) {
-    const auto stated = merge(item);
-    is_trusted = is_trusted && stated && is_current(*stated);
+    if (item.name == marker_name) {
+      marker = item.spec.is_object() ? era_in(item.spec) : std::nullopt;
+    } else {
+      is_readable = take_over(item) && is_readable;
+    }
   }
   if (!listing.is_complete) {
     co_return false;
   }
-  if (is_trusted) {
+  all_services_in_ = marker;
+  const bool is_complete = is_readable && is_current(marker) &&
+                           std::all_of(stored_.begin(), stored_.end(), [this](const auto& it) {
+                             return is_current(it.second.content.complete_in);
+                           });
+  if (is_complete) {
     state_.versions_known_since = mono_time::min();
   }
   is_read_ = true;
   state_.log.write(daemon::log_level::info, "recorded versions read",
-                   {{"services", std::to_string(listing.items.size())},
-                    {"complete", is_trusted ? "yes" : "no"},
+                   {{"objects", std::to_string(listing.items.size())},
+                    {"complete", is_complete ? "yes" : "no"},
                     {"revision", to_string(listing.revision)}});
   co_return true;
 }
 
-std::optional<version_store::service_versions>
-version_store::merge(const adapter::stored_object& object)
+bool version_store::take_over(const adapter::stored_object& object)
 {
-  auto stated = decode(object);
-  if (stated) {
-    stored_[stated->service] = *stated;
-    for (const auto& v : stated->versions) {
-      const gateway::service_version version{.service = stated->service, .version = v};
-      state_.endpoints.on_version_stated(version, std::chrono::steady_clock::now());
-      state_.recorded.add(version);
-    }
+  const auto now = std::chrono::steady_clock::now();
+  const auto stated = decode(object);
+  if (!stated) {
+    return false;
+  }
+  auto& known = stored_[stated->service];
+  if (known.revision != object.revision) {
+    known = {.content = *stated, .revision = object.revision, .unchanged_since = now};
+  }
+  for (const auto& v : stated->versions) {
+    const gateway::service_version version{.service = stated->service, .version = v};
+    state_.endpoints.on_version_stated(version, now);
   }
-  return stated;
+  state_.recorded.set(stated->service, stated->versions);
+  return true;
 }
 
 std::optional<version_store::service_versions>
 version_store::decode(const adapter::stored_object& object)
 {
   try {
-    service_versions out{.service = json::value_to<std::string>(object.spec.at("service"))};
-    for (const auto& v : object.spec.at("versions").as_array()) {
-      out.versions.insert(json::value_to<std::string>(v));
-    }
-    if (const auto* era = object.spec.as_object().if_contains("complete_in_era")) {
-      out.complete_in = era->to_number<std::uint64_t>();
-    }
+    service_versions out{.service = json::value_to<std::string>(object.spec.at("service")),
+                         .versions = to_set(object.spec.at("versions")),
+                         .retired = to_set(object.spec.at("retired")),
+                         .complete_in = era_in(object.spec)};
     return out;
   } catch (const std::exception& e) {
-    state_.log.write(daemon::log_level::error, "stored versions unreadable",
+    state_.log.write(daemon::log_level::error, "recorded versions unreadable",
                      {{"object", object.name}, {"reason", e.what()}});
     return std::nullopt;
   }
 }
 
+json::value version_store::encode(const service_versions& stated)
+{
+  json::object out{{"service", stated.service},
+                   {"versions", to_json(stated.versions)},
+                   {"retired", to_json(stated.retired)}};
+  if (stated.complete_in) {
+    out["complete_in_era"] = *stated.complete_in;
+  }
+  return out;
+}
+
 std::optional<std::uint64_t> version_store::complete_in() const
 {
-  const auto oldest_stream = std::chrono::steady_clock::now() - version_memory(state_);
+  const auto oldest_stream = std::chrono::steady_clock::now() - longest_stream_memory(state_);
   return state_.versions_known_since <= oldest_stream ? std::optional(store_.era()) : std::nullopt;
 }
 
-version_store::versions_by_service version_store::wanted() const
+version_store::service_versions version_store::wanted(const std::string& service) const
+{
+  const auto now = std::chrono::steady_clock::now();
+  const auto memory = version_memory(state_);
+  service_versions out{.service = service, .complete_in = complete_in()};
+  for (const auto& v : state_.endpoints.versions().in_use({service}, now - memory)) {
+    out.versions.insert(v.version);
+  }
+  const auto it = stored_.find(service);
+  if (it == stored_.end()) {
+    return out;
+  }
+  const auto& present = it->second;
+  if (!out.complete_in && is_current(present.content.complete_in)) {
+    out.complete_in = present.content.complete_in;
+  }
+  std::set_difference(present.content.versions.begin(), present.content.versions.end(),
+                      out.versions.begin(), out.versions.end(),
+                      std::inserter(out.retired, out.retired.end()));
+  if (now < present.unchanged_since + memory) {
+    std::set_difference(present.content.retired.begin(), present.content.retired.end(),
+                        out.versions.begin(), out.versions.end(),
+                        std::inserter(out.retired, out.retired.end()));
+  }
+  return out;
+}
+
+std::set<std::string> version_store::services() const
 {
-  const auto since = std::chrono::steady_clock::now() - version_memory(state_);
-  versions_by_service out;
-  for (const auto& v : state_.endpoints.versions().in_use(since)) {
-    auto& stated = out[v.service];
-    stated.service = v.service;
-    stated.versions.insert(v.version);
-  }
-  const auto era = complete_in();
-  for (auto& [service, stated] : out) {
-    const auto it = stored_.find(service);
-    stated.complete_in = era || it == stored_.end() ? era : it->second.complete_in;
-  }
-  // An object stays without versions: if it were removed, the call could be executed after the
-  // service has come back.
-  for (const auto& [service, stated] : stored_) {
-    out.try_emplace(service, service_versions{.service = service,
-                                              .complete_in = era ? era : stated.complete_in});
+  std::set<std::string> out;
+  for (const auto& [service, object] : stored_) {
+    out.insert(service);
+  }
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& v : state_.endpoints.versions().in_use(now - version_memory(state_))) {
+    out.insert(v.service);
   }
   return out;
 }
 
+bool version_store::needs_write(const std::string& service) const
+{
+  const auto it = stored_.find(service);
+  return it == stored_.end() || it->second.content != wanted(service);
+}
+
 asio::awaitable<bool> version_store::write_changes()
 {
-  const auto all = wanted();
-  for (const auto& [service, versions] : all) {
-    const auto it = stored_.find(service);
-    const bool is_stored = it != stored_.end() && it->second == versions;
-    if (!is_stored && !co_await write(versions)) {
-      co_return false;
+  for (auto& service : services()) {
+    if (needs_write(service)) {
+      auto changed = service;
+      if (!co_await write(std::move(changed))) {
+        co_return false;
+      }
     }
   }
+  if (complete_in() && !is_current(all_services_in_)) {
+    co_return co_await write_marker();
+  }
   co_return true;
 }
 
 // What another coordinator has stored is kept: it may know of a version that has gone.
-asio::awaitable<bool> version_store::write(service_versions wanted)
+asio::awaitable<bool> version_store::write(std::string service)
 {
   const auto era = store_.era();
+  const auto known = stored_.find(service);
+  auto content = wanted(service);
   object_write change{.kind = versions_kind,
-                      .name = object_name(wanted.service),
-                      .spec = encode(wanted.service, wanted.versions, wanted.complete_in)};
+                      .name = object_name(service),
+                      .spec = encode(content),
+                      .last_revision = known == stored_.end() ? gateway::store_revision()
+                                                              : known->second.revision};
   change.merge = [&](const adapter::stored_object& present) -> std::optional<json::value> {
-    const auto stated = decode(present);
-    if (stated && *stated != stored_[wanted.service]) {
-      merge(present);
-      wanted.versions.insert(stated->versions.begin(), stated->versions.end());
-      if (is_current(*stated)) {
-        wanted.complete_in = stated->complete_in;
-      }
-    }
-    if (stated && *stated == wanted) {
-      return std::nullopt;
+    if (!take_over(present)) {
+      return encode(content); // nobody can read what is there
     }
-    return encode(wanted.service, wanted.versions, wanted.complete_in);
+    content = wanted(service);
+    return content == stored_[service].content ? std::nullopt : std::optional(encode(content));
   };
-  const auto written = co_await create_or_replace(store_, state_, std::move(change));
-  if (!written || store_.era() != era) {
+  const auto revision = co_await create_or_replace(store_, state_, std::move(change));
+  if (!revision || store_.era() != era) {
     co_return false;
   }
-  for (const auto& v : wanted.versions) {
-    const gateway::service_version version{.service = wanted.service, .version = v};
-    state_.recorded.add(version);
-  }
+  state_.recorded.set(service, content.versions);
   state_.log.write(daemon::log_level::info, "versions recorded",
-                   {{"service", wanted.service},
-                    {"versions", std::to_string(wanted.versions.size())},
-                    {"complete", wanted.complete_in ? "yes" : "no"}});
-  const auto service = wanted.service;
-  stored_[service] = std::move(wanted);
+                   {{"service", service},
+                    {"versions", std::to_string(content.versions.size())},
+                    {"retired", std::to_string(content.retired.size())},
+                    {"complete", content.complete_in ? "yes" : "no"},
+                    {"revision", to_string(*revision)}});
+  stored_[service] = {.content = std::move(content),
+                      .revision = *revision,
+                      .unchanged_since = std::chrono::steady_clock::now()};
   co_return true;
 }
 
+asio::awaitable<bool> version_store::write_marker()
+{
+  const auto era = store_.era();
+  object_write change{.kind = versions_kind,
+                      .name = std::string(marker_name),
+                      .spec = json::object{{"complete_in_era", era}}};
+  change.merge = [spec = change.spec](const adapter::stored_object& present) {
+    return present.spec == spec ? std::nullopt : std::optional(spec);
+  };
+  const auto revision = co_await create_or_replace(store_, state_, std::move(change));
+  const bool written = revision && store_.era() == era;
+  if (written) {
+    all_services_in_ = era;
+  }
+  co_return written;
+}
+
 asio::awaitable<void> version_store::read_object(std::string service, std::shared_ptr<reading> into)
 {
   auto message = adapter::get_call(versions_kind, object_name(service));
@@ -335,49 +416,61 @@
   into->is_missing = reply.result == adapter::store_result::missing;
   if (reply.result == adapter::store_result::done) {
     try {
-      const auto stated = decode(adapter::decode_object(reply.body, reply.era));
-      if (stated && is_current(*stated)) {
-        into->found = stated;
+      auto stated = decode(adapter::decode_object(reply.body, reply.era));
+      if (stated && is_current(stated->complete_in)) {
+        into->found = std::move(stated);
       }
     } catch (const adapter::format_error& e) {
       state_.log.write(daemon::log_level::error, "store answer unreadable",
                        {{"kind", std::string(versions_kind)}, {"reason", e.what()}});
     }
   }
-  into->is_done = true;
-  into->done.cancel();
+  into->done.notify();
 }
 
-// The readings of one service are shared: one that began shortly before the question counts, since
-// a version that has appeared since then is known to the daemons that are in touch.
-asio::awaitable<std::optional<gateway::service_version_set>>
-version_store::read_recorded(std::vector<std::string> services)
+asio::awaitable<std::shared_ptr<version_store::reading>>
+version_store::fresh_reading(std::string service, mono_time asked_at, mono_time deadline)
 {
-  const auto now = std::chrono::steady_clock::now();
-  const auto max_age = state_.call_period(readings_per_second);
-  std::vector<std::shared_ptr<reading>> awaited;
-  for (const auto& service : services) {
-    auto& latest = readings_[service];
-    if (!latest || latest->began_at + max_age < now) {
-      latest = std::make_shared<reading>(context_);
+  const auto period = std::min(state_.call_period(readings_per_second), max_reading_period);
+  for (auto now = asked_at; now < deadline; now = std::chrono::steady_clock::now()) {
+    auto latest = readings_[service];
+    if (latest && latest->began_at >= asked_at) {
+      const bool is_done = co_await latest->done.wait_until(context_, deadline);
+      co_return is_done ? latest : nullptr;
+    }
+    if (latest && !latest->done.is_done()) {
+      co_await latest->done.wait_until(context_, deadline);
+    } else if (latest && now < latest->began_at + period) {
+      const auto pause = std::chrono::ceil<milliseconds>(latest->began_at + period - now);
+      co_await async_sleep(pause);
+    } else {
+      latest = std::make_shared<reading>();
       latest->began_at = now;
+      readings_[service] = latest;
       asio::co_spawn(context_, read_object(service, latest), asio::detached);
     }
-    awaited.push_back(latest);
   }
+  co_return nullptr;
+}
+
+asio::awaitable<std::optional<gateway::service_version_set>>
+version_store::read_recorded(std::vector<std::string> services, mono_time deadline)
+{
+  const auto asked_at = std::chrono::steady_clock::now();
   gateway::service_version_set out;
-  for (const auto& it : awaited) {
-    while (!it->is_done) {
-      boost::system::error_code ec;
-      it->done.expires_at(mono_time::max());
-      co_await it->done.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  for (const auto& service : services) {
+    auto name = service;
+    const auto result = co_await fresh_reading(std::move(name), asked_at, deadline);
+    // A daemon that knows all versions knows also that the service had none.
+    if (!result || (!result->found && !(result->is_missing && complete_in()))) {
+      co_return std::nullopt;
     }
-    if (it->found) {
-      for (const auto& v : it->found->versions) {
-        out.insert({.service = it->found->service, .version = v});
+    if (result->found) {
+      for (const auto* versions : {&result->found->versions, &result->found->retired}) {
+        for (const auto& v : *versions) {
+          out.insert({.service = service, .version = v});
+        }
       }
-    } else if (!it->is_missing || !complete_in()) {
-      co_return std::nullopt;
     }
   }
   co_return out;
--- a/src/relay/version_store.h
+++ b/src/relay/version_store.h
@@ -3,13 +3,18 @@
 //
 // After the end of all daemons the record tells which versions may have begun the streams that
 // callers resume then. It is complete because a daemon sends resumable streams only to endpoints of
-// versions that it knows to be recorded; see recorded_versions. A missing object therefore means
-// that no version of the service has begun a stream. This does not hold for a store that has been
-// restored from a copy: each object states the era of the store for which its list is complete.
+// versions that it knows to be recorded; see recorded_versions.
 //
-// The store has one object for each service. The coordinator daemons write it; the other daemons
-// ask them. Nothing is read or written while no version comes or goes and no origin is inferred.
-// The origins of single streams are kept by origin_exchange.
+// The store has one object for each service, and one that states that there are no others. Each
+// names the era of the store for which it is complete: objects may be missing or old in a store
+// that has been restored from a copy, and a new fleet cannot tell whether its store was. A daemon
+// may state it once it has known all versions for as long as a stream may be resumed.
+//
+// A version without endpoints is retired first, and removed later, so that no daemon still believes
+// it to be recorded then. Objects are never removed: a removal may be done late.
+//
+// The coordinator daemons write; the others ask them. Nothing is read or written while no version
+// comes or goes and no origin is inferred. The origins of single streams are kept by origin_store.
 
 #ifndef WISTERIAFLOW_SRC_RELAY_VERSION_STORE_H_
 #define WISTERIAFLOW_SRC_RELAY_VERSION_STORE_H_
@@ -26,8 +31,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "relay/completion.h"
 #include "relay/fleet_state.h"
 #include "relay/store_client.h"
 #include "store_calls.h"
@@ -48,10 +53,10 @@
   // Starts a coroutine that reads once and then keeps the record until the context stops.
   void start();
 
-  // Reads which versions of the services may have begun streams. Returns nothing if the store does
-  // not answer within a fraction of a second, or does not know.
+  // Reads which versions of the services may have begun streams; the reading begins after the call.
+  // Returns nothing if the store does not answer before the deadline, or does not know.
   boost::asio::awaitable<std::optional<gateway::service_version_set>>
-  read_recorded(std::vector<std::string> services);
+  read_recorded(std::vector<std::string> services, mono_time deadline);
 
   // Answers a peer that asks for the recorded versions.
   boost::asio::awaitable<void> serve_recorded(http::request request, http::response_writer& writer);
@@ -61,21 +66,26 @@
   struct service_versions {
     std::string service;
     std::set<std::string> versions;
+    // Versions that have had no endpoint for as long as a stream may be resumed. They may not serve
+    // until they are among `versions` again.
+    std::set<std::string> retired;
     // The era of the store for which the list is complete; absent: it is not known to be.
     std::optional<std::uint64_t> complete_in;
 
     friend bool operator==(const service_versions&, const service_versions&) = default;
   };
-  using versions_by_service = std::map<std::string, service_versions>;
+  // An object as this daemon last read or wrote it.
+  struct known_object {
+    service_versions content;
+    gateway::store_revision revision;
+    mono_time unchanged_since;
+  };
   // The reading of one service's object.
   struct reading {
-    explicit reading(boost::asio::io_context& context) : done(context) {}
-
     mono_time began_at;
-    bool is_done = false;
-    std::optional<service_versions> found; // of the current era
+    completion done;
+    std::optional<service_versions> found; // complete in the current era
     bool is_missing = false;               // the store has no such object
-    boost::asio::steady_timer done;        // cancelled when the reading is done
   };
 
   boost::asio::awaitable<void> run();
@@ -85,34 +95,44 @@
   // Each of these returns whether it succeeded.
   boost::asio::awaitable<bool> read_all();
   boost::asio::awaitable<bool> write_changes();
-  boost::asio::awaitable<bool> write(service_versions wanted);
+  boost::asio::awaitable<bool> write(std::string service);
+  boost::asio::awaitable<bool> write_marker();
   boost::asio::awaitable<bool> ask_peer(http::socket_address peer);
-
   // Learns what is recorded without writing: from a coordinator, or else from the store.
   boost::asio::awaitable<bool> learn();
+
   boost::asio::awaitable<void> read_object(std::string service, std::shared_ptr<reading> into);
+  // A reading that begins at `asked_at` or later; null if it does not end before the deadline.
+  boost::asio::awaitable<std::shared_ptr<reading>>
+  fresh_reading(std::string service, mono_time asked_at, mono_time deadline);
 
   // Takes over what an object states, if it is readable.
-  std::optional<service_versions> merge(const adapter::stored_object& object);
+  bool take_over(const adapter::stored_object& object);
   // Returns nullopt, and logs it, if the object is unreadable.
   [[nodiscard]] std::optional<service_versions> decode(const adapter::stored_object& object);
-  // What the store should hold: the versions that streams may still be resumed at.
-  [[nodiscard]] versions_by_service wanted() const;
+  [[nodiscard]] static boost::json::value encode(const service_versions& stated);
+  // Services that serve or are recorded.
+  [[nodiscard]] std::set<std::string> services() const;
+  // What the service's object should state.
+  [[nodiscard]] service_versions wanted(const std::string& service) const;
+  [[nodiscard]] bool needs_write(const std::string& service) const;
   // The era for which this daemon's knowledge is complete.
   [[nodiscard]] std::optional<std::uint64_t> complete_in() const;
-  [[nodiscard]] bool is_current(const service_versions& stated) const
+  [[nodiscard]] bool is_current(const std::optional<std::uint64_t>& era) const
   {
-    return stated.complete_in && *stated.complete_in == store_.era();
+    return era && *era == store_.era();
   }
 
   boost::asio::io_context& context_;
   fleet_state& state_;
   store_client& store_;
   http::client peer_client_;
-  versions_by_service stored_;                // as this daemon last read or wrote them
-  bool is_read_ = false;                      // all objects have been read once
+  std::map<std::string, known_object> stored_;   // by service
+  std::optional<std::uint64_t> all_services_in_; // the era in the marker
+  bool is_read_ = false;                         // all objects have been read
+  bool has_view_gap_ = false; // the view of the endpoints has been old since they were last known
   std::optional<mono_time> stops_waiting_at_; // see max_start_delay
-  unsigned questions_ = 0;                    // asked in a row without learning all that is missing
+  unsigned questions_ = 0;                    // in a row without learning all that is missing
   std::map<std::string, std::shared_ptr<reading>> readings_; // the latest of each service
 };
 
--- a/test/relay/stream_version_test.cc
+++ b/test/relay/stream_version_test.cc
@@ -363,6 +363,25 @@
   }
 }
 
+TEST_F(StreamVersionTest, IsNotMixedWhenTheStoreIsRestoredFromACopyOfBeforeTheRecord)
+{
+  add_endpoint_of_version("a-0", "v1");
+  add_endpoint_of_version("a-1", "v1");
+  store_.back_up();
+  start_fleet(2);
+  auto streams = begin_cut_streams(*gateways_[0], 12);
+  gateways_.clear();
+  store_.restore();
+  remove_endpoints_of("v1");
+  add_endpoint_of_version("b-0", "v2").behaviour = endpoint_behaviour::streams;
+  add_endpoint_of_version("b-1", "v2").behaviour = endpoint_behaviour::streams;
+  start_fleet(2);
+  for (auto& stream : streams) {
+    resume(*gateways_[1], stream);
+    EXPECT_EQ(stream.versions().size(), 1U) << stream.events;
+  }
+}
+
 // Origins were held by daemons only, so all streams were refused after the end of all daemons.
 TEST_F(StreamVersionTest, GoesOnAfterTheEndOfAllDaemonsWhileSeveralVersionsServe)
 {
@@ -384,6 +403,7 @@
   add_endpoint_of_version("a-1", "v1");
   start_fleet(2);
   auto streams = begin_cut_streams(*gateways_[0], 12);
+  run_for(1s);
   gateways_.clear();
   start_fleet(2);
   for (auto& stream : streams) {
