--- a/src/relay/origin_store.cc
+++ b/src/relay/origin_store.cc
@@ -24,7 +24,7 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view origins_kind = "gateway-stream-origins";
-constexpr milliseconds min_write_period{200};
+constexpr milliseconds min_write_period{100};
 // Streams that have ended are taken out of the object with this period if no other one starts.
 constexpr milliseconds removal_period{5'000};
 // Of the fleet. The store serves some hundred writes a second to all its users.
--- a/test/relay/version_store_test.cc
+++ b/test/relay/version_store_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -120,6 +121,17 @@
     wait_until([&] { return at.state.recorded.contains(version); }, "the version is recorded");
   }
 
+  // The lines of the metrics that count calls of the store.
+  static std::string store_calls(const daemon_process& at)
+  {
+    std::istringstream page(at.state.counters.exposition());
+    std::string out;
+    for (std::string line; std::getline(page, line);) {
+      out += line.find("store_calls") == std::string::npos ? "" : line + '\n';
+    }
+    return out;
+  }
+
   std::optional<service_version_set> read_recorded(daemon_process& at)
   {
     std::optional<service_version_set> out;
@@ -354,6 +366,18 @@
   EXPECT_EQ(stored_versions().at("retired"), boost::json::array{"v1"});
 }
 
+TEST_F(VersionStoreTest, AFleetAtRestWithOneVersionDoesNotCallTheStore)
+{
+  auto& d = start_experienced({"v1"});
+  d.origins.start();
+  await_complete_record();
+  run_for(1s);
+  const auto calls = store_calls(d);
+  start_stream(d, "r1", first);
+  run_for(2s);
+  EXPECT_EQ(store_calls(d), calls);
+}
+
 TEST_F(VersionStoreTest, AQuestionIsAnsweredFromAReadingThatBeganAfterIt)
 {
   auto& d = start_experienced({"v1"});
