--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -85,8 +85,12 @@
 target_compile_definitions(wisteriaflow_gateway_fleet PRIVATE
                            WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
 add_dependencies(wisteriaflow_gateway_fleet wisteriaflow-gatewayd)
-add_executable(gateway_soak test/gateway_system/gateway_soak_main.cc
-               test/gateway_system/held_stream.cc test/gateway_system/soak_calls.cc)
+set(gateway_soak_sources test/gateway_system/gateway_soak_main.cc)
+foreach(part held_stream soak_calls soak_daemon_faults soak_endpoint_faults soak_network_faults
+        soak_run)
+  list(APPEND gateway_soak_sources test/gateway_system/${part}.cc)
+endforeach()
+add_executable(gateway_soak ${gateway_soak_sources})
 target_include_directories(gateway_soak PRIVATE test)
 target_link_libraries(gateway_soak PRIVATE wisteriaflow_gateway_fleet absl::flags
                       absl::flags_parse)
