Soak of gateways: all daemons lose power beside a change of versions

What callers saw: streams that they resumed after the end of all daemons were joined from two versions, or all refused. The soak ended daemons one at a time, and its callers resumed streams at others that lived.

Now all daemons of a run are killed at once and come back after one to two seconds under the same ids and addresses. Beside it a new version of the endpoints' software replaces all or half of the old ones: in series, the old ones leaving after their notice, or at once where endpoints lose power too. Callers hold slow resumable streams and resume them, waiting for Retry-After, until three attempts were refused. Judged from outside: no stream of two versions, no event missing or twice; of the streams that were cut, that daemons had 400 ms and a store without faults to record, and whose version has a sound endpoint at each attempt, half go on. The loss has random numbers of its own, so that the other faults stay as drawn.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -87,7 +87,7 @@
 add_dependencies(wisteriaflow_gateway_fleet wisteriaflow-gatewayd)
 set(gateway_soak_sources test/gateway_system/gateway_soak_main.cc)
 foreach(part held_stream soak_calls soak_daemon_faults soak_endpoint_faults soak_network_faults
-        soak_run)
+        soak_power_loss soak_resumes soak_run)
   list(APPEND gateway_soak_sources test/gateway_system/${part}.cc)
 endforeach()
 add_executable(gateway_soak ${gateway_soak_sources})
--- a/test/gateway_system/counting_endpoint.cc
+++ b/test/gateway_system/counting_endpoint.cc
@@ -205,6 +205,7 @@
                                                        http::response_writer& w)
 {
   const auto request = std::string(http::find_header(r.fields, "Request-Id"));
+  const auto pause = r.path == slow_stream_path ? pace_.slow_event_pause : pace_.event_pause;
   const int after = std::stoi(std::string(http::find_header(r.fields, "Last-Event-Id", "0")));
   auto head = head_for(request);
   head.fields.push_back({.name = "Content-Type", .value = "text/event-stream"});
@@ -220,7 +221,7 @@
     const auto text = event(i, version_, request);
     co_await wait_while_silent();
     co_await w.write_chunk(text);
-    co_await async_sleep(pace_.event_pause);
+    co_await async_sleep(pause);
   }
   co_await w.finish_stream();
 }
--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -41,6 +41,9 @@
 // the last one.
 inline constexpr const char* crash_part = "bad";
 
+// The stream of a request to this path pauses for longer after each event.
+inline constexpr const char* slow_stream_path = "/resumable/slow";
+
 // The body of the answer of `endpoint` to the request `id`.
 [[nodiscard]] std::string complete_body(const std::string& endpoint, const std::string& id);
 
@@ -69,7 +72,8 @@
   // For one that is not a stream, drawn for each request.
   std::chrono::milliseconds shortest{0};
   std::chrono::milliseconds longest{0};
-  std::chrono::milliseconds event_pause{20}; // after each event of a stream
+  std::chrono::milliseconds event_pause{20};       // after each event of a stream
+  std::chrono::milliseconds slow_event_pause{160}; // the same for slow_stream_path
 };
 
 // A request that arrived, whether it ran or not.
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -65,7 +66,7 @@
 
 gateway_fleet::gateway_fleet(boost::asio::io_context& context)
     : context_(context), folder_(make_folder()), proxies_host_(fakes::process_loopback_host(0)),
-      store_(context)
+      daemon_program_(WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd"), store_(context)
 {
   write_configuration();
 }
@@ -82,9 +83,12 @@
 {
   std::string seeds;
   for (const auto& [id, other] : daemons_) {
+    if (other->lost_power_at) {
+      continue;
+    }
     seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
   }
-  return "[daemon]\nid = " + d.id + "\navailability_zone = " + d.zone +
+  return "[daemon]\nid = " + d.daemon_id + "\navailability_zone = " + d.zone +
          "\nlog_level = " + options.log_level + "\n[listen]\ncallers = " + to_string(d.callers) +
          "\naddresses = " + to_string(d.addresses) + "\nreadiness = " + to_string(d.readiness) +
          "\npeers = " + to_string(d.peers) + (seeds.empty() ? "" : "\n[peers]\nseeds = " + seeds) +
@@ -98,6 +102,7 @@
 {
   auto d = std::make_unique<gateway_process>();
   d->id = "d" + std::to_string(++last_daemon_);
+  d->daemon_id = d->id;
   d->zone = "z" + std::to_string(last_daemon_ % zones);
   const auto free =
       fakes::free_addresses(fakes::process_loopback_host(static_cast<unsigned>(last_daemon_)), 4);
@@ -105,13 +110,55 @@
   d->readiness = free[1];
   d->peers = free[2];
   d->addresses = free[3];
+  return run(std::move(d), options);
+}
+
+std::vector<const gateway_process*> gateway_fleet::lose_power()
+{
+  std::vector<const gateway_process*> out;
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [id, d] : daemons_) {
+    if (d->has_ended) {
+      continue;
+    }
+    d->has_ended = true;
+    d->lost_power_at = now;
+    d->running->signal(SIGKILL);
+    if (!d->sigterm_at) {
+      out.push_back(d.get());
+    }
+  }
+  for (const auto& [id, d] : daemons_) {
+    if (d->lost_power_at) {
+      d->running->kill();
+    }
+  }
+  return out;
+}
+
+gateway_process& gateway_fleet::restart_daemon(const gateway_process& ended,
+                                               const daemon_options& options)
+{
+  auto d = std::make_unique<gateway_process>();
+  d->id = ended.id + "+";
+  d->daemon_id = ended.daemon_id;
+  d->zone = ended.zone;
+  d->callers = ended.callers;
+  d->readiness = ended.readiness;
+  d->peers = ended.peers;
+  d->addresses = ended.addresses;
+  return run(std::move(d), options);
+}
+
+gateway_process& gateway_fleet::run(std::unique_ptr<gateway_process> d,
+                                    const daemon_options& options)
+{
   d->store_proxy = std::make_unique<fault_proxy>(context_, proxies_host_, store_.address());
   d->disturbed_until = std::chrono::steady_clock::now() + start_grace;
   const auto file = folder_ + "/" + d->id + ".ini";
   std::ofstream(file) << settings_of(*d, options);
   d->running = std::make_unique<system_tests::process>(
-      std::vector<std::string>{WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd",
-                               "--config=" + file},
+      std::vector<std::string>{daemon_program_, "--config=" + file},
       options.log.empty() ? folder_ + "/" + d->id + ".log" : options.log);
   return *daemons_.emplace(d->id, std::move(d)).first->second;
 }
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -29,7 +29,8 @@
 
 // A daemon's process and its state as far as the test knows it.
 struct gateway_process {
-  std::string id;
+  std::string id;        // of the process
+  std::string daemon_id; // in the settings; a restarted process has that of the one before it
   std::string zone;
   http::socket_address callers;
   http::socket_address readiness;
@@ -41,6 +42,7 @@
                              // the way to the store
   std::optional<mono_time> sigterm_at; // SIGTERM does not count as a disturbance
   std::optional<mono_time> exited_at;  // after SIGTERM
+  std::optional<mono_time> lost_power_at;
   bool has_ended = false;
   bool was_suspended = false; // was stopped with SIGSTOP and continued
 
@@ -84,6 +86,13 @@
   // Starts a daemon with a new id and new ports. It counts as disturbed for 2 s, in which it
   // becomes ready.
   gateway_process& start_daemon(const daemon_options& options = {});
+  // Ends all processes at the same moment, without a signal that they can handle. Returns those
+  // that had received no SIGTERM.
+  std::vector<const gateway_process*> lose_power();
+  // Starts the daemon of an ended process again under its id and addresses, as start_daemon() does.
+  gateway_process& restart_daemon(const gateway_process& ended, const daemon_options& options = {});
+  // Later daemons run this program in place of the one of this build.
+  void set_daemon_program(std::string path) { daemon_program_ = std::move(path); }
   // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
   // ready in time.
   void await_ready();
@@ -116,10 +125,12 @@
  private:
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
+  gateway_process& run(std::unique_ptr<gateway_process> d, const daemon_options& options);
 
   boost::asio::io_context& context_;
   std::string folder_;
   std::string proxies_host_;
+  std::string daemon_program_;
   fakes::fake_store store_;
   std::map<std::string, std::unique_ptr<gateway_process>> daemons_;
   std::map<std::string, proxied_endpoint> endpoints_;
--- a/test/gateway_system/gateway_soak_main.cc
+++ b/test/gateway_system/gateway_soak_main.cc
@@ -20,6 +20,8 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the faults and of the callers");
 ABSL_FLAG(std::string, logs, "", "folder for the daemons' output; empty: it is not kept");
 
+ABSL_FLAG(std::string, daemon, "", "the daemons' program; empty: the one of this build");
+
 namespace wisteriaflow::gateway_system_tests {
 namespace {
 
@@ -45,8 +47,9 @@
   const std::chrono::duration<double, std::ratio<60>> time(absl::GetFlag(FLAGS_minutes));
   try {
     boost::asio::io_context context;
-    soak_run running(context,
-                     {.seed = absl::GetFlag(FLAGS_seed), .log_folder = absl::GetFlag(FLAGS_logs)});
+    soak_run running(context, {.seed = absl::GetFlag(FLAGS_seed),
+                               .log_folder = absl::GetFlag(FLAGS_logs),
+                               .daemon_program = absl::GetFlag(FLAGS_daemon)});
     std::exception_ptr failure;
     boost::asio::co_spawn(context,
                           running.run(std::chrono::duration_cast<std::chrono::milliseconds>(time)),
--- a/test/gateway_system/soak_calls.cc
+++ b/test/gateway_system/soak_calls.cc
@@ -32,11 +32,6 @@
 constexpr milliseconds process_end_time{1'000};
 constexpr milliseconds pause_between_calls{15};
 constexpr milliseconds pause_of_lasting_callers{40};
-constexpr milliseconds pause_before_resume{100};
-constexpr int max_resumes = 3;
-// With fewer resumed streams, the share that goes on is not checked.
-constexpr std::size_t min_streams_resumed = 12;
-constexpr double min_relative_share = 0.5;
 constexpr milliseconds configuration_poll_period{40};
 // Every undisturbed daemon knows within this time that an endpoint has crashed.
 constexpr milliseconds propagation_time{3'000};
@@ -118,7 +113,12 @@
   }
   http::stream_observer observer;
   observer.on_head = [&call](const http::response& head) { call.answer = head; };
-  observer.on_bytes = [&call](std::string_view bytes) { call.answer.body += bytes; };
+  observer.on_bytes = [&call](std::string_view bytes) {
+    if (call.answer.body.empty()) {
+      call.first_bytes_at = std::chrono::steady_clock::now();
+    }
+    call.answer.body += bytes;
+  };
   try {
     co_await client_.stream(address, std::move(message), deadline, std::move(observer));
     call.is_complete = true;
@@ -155,11 +155,18 @@
 asio::awaitable<void> soak_calls::send_random_call(const gateway_process& d)
 {
   observed_call call{.route = routes.at(random_() % routes.size())};
+  const auto path = "/" + call.route + "/1";
   if (is_stream(call)) {
     call.prompt = prompt_with("b" + std::to_string(random_() % innocent_parts));
     call.body = call.prompt; // no two requests are alike
   }
-  co_await call_once(d, call, "/" + call.route + "/1");
+  co_await send_call(d, std::move(call), path);
+}
+
+asio::awaitable<void> soak_calls::send_call(const gateway_process& d, observed_call call,
+                                            std::string path)
+{
+  co_await call_once(d, call, path);
   if (call.started_at == mono_time()) {
     co_return;
   }
@@ -175,69 +182,6 @@
   }
 }
 
-std::size_t soak_calls::sound_endpoints(const std::string& version) const
-{
-  const auto now = std::chrono::steady_clock::now();
-  const auto& all = fleet_.endpoints();
-  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const auto& it) {
-    const auto& endpoint = *it.second.endpoint;
-    return endpoint.version() == version && endpoint.is_sound(now);
-  }));
-}
-
-asio::awaitable<void> soak_calls::resume(observed_call cut)
-{
-  held_stream stream(cut.id);
-  stream.add(cut.answer.body);
-  bool is_whole = stream.empty() || stream.last_event() == last_stream_event;
-  for (int i = 0; i < max_resumes && !is_whole; ++i) {
-    co_await sleep(context_, pause_before_resume);
-    const auto* d = random_daemon();
-    if (d == nullptr) {
-      break;
-    }
-    observed_call next{.route = cut.route,
-                       .body = cut.body,
-                       .prompt = cut.prompt,
-                       .resumes = stream.first_request(),
-                       .last_event = stream.last_event()};
-    const bool is_counted = sound_endpoints(*stream.versions().begin()) > 1;
-    co_await call_once(*d, next, "/" + next.route + "/1");
-    if (next.started_at == mono_time()) {
-      continue;
-    }
-    if (is_counted && fleet_.daemons().at(next.daemon)->is_undisturbed_since(next.started_at)) {
-      ++streams_resumed_;
-      streams_continued_ += next.answer.status == http::status::ok ? 1 : 0;
-    }
-    record_outcome(next);
-    if (next.answer.status == http::status::ok) {
-      stream.add(next.answer.body);
-    }
-    is_whole = stream.last_event() == last_stream_event;
-    calls_.push_back(std::move(next));
-  }
-  for (const auto& what : stream.violations()) {
-    add_violation(what);
-  }
-}
-
-void soak_calls::check_resumed()
-{
-  result_.outcomes["resumed streams"] = streams_resumed_;
-  result_.outcomes["resumed streams that went on"] = streams_continued_;
-  if (streams_resumed_ < min_streams_resumed || streams_sent_ == 0) {
-    return;
-  }
-  const auto started = static_cast<double>(streams_started_) / static_cast<double>(streams_sent_);
-  const auto gone_on =
-      static_cast<double>(streams_continued_) / static_cast<double>(streams_resumed_);
-  if (gone_on < min_relative_share * started) {
-    add_violation("of " + std::to_string(streams_resumed_) + " resumed streams only " +
-                  std::to_string(streams_continued_) + " went on");
-  }
-}
-
 asio::awaitable<void> soak_calls::send_crash_requests_until_stopped()
 {
   ++active_;
@@ -349,14 +293,16 @@
   }
 }
 
-// A call without an answer is allowed only if its daemon was disturbed, or if the process of the
-// daemon ended before it read the request.
+// A call without an answer is allowed only if its daemon was disturbed or lost power, or if the
+// process of the daemon ended before it read the request.
 void soak_calls::check_missing_answer(const observed_call& call)
 {
   const auto& d = *fleet_.daemons().at(call.daemon);
   const bool crossed_the_end = was_ended_by_process(call) && runs_of(call.id) == 0 &&
                                call.ended_at <= call.started_at + crossing_time;
-  if (call.answer.status == 0 && d.is_undisturbed_since(call.started_at) && !crossed_the_end) {
+  const bool lost_power = d.lost_power_at && *d.lost_power_at <= call.ended_at;
+  if (call.answer.status == 0 && d.is_undisturbed_since(call.started_at) && !crossed_the_end &&
+      !lost_power) {
     add_violation(call.id + " (" + call.route + ") at " + call.daemon +
                   ": no answer from an undisturbed daemon");
   }
@@ -470,6 +416,7 @@
 {
   check_all_terms();
   check_resumed();
+  check_resumed_after_power_loss();
   for (const auto& call : calls_) {
     check_missing_answer(call);
     check_runs(call);
--- a/test/gateway_system/soak_calls.h
+++ b/test/gateway_system/soak_calls.h
@@ -9,6 +9,7 @@
 #ifndef WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_CALLS_H_
 #define WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_CALLS_H_
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -44,6 +45,7 @@
   std::string daemon;
   mono_time started_at;
   mono_time ended_at = {};
+  mono_time first_bytes_at = {};      // of the answer's body
   std::string body = {};              // of the request
   std::string prompt = {};            // the parts of its prompt
   std::string resumes = {};           // the attempt that brought the first event; empty: none
@@ -71,6 +73,10 @@
   // Runs a caller that sends one request after the other, until stop().
   boost::asio::awaitable<void> send_calls_until_stopped();
 
+  // Runs a caller that holds one slow resumable stream after the other, until then, and resumes
+  // those that are cut.
+  boost::asio::awaitable<void> hold_streams_until(mono_time end);
+
   // Runs a caller that uses the daemon, also after SIGTERM, until its process is gone or stop().
   boost::asio::awaitable<void> use_until_gone(const gateway_process& d);
 
@@ -90,6 +96,12 @@
 
   void note_configuration(std::uint64_t version) { newest_version_ = version; }
 
+  // The daemons may lose what they write to the store until then.
+  void note_store_fault(mono_time until)
+  {
+    store_disturbed_until_ = std::max(store_disturbed_until_, until);
+  }
+
   // Adds a violation.
   void add_violation(const std::string& what);
 
@@ -102,12 +114,20 @@
  private:
   // Sends a call of a random kind, and resumes it if it is a resumable stream that was cut.
   boost::asio::awaitable<void> send_random_call(const gateway_process& d);
+  // Sends the call, and resumes it if it is a resumable stream that was cut.
+  boost::asio::awaitable<void> send_call(const gateway_process& d, observed_call call,
+                                         std::string path);
   // Resumes a stream that was cut, until it is whole or has been refused a few times.
   boost::asio::awaitable<void> resume(observed_call cut);
+  // The same after its daemon lost power, as soon as there are daemons again and as late as these
+  // ask for.
+  boost::asio::awaitable<void> resume_after_power_loss(observed_call cut, held_stream stream);
   // Number of endpoints of the version that serve every request.
   [[nodiscard]] std::size_t sound_endpoints(const std::string& version) const;
   // Checks that resumed streams go on nearly as often as new ones start.
   void check_resumed();
+  // Checks that half of the streams that were cut by a power loss, and whose version serves, go on.
+  void check_resumed_after_power_loss();
   boost::asio::awaitable<void> call_once(const gateway_process& d, observed_call& call,
                                          const std::string& path);
   // A random daemon that callers may use; null if there is none.
@@ -154,6 +174,13 @@
   std::size_t streams_started_ = 0;
   std::size_t streams_resumed_ = 0;
   std::size_t streams_continued_ = 0;
+  mono_time store_disturbed_until_;
+  // Resumable streams at daemons that lost power: all that had brought an event; those of them
+  // whose first event daemons had time to store, and for whose version an endpoint was sound
+  // whenever they were resumed until they went on; and those that brought another event.
+  std::size_t streams_cut_by_power_loss_ = 0;
+  std::size_t streams_with_version_ = 0;
+  std::size_t streams_gone_on_after_power_loss_ = 0;
   soak_result result_;
 };
 
--- a/test/gateway_system/soak_daemon_faults.cc
+++ b/test/gateway_system/soak_daemon_faults.cc
@@ -40,10 +40,13 @@
 
 void soak_run::start_daemon()
 {
-  const auto number = std::to_string(fleet_.daemons().size() + 1);
-  fleet_.start_daemon({.log = options_.log_folder.empty()
-                                  ? std::string()
-                                  : options_.log_folder + "/d" + number + ".log"});
+  fleet_.start_daemon(options_for("d" + std::to_string(++daemons_started_)));
+}
+
+daemon_options soak_run::options_for(const std::string& process) const
+{
+  const auto& folder = options_.log_folder;
+  return {.log = folder.empty() ? std::string() : folder + "/" + process + ".log"};
 }
 
 void soak_run::disturb(gateway_process& d, milliseconds time)
@@ -88,6 +91,9 @@
   // A pause (SIGSTOP) may delay the exit, although the platform would kill the process even then.
   const auto limit = *d->sigterm_at + gateway_fleet::drain_grace;
   while (!d->running->exited_cleanly()) {
+    if (d->lost_power_at) {
+      co_return;
+    }
     if (limit < steady_clock::now() && d->is_undisturbed_since(*d->sigterm_at)) {
       calls_.add_violation(d->id + " has not exited within its drain grace period");
       d->running->kill();
--- a/test/gateway_system/soak_endpoint_faults.cc
+++ b/test/gateway_system/soak_endpoint_faults.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,8 +41,13 @@
 
 asio::awaitable<void> soak_run::drain_endpoint()
 {
-  const auto id = random_endpoint();
+  auto id = random_endpoint();
   add_endpoint();
+  co_await leave(std::move(id));
+}
+
+asio::awaitable<void> soak_run::leave(std::string id)
+{
   fleet_.write_endpoint(fleet_.endpoints().at(id), "draining");
   const auto announced_at = steady_clock::now();
   auto& leaving = fleet_.retire(id);
@@ -91,7 +97,7 @@
 
 void soak_run::add_endpoint()
 {
-  add_endpoint(soak_versions.at(random_() % soak_versions.size()));
+  add_endpoint(versions_.at(random_() % versions_.size()));
 }
 
 void soak_run::add_endpoint(const std::string& version)
--- a/test/gateway_system/soak_network_faults.cc
+++ b/test/gateway_system/soak_network_faults.cc
@@ -51,6 +51,7 @@
   }
   const auto time = random_fault_duration();
   disturb(*d, time);
+  calls_.note_store_fault(steady_clock::now() + time);
   std::function<fault_proxy*()> find_proxy = [d] { return d->store_proxy.get(); };
   co_await apply_network_fault(std::move(find_proxy), time);
 }
@@ -61,6 +62,7 @@
   for (const auto& [id, d] : fleet_.daemons()) {
     disturb(*d, time);
   }
+  calls_.note_store_fault(steady_clock::now() + time);
   ++store_outages_;
   fleet_.store().unavailable = true;
   co_await sleep(time);
@@ -70,8 +72,10 @@
 
 asio::awaitable<void> soak_run::restore_store()
 {
+  const auto time = random_fault_duration();
+  calls_.note_store_fault(steady_clock::now() + time);
   fleet_.store().back_up();
-  co_await sleep(random_fault_duration());
+  co_await sleep(time);
   fleet_.store().restore({"servers", "config"});
 }
 
--- a/test/gateway_system/soak_run.cc
+++ b/test/gateway_system/soak_run.cc
@@ -18,6 +18,8 @@
 constexpr int daemons_at_start = 4;
 constexpr int endpoints_at_start = 6;
 constexpr int callers = 24;
+// In runs of one of this many seeds, one version serves alone until a new one is released.
+constexpr std::uint64_t seeds_per_single_version = 3;
 constexpr milliseconds start_time{3'000};
 constexpr milliseconds max_fault_duration{3'000};
 // Daemons must serve calls again within this time after the last fault.
@@ -27,11 +29,17 @@
 } // namespace
 
 soak_run::soak_run(asio::io_context& context, soak_options options)
-    : context_(context), options_(std::move(options)), random_(options_.seed), fleet_(context),
-      calls_(context, fleet_, random_())
+    : context_(context), options_(std::move(options)), random_(options_.seed),
+      power_random_(options_.seed), versions_(options_.seed % seeds_per_single_version == 2
+                                                  ? std::vector<std::string>{"v1"}
+                                                  : std::vector<std::string>{"v1", "v2"}),
+      last_version_(versions_.size()), fleet_(context), calls_(context, fleet_, random_())
 {
+  if (!options_.daemon_program.empty()) {
+    fleet_.set_daemon_program(options_.daemon_program);
+  }
   for (int i = 0; i < endpoints_at_start; ++i) {
-    add_endpoint(soak_versions.at(static_cast<std::size_t>(i) % soak_versions.size()));
+    add_endpoint(versions_.at(static_cast<std::size_t>(i) % versions_.size()));
   }
   for (int i = 0; i < daemons_at_start; ++i) {
     start_daemon();
@@ -48,6 +56,7 @@
   asio::co_spawn(context_, calls_.send_crash_requests_until_stopped(), asio::detached);
   asio::co_spawn(context_, calls_.send_crash_parts_until_stopped(), asio::detached);
   const auto end = steady_clock::now() + time;
+  asio::co_spawn(context_, lose_power_until(end), asio::detached);
   while (steady_clock::now() < end) {
     inject_random_fault();
     co_await sleep(milliseconds(100 + random_() % 900));
--- a/test/gateway_system/soak_run.h
+++ b/test/gateway_system/soak_run.h
@@ -8,12 +8,12 @@
 #ifndef WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_RUN_H_
 #define WISTERIAFLOW_TEST_GATEWAY_SYSTEM_SOAK_RUN_H_
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,12 +23,10 @@
 
 namespace wisteriaflow::gateway_system_tests {
 
-// Versions of the endpoints' software. Every endpoint has one of them, in no order.
-inline constexpr std::array<const char*, 2> soak_versions = {"v1", "v2"};
-
 struct soak_options {
   std::uint64_t seed = 1;
-  std::string log_folder; // receives the daemons' output; empty: it is not kept
+  std::string log_folder;     // receives the daemons' output; empty: it is not kept
+  std::string daemon_program; // empty: the one of this build
 };
 
 // Not thread-safe.
@@ -60,6 +58,7 @@
   // Returns a random daemon that runs and has received no SIGTERM; null if only one is left.
   gateway_process* random_daemon();
   void start_daemon();
+  [[nodiscard]] daemon_options options_for(const std::string& process) const;
   // Records that the daemon gets no updates about the fleet for `time`.
   void disturb(gateway_process& d, std::chrono::milliseconds time);
   boost::asio::awaitable<void> kill_daemon();
@@ -74,6 +73,8 @@
   // They accept and run requests, but write nothing.
   boost::asio::awaitable<void> silence_endpoints();
   boost::asio::awaitable<void> drain_endpoint();
+  // Announces that the endpoint leaves, and removes it after its notice.
+  boost::asio::awaitable<void> leave(std::string id);
   // Only its answers say that the endpoint leaves; the store still lists it as serving.
   boost::asio::awaitable<void> announce_endpoint_leaving();
   boost::asio::awaitable<void> limit_endpoint_rate();
@@ -81,6 +82,20 @@
   boost::asio::awaitable<void> replace_crashed(std::string id);
   boost::asio::awaitable<void> make_endpoint_misbehave();
 
+  boost::asio::awaitable<void> lose_power_until(mono_time end);
+  // All daemons lose power at once while callers hold streams and endpoints are replaced by those
+  // of a new version.
+  boost::asio::awaitable<void> lose_power();
+  // Makes a new version, and returns the endpoints that it replaces: all of them or every second
+  // one.
+  std::vector<std::string> release_version();
+  // Replaces the endpoints one after the other; those that they replace leave after their notice.
+  boost::asio::awaitable<void> replace_in_series(std::vector<std::string> ids);
+  // They lose power, and others run in their place.
+  void replace_at_once(const std::vector<std::string>& ids);
+  std::chrono::milliseconds random_time(std::chrono::milliseconds shortest,
+                                        std::chrono::milliseconds longest);
+
   boost::asio::awaitable<void> disrupt_endpoint_connections();
   boost::asio::awaitable<void> disrupt_store_connections();
   // Injects a random fault for `time`. `find_proxy` returns null when the proxy no longer exists.
@@ -95,6 +110,11 @@
   boost::asio::io_context& context_;
   soak_options options_;
   std::mt19937_64 random_;
+  std::mt19937_64 power_random_; // of the losses of power, which leave the other faults as drawn
+  // Versions of the endpoints' software. Every later endpoint has one of them, in no order.
+  std::vector<std::string> versions_;
+  std::size_t last_version_ = 0;
+  int daemons_started_ = 0;
   gateway_fleet fleet_;
   soak_calls calls_;
   mono_time start_ = std::chrono::steady_clock::now();
