--- a/test/gateway_system/soak_power_loss.cc
+++ b/test/gateway_system/soak_power_loss.cc
@@ -2,8 +2,6 @@
 // streams that callers resume afterwards and that are joined from two versions, because nothing
 // that was stored tells which one began them, or refused although their version still serves.
 
-#include <utility>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -55,11 +53,10 @@
   const bool endpoints_lose_power = power_random_() % 2 == 0;
   const auto lead = endpoints_lose_power ? milliseconds{0} : random_time({}, longest_lead);
   co_await sleep(holding_time - lead);
-  auto replaced = release_version();
+  const auto replaced = release_version();
   if (!endpoints_lose_power) {
-    asio::co_spawn(context_, run_fault([ids = std::move(replaced)](soak_run& run) {
-                     return run.replace_in_series(ids);
-                   }),
+    asio::co_spawn(context_,
+                   run_fault([replaced](soak_run& run) { return run.replace_in_series(replaced); }),
                    asio::detached);
     co_await sleep(lead);
   }
