Reproduce cut answers that pass for whole when their endpoint leaves or its peers are gone

One more: a probe that began before an answer ended is no evidence that the endpoint still listens after it; concurrent probes shared one connection whenever they began.

--- a/test/fakes/unframed_endpoint.cc
+++ b/test/fakes/unframed_endpoint.cc
@@ -41,7 +41,8 @@
 std::string unframed_endpoint::head_for(std::string_view request_id) const
 {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request_id) +
-         "\r\nResponse-Seal: signature-" + id_ + "\r\nContent-Type: " + content_type + "\r\n\r\n";
+         "\r\nResponse-Seal: signature-" + id_ + "\r\nContent-Type: " + content_type +
+         (leaves ? "\r\nServer-Leaving: 1" : "") + "\r\n\r\n";
 }
 
 asio::awaitable<void> unframed_endpoint::serve(tcp::socket connection)
--- a/test/fakes/unframed_endpoint.h
+++ b/test/fakes/unframed_endpoint.h
@@ -33,6 +33,7 @@
 
   std::string body;
   std::string content_type = "text/plain";
+  bool leaves = false; // its answers state that it leaves
   unframed_ending ending = unframed_ending::closes;
   std::size_t received = 0; // requests
 
--- a/test/relay/endpoint_probe_test.cc
+++ b/test/relay/endpoint_probe_test.cc
@@ -70,5 +70,24 @@
   EXPECT_EQ(ask(address), probe_verdict::ended);
 }
 
+// An answer may end while the probe for another one's end is under way, and its process with it.
+TEST_F(EndpointProbeTest, DoesNotTellFromAnEarlierProbeThatTheEndpointStillListens)
+{
+  fakes::fake_endpoint endpoint(context_, "i-1");
+  const auto address = endpoint.address();
+  std::vector<probe_verdict> verdicts;
+  for (int i = 0; i < 2; ++i) {
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> boost::asio::awaitable<void> {
+          verdicts.push_back(co_await probe_.probe(address));
+          endpoint.close();
+        },
+        boost::asio::detached);
+  }
+  fakes::run_until(context_, [&] { return verdicts.size() == 2; });
+  EXPECT_EQ(verdicts, (std::vector{probe_verdict::listens, probe_verdict::ended}));
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
