Pass an answer without a length on as whole only if that is known

Cause: a verdict that was missing was taken for the good one. An endpoint that was not active counted as whole without a look, and so did every cause but `ended` and `unreachable`, although the daemon's own connection had been refused. Concurrent probes shared a connection that may have been accepted before the answer in question ended, and nothing noticed another process at the endpoint's address.

Change: `gateway::judge_end` alone says whole, cut or unknown and on which evidence; only whole is forwarded as such, by the daemon that sends a call itself and by the peer that carries it. The rest is passed on as incomplete and logged. Whole needs the same process, as far as is known, to accept a connection that was begun after the answer's end, from this daemon or from a peer; a refused connection of this daemon is never overruled. The endpoint may leave or its entry be gone. Blame stays apart: an endpoint that is not in use isn't blamed. `find_cause` now also says `ended` for a framed answer if the own connection was refused and no peer replied.

The test of the table follows the renamed function; its cases are unchanged, and two checks on the blame are new.

--- a/include/wisteriaflow/gateway/endpoint_pool.h
+++ b/include/wisteriaflow/gateway/endpoint_pool.h
@@ -285,6 +285,9 @@
 
   // Whether the process is known and not known to be leaving.
   [[nodiscard]] bool is_active(const endpoint_process& process) const;
+  // Whether another process is known under the id of this one, or as the later one at its address.
+  [[nodiscard]] bool is_replaced(const endpoint_process& process,
+                                 const http::socket_address& address) const;
 
   // The attempt's first event or complete answer has arrived.
   void on_first_token(routing::sent_attempt& work, mono_time now);
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -154,6 +154,7 @@
 
 // gateway: routes, endpoints, fleet-wide limits, peers and leader duties for requests whose content
 // the gateway does not interpret
+#include "wisteriaflow/gateway/answer_end.h"
 #include "wisteriaflow/gateway/attempt_outcome.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/caller_addresses.h"
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -321,6 +321,21 @@
          it->second.incarnation == process.incarnation;
 }
 
+bool endpoint_pool::is_replaced(const endpoint_process& process,
+                                const http::socket_address& address) const
+{
+  const auto own = records_.find(process.id);
+  const bool is_known = own != records_.end();
+  if (is_known && is_restart(process, process_of(own->second))) {
+    return true;
+  }
+  return std::any_of(records_.begin(), records_.end(), [&](const auto& entry) {
+    const auto& [id, other] = entry;
+    const bool is_later = !is_known || own->second.revision < other.revision;
+    return id != process.id && other.address == address && is_later;
+  });
+}
+
 void endpoint_pool::on_first_token(routing::sent_attempt& work, mono_time now)
 {
   if (work.first_token_at) {
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -213,15 +213,16 @@
     co_return;
   }
   const auto from = endpoint_.process();
-  const auto end =
-      co_await transport_.links().find_cause_of_cut(result_.answer, from, endpoint_.address);
-  result_.end_evidence = end.evidence;
-  if (end.cut) {
+  const auto seen = co_await transport_.links().find_end(result_.answer, from, endpoint_.address);
+  result_.end_evidence = to_string(seen.end.evidence);
+  if (!seen.end.is_whole()) {
     result_.end = attempt_result::end_state::interrupted;
     result_.outcome = attempt_outcome::no_valid_answer;
     result_.closed_by_endpoint = true;
-    result_.cause = *end.cut;
-    result_.reason = "the endpoint ended with the answer";
+    result_.cause = seen.cause;
+    result_.reason = seen.end.verdict == gateway::end_verdict::cut
+                         ? "the endpoint ended with the answer"
+                         : "the end of the answer cannot be told from a crash";
   }
 }
 
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -110,7 +110,8 @@
   bool response_started = false; // an event, or the head of a non-stream response, was received
   bool well_begun = false;       // see attempt::on_well_begun
   std::string reason;            // why it failed; empty if it did not
-  std::string_view end_evidence; // see answer_end; empty if a peer judged the end of the answer
+  std::string_view
+      end_evidence; // see gateway::end_evidence; empty if a peer judged the end of the answer
   gateway::attempt_outcome outcome = gateway::attempt_outcome::no_valid_answer;
   bool head_received = false;
   bool had_place = true;                 // see pooled_endpoint::has_place
@@ -179,8 +180,7 @@
   void classify_end();
   // Frees the place that the attempt had at the endpoint, or reports how it was passed on.
   void release_place();
-  // Ends the attempt as interrupted if its answer ended with the connection because the process of
-  // the endpoint ended.
+  // Ends the attempt as interrupted unless its answer is known to be whole.
   boost::asio::awaitable<void> check_cut_off();
   // Whether the exchange broke off in a way that the endpoint, or the link to it, may have caused.
   [[nodiscard]] bool needs_cause() const;
--- a/src/relay/endpoint_probe.cc
+++ b/src/relay/endpoint_probe.cc
@@ -25,28 +25,30 @@
 
 } // namespace
 
-std::string_view to_string(probe_verdict verdict)
+asio::awaitable<probe_verdict> endpoint_probe::probe(http::socket_address address)
 {
-  switch (verdict) {
-  case probe_verdict::listens:
-    return "listens";
-  case probe_verdict::ended:
-    return "ended";
-  case probe_verdict::unknown:
-    return "unknown";
+  if (const auto it = pending_.find(address); it != pending_.end()) {
+    const auto earlier = co_await await_verdict(it->second);
+    if (earlier != probe_verdict::listens) {
+      co_return earlier;
+    }
+    // The process may have ended since that connection was accepted.
+    if (const auto later = pending_.find(address); later != pending_.end()) {
+      co_return co_await await_verdict(later->second);
+    }
   }
-  return "unknown";
+  co_return co_await probe_anew(std::move(address));
 }
 
-asio::awaitable<probe_verdict> endpoint_probe::probe(http::socket_address address)
+asio::awaitable<probe_verdict> endpoint_probe::await_verdict(std::shared_ptr<pending_probe> running)
+{
+  boost::system::error_code ec;
+  co_await running->finished.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  co_return running->verdict.value_or(probe_verdict::unknown);
+}
+
+asio::awaitable<probe_verdict> endpoint_probe::probe_anew(http::socket_address address)
 {
-  const auto it = pending_.find(address);
-  if (it != pending_.end()) {
-    const auto running = it->second;
-    boost::system::error_code ec;
-    co_await running->finished.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    co_return running->verdict.value_or(probe_verdict::unknown);
-  }
   const auto own = std::make_shared<pending_probe>(context_);
   own->finished.expires_at(asio::steady_timer::time_point::max());
   pending_.emplace(address, own);
--- a/src/relay/endpoint_probe.h
+++ b/src/relay/endpoint_probe.h
@@ -1,7 +1,7 @@
 // Checks whether an endpoint's process still listens, by opening a TCP connection.
 //
-// When an endpoint ends, many calls fail at once: concurrent probes of one address share one
-// connection.
+// When an endpoint ends, many calls fail at once: concurrent probes of one address share
+// connections. That it still listens is told only by a connection begun after the question.
 //
 //   endpoint_probe probes(context);
 //   if (co_await probes.probe(address) == probe_verdict::ended) { ... }
@@ -12,33 +12,25 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "wisteriaflow/gateway/answer_end.h"
 #include "wisteriaflow/http/message.h"
 
 namespace wisteriaflow::relay {
 
-// Result of the connection attempt.
-enum class probe_verdict {
-  listens, // the connection was accepted
-  ended,   // the connection was refused: no process listens there
-  unknown, // no reply in time: the network may be cut, or the instance has lost power
-};
-
-// The name of the enumerator, as in metrics and log lines.
-[[nodiscard]] std::string_view to_string(probe_verdict verdict);
+using gateway::probe_verdict;
 
 // Not thread-safe.
 class endpoint_probe {
  public:
   explicit endpoint_probe(boost::asio::io_context& context) : context_(context) {}
 
-  // Probes the address. Takes a few milliseconds, or about 100 ms if there is no reply. Does not
-  // throw: every other failure is `unknown`.
+  // Probes the address. Takes a few milliseconds, or about 100 ms if there is no reply, and twice
+  // that if another probe was under way. Does not throw: every other failure is `unknown`.
   boost::asio::awaitable<probe_verdict> probe(http::socket_address address);
 
  private:
@@ -51,6 +43,8 @@
     std::optional<probe_verdict> verdict;
   };
 
+  boost::asio::awaitable<probe_verdict> await_verdict(std::shared_ptr<pending_probe> running);
+  boost::asio::awaitable<probe_verdict> probe_anew(http::socket_address address);
   boost::asio::awaitable<probe_verdict> connect(http::socket_address address);
 
   boost::asio::io_context& context_;
--- a/src/relay/endpoint_relay.cc
+++ b/src/relay/endpoint_relay.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <absl/cleanup/cleanup.h>
@@ -35,8 +36,9 @@
   bool peer_gone = false;
   std::optional<http::response> head; // of the endpoint's answer
   bool answer_begun = false;
-  bool is_complete = false;  // the endpoint has ended its answer
-  bool is_abandoned = false; // see end_open_calls
+  bool is_complete = false;      // the endpoint has ended its answer
+  bool is_abandoned = false;     // see end_open_calls
+  std::string_view end_evidence; // see gateway::end_evidence; empty: the answer broke off
 };
 
 asio::awaitable<void> endpoint_relay::serve(http::request received, http::response_writer& writer)
@@ -45,6 +47,7 @@
   auto request = decode_relay_request(std::move(received), now);
   const auto* endpoint = request ? usable_endpoint(*request) : nullptr;
   auto result = std::optional(relay_result::refused);
+  std::string_view end_evidence;
   const auto request_id = request ? request->request_id : std::string();
   if (endpoint != nullptr && open_calls_.size() < max_open_calls &&
       state_.endpoints.start_carried(process_of(*endpoint), now)) {
@@ -57,11 +60,13 @@
     const absl::Cleanup remove = [this, id = call.get()] { open_calls_.erase(id); };
     result = co_await carry(call, writer);
     release_place(*call, result);
+    end_evidence = call->end_evidence;
   }
   const std::string outcome(to_string(result.value_or(relay_result::answered)));
   state_.counters.count("calls_carried", {{"result", outcome}});
-  state_.log.write(daemon::log_level::info, "call carried for a peer",
-                   {{"request", request_id}, {"result", outcome}});
+  state_.log.write(
+      daemon::log_level::info, "call carried for a peer",
+      {{"request", request_id}, {"result", outcome}, {"end_known_by", std::string(end_evidence)}});
   if (result) {
     auto out = with_relay_result({.status = http::status::bad_gateway}, *result);
     co_await writer.send(std::move(out));
@@ -145,10 +150,11 @@
     co_await transport_.exchange_directly(std::move(request), call->address, std::move(observer),
                                           call->exchange);
     call->is_complete = true;
-    const auto end =
-        co_await transport_.links().find_cause_of_cut(*call->head, call->endpoint, call->address);
-    if (end.cut) {
-      throw http::broken_exchange_error("the endpoint ended with the answer");
+    const auto seen =
+        co_await transport_.links().find_end(*call->head, call->endpoint, call->address);
+    call->end_evidence = to_string(seen.end.evidence);
+    if (!seen.end.is_whole()) {
+      throw http::broken_exchange_error("the answer is not known to be whole");
     }
     if (!call->answer_begun) {
       auto head = with_relay_result(*call->head, relay_result::answered);
--- a/src/relay/link_checker.cc
+++ b/src/relay/link_checker.cc
@@ -83,43 +83,79 @@
   co_return verdict;
 }
 
-asio::awaitable<failure_cause> link_checker::find_cause(endpoint_id id,
-                                                        http::socket_address address)
+asio::awaitable<link_checker::observed_process>
+link_checker::observe(endpoint_id id, http::socket_address address, bool ask_if_refused)
 {
   const auto began_at = std::chrono::steady_clock::now();
-  auto own = probe_verdict::unknown;
+  observed_process out;
   if (!state_.links.is_lost(id)) {
-    own = co_await probe(std::move(address));
-    if (own == probe_verdict::listens) {
-      co_return failure_cause::endpoint;
+    out.own = co_await probe(std::move(address));
+  }
+  const bool is_decided =
+      out.own == probe_verdict::listens || (out.own == probe_verdict::ended && !ask_if_refused);
+  if (!is_decided) {
+    out.peers = co_await ask_peers(id);
+    if (out.peers.verdict == probe_verdict::listens) {
+      record_lost_link(id, began_at);
     }
   }
-  const auto peers_answer = co_await ask_peers(id);
-  if (!peers_answer) {
-    co_return own == probe_verdict::ended ? failure_cause::ended : failure_cause::unreachable;
+  co_return out;
+}
+
+failure_cause link_checker::cause_of(const observed_process& seen)
+{
+  if (seen.own == probe_verdict::listens) {
+    return failure_cause::endpoint;
+  }
+  if (!seen.peers.verdict) {
+    if (seen.own == probe_verdict::ended) {
+      return failure_cause::ended;
+    }
+    return seen.peers.any_asked ? failure_cause::unknown : failure_cause::unreachable;
   }
-  if (*peers_answer == failure_cause::link) {
-    record_lost_link(id, began_at);
+  switch (*seen.peers.verdict) {
+  case probe_verdict::listens:
+    return failure_cause::link;
+  case probe_verdict::ended:
+    return failure_cause::ended;
+  case probe_verdict::unknown:
+    return failure_cause::unreachable;
   }
-  co_return *peers_answer;
+  return failure_cause::unknown;
 }
 
-// An endpoint that is known to leave may end as soon as its last answer is complete.
-asio::awaitable<answer_end> link_checker::find_cause_of_cut(const http::response& head,
-                                                            gateway::endpoint_process from,
-                                                            http::socket_address address)
+asio::awaitable<failure_cause> link_checker::find_cause(endpoint_id id,
+                                                        http::socket_address address)
+{
+  const auto seen = co_await observe(std::move(id), std::move(address), true);
+  co_return cause_of(seen);
+}
+
+asio::awaitable<observed_end> link_checker::find_end(const http::response& head,
+                                                     gateway::endpoint_process from,
+                                                     http::socket_address address)
 {
   if (!http::ends_with_connection(head)) {
-    co_return answer_end{.evidence = "framing"};
+    co_return observed_end{.end = gateway::judge_end({.is_framed = true})};
+  }
+  // An endpoint that is known to leave is not blamed, so that a refusal leaves nothing to ask.
+  const bool was_active = state_.endpoints.is_active(from);
+  const auto seen = co_await observe(from.id, address, was_active);
+  const bool is_replaced = state_.endpoints.is_replaced(from, address);
+  observed_end out{.end = gateway::judge_end(
+                       {.is_replaced = is_replaced, .own = seen.own, .peer = seen.peers.verdict})};
+  if (was_active && !is_replaced) {
+    out.cause = cause_of(seen);
   }
-  answer_end out{.evidence = "endpoint leaves"};
-  if (state_.endpoints.is_active(from)) {
-    const auto cause = co_await find_cause(from.id, std::move(address));
-    const bool is_cut = cause == failure_cause::ended || cause == failure_cause::unreachable;
-    out = {.cut = is_cut ? std::optional(cause) : std::nullopt, .evidence = to_string(cause)};
+  const std::string evidence(to_string(out.end.evidence));
+  state_.counters.count("unframed_answers",
+                        {{"evidence", evidence}, {"complete", out.end.is_whole() ? "yes" : "no"}});
+  if (!out.end.is_whole()) {
+    state_.log.write(daemon::log_level::warn, "answer without a length is not known to be whole",
+                     {{"endpoint", from.id.value()},
+                      {"end_known_by", evidence},
+                      {"in_use", was_active ? "yes" : "no"}});
   }
-  state_.counters.count("unframed_answers", {{"evidence", std::string(out.evidence)},
-                                             {"complete", out.cut ? "no" : "yes"}});
   co_return out;
 }
 
@@ -144,8 +180,8 @@
 
 asio::awaitable<void> link_checker::confirm_connect_failure(endpoint_id id)
 {
-  const auto peers_answer = co_await ask_peers(id);
-  const auto cause = peers_answer.value_or(failure_cause::unreachable);
+  const auto peers = co_await ask_peers(id);
+  const auto cause = cause_of({.peers = peers});
   if (cause == failure_cause::ended || cause == failure_cause::unreachable) {
     on_unreachable(id, cause);
   }
@@ -190,27 +226,17 @@
   return out;
 }
 
-asio::awaitable<std::optional<failure_cause>> link_checker::ask_peers(endpoint_id id)
+asio::awaitable<link_checker::peers_verdict> link_checker::ask_peers(endpoint_id id)
 {
   const auto peers = peers_to_ask();
-  if (peers.empty()) {
-    co_return std::nullopt;
-  }
+  peers_verdict out{.any_asked = !peers.empty()};
   for (const auto& peer : peers) {
-    const auto verdict = co_await ask_peer(peer, id);
-    if (!verdict) {
-      continue;
-    }
-    switch (*verdict) {
-    case probe_verdict::listens:
-      co_return failure_cause::link;
-    case probe_verdict::ended:
-      co_return failure_cause::ended;
-    case probe_verdict::unknown:
-      co_return failure_cause::unreachable;
+    out.verdict = co_await ask_peer(peer, id);
+    if (out.verdict) {
+      break;
     }
   }
-  co_return failure_cause::unknown;
+  co_return out;
 }
 
 asio::awaitable<std::optional<probe_verdict>> link_checker::ask_peer(http::socket_address peer,
--- a/src/relay/link_checker.h
+++ b/src/relay/link_checker.h
@@ -23,6 +23,7 @@
 
 #include "relay/endpoint_probe.h"
 #include "relay/fleet_state.h"
+#include "wisteriaflow/gateway/answer_end.h"
 #include "wisteriaflow/gateway/endpoint_process.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/http/server.h"
@@ -42,10 +43,11 @@
 
 [[nodiscard]] std::string_view to_string(failure_cause cause);
 
-// Whether an answer that was received to its end is complete.
-struct answer_end {
-  std::optional<failure_cause> cut; // why it is incomplete; nothing if it counts as complete
-  std::string_view evidence;        // what decided it, for the log
+// How an answer that was received to its end did end.
+struct observed_end {
+  gateway::answer_end end;
+  // Whom to blame for an answer that is not whole; `unknown` if the endpoint is known to leave.
+  failure_cause cause = failure_cause::unknown;
 };
 
 // Not thread-safe.
@@ -57,11 +59,11 @@
   // hundred if there is no reply. Does not throw.
   boost::asio::awaitable<failure_cause> find_cause(endpoint_id id, http::socket_address address);
 
-  // Finds out whether an answer that ended with its connection, after `head`, was cut off because
-  // the process of the endpoint ended. Does not throw.
-  boost::asio::awaitable<answer_end> find_cause_of_cut(const http::response& head,
-                                                       gateway::endpoint_process from,
-                                                       http::socket_address address);
+  // Finds out whether the answer of the process, received to its end after `head`, is whole. Takes
+  // no time unless it ended with its connection. Does not throw.
+  boost::asio::awaitable<observed_end> find_end(const http::response& head,
+                                                gateway::endpoint_process from,
+                                                http::socket_address address);
 
   // A connection to the endpoint that was begun at `began_at` could not be opened. Its link counts
   // as lost at once, and the endpoint as unreachable if a peer cannot connect to it either.
@@ -75,6 +77,15 @@
   boost::asio::awaitable<void> answer_probe(http::request request, http::response_writer& writer);
 
  private:
+  struct peers_verdict {
+    bool any_asked = false;
+    std::optional<probe_verdict> verdict; // nothing: none could tell
+  };
+  struct observed_process {
+    std::optional<probe_verdict> own; // nothing: the link is lost
+    peers_verdict peers;
+  };
+
   // Marks the link as lost and starts to test lost links.
   void record_lost_link(const endpoint_id& id, mono_time began_at);
   // Tests lost links until there are none.
@@ -84,9 +95,13 @@
   boost::asio::awaitable<std::optional<probe_verdict>> connect(endpoint_id id);
   boost::asio::awaitable<probe_verdict> probe(http::socket_address address);
   boost::asio::awaitable<void> confirm_connect_failure(endpoint_id id);
-  // Asks peers, one after another, until one can tell. Returns `unknown` if none can, and nullopt
-  // if there is no peer to ask.
-  boost::asio::awaitable<std::optional<failure_cause>> ask_peers(endpoint_id id);
+  // Asks peers, one after another, until one can tell.
+  boost::asio::awaitable<peers_verdict> ask_peers(endpoint_id id);
+  // Opens a connection to the endpoint unless the link is lost, and asks peers if it is not
+  // accepted; if it is refused, only with `ask_if_refused`.
+  boost::asio::awaitable<observed_process> observe(endpoint_id id, http::socket_address address,
+                                                   bool ask_if_refused);
+  [[nodiscard]] static failure_cause cause_of(const observed_process& seen);
   boost::asio::awaitable<std::optional<probe_verdict>> ask_peer(http::socket_address peer,
                                                                 endpoint_id id);
   // Peers that can tell, those in other zones first: a cut often concerns a whole zone.
--- a/test/gateway/endpoint_pool_test.cc
+++ b/test/gateway/endpoint_pool_test.cc
@@ -215,6 +215,20 @@
   EXPECT_FALSE(pool_.has_restarted(*chosen));
 }
 
+TEST_F(EndpointPoolTest, AProcessIsReplacedByALaterEndpointAtItsAddress)
+{
+  const auto before = record("a", 1);
+  list({before, record("b", 2)}, 5);
+  EXPECT_TRUE(pool_.is_replaced({.id = endpoint_id("a")}, before.address));
+}
+
+TEST_F(EndpointPoolTest, AProcessIsNotReplacedByAnEarlierEndpointAtItsAddress)
+{
+  const auto later = record("b", 2);
+  list({record("a", 1), later}, 5);
+  EXPECT_FALSE(pool_.is_replaced({.id = endpoint_id("b")}, later.address));
+}
+
 TEST_F(EndpointPoolTest, AnEntryWithoutAStartTimeIsNotARestart)
 {
   list({record_of("a", 1, 100)}, 5);
--- a/test/relay/link_checker_test.cc
+++ b/test/relay/link_checker_test.cc
@@ -4,6 +4,7 @@
 // endpoint was known to leave, its entry was gone, another process had taken over its address, or
 // the peers that were asked had just been killed.
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <ostream>
@@ -131,13 +132,13 @@
     state_.endpoints.apply(record, now);
   }
 
-  answer_end judge(const http::response& head)
+  observed_end judge(const http::response& head)
   {
     const auto address = prepare_link();
     list_endpoint(address);
-    answer_end out;
+    observed_end out;
     auto task = [&]() -> boost::asio::awaitable<void> {
-      out = co_await checker_.find_cause_of_cut(head, process_, address);
+      out = co_await checker_.find_end(head, process_, address);
     };
     fakes::run(context_, task());
     return out;
@@ -154,12 +155,30 @@
 
 TEST_P(AnswerEndTest, IsWholeOnlyIfThatIsKnown)
 {
-  EXPECT_EQ(!judge({.status = 200}).cut, GetParam().whole);
+  EXPECT_EQ(judge({.status = 200}).end.is_whole(), GetParam().whole);
+}
+
+TEST_P(AnswerEndTest, IsNotBlamedOnAnEndpointThatIsNotInUse)
+{
+  const bool is_in_use = GetParam().endpoint == standing::serves;
+  const auto cause = judge({.status = 200}).cause;
+  EXPECT_TRUE(is_in_use || cause == failure_cause::unknown) << to_string(cause);
+}
+
+TEST_P(AnswerEndTest, IsBlamedOnTheEndOfAProcessThatRefusesUnlessAPeerConnects)
+{
+  const auto& peers = GetParam().peers;
+  const bool contradicted = std::find(peers.begin(), peers.end(), peer::listens) != peers.end();
+  const bool unreached = std::find(peers.begin(), peers.end(), peer::no_reply) != peers.end();
+  if (GetParam().endpoint == standing::serves && GetParam().link == own_link::refused &&
+      !contradicted && !unreached) {
+    EXPECT_EQ(judge({.status = 200}).cause, failure_cause::ended);
+  }
 }
 
 TEST_P(AnswerEndTest, IsWholeIfItsLengthTellsSo)
 {
-  EXPECT_FALSE(judge({.status = 200, .fields = {{"Content-Length", "3"}}}).cut);
+  EXPECT_TRUE(judge({.status = 200, .fields = {{"Content-Length", "3"}}}).end.is_whole());
 }
 
 // clang-format off
