--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -462,7 +462,7 @@
   return {.origin = {.stream = gateway::stream_id_of(call_.workspace, request_id),
                      .version = *call_.stream_version,
                      .expires_at = std::chrono::steady_clock::now() + memory},
-          .services = services_of(*call_.route),
+          .services = state_.stream_services(),
           .memory = memory};
 }
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -245,9 +245,9 @@
   // A caller that does not say which stream it means is like one whose stream nobody knows.
   const auto& started_by = d.resumed_request.empty() ? d.request_id : d.resumed_request;
   gateway::origin_question question{.stream = gateway::stream_id_of(call.workspace, started_by),
-                                    .services = services_of(*call.route),
+                                    .services = state_.stream_services(),
                                     .since = now - stream_memory(*call.route)};
-  const auto services = question.services;
+  const auto services = services_of(*call.route);
   auto found = co_await origins_.find(std::move(question));
   const std::string evidence(to_string(found.evidence));
   state_.counters.count("resume_requests", {{"version_from", evidence}});
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -567,6 +567,24 @@
   return out;
 }
 
+std::vector<std::string> fleet_state::stream_services() const
+{
+  std::set<std::string> out;
+  if (configuration_) {
+    for (const auto& r : configuration_->declared().routes) {
+      if (r.kind == gateway::call_kind::stream && r.resumable) {
+        for (const auto& s : r.services) {
+          out.insert(s.service);
+        }
+      }
+    }
+  }
+  for (const auto& v : recorded.all()) {
+    out.insert(v.service);
+  }
+  return {out.begin(), out.end()};
+}
+
 bool fleet_state::has_current_view(mono_time now) const
 {
   return feed.revision().number > 0 && feed.view(now).age <= max_current_view_age;
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -147,6 +147,10 @@
   // Call when the store has listed the addresses of all registered daemons.
   void on_daemons_listed(const std::vector<http::socket_address>& registered, mono_time now);
 
+  // The services that routes lead resumable streams to, and those that are recorded because they
+  // did: a stream may have been begun before its route was moved to another service.
+  [[nodiscard]] std::vector<std::string> stream_services() const;
+
   // Whether the view of the endpoints is so recent that it shows every version that is widely
   // known.
   [[nodiscard]] bool has_current_view(mono_time now) const;
--- a/src/relay/gateway_daemon.cc
+++ b/src/relay/gateway_daemon.cc
@@ -73,9 +73,7 @@
         origin_store_(context_, state_, store_), peers_(context_, state_),
         origins_(
             context_, state_,
-            [this](std::vector<std::string> services, mono_time deadline) {
-              return version_store_.read_recorded(std::move(services), deadline);
-            },
+            [this](mono_time deadline) { return version_store_.read_recorded(deadline); },
             origin_store_),
         duties_(context_, state_, store_), rollouts_(context_, state_, store_),
         link_checker_(context_, state_), transport_(context_, state_, link_checker_),
--- a/src/relay/origin_exchange.cc
+++ b/src/relay/origin_exchange.cc
@@ -264,7 +264,7 @@
   const auto deadline = std::chrono::steady_clock::now() + search_timeout;
   auto found = co_await query_peers(question);
   if (found.evidence == origin_evidence::unknown) {
-    found = co_await infer(std::move(question), std::move(found), deadline);
+    found = co_await infer(std::move(found), deadline);
   }
   if (found.evidence == origin_evidence::unknown) {
     found = co_await find_stored(stream, std::move(found), deadline);
@@ -364,17 +364,13 @@
   return {.version = version, .evidence = evidence, .basis = std::move(basis)};
 }
 
-asio::awaitable<found_origin> origin_exchange::infer(gateway::origin_question question,
-                                                     found_origin known, mono_time deadline)
+// A version that is not recorded has begun no stream, whoever knows it.
+asio::awaitable<found_origin> origin_exchange::infer(found_origin known, mono_time deadline)
 {
   auto& basis = known.basis;
-  if (!is_only_version(basis.in_use)) {
-    co_return known;
-  }
-  const auto recorded = co_await read_recorded_(std::move(question.services), deadline);
-  if (recorded) {
+  if (auto recorded = co_await read_recorded_(deadline)) {
     basis.is_read = true;
-    basis.in_use.insert(recorded->begin(), recorded->end());
+    basis.in_use = std::move(*recorded);
   }
   // While the store is down for all, no view is recent, but no new version is recorded either. A
   // minority may only be cut off from it and from the others.
--- a/src/relay/origin_exchange.h
+++ b/src/relay/origin_exchange.h
@@ -88,10 +88,10 @@
 
 using gateway::started_stream;
 
-// Reads from the store which versions of the services may have begun streams; see version_store.
+// Reads from the store which versions of all services may have begun streams; see version_store.
 using recorded_versions_reader =
     std::function<boost::asio::awaitable<std::optional<gateway::service_version_set>>(
-        std::vector<std::string> services, mono_time deadline)>;
+        mono_time deadline)>;
 
 // Not thread-safe.
 class origin_exchange {
@@ -154,8 +154,7 @@
   boost::asio::awaitable<found_origin> find_stored(gateway::stream_id stream, found_origin known,
                                                    mono_time deadline);
   // Infers the origin of a stream without a record, if one version alone may have started it.
-  boost::asio::awaitable<found_origin> infer(gateway::origin_question question, found_origin known,
-                                             mono_time deadline);
+  boost::asio::awaitable<found_origin> infer(found_origin known, mono_time deadline);
   [[nodiscard]] bool knows_versions(const gateway::origin_question& question) const
   {
     return state_.versions_known_since <= question.since;
--- a/src/relay/version_store.cc
+++ b/src/relay/version_store.cc
@@ -43,6 +43,11 @@
 // A daemon looks anew whether a version is recorded that has had no endpoint for this long. It must
 // be shorter than the time for which a version is retired.
 constexpr milliseconds recorded_memory{30'000};
+// While another version serves, a new one is recorded this long after it has appeared: the daemons
+// store the origins of their open streams in this time. Until then, only one version is recorded.
+constexpr milliseconds second_version_delay{1'000};
+// The same after the start, when callers resume what the end of all daemons has cut.
+constexpr milliseconds restart_delay{5'000};
 // Of the fleet, while a version is not known to be recorded.
 constexpr double questions_per_second = 300;
 // After this many questions without success a daemon writes the record itself: the coordinators may
@@ -53,7 +58,6 @@
 // Of the fleet, to infer the origins of streams.
 constexpr double readings_per_second = 1'000;
 constexpr milliseconds max_reading_period{100}; // callers wait for a reading
-constexpr milliseconds reading_timeout{200};
 
 // Names of objects are limited to few characters, names of services are not.
 std::string object_name(const std::string& service)
@@ -110,7 +114,27 @@
 
 bool version_store::has_missing(mono_time now) const
 {
-  return !state_.recorded.missing(state_.endpoints.versions().in_use(now)).empty();
+  const auto missing = state_.recorded.missing(serving(now));
+  return std::any_of(missing.begin(), missing.end(),
+                     [&](const auto& v) { return !is_deferred(v, now); });
+}
+
+bool version_store::is_deferred(const gateway::service_version& version, mono_time now) const
+{
+  const auto present = state_.endpoints.versions().in_use({version.service}, now);
+  const bool is_alone = std::none_of(present.begin(), present.end(),
+                                     [this](const auto& v) { return state_.recorded.contains(v); });
+  const auto known_since = state_.endpoints.versions().known_since(version);
+  if (is_alone || !known_since || state_.recorded.contains(version)) {
+    return false;
+  }
+  return now < *known_since + second_version_delay ||
+         (first_list_at_ && now < *first_list_at_ + restart_delay);
+}
+
+gateway::service_version_set version_store::serving(mono_time since) const
+{
+  return state_.endpoints.versions().in_use(state_.stream_services(), since);
 }
 
 void version_store::update_knowledge(mono_time now)
@@ -126,13 +150,13 @@
     is_read_ = false;
   }
   has_view_gap_ = has_view_gap_ || (!is_view_current && state_.feed.revision().number > 0);
-  if (!stops_waiting_at_) {
-    stops_waiting_at_ = now + max_start_delay;
+  if (!first_list_at_) {
+    first_list_at_ = now;
   }
   if (!has_missing(now)) {
     questions_ = 0;
   }
-  if (!has_missing(now) || now >= *stops_waiting_at_) {
+  if (!has_missing(now) || now >= *first_list_at_ + max_start_delay) {
     state_.serves_recorded_versions = true;
   }
 }
@@ -215,23 +239,10 @@
 {
   const auto listing =
       co_await list_objects(store_, state_, versions_kind, adapter::list_age::current);
-  bool is_readable = true;
-  std::optional<std::uint64_t> marker;
-  for (const auto& item : listing.items) {
-    if (item.name == marker_name) {
-      marker = item.spec.is_object() ? era_in(item.spec) : std::nullopt;
-    } else {
-      is_readable = take_over(item) && is_readable;
-    }
-  }
+  const bool is_complete = take_over(listing);
   if (!listing.is_complete) {
     co_return false;
   }
-  all_services_in_ = marker;
-  const bool is_complete = is_readable && is_current(marker) &&
-                           std::all_of(stored_.begin(), stored_.end(), [this](const auto& it) {
-                             return is_current(it.second.content.complete_in);
-                           });
   if (is_complete) {
     state_.versions_known_since = mono_time::min();
   }
@@ -243,6 +254,25 @@
   co_return true;
 }
 
+bool version_store::take_over(const listing& all)
+{
+  bool is_complete = all.is_complete;
+  std::optional<std::uint64_t> marker;
+  for (const auto& item : all.items) {
+    if (item.name == marker_name) {
+      marker = item.spec.is_object() ? era_in(item.spec) : std::nullopt;
+    } else {
+      is_complete = take_over(item) && is_complete;
+    }
+  }
+  if (all.is_complete) {
+    all_services_in_ = marker;
+  }
+  return is_complete && is_current(marker) &&
+         std::all_of(stored_.begin(), stored_.end(),
+                     [this](const auto& it) { return is_current(it.second.content.complete_in); });
+}
+
 bool version_store::take_over(const adapter::stored_object& object)
 {
   const auto now = std::chrono::steady_clock::now();
@@ -301,7 +331,9 @@
   const auto memory = version_memory(state_);
   service_versions out{.service = service, .complete_in = complete_in()};
   for (const auto& v : state_.endpoints.versions().in_use({service}, now - memory)) {
-    out.versions.insert(v.version);
+    if (!is_deferred(v, now)) {
+      out.versions.insert(v.version);
+    }
   }
   const auto it = stored_.find(service);
   if (it == stored_.end()) {
@@ -329,7 +361,7 @@
     out.insert(service);
   }
   const auto now = std::chrono::steady_clock::now();
-  for (const auto& v : state_.endpoints.versions().in_use(now - version_memory(state_))) {
+  for (const auto& v : serving(now - version_memory(state_))) {
     out.insert(v.service);
   }
   return out;
@@ -409,31 +441,29 @@
   co_return written;
 }
 
-asio::awaitable<void> version_store::read_object(std::string service, std::shared_ptr<reading> into)
+asio::awaitable<void> version_store::read_into(std::shared_ptr<reading> into)
 {
-  auto message = adapter::get_call(versions_kind, object_name(service));
-  const auto reply = co_await store_.call(std::move(message), "get", reading_timeout);
-  into->is_missing = reply.result == adapter::store_result::missing;
-  if (reply.result == adapter::store_result::done) {
-    try {
-      auto stated = decode(adapter::decode_object(reply.body, reply.era));
-      if (stated && is_current(stated->complete_in)) {
-        into->found = std::move(stated);
+  const auto listing =
+      co_await list_objects(store_, state_, versions_kind, adapter::list_age::current);
+  if (take_over(listing)) {
+    into->versions.emplace();
+    for (const auto& [service, object] : stored_) {
+      for (const auto* versions : {&object.content.versions, &object.content.retired}) {
+        for (const auto& v : *versions) {
+          into->versions->insert({.service = service, .version = v});
+        }
       }
-    } catch (const adapter::format_error& e) {
-      state_.log.write(daemon::log_level::error, "store answer unreadable",
-                       {{"kind", std::string(versions_kind)}, {"reason", e.what()}});
     }
   }
   into->done.notify();
 }
 
 asio::awaitable<std::shared_ptr<version_store::reading>>
-version_store::fresh_reading(std::string service, mono_time asked_at, mono_time deadline)
+version_store::fresh_reading(mono_time asked_at, mono_time deadline)
 {
   const auto period = std::min(state_.call_period(readings_per_second), max_reading_period);
   for (auto now = asked_at; now < deadline; now = std::chrono::steady_clock::now()) {
-    auto latest = readings_[service];
+    const auto latest = latest_reading_;
     if (latest && latest->began_at >= asked_at) {
       const bool is_done = co_await latest->done.wait_until(context_, deadline);
       co_return is_done ? latest : nullptr;
@@ -444,36 +474,22 @@
       const auto pause = std::chrono::ceil<milliseconds>(latest->began_at + period - now);
       co_await async_sleep(pause);
     } else {
-      latest = std::make_shared<reading>();
-      latest->began_at = now;
-      readings_[service] = latest;
-      asio::co_spawn(context_, read_object(service, latest), asio::detached);
+      latest_reading_ = std::make_shared<reading>();
+      latest_reading_->began_at = now;
+      asio::co_spawn(context_, read_into(latest_reading_), asio::detached);
     }
   }
   co_return nullptr;
 }
 
 asio::awaitable<std::optional<gateway::service_version_set>>
-version_store::read_recorded(std::vector<std::string> services, mono_time deadline)
+version_store::read_recorded(mono_time deadline)
 {
-  const auto asked_at = std::chrono::steady_clock::now();
-  gateway::service_version_set out;
-  for (const auto& service : services) {
-    auto name = service;
-    const auto result = co_await fresh_reading(std::move(name), asked_at, deadline);
-    // A daemon that knows all versions knows also that the service had none.
-    if (!result || (!result->found && !(result->is_missing && complete_in()))) {
-      co_return std::nullopt;
-    }
-    if (result->found) {
-      for (const auto* versions : {&result->found->versions, &result->found->retired}) {
-        for (const auto& v : *versions) {
-          out.insert({.service = service, .version = v});
-        }
-      }
-    }
+  const auto result = co_await fresh_reading(std::chrono::steady_clock::now(), deadline);
+  if (!result) {
+    co_return std::nullopt;
   }
-  co_return out;
+  co_return result->versions;
 }
 
 } // namespace wisteriaflow::relay
--- a/src/relay/version_store.h
+++ b/src/relay/version_store.h
@@ -10,6 +10,9 @@
 // that has been restored from a copy, and a new fleet cannot tell whether its store was. A daemon
 // may state it once it has known all versions for as long as a stream may be resumed.
 //
+// While one version serves, a second one is recorded a little later than it appears: what began
+// before needs no origin of its own until then, and is stored in the meantime.
+//
 // A version without endpoints is retired first, and removed later, so that no daemon still believes
 // it to be recorded then. Objects are never removed: a removal may be done late.
 //
@@ -35,6 +38,7 @@
 #include "relay/completion.h"
 #include "relay/fleet_state.h"
 #include "relay/store_client.h"
+#include "relay/store_list.h"
 #include "store_calls.h"
 #include "wisteriaflow/gateway/version_history.h"
 #include "wisteriaflow/http/client.h"
@@ -53,10 +57,10 @@
   // Starts a coroutine that reads once and then keeps the record until the context stops.
   void start();
 
-  // Reads which versions of the services may have begun streams; the reading begins after the call.
+  // Reads which versions of all services may have begun streams; the reading begins after the call.
   // Returns nothing if the store does not answer before the deadline, or does not know.
   boost::asio::awaitable<std::optional<gateway::service_version_set>>
-  read_recorded(std::vector<std::string> services, mono_time deadline);
+  read_recorded(mono_time deadline);
 
   // Answers a peer that asks for the recorded versions.
   boost::asio::awaitable<void> serve_recorded(http::request request, http::response_writer& writer);
@@ -80,18 +84,20 @@
     gateway::store_revision revision;
     mono_time unchanged_since;
   };
-  // The reading of one service's object.
+  // A reading of all objects.
   struct reading {
     mono_time began_at;
     completion done;
-    std::optional<service_versions> found; // complete in the current era
-    bool is_missing = false;               // the store has no such object
+    std::optional<gateway::service_version_set> versions; // if the record is complete
   };
 
   boost::asio::awaitable<void> run();
   void update_knowledge(mono_time now);
   // Whether endpoints of a version serve that is not known to be recorded.
   [[nodiscard]] bool has_missing(mono_time now) const;
+  // Whether the version is not recorded yet, so that the streams of the one that serves can still
+  // be told apart.
+  [[nodiscard]] bool is_deferred(const gateway::service_version& version, mono_time now) const;
   // Each of these returns whether it succeeded.
   boost::asio::awaitable<bool> read_all();
   boost::asio::awaitable<bool> write_changes();
@@ -101,17 +107,22 @@
   // Learns what is recorded without writing: from a coordinator, or else from the store.
   boost::asio::awaitable<bool> learn();
 
-  boost::asio::awaitable<void> read_object(std::string service, std::shared_ptr<reading> into);
+  boost::asio::awaitable<void> read_into(std::shared_ptr<reading> into);
   // A reading that begins at `asked_at` or later; null if it does not end before the deadline.
-  boost::asio::awaitable<std::shared_ptr<reading>>
-  fresh_reading(std::string service, mono_time asked_at, mono_time deadline);
+  boost::asio::awaitable<std::shared_ptr<reading>> fresh_reading(mono_time asked_at,
+                                                                 mono_time deadline);
 
+  // Takes over what the objects state. Returns whether the record is complete.
+  bool take_over(const listing& all);
   // Takes over what an object states, if it is readable.
   bool take_over(const adapter::stored_object& object);
   // Returns nullopt, and logs it, if the object is unreadable.
   [[nodiscard]] std::optional<service_versions> decode(const adapter::stored_object& object);
   [[nodiscard]] static boost::json::value encode(const service_versions& stated);
-  // Services that serve or are recorded.
+  // The versions of services that resumable streams are sent to, with an endpoint now or after
+  // `since`.
+  [[nodiscard]] gateway::service_version_set serving(mono_time since) const;
+  // Services of them and those that are recorded.
   [[nodiscard]] std::set<std::string> services() const;
   // What the service's object should state.
   [[nodiscard]] service_versions wanted(const std::string& service) const;
@@ -131,9 +142,9 @@
   std::optional<std::uint64_t> all_services_in_; // the era in the marker
   bool is_read_ = false;                         // all objects have been read
   bool has_view_gap_ = false; // the view of the endpoints has been old since they were last known
-  std::optional<mono_time> stops_waiting_at_; // see max_start_delay
-  unsigned questions_ = 0;                    // in a row without learning all that is missing
-  std::map<std::string, std::shared_ptr<reading>> readings_; // the latest of each service
+  std::optional<mono_time> first_list_at_; // of endpoints
+  unsigned questions_ = 0;                 // in a row without learning all that is missing
+  std::shared_ptr<reading> latest_reading_;
 };
 
 } // namespace wisteriaflow::relay
--- a/test/relay/attempt_test.cc
+++ b/test/relay/attempt_test.cc
@@ -67,9 +67,8 @@
   endpoint_transport transport_{context_, state_, links_};
   store_client store_{context_, state_};
   origin_store stored_{context_, state_, store_};
-  origin_exchange origins_{
-      context_, state_,
-      [](const std::vector<std::string>&, mono_time) { return no_recorded_versions(); }, stored_};
+  origin_exchange origins_{context_, state_, [](mono_time) { return no_recorded_versions(); },
+                           stored_};
   fakes::fake_endpoint endpoint_{context_, "i-1"};
   null_writer writer_;
   gateway::route route_{.target_latency = 10ms, .max_attempts = 2};
--- a/test/relay/origin_exchange_test.cc
+++ b/test/relay/origin_exchange_test.cc
@@ -91,9 +91,8 @@
   fleet_state state_{settings{.id = daemon_id("d"), .usage_window = 5s}, log_};
   store_client store_{context_, state_};
   origin_store stored_{context_, state_, store_};
-  origin_exchange origins_{
-      context_, state_,
-      [this](const std::vector<std::string>&, mono_time) { return read_recorded(); }, stored_};
+  origin_exchange origins_{context_, state_, [this](mono_time) { return read_recorded(); },
+                           stored_};
   http::server peer_{context_,
                      {.address = {.host = "127.0.0.1"}},
                      [this](http::request r, http::response_writer& w) {
--- a/test/relay/version_store_test.cc
+++ b/test/relay/version_store_test.cc
@@ -71,6 +71,16 @@
     processes_.push_back(std::make_unique<daemon_process>(context_, store, ++incarnation_));
     auto& out = *processes_.back();
     out.state.versions_known_since = known_since;
+    out.state.apply_configuration_if_newer({{"version", 1},
+                                            {"routes", boost::json::array{{{"name", "resumable"},
+                                                                           {"host", "shop.example"},
+                                                                           {"path", "/"},
+                                                                           {"kind", "streaming"},
+                                                                           {"service", "chat"},
+                                                                           {"resumable", true},
+                                                                           {"timeoutMs", 1'000}}}},
+                                            {"services", boost::json::array{{{"name", "chat"}}}}},
+                                           "test");
     list_endpoints(out, versions);
     out.versions.start();
     return out;
@@ -136,9 +146,8 @@
   {
     std::optional<service_version_set> out;
     auto task = [&]() -> boost::asio::awaitable<void> {
-      std::vector<std::string> services = {"chat"};
       const auto deadline = std::chrono::steady_clock::now() + 5s;
-      out = co_await at.versions.read_recorded(std::move(services), deadline);
+      out = co_await at.versions.read_recorded(deadline);
     };
     fakes::run(context_, task());
     return out;
