Kill all daemons of a fleet of processes around a change of version

Callers whose streams the end of all daemons cut got the rest from another version, or were refused although their version served. No run of ours killed real daemons beside a change of version with callers that resume.

gateway_restart and AllDaemonsKilledTest hold streams at a fleet of processes, kill all of them at once around the appearance of a second version (also while endpoints are replaced, with two kills, and with the store slow, silent, turning writes away or restored), start them again, and judge from the events that callers hold.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -76,7 +76,8 @@
 
 # Soak test of gateway daemons. A short run with a fixed seed is part of the test suite.
 set(gateway_fleet_sources test/system/process.cc)
-foreach(part counting_endpoint drain_run gateway_fleet overload_run soak_endpoint_terms)
+foreach(part counting_endpoint drain_run gateway_fleet held_stream overload_run restart_run
+             soak_endpoint_terms)
   list(APPEND gateway_fleet_sources test/gateway_system/${part}.cc)
 endforeach()
 add_library(wisteriaflow_gateway_fleet STATIC ${gateway_fleet_sources})
@@ -86,7 +87,7 @@
                            WISTERIAFLOW_BINARY_DIR="${CMAKE_BINARY_DIR}")
 add_dependencies(wisteriaflow_gateway_fleet wisteriaflow-gatewayd)
 add_executable(gateway_soak test/gateway_system/gateway_soak_main.cc
-               test/gateway_system/held_stream.cc test/gateway_system/soak_calls.cc)
+               test/gateway_system/soak_calls.cc)
 target_include_directories(gateway_soak PRIVATE test)
 target_link_libraries(gateway_soak PRIVATE wisteriaflow_gateway_fleet absl::flags
                       absl::flags_parse)
@@ -103,6 +104,11 @@
 target_link_libraries(gateway_drain PRIVATE wisteriaflow_gateway_fleet absl::flags
                       absl::flags_parse)
 
+# Daemons that are all killed around a change of version while callers hold streams, run by hand.
+add_executable(gateway_restart test/gateway_system/gateway_restart_main.cc)
+target_link_libraries(gateway_restart PRIVATE wisteriaflow_gateway_fleet absl::flags
+                      absl::flags_parse)
+
 # Benchmarks are built with everything else and run manually or by the scripts bench/run-*.sh.
 file(GLOB benches CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cc)
 foreach(bench ${benches})
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -106,7 +106,7 @@
 
 fake_reply fake_store::dispatch(const fake_request& r)
 {
-  if (unavailable) {
+  if (unavailable || (refuses_writes && r.method != "GET")) {
     return {.status = 503};
   }
   const auto& kind = r.segments.at(1);
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -52,6 +52,8 @@
 
   // While true, every call is answered 503.
   bool unavailable = false;
+  // While true, every write is answered 503.
+  bool refuses_writes = false;
   // Addresses that callers of this view read for these endpoints in place of the written ones, by
   // entry name: a daemon of its own view has links of its own to the endpoints.
   std::map<std::string, http::socket_address> endpoint_addresses;
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -26,7 +26,6 @@
 constexpr std::chrono::seconds start_grace{2};
 constexpr std::chrono::milliseconds ready_timeout{120'000};
 constexpr std::chrono::milliseconds poll_period{20};
-constexpr int zones = 3; // of the daemons
 
 std::string make_folder()
 {
@@ -77,12 +76,19 @@
   std::filesystem::remove_all(folder_, ec); // if it fails, only some logs remain
 }
 
+std::string gateway_fleet::default_program()
+{
+  return WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd";
+}
+
 std::string gateway_fleet::settings_of(const gateway_process& d,
                                        const daemon_options& options) const
 {
   std::string seeds;
   for (const auto& [id, other] : daemons_) {
-    seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
+    if (id != d.id) {
+      seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
+    }
   }
   return "[daemon]\nid = " + d.id + "\navailability_zone = " + d.zone +
          "\nlog_level = " + options.log_level + "\n[listen]\ncallers = " + to_string(d.callers) +
@@ -98,7 +104,7 @@
 {
   auto d = std::make_unique<gateway_process>();
   d->id = "d" + std::to_string(++last_daemon_);
-  d->zone = "z" + std::to_string(last_daemon_ % zones);
+  d->zone = "z" + std::to_string(last_daemon_ % zones_);
   const auto free =
       fakes::free_addresses(fakes::process_loopback_host(static_cast<unsigned>(last_daemon_)), 4);
   d->callers = free[0];
@@ -106,16 +112,28 @@
   d->peers = free[2];
   d->addresses = free[3];
   d->store_proxy = std::make_unique<fault_proxy>(context_, proxies_host_, store_.address());
-  d->disturbed_until = std::chrono::steady_clock::now() + start_grace;
-  const auto file = folder_ + "/" + d->id + ".ini";
-  std::ofstream(file) << settings_of(*d, options);
-  d->running = std::make_unique<system_tests::process>(
-      std::vector<std::string>{WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd",
-                               "--config=" + file},
-      options.log.empty() ? folder_ + "/" + d->id + ".log" : options.log);
+  run(*d, options);
   return *daemons_.emplace(d->id, std::move(d)).first->second;
 }
 
+void gateway_fleet::run(gateway_process& d, const daemon_options& options)
+{
+  d.disturbed_until = std::chrono::steady_clock::now() + start_grace;
+  const auto file = folder_ + "/" + d.id + ".ini";
+  std::ofstream(file) << settings_of(d, options);
+  d.running = std::make_unique<system_tests::process>(
+      std::vector<std::string>{program_, "--config=" + file},
+      options.log.empty() ? folder_ + "/" + d.id + ".log" : options.log);
+}
+
+void gateway_fleet::restart(gateway_process& d, const daemon_options& options)
+{
+  d.sigterm_at.reset();
+  d.exited_at.reset();
+  d.has_ended = false;
+  run(d, options);
+}
+
 void gateway_fleet::await_ready()
 {
   http::client client(context_);
@@ -138,7 +156,18 @@
 
 proxied_endpoint& gateway_fleet::add_endpoint(const std::string& version)
 {
-  const auto id = "i-" + std::to_string(++last_endpoint_);
+  return add_endpoint("i-" + std::to_string(++last_endpoint_), version);
+}
+
+proxied_endpoint& gateway_fleet::replace_endpoint(const std::string& id, const std::string& version)
+{
+  remove(id);
+  ++last_endpoint_;
+  return add_endpoint(id, version);
+}
+
+proxied_endpoint& gateway_fleet::add_endpoint(const std::string& id, const std::string& version)
+{
   proxied_endpoint made;
   made.endpoint = std::make_unique<counting_endpoint>(context_, id, version, last_endpoint_);
   made.proxy = std::make_unique<fault_proxy>(context_, proxies_host_, made.endpoint->address());
@@ -172,6 +201,12 @@
   retired_.back().proxy->close();
 }
 
+void gateway_fleet::remove(const std::string& id)
+{
+  store_.erase("servers", id);
+  crash(id);
+}
+
 std::vector<const counting_endpoint*> gateway_fleet::all_endpoints() const
 {
   std::vector<const counting_endpoint*> out;
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -81,15 +81,23 @@
   gateway_fleet(const gateway_fleet&) = delete;
   gateway_fleet& operator=(const gateway_fleet&) = delete;
 
+  // The program that later starts run, and the number of zones that later daemons are in.
+  void set_program(std::string path) { program_ = std::move(path); }
+  void set_zones(int zones) { zones_ = zones; }
+
   // Starts a daemon with a new id and new ports. It counts as disturbed for 2 s, in which it
   // becomes ready.
   gateway_process& start_daemon(const daemon_options& options = {});
+  // Starts a daemon whose process has ended again, with its id and its addresses.
+  void restart(gateway_process& d, const daemon_options& options = {});
   // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
   // ready in time.
   void await_ready();
   // Adds an endpoint of the only service, whose software has this version, and writes it to the
   // store.
   proxied_endpoint& add_endpoint(const std::string& version = "v1");
+  // Ends the endpoint, and another one with this version comes under its id.
+  proxied_endpoint& replace_endpoint(const std::string& id, const std::string& version);
   // Number of requests that later endpoints run concurrently according to their entries.
   void set_endpoint_slots(std::size_t slots) { endpoint_slots_ = slots; }
   // Writes the endpoint's entry with `state`, for example "ready" or "draining".
@@ -112,14 +120,21 @@
   // Simulates a crash of the endpoint: its connections are reset and new ones refused. Its entry in
   // the store remains.
   void crash(const std::string& id);
+  // The same, and its entry is removed.
+  void remove(const std::string& id);
 
  private:
+  proxied_endpoint& add_endpoint(const std::string& id, const std::string& version);
+  void run(gateway_process& d, const daemon_options& options);
+  [[nodiscard]] static std::string default_program();
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
 
   boost::asio::io_context& context_;
   std::string folder_;
   std::string proxies_host_;
+  std::string program_ = default_program();
+  int zones_ = 3;
   fakes::fake_store store_;
   std::map<std::string, std::unique_ptr<gateway_process>> daemons_;
   std::map<std::string, proxied_endpoint> endpoints_;
