Show streams joined from two services after a route has moved

Callers that resume a stream of a route which has moved to another service meanwhile get, with 200, the rest from that service's version.

Cause (trace of both runs): the version is inferred as the only one of the services that the route has now; evidence only_version, versions_in_use chat-2/v2, read_in_store yes. The service that the route had before isn't counted. It doesn't take the end of all daemons.

--- a/test/gateway_system/all_daemons_killed_test.cc
+++ b/test/gateway_system/all_daemons_killed_test.cc
@@ -83,6 +83,16 @@
   expect_none_joined("first_just_gone");
 }
 
+TEST_F(AllDaemonsKilledTest, NoStreamIsJoinedWhenItsRouteMovesToAnotherServiceMeanwhile)
+{
+  expect_none_joined("route_moved");
+}
+
+TEST_F(AllDaemonsKilledTest, NorIsOneWhenItMovedJustBeforeHalfOfThemAreKilled)
+{
+  expect_none_joined("route_moved_before_half_killed");
+}
+
 TEST_F(AllDaemonsKilledTest, NoStreamIsJoinedWhileTheStoreTurnsWritesAway)
 {
   expect_none_joined("writes_turned_away_replaced");
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -36,6 +36,15 @@
   return name;
 }
 
+json::array backends_of(const std::vector<std::string>& names)
+{
+  json::array out;
+  for (const auto& each : names) {
+    out.push_back(json::object{{"service", each}, {"weight", 1}});
+  }
+  return out;
+}
+
 json::object route(const std::string& name, const std::string& kind, bool resumable,
                    const route_timeouts& timeouts)
 {
@@ -168,7 +177,7 @@
 
 proxied_endpoint& gateway_fleet::add_endpoint(const std::string& id, const std::string& version)
 {
-  proxied_endpoint made;
+  proxied_endpoint made{.service = endpoint_service_};
   made.endpoint = std::make_unique<counting_endpoint>(context_, id, version, last_endpoint_);
   made.proxy = std::make_unique<fault_proxy>(context_, proxies_host_, made.endpoint->address());
   auto& kept = endpoints_.emplace(id, std::move(made)).first->second;
@@ -179,7 +188,7 @@
 void gateway_fleet::write_endpoint(const proxied_endpoint& e, const std::string& state)
 {
   store_.put("servers", e.endpoint->id(),
-             {{"service", "chat"},
+             {{"service", e.service},
               {"address", to_string(e.proxy->address())},
               {"zone", "z"},
               {"version", e.endpoint->version()},
@@ -226,15 +235,19 @@
                         route("unsafe", "unsafe", false, timeouts_),
                         route("stream", "streaming", false, timeouts_),
                         route("resumable", "streaming", true, timeouts_)};
+  auto& resumable = routes.back().as_object();
+  resumable.erase("service");
+  resumable["backends"] = backends_of(resumable_services_);
   for (std::uint64_t i = 1; i <= version_; ++i) {
     routes.push_back(route("extra-" + std::to_string(i), "safe", false, timeouts_));
   }
   const json::value workspace = {{"name", "hotel"}, {"apiKeys", json::array{"k1"}}};
-  store_.put("config", "main",
-             {{"version", version_},
-              {"routes", std::move(routes)},
-              {"services", json::array{{{"name", "chat"}}}},
-              {"tenants", json::array{workspace}}});
+  store_.put(
+      "config", "main",
+      {{"version", version_},
+       {"routes", std::move(routes)},
+       {"services", json::array{json::object{{"name", "chat"}}, json::object{{"name", "chat-2"}}}},
+       {"tenants", json::array{workspace}}});
   return version_;
 }
 
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -54,6 +55,7 @@
 struct proxied_endpoint {
   std::unique_ptr<counting_endpoint> endpoint;
   std::unique_ptr<fault_proxy> proxy;
+  std::string service;
 };
 
 // How long the operator lets callers of the routes wait.
@@ -93,11 +95,12 @@
   // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
   // ready in time.
   void await_ready();
-  // Adds an endpoint of the only service, whose software has this version, and writes it to the
-  // store.
+  // Adds an endpoint, whose software has this version, and writes it to the store.
   proxied_endpoint& add_endpoint(const std::string& version = "v1");
   // Ends the endpoint, and another one with this version comes under its id.
   proxied_endpoint& replace_endpoint(const std::string& id, const std::string& version);
+  // The service that later endpoints belong to.
+  void set_endpoint_service(std::string service) { endpoint_service_ = std::move(service); }
   // Number of requests that later endpoints run concurrently according to their entries.
   void set_endpoint_slots(std::size_t slots) { endpoint_slots_ = slots; }
   // Writes the endpoint's entry with `state`, for example "ready" or "draining".
@@ -105,6 +108,11 @@
 
   // Timeouts in later versions of the configuration.
   void set_route_timeouts(route_timeouts timeouts) { timeouts_ = timeouts; }
+  // The services of the route /resumable/ in later versions of the configuration.
+  void set_resumable_services(std::vector<std::string> services)
+  {
+    resumable_services_ = std::move(services);
+  }
   // Writes the next version of the configuration, with the four routes /safe/, /unsafe/, /stream/
   // and /resumable/ and a route /extra-N/ for each version N up to this one. Returns the version.
   std::uint64_t write_configuration();
@@ -143,6 +151,8 @@
   int last_daemon_ = 0;
   int last_endpoint_ = 0;
   std::size_t endpoint_slots_ = 64;
+  std::string endpoint_service_ = "chat";
+  std::vector<std::string> resumable_services_ = {"chat"};
   route_timeouts timeouts_;
 };
 
--- a/test/gateway_system/gateway_restart_main.cc
+++ b/test/gateway_system/gateway_restart_main.cc
@@ -62,6 +62,10 @@
               << " ms\n";
   }
   bool passes = result.violations.empty() && result.late_refusals == 0;
+  if (result.cut == 0) {
+    std::cout << "BROKEN: no stream was cut\n";
+    passes = false;
+  }
   if (options->must_go_on && !result.enough_went_on()) {
     std::cout << "BROKEN: too few went on\n";
     passes = false;
--- a/test/gateway_system/restart_run.cc
+++ b/test/gateway_system/restart_run.cc
@@ -22,6 +22,8 @@
 
 const std::string first_name = "v1";
 const std::string second_name = "v2";
+const std::string first_service = "chat";
+const std::string other_service = "chat-2";
 
 constexpr milliseconds poll_period{20};
 constexpr milliseconds readiness_period{50};
@@ -83,6 +85,13 @@
       {"first_just_gone",
        {.second_version_before_kill = milliseconds(2'000),
         .first = first_version::leaves_before_kill}},
+      {"route_moved", {.route = route_change::moves_to_other_service, .must_go_on = false}},
+      {"route_moved_before_half_killed",
+       {.route = route_change::moves_to_other_service,
+        .route_change_before_kill = milliseconds(1'500),
+        .killed_share_percent = 50,
+        .must_go_on = false}},
+      {"route_split", {.route = route_change::is_split_over_both}},
       {"half_killed",
        {.second_version_before_kill = milliseconds(2'000), .killed_share_percent = 50}},
       {"two_kills", {.second_version_before_kill = milliseconds(1'000), .kills = 2}},
@@ -456,11 +465,27 @@
     }
     break;
   }
+  if (!options_.route_change_before_kill) {
+    change_route();
+  }
   if (options_.store == store_fault::is_restored_meanwhile) {
     fleet_.store().restore({"servers", "config"});
   }
 }
 
+void restart_run::change_route()
+{
+  if (options_.route == route_change::none) {
+    return;
+  }
+  fleet_.set_endpoint_service(other_service);
+  add_second_version();
+  fleet_.set_resumable_services(options_.route == route_change::moves_to_other_service
+                                    ? std::vector{other_service}
+                                    : std::vector{first_service, other_service});
+  fleet_.write_configuration();
+}
+
 void restart_run::change_versions_and_kill()
 {
   fleet_.store().back_up();
@@ -482,6 +507,10 @@
   } else {
     begin_store_fault();
   }
+  if (const auto lead = options_.route_change_before_kill) {
+    change_route();
+    sleep_all(*lead);
+  }
   kill_daemons();
   const auto outage = drawn(shortest_outage, longest_outage);
   sleep_all(outage / 2);
--- a/test/gateway_system/restart_run.h
+++ b/test/gateway_system/restart_run.h
@@ -36,6 +36,10 @@
   is_born_again_meanwhile, // the same, and the new endpoints have the ids of the old ones
 };
 
+// What becomes of the route, whose streams the first version serves. The endpoints of the second
+// version belong to another service then.
+enum class route_change { none, moves_to_other_service, is_split_over_both };
+
 // What is wrong with the store around the kill.
 enum class store_fault {
   none,
@@ -54,6 +58,9 @@
   // From the first endpoint of the second version to the kill; absent: it has none before the kill.
   std::optional<std::chrono::milliseconds> second_version_before_kill;
   first_version first = first_version::stays;
+  route_change route = route_change::none;
+  // Absent: the route changes while no daemon runs.
+  std::optional<std::chrono::milliseconds> route_change_before_kill;
   store_fault store = store_fault::none;
   int killed_share_percent = 100;
   int kills = 1; // the second one soon after the start
@@ -119,6 +126,7 @@
   void kill_daemons();
   void start_killed_daemons();
   void change_endpoints_meanwhile();
+  void change_route();
   void begin_store_fault();
   void end_store_fault();
   [[nodiscard]] daemon_options options_of(const gateway_process& d) const;
