--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -27,7 +27,6 @@
 constexpr std::chrono::seconds start_grace{2};
 constexpr std::chrono::milliseconds ready_timeout{120'000};
 constexpr std::chrono::milliseconds poll_period{20};
-constexpr int zones = 3; // of the daemons
 
 std::string make_folder()
 {
@@ -38,6 +37,15 @@
   return name;
 }
 
+json::array backends_of(const std::vector<std::string>& names)
+{
+  json::array out;
+  for (const auto& each : names) {
+    out.push_back(json::object{{"service", each}, {"weight", 1}});
+  }
+  return out;
+}
+
 json::object route(const std::string& name, const std::string& kind, bool resumable,
                    const route_timeouts& timeouts)
 {
@@ -66,7 +74,7 @@
 
 gateway_fleet::gateway_fleet(boost::asio::io_context& context)
     : context_(context), folder_(make_folder()), proxies_host_(fakes::process_loopback_host(0)),
-      daemon_program_(WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd"), store_(context)
+      store_(context)
 {
   write_configuration();
 }
@@ -78,12 +86,17 @@
   std::filesystem::remove_all(folder_, ec); // if it fails, only some logs remain
 }
 
+std::string gateway_fleet::default_program()
+{
+  return WISTERIAFLOW_BINARY_DIR "/wisteriaflow-gatewayd";
+}
+
 std::string gateway_fleet::settings_of(const gateway_process& d,
                                        const daemon_options& options) const
 {
   std::string seeds;
   for (const auto& [id, other] : daemons_) {
-    if (other->lost_power_at) {
+    if (id == d.id || other->lost_power_at) {
       continue;
     }
     seeds += (seeds.empty() ? "" : ",") + to_string(other->peers);
@@ -103,14 +116,14 @@
   auto d = std::make_unique<gateway_process>();
   d->id = "d" + std::to_string(++last_daemon_);
   d->daemon_id = d->id;
-  d->zone = "z" + std::to_string(last_daemon_ % zones);
+  d->zone = "z" + std::to_string(last_daemon_ % zones_);
   const auto free =
       fakes::free_addresses(fakes::process_loopback_host(static_cast<unsigned>(last_daemon_)), 4);
   d->callers = free[0];
   d->readiness = free[1];
   d->peers = free[2];
   d->addresses = free[3];
-  return run(std::move(d), options);
+  return add(std::move(d), options);
 }
 
 std::vector<const gateway_process*> gateway_fleet::lose_power()
@@ -147,22 +160,35 @@
   d->readiness = ended.readiness;
   d->peers = ended.peers;
   d->addresses = ended.addresses;
-  return run(std::move(d), options);
+  return add(std::move(d), options);
 }
 
-gateway_process& gateway_fleet::run(std::unique_ptr<gateway_process> d,
+gateway_process& gateway_fleet::add(std::unique_ptr<gateway_process> d,
                                     const daemon_options& options)
 {
   d->store_proxy = std::make_unique<fault_proxy>(context_, proxies_host_, store_.address());
-  d->disturbed_until = std::chrono::steady_clock::now() + start_grace;
-  const auto file = folder_ + "/" + d->id + ".ini";
-  std::ofstream(file) << settings_of(*d, options);
-  d->running = std::make_unique<system_tests::process>(
-      std::vector<std::string>{daemon_program_, "--config=" + file},
-      options.log.empty() ? folder_ + "/" + d->id + ".log" : options.log);
+  run(*d, options);
   return *daemons_.emplace(d->id, std::move(d)).first->second;
 }
 
+void gateway_fleet::run(gateway_process& d, const daemon_options& options)
+{
+  d.disturbed_until = std::chrono::steady_clock::now() + start_grace;
+  const auto file = folder_ + "/" + d.id + ".ini";
+  std::ofstream(file) << settings_of(d, options);
+  d.running = std::make_unique<system_tests::process>(
+      std::vector<std::string>{program_, "--config=" + file},
+      options.log.empty() ? folder_ + "/" + d.id + ".log" : options.log);
+}
+
+void gateway_fleet::restart(gateway_process& d, const daemon_options& options)
+{
+  d.sigterm_at.reset();
+  d.exited_at.reset();
+  d.has_ended = false;
+  run(d, options);
+}
+
 void gateway_fleet::await_ready()
 {
   http::client client(context_);
@@ -185,8 +211,19 @@
 
 proxied_endpoint& gateway_fleet::add_endpoint(const std::string& version)
 {
-  const auto id = "i-" + std::to_string(++last_endpoint_);
-  proxied_endpoint made;
+  return add_endpoint("i-" + std::to_string(++last_endpoint_), version);
+}
+
+proxied_endpoint& gateway_fleet::replace_endpoint(const std::string& id, const std::string& version)
+{
+  remove(id);
+  ++last_endpoint_;
+  return add_endpoint(id, version);
+}
+
+proxied_endpoint& gateway_fleet::add_endpoint(const std::string& id, const std::string& version)
+{
+  proxied_endpoint made{.service = endpoint_service_};
   made.endpoint = std::make_unique<counting_endpoint>(context_, id, version, last_endpoint_);
   made.proxy = std::make_unique<fault_proxy>(context_, proxies_host_, made.endpoint->address());
   auto& kept = endpoints_.emplace(id, std::move(made)).first->second;
@@ -197,7 +234,7 @@
 void gateway_fleet::write_endpoint(const proxied_endpoint& e, const std::string& state)
 {
   store_.put("servers", e.endpoint->id(),
-             {{"service", "chat"},
+             {{"service", e.service},
               {"address", to_string(e.proxy->address())},
               {"zone", "z"},
               {"version", e.endpoint->version()},
@@ -219,6 +256,12 @@
   retired_.back().proxy->close();
 }
 
+void gateway_fleet::remove(const std::string& id)
+{
+  store_.erase("servers", id);
+  crash(id);
+}
+
 std::vector<const counting_endpoint*> gateway_fleet::all_endpoints() const
 {
   std::vector<const counting_endpoint*> out;
@@ -238,15 +281,19 @@
                         route("unsafe", "unsafe", false, timeouts_),
                         route("stream", "streaming", false, timeouts_),
                         route("resumable", "streaming", true, timeouts_)};
+  auto& resumable = routes.back().as_object();
+  resumable.erase("service");
+  resumable["backends"] = backends_of(resumable_services_);
   for (std::uint64_t i = 1; i <= version_; ++i) {
     routes.push_back(route("extra-" + std::to_string(i), "safe", false, timeouts_));
   }
   const json::value workspace = {{"name", "hotel"}, {"apiKeys", json::array{"k1"}}};
-  store_.put("config", "main",
-             {{"version", version_},
-              {"routes", std::move(routes)},
-              {"services", json::array{{{"name", "chat"}}}},
-              {"tenants", json::array{workspace}}});
+  store_.put(
+      "config", "main",
+      {{"version", version_},
+       {"routes", std::move(routes)},
+       {"services", json::array{json::object{{"name", "chat"}}, json::object{{"name", "chat-2"}}}},
+       {"tenants", json::array{workspace}}});
   return version_;
 }
 
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +57,7 @@
 struct proxied_endpoint {
   std::unique_ptr<counting_endpoint> endpoint;
   std::unique_ptr<fault_proxy> proxy;
+  std::string service;
 };
 
 // How long the operator lets callers of the routes wait.
@@ -83,6 +85,10 @@
   gateway_fleet(const gateway_fleet&) = delete;
   gateway_fleet& operator=(const gateway_fleet&) = delete;
 
+  // The program that later starts run, and the number of zones that later daemons are in.
+  void set_program(std::string path) { program_ = std::move(path); }
+  void set_zones(int zones) { zones_ = zones; }
+
   // Starts a daemon with a new id and new ports. It counts as disturbed for 2 s, in which it
   // becomes ready.
   gateway_process& start_daemon(const daemon_options& options = {});
@@ -91,14 +97,17 @@
   std::vector<const gateway_process*> lose_power();
   // Starts the daemon of an ended process again under its id and addresses, as start_daemon() does.
   gateway_process& restart_daemon(const gateway_process& ended, const daemon_options& options = {});
-  // Later daemons run this program in place of the one of this build.
-  void set_daemon_program(std::string path) { daemon_program_ = std::move(path); }
+  // Starts a daemon whose process has ended again, with its id and its addresses.
+  void restart(gateway_process& d, const daemon_options& options = {});
   // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
   // ready in time.
   void await_ready();
-  // Adds an endpoint of the only service, whose software has this version, and writes it to the
-  // store.
+  // Adds an endpoint, whose software has this version, and writes it to the store.
   proxied_endpoint& add_endpoint(const std::string& version = "v1");
+  // Ends the endpoint, and another one with this version comes under its id.
+  proxied_endpoint& replace_endpoint(const std::string& id, const std::string& version);
+  // The service that later endpoints belong to.
+  void set_endpoint_service(std::string service) { endpoint_service_ = std::move(service); }
   // Number of requests that later endpoints run concurrently according to their entries.
   void set_endpoint_slots(std::size_t slots) { endpoint_slots_ = slots; }
   // Writes the endpoint's entry with `state`, for example "ready" or "draining".
@@ -106,6 +115,11 @@
 
   // Timeouts in later versions of the configuration.
   void set_route_timeouts(route_timeouts timeouts) { timeouts_ = timeouts; }
+  // The services of the route /resumable/ in later versions of the configuration.
+  void set_resumable_services(std::vector<std::string> services)
+  {
+    resumable_services_ = std::move(services);
+  }
   // Writes the next version of the configuration, with the four routes /safe/, /unsafe/, /stream/
   // and /resumable/ and a route /extra-N/ for each version N up to this one. Returns the version.
   std::uint64_t write_configuration();
@@ -121,16 +135,22 @@
   // Simulates a crash of the endpoint: its connections are reset and new ones refused. Its entry in
   // the store remains.
   void crash(const std::string& id);
+  // The same, and its entry is removed.
+  void remove(const std::string& id);
 
  private:
+  proxied_endpoint& add_endpoint(const std::string& id, const std::string& version);
+  void run(gateway_process& d, const daemon_options& options);
+  [[nodiscard]] static std::string default_program();
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
-  gateway_process& run(std::unique_ptr<gateway_process> d, const daemon_options& options);
+  gateway_process& add(std::unique_ptr<gateway_process> d, const daemon_options& options);
 
   boost::asio::io_context& context_;
   std::string folder_;
   std::string proxies_host_;
-  std::string daemon_program_;
+  std::string program_ = default_program();
+  int zones_ = 3;
   fakes::fake_store store_;
   std::map<std::string, std::unique_ptr<gateway_process>> daemons_;
   std::map<std::string, proxied_endpoint> endpoints_;
@@ -139,6 +159,8 @@
   int last_daemon_ = 0;
   int last_endpoint_ = 0;
   std::size_t endpoint_slots_ = 64;
+  std::string endpoint_service_ = "chat";
+  std::vector<std::string> resumable_services_ = {"chat"};
   route_timeouts timeouts_;
 };
 
--- a/test/gateway_system/soak_run.cc
+++ b/test/gateway_system/soak_run.cc
@@ -36,7 +36,7 @@
       last_version_(versions_.size()), fleet_(context), calls_(context, fleet_, random_())
 {
   if (!options_.daemon_program.empty()) {
-    fleet_.set_daemon_program(options_.daemon_program);
+    fleet_.set_program(options_.daemon_program);
   }
   for (int i = 0; i < endpoints_at_start; ++i) {
     add_endpoint(versions_.at(static_cast<std::size_t>(i) % versions_.size()));
--- a/test/relay/version_store_test.cc
+++ b/test/relay/version_store_test.cc
@@ -74,11 +74,14 @@
     out.state.apply_configuration_if_newer({{"version", 1},
                                             {"routes", boost::json::array{{{"name", "resumable"},
                                                                            {"host", "shop.example"},
-                                                                           {"path", "/"},
+                                                                           {"pathPrefix", "/"},
                                                                            {"kind", "streaming"},
                                                                            {"service", "chat"},
                                                                            {"resumable", true},
-                                                                           {"timeoutMs", 1'000}}}},
+                                                                           {"timeoutMs", 1'000},
+                                                                           {"targetLatencyMs", 300},
+                                                                           {"targetGapMs", 300},
+                                                                           {"maxAttempts", 2}}}},
                                             {"services", boost::json::array{{{"name", "chat"}}}}},
                                            "test");
     list_endpoints(out, versions);
