Infer an origin from all recorded services; record a second version a second later

The record is read as a whole now, for the services that resumable streams are sent to or were; plain services are not recorded. What is recorded decides alone: a version that is seen but not recorded has begun no stream. While another version of the service serves, a new one is recorded one second after it appears, and five seconds after a start; the daemons store the origins of their open streams meanwhile.

--- a/test/relay/version_store_test.cc
+++ b/test/relay/version_store_test.cc
@@ -378,6 +378,33 @@
   EXPECT_EQ(stored_versions().at("retired"), boost::json::array{"v1"});
 }
 
+// Streams that began at the only version can be told apart until the second one is recorded, and
+// their origins are stored in the meantime.
+TEST_F(VersionStoreTest, ASecondVersionIsRecordedLaterThanItAppears)
+{
+  auto& d = start_experienced({"v1"});
+  d.origins.start();
+  await_complete_record();
+  run_for(6s);
+  start_stream(d, "r1", first);
+  list_endpoints(d, {"v1", "v2"});
+  run_for(500ms);
+  EXPECT_EQ(read_recorded(d), service_version_set{first});
+  EXPECT_FALSE(fake_.get(origins_kind, own_object(d)).is_null());
+  await_recorded(d, second);
+  EXPECT_EQ(read_recorded(d), (service_version_set{first, second}));
+}
+
+TEST_F(VersionStoreTest, AVersionThatServesAloneIsRecordedAtOnce)
+{
+  start_experienced({"v1"});
+  await_complete_record();
+  end_processes();
+  auto& next = start({"v2"});
+  wait_until([&] { return next.state.serves_recorded_versions; }, "the daemon may become ready");
+  EXPECT_TRUE(next.state.recorded.contains(second));
+}
+
 TEST_F(VersionStoreTest, AFleetAtRestWithOneVersionDoesNotCallTheStore)
 {
   auto& d = start_experienced({"v1"});
