--- a/test/relay/version_store_test.cc
+++ b/test/relay/version_store_test.cc
@@ -107,6 +107,7 @@
   void list_endpoints(daemon_process& at, const std::vector<std::string>& versions)
   {
     std::vector<gateway::endpoint_record> all;
+    all.reserve(versions.size());
     for (const auto& v : versions) {
       all.push_back({.id = endpoint_id("i-" + v), .revision = 1, .service = "chat", .version = v});
     }
