--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,9 +7,9 @@
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread)
 for unit in harness runners; do
-  g++ "${flags[@]}" -c "review/standins-2/$unit.cc" -o "$out/$unit.o"
+  g++ "${flags[@]}" -c "review/standins-2/$unit.cpp" -o "$out/$unit.o"
 done
-for case in review/standins-2/case_*.cc; do
-  name=$(basename "$case" .cc)
+for case in review/standins-2/case_*.cpp; do
+  name=$(basename "$case" .cpp)
   g++ "${flags[@]}" "$case" "$out/harness.o" "$out/runners.o" -lboost_json -o "$out/$name"
 done
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.hpp
@@ -1,7 +1,7 @@
 // A small deployment: the store, the platform's API and some daemons.
 
-#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_H_
-#define WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_H_
+#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_HPP_
+#define WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_HPP_
 
 #include <cstdlib>
 #include <exception>
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "harness.h"
-#include "runners.h"
+#include "harness.hpp"
+#include "runners.hpp"
 
 namespace review {
 
@@ -91,4 +91,4 @@
 
 } // namespace review
 
-#endif // WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_H_
+#endif // WISTERIAFLOW_REVIEW_STANDINS_2_DEPLOYMENT_HPP_
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.hpp
@@ -2,8 +2,10 @@
 // cases 4 to 8 of this folder's parent. They use blocking sockets on loopback addresses and one
 // thread for each connection.
 
-#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_H_
-#define WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_H_
+#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_HPP_
+#define WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_HPP_
+
+#include <sys/types.h>
 
 #include <atomic>
 #include <chrono>
@@ -22,7 +24,6 @@
 #include <vector>
 
 #include <boost/json.hpp>
-#include <sys/types.h>
 
 namespace review {
 
@@ -165,7 +166,7 @@
 class front_daemon {
  public:
   front_daemon(std::string name, std::string zone, std::string folder, std::string store,
-         std::string cloud, std::map<std::string, std::string> bounds);
+               std::string cloud, std::map<std::string, std::string> bounds);
   ~front_daemon();
   front_daemon(const front_daemon&) = delete;
   front_daemon& operator=(const front_daemon&) = delete;
@@ -227,4 +228,4 @@
 
 } // namespace review
 
-#endif // WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_H_
+#endif // WISTERIAFLOW_REVIEW_STANDINS_2_HARNESS_HPP_
--- a/review/standins-2/runners.cc
+++ b/review/standins-2/runners.cpp
@@ -1,4 +1,4 @@
-#include "runners.h"
+#include "runners.hpp"
 
 #include <cstdlib>
 #include <utility>
--- a/review/standins-2/runners.h
+++ b/review/standins-2/runners.hpp
@@ -1,7 +1,7 @@
 // A model runner and a plain runner, as the pages describe them, and what they have run.
 
-#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_H_
-#define WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_H_
+#ifndef WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_HPP_
+#define WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_HPP_
 
 #include <atomic>
 #include <functional>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "harness.h"
+#include "harness.hpp"
 
 namespace review {
 
@@ -76,4 +76,4 @@
 
 } // namespace review
 
-#endif // WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_H_
+#endif // WISTERIAFLOW_REVIEW_STANDINS_2_RUNNERS_HPP_
