--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdlib>
 #include <exception>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -49,6 +50,14 @@
     return true;
   }
 
+  // Ends the daemons and removes their files.
+  void end()
+  {
+    daemons.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(folder.path(), ec);
+  }
+
   recorder& record;
   temporary_folder folder;
   store registry;
--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -221,6 +221,7 @@
 {
   message out;
   std::string line;
+  partial_.clear();
   if (!read_line(line)) {
     return std::nullopt;
   }
@@ -252,6 +253,7 @@
   }
   if (out.header("Transfer-Encoding") == "chunked") {
     for (;;) {
+      partial_ = out.body;
       if (!read_line(line)) {
         return std::nullopt;
       }
@@ -430,6 +432,7 @@
 
 bool store::serve(const message& request, stream& to)
 {
+  std::this_thread::sleep_for(ms(answer_ms));
   const auto [status, body] = answer(request);
   return to.write(
       response_bytes(status, json::serialize(body), {{"Content-Type", "application/json"}}));
@@ -588,8 +591,10 @@
 
 bool front_daemon::is_running()
 {
-  if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+  int status = 0;
+  if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) {
     pid_ = -1;
+    ended_by_ = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
   }
   return pid_ > 0;
 }
--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hpp
@@ -75,6 +75,8 @@
   // deadline passed or the bytes are no message. A response without a length ends with the
   // connection.
   std::optional<message> read_message(bool is_response);
+  // What the body of the last message in chunks had when it broke off.
+  [[nodiscard]] const std::string& partial() const { return partial_; }
   // Whether the last failure was the deadline.
   [[nodiscard]] bool timed_out() const { return timed_out_; }
   // Whether the peer has closed the connection.
@@ -89,6 +91,7 @@
   std::string buffer_;
   steady::time_point deadline_ = steady::time_point::max();
   bool timed_out_ = false;
+  std::string partial_;
 };
 
 // A server on a free loopback port; the handler answers one request and returns whether the
@@ -129,6 +132,8 @@
   void put(const std::string& kind, const std::string& name, json::value spec);
   void remove(const std::string& kind, const std::string& name);
 
+  std::atomic<int> answer_ms = 0; // time that each answer takes
+
  private:
   struct object {
     std::string name;
@@ -177,6 +182,8 @@
   // Kills the process and waits for its end.
   void kill_now();
   [[nodiscard]] bool is_running();
+  // The signal that ended the last process, 0 if none did.
+  [[nodiscard]] int ended_by() const { return ended_by_; }
   // Asks GET /ready.
   [[nodiscard]] bool is_ready();
   bool await_ready(double until);
@@ -208,6 +215,7 @@
   int metrics_ = free_port();
   std::size_t max_descriptors_ = 4'100;
   pid_t pid_ = -1;
+  int ended_by_ = 0;
 };
 
 // The bounds of the small deployments, by their names in the settings of a process.
--- a/review/standins-2/runners.cpp
+++ b/review/standins-2/runners.cpp
@@ -37,7 +37,7 @@
 json::object runner::entry(const std::string& state) const
 {
   json::object out = {{"service", options_.service}, {"address", server_.address()},
-                      {"zone", options_.zone},       {"version", "v1"},
+                      {"zone", options_.zone},       {"version", options_.version},
                       {"slots", options_.slots},     {"state", state},
                       {"coldRemainingMs", 0},        {"sequence", 1}};
   if (options_.spot) {
@@ -113,7 +113,8 @@
   if (!to.write(head + "Transfer-Encoding: chunked\r\n\r\n")) {
     return false;
   }
-  for (int i = 1; i <= options_.events; ++i) {
+  const int resumed_after = std::atoi(request.header("Last-Event-Id").c_str());
+  for (int i = resumed_after + 1; i <= options_.events; ++i) {
     std::this_thread::sleep_for(options_.work);
     const auto event = "id: " + std::to_string(i) + "\ndata: token\n\n";
     char size[16];
--- a/review/standins-2/runners.hpp
+++ b/review/standins-2/runners.hpp
@@ -38,6 +38,7 @@
   std::string id;
   std::string service;
   std::string zone;
+  std::string version = "v1";
   int slots = 64;
   double kv_tokens = 0; // 0: a plain runner
   ms work{20};          // of a plain request, or between two events of a stream
