Split the judgement of crashes from their evidence

No change of behaviour. crash_suspects collects crashes and answers, merges and bounds them; crash_judgement is a function of the crashes with the suspects that are not known to be innocent, and says what is held.

One test names its options by their new member; what it checks is the same.

--- a/include/wisteriaflow/gateway/crash_suspects.h
+++ b/include/wisteriaflow/gateway/crash_suspects.h
@@ -5,15 +5,9 @@
 // When an endpoint terminates, each daemon reports the suspects of its requests in flight there.
 // Merging the reports of all daemons is commutative and idempotent. A suspect is held, that is,
 // requests with it are not sent to endpoints any more, once several endpoints have terminated while
-// running such requests and no other suspect explains these crashes better:
+// running such requests and no other suspect explains these crashes better; see crash_judgement.h.
+// Some evidence takes a suspect out of a crash before it is judged:
 //
-//   - Of the suspects in flight at one endpoint, the one that was present in the most crashes
-//     explains the crash.
-//   - On a tie the narrower one does: a content before a part, and of two parts the later one in
-//     its prompt. Of two contents, it is the one without any answer event: a request whose answer
-//     had started mostly ran next to the one that had just started.
-//   - Parts that are tied all the same, and parts among as many crashes that nothing explains, are
-//     told apart by further crashes. They are held anyway if that takes too many.
 //   - A suspect that was answered does not crash endpoints: earlier reports about it are ignored.
 //     Requests share parts, so those that are innocent are answered all the time.
 //   - A part that the terminated process itself had answered is not suspect in its crash. While no
@@ -44,20 +38,12 @@
 #include <vector>
 
 #include "wisteriaflow/base/time.h"
+#include "wisteriaflow/gateway/crash_judgement.h"
 #include "wisteriaflow/gateway/crash_suspect.h"
 #include "wisteriaflow/gateway/endpoint_process.h"
 
 namespace wisteriaflow::gateway {
 
-// The termination of one endpoint process, with the suspects in flight there.
-struct endpoint_crash {
-  endpoint_process process;
-  wall_time at; // first observation, by the fleet's common clock
-  suspicions suspects;
-
-  friend bool operator==(const endpoint_crash&, const endpoint_crash&) = default;
-};
-
 // Crashes and answers as exchanged between daemons and kept in the store.
 struct crash_report {
   std::vector<endpoint_crash> crashes;
@@ -68,32 +54,8 @@
   friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
-// The crashes because of which a suspect is held, and when it may be probed.
-struct crash_hold {
-  wall_time probe_at;
-  std::vector<endpoint_process> crashed; // processes whose crash is attributed to this suspect
-
-  friend bool operator==(const crash_hold&, const crash_hold&) = default;
-};
-
 struct crash_suspects_options {
-  // Number of crashed endpoint processes after which a suspect is held. With two, a retryable
-  // request that twice reached the same faulty endpoint would be held along with it.
-  std::size_t crashes_before_hold = 3;
-  // The same for parts of prompts of which none explains the crashes better than the others, or
-  // which explain fewer crashes than happened for unknown reasons meanwhile.
-  std::size_t max_crashes_before_hold = 5;
-  // Delay before a held content is probed: longer than any caller waits, and doubled by each
-  // further crash, so that a content that crashes every endpoint crashes three more in the first
-  // seven minutes.
-  std::chrono::seconds initial_probe_delay{60};
-  std::chrono::seconds max_probe_delay{600};
-  // Delay before a held part is probed. Any number of callers may send the part, for as long as the
-  // fault lasts, so that the delay grows with the age of the fault: a fault that lasts for a day
-  // crashes three more endpoints.
-  std::chrono::seconds initial_part_probe_delay{600};
-  std::chrono::seconds max_part_probe_delay{86'400};
-  int part_probe_delay_per_age = 5;
+  crash_judgement_options judgement;
   // Retention of a crash: the longest probe delay of a content, twice. A crash for which a part is
   // held is retained for as long after the probe is due: by then, requests with the part have come,
   // or they come no more.
@@ -141,7 +103,7 @@
   [[nodiscard]] std::optional<crash_hold> hold_of(const crash_suspect& suspect);
 
   // All holds.
-  [[nodiscard]] std::map<crash_suspect, crash_hold> holds();
+  [[nodiscard]] crash_holds holds();
 
   // The crashes in which this one is suspect, without the others: this is kept in the store.
   [[nodiscard]] crash_report evidence_of(const crash_suspect& suspect) const;
@@ -173,16 +135,6 @@
     wall_time at;
     wall_time gossip_until;
   };
-  // Number of crashes in which each is suspect, and not cleared by an answer.
-  using suspect_counts = std::unordered_map<crash_suspect, std::size_t>;
-  // Crashes attributed to one suspect.
-  struct attribution {
-    std::vector<endpoint_process> crashed;
-    std::size_t untied = 0; // those that no other part explains as well
-    wall_time first;
-    wall_time last;
-  };
-  using attributions = std::map<crash_suspect, attribution>;
 
   // Adds suspects to a crash and starts to gossip them.
   void add(const endpoint_crash& observed, wall_time now);
@@ -214,26 +166,10 @@
   [[nodiscard]] bool is_retained(const crash_suspect& suspect, const endpoint_process& process,
                                  wall_time now) const;
 
-  // Only those that were present in enough crashes to be held.
-  [[nodiscard]] suspect_counts count_suspects() const;
-  // The parts that explain the crash better than its other parts, and than all its contents.
-  [[nodiscard]] std::vector<crash_suspect> likeliest_parts(const crash_entry& crash,
-                                                           const suspect_counts& counts) const;
-  // Whether another content of the crash is likelier to have caused it.
-  [[nodiscard]] bool has_likelier_content(const crash_entry& crash, const crash_suspect& content,
-                                          const suspect_counts& counts) const;
-  // Whether no suspect of the crash was present in enough crashes to be held.
-  [[nodiscard]] bool is_unexplained(const crash_entry& crash, const suspect_counts& counts) const;
-  // Whether the part caused the crashes attributed to it, given the times of unexplained crashes.
-  [[nodiscard]] bool is_likely_cause(const attribution& part,
-                                     const std::vector<wall_time>& unexplained) const;
-  void hold_parts(const suspect_counts& counts);
-  // Must be called after hold_parts(): crashes that a held part explains don't count.
-  void hold_contents(const suspect_counts& counts);
-  [[nodiscard]] bool is_explained_by_held_part(const endpoint_process& process) const;
-  static void attribute(attribution& to, const endpoint_process& process, wall_time at);
-  [[nodiscard]] std::chrono::seconds content_probe_delay(std::size_t crashes) const;
-  [[nodiscard]] std::chrono::seconds part_probe_delay(wall_time first, wall_time last) const;
+  // Whether as many crashes as a hold takes name the suspect, innocent or not.
+  [[nodiscard]] bool is_frequent(const crash_suspect& suspect) const;
+  // All crashes, each with those frequent suspects that are not known to be innocent.
+  [[nodiscard]] std::vector<endpoint_crash> crashes_to_judge() const;
   // Adds the answers that clear suspects of the crash: a peer that knew only the crash would hold
   // them.
   void add_answers(const crash_entry& crash, crash_report& to) const;
@@ -251,11 +187,12 @@
 
   // Derived from the crashes and updated with each change, so that a call without any suspect costs
   // a lookup for each part of its prompt.
-  suspect_counts crash_counts_; // number of crashes that name a suspect
+  // Number of crashes that name a suspect.
+  std::unordered_map<crash_suspect, std::size_t> crash_counts_;
   std::uint64_t digest_ = 0;
 
   // Also derived from the crashes; see recompute_holds().
-  std::map<crash_suspect, crash_hold> holds_;
+  crash_holds holds_;
   bool changed_ = false;
 
   std::size_t next_gossiped_crash_ = 0; // position in the rotation
--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -160,6 +160,7 @@
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/caller_addresses.h"
 #include "wisteriaflow/gateway/configuration.h"
+#include "wisteriaflow/gateway/crash_judgement.h"
 #include "wisteriaflow/gateway/crash_report_codec.h"
 #include "wisteriaflow/gateway/crash_suspect.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -301,165 +301,25 @@
   return static_cast<std::size_t>(std::count_if(crashes_.begin(), crashes_.end(), is_suspect));
 }
 
-crash_suspects::suspect_counts crash_suspects::count_suspects() const
+bool crash_suspects::is_frequent(const crash_suspect& suspect) const
 {
-  suspect_counts counts;
-  for (const auto& [process, crash] : crashes_) {
-    for (const auto& [suspect, seen] : crash.suspects) {
-      if (crash_counts_.at(suspect) >= options_.crashes_before_hold &&
-          !is_innocent(suspect, crash)) {
-        ++counts[suspect];
-      }
-    }
-  }
-  std::erase_if(counts,
-                [this](const auto& it) { return it.second < options_.crashes_before_hold; });
-  return counts;
-}
-
-std::vector<crash_suspect> crash_suspects::likeliest_parts(const crash_entry& crash,
-                                                           const suspect_counts& counts) const
-{
-  std::vector<crash_suspect> out;
-  std::pair<std::size_t, std::uint32_t> best; // number of crashes, depth in the prompt
-  std::size_t best_content = 0;
-  for (const auto& [suspect, seen] : crash.suspects) {
-    const auto it = counts.find(suspect);
-    if (it == counts.end() || is_innocent(suspect, crash)) {
-      continue;
-    }
-    if (!is_prompt_part(suspect)) {
-      best_content = std::max(best_content, it->second);
-      continue;
-    }
-    const std::pair rank(it->second, seen.depth);
-    if (rank > best) {
-      out.clear();
-      best = rank;
-    }
-    if (rank == best) {
-      out.push_back(suspect);
-    }
-  }
-  if (best_content >= best.first) {
-    out.clear();
-  }
-  return out;
-}
-
-bool crash_suspects::has_likelier_content(const crash_entry& crash, const crash_suspect& content,
-                                          const suspect_counts& counts) const
-{
-  const auto own = counts.at(content);
-  const auto stage = crash.suspects.at(content).stage;
-  return std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const auto& other) {
-    const auto it = counts.find(other.first);
-    if (it == counts.end() || is_prompt_part(other.first) || other.first == content ||
-        is_innocent(other.first, crash)) {
-      return false;
-    }
-    return it->second > own || (it->second == own && other.second.stage < stage);
-  });
-}
-
-void crash_suspects::attribute(attribution& to, const endpoint_process& process, wall_time at)
-{
-  to.first = to.crashed.empty() ? at : std::min(to.first, at);
-  to.last = to.crashed.empty() ? at : std::max(to.last, at);
-  to.crashed.push_back(process);
-}
-
-void crash_suspects::hold_parts(const suspect_counts& counts)
-{
-  attributions found;
-  std::vector<wall_time> unexplained;
-  for (const auto& [process, crash] : crashes_) {
-    const auto parts = likeliest_parts(crash, counts);
-    for (const auto& part : parts) {
-      auto& it = found[part];
-      attribute(it, process, crash.at);
-      it.untied += parts.size() == 1 ? 1 : 0;
-    }
-    if (is_unexplained(crash, counts)) {
-      unexplained.push_back(crash.at);
-    }
-  }
-  for (auto& [part, it] : found) {
-    if (is_likely_cause(it, unexplained)) {
-      holds_[part] = {.probe_at = it.last + part_probe_delay(it.first, it.last),
-                      .crashed = std::move(it.crashed)};
-    }
-  }
-}
-
-// Where many endpoints end for other reasons, a rare part is present in some of these crashes.
-bool crash_suspects::is_likely_cause(const attribution& part,
-                                     const std::vector<wall_time>& unexplained) const
-{
-  const auto coincident = std::count_if(unexplained.begin(), unexplained.end(), [&](wall_time at) {
-    return part.first <= at && at <= part.last;
-  });
-  const auto crashes = part.crashed.size();
-  return crashes >= options_.max_crashes_before_hold ||
-         (part.untied >= options_.crashes_before_hold &&
-          crashes >= static_cast<std::size_t>(coincident));
-}
-
-bool crash_suspects::is_unexplained(const crash_entry& crash, const suspect_counts& counts) const
-{
-  return std::none_of(crash.suspects.begin(), crash.suspects.end(), [&](const auto& it) {
-    return counts.contains(it.first) && !is_innocent(it.first, crash);
-  });
-}
-
-bool crash_suspects::is_explained_by_held_part(const endpoint_process& process) const
-{
-  return std::any_of(holds_.begin(), holds_.end(), [&](const auto& it) {
-    const auto& crashed = it.second.crashed;
-    return is_prompt_part(it.first) &&
-           std::find(crashed.begin(), crashed.end(), process) != crashed.end();
-  });
+  const auto it = crash_counts_.find(suspect);
+  return it != crash_counts_.end() && it->second >= options_.judgement.crashes_before_hold;
 }
 
-void crash_suspects::hold_contents(const suspect_counts& counts)
+std::vector<endpoint_crash> crash_suspects::crashes_to_judge() const
 {
-  attributions found;
+  std::vector<endpoint_crash> out;
+  out.reserve(crashes_.size());
   for (const auto& [process, crash] : crashes_) {
-    if (is_explained_by_held_part(process)) {
-      continue;
-    }
+    auto& judged = out.emplace_back(endpoint_crash{.process = process, .at = crash.at});
     for (const auto& [suspect, seen] : crash.suspects) {
-      const bool is_counted = !is_prompt_part(suspect) && counts.contains(suspect) &&
-                              !is_innocent(suspect, crash) &&
-                              !has_likelier_content(crash, suspect, counts);
-      if (is_counted) {
-        attribute(found[suspect], process, crash.at);
+      if (is_frequent(suspect) && !is_innocent(suspect, crash)) {
+        judged.suspects.emplace(suspect, seen);
       }
     }
   }
-  for (auto& [content, it] : found) {
-    if (it.crashed.size() >= options_.crashes_before_hold) {
-      holds_[content] = {.probe_at = it.last + content_probe_delay(it.crashed.size()),
-                         .crashed = std::move(it.crashed)};
-    }
-  }
-}
-
-std::chrono::seconds crash_suspects::content_probe_delay(std::size_t crashes) const
-{
-  auto delay = options_.initial_probe_delay;
-  for (auto n = options_.crashes_before_hold; n < crashes && delay < options_.max_probe_delay;
-       ++n) {
-    delay *= 2;
-  }
-  return std::min(delay, options_.max_probe_delay);
-}
-
-std::chrono::seconds crash_suspects::part_probe_delay(wall_time first, wall_time last) const
-{
-  const auto age = std::chrono::duration_cast<std::chrono::seconds>(last - first);
-  return std::clamp(age * options_.part_probe_delay_per_age, options_.initial_part_probe_delay,
-                    options_.max_part_probe_delay);
+  return out;
 }
 
 void crash_suspects::recompute_holds()
@@ -467,16 +327,12 @@
   if (!std::exchange(changed_, false)) {
     return;
   }
-  const auto counts = count_suspects();
-  holds_.clear();
-  hold_parts(counts);
-  hold_contents(counts);
+  holds_ = judge_crashes(crashes_to_judge(), options_.judgement);
 }
 
 std::optional<crash_hold> crash_suspects::hold_of(const crash_suspect& suspect)
 {
-  const auto seen = crash_counts_.find(suspect);
-  if (seen == crash_counts_.end() || seen->second < options_.crashes_before_hold) {
+  if (!is_frequent(suspect)) {
     return std::nullopt;
   }
   recompute_holds();
@@ -484,7 +340,7 @@
   return it == holds_.end() ? std::nullopt : std::optional(it->second);
 }
 
-std::map<crash_suspect, crash_hold> crash_suspects::holds()
+crash_holds crash_suspects::holds()
 {
   recompute_holds();
   return holds_;
--- a/test/gateway/crashing_requests_replay_test.cc
+++ b/test/gateway/crashing_requests_replay_test.cc
@@ -529,8 +529,8 @@
 // Control: without attribution to parts, the bound on crash requests is exceeded.
 TEST(CrashingRequestsReplayTest, ACrashingPartExceedsTheBoundIfNothingIsHeld)
 {
-  const crash_suspects_options never{.crashes_before_hold = 1'000,
-                                     .max_crashes_before_hold = 1'000};
+  const crash_suspects_options never{
+      .judgement = {.crashes_before_hold = 1'000, .max_crashes_before_hold = 1'000}};
   const auto one = fleet({.crashing_parts = {7}, .part_variety = 40, .suspects = never}).run(100s);
   EXPECT_GT(one.crashing_sent_late, tolerated_sends);
 }
