Log how far calls had come when their endpoint ended, and where they still run

Nothing in the logs could tell a content that ends endpoints from one that is merely under way everywhere. Decides nothing.

"endpoint ended under a call" has last_event, since_first_event_ms and running (this daemon's other calls with the content); "content held" and "call refused" have ended_within_ms, running, furthest_event and furthest_ms. A daemon registers the answers that run for its callers by content (gateway/running_answers).

--- a/include/wisteriaflow/wisteriaflow.h
+++ b/include/wisteriaflow/wisteriaflow.h
@@ -156,6 +156,7 @@
 // gateway: routes, endpoints, fleet-wide limits, peers and leader duties for requests whose content
 // the gateway does not interpret
 #include "wisteriaflow/gateway/answer_end.h"
+#include "wisteriaflow/gateway/answer_progress.h"
 #include "wisteriaflow/gateway/attempt_outcome.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/caller_addresses.h"
@@ -202,6 +203,7 @@
 #include "wisteriaflow/gateway/rollout.h"
 #include "wisteriaflow/gateway/rollout_codec.h"
 #include "wisteriaflow/gateway/rollout_controller.h"
+#include "wisteriaflow/gateway/running_answers.h"
 #include "wisteriaflow/gateway/scaling_planner.h"
 #include "wisteriaflow/gateway/slow_call_detector.h"
 #include "wisteriaflow/gateway/stated_terms.h"
--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -45,6 +45,12 @@
   return cause != failure_cause::link && cause != failure_cause::unknown;
 }
 
+std::uint32_t to_position(std::uint64_t event)
+{
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(event, gateway::answer_progress::unknown_position));
+}
+
 // Thrown inside an attempt to abort it. `run` catches it.
 class attempt_aborted : public http::http_error {
  public:
@@ -95,6 +101,11 @@
     return id.empty() || id == call_.description.request_id;
   };
   call_.exchange = std::make_shared<http::cancel_handle>();
+  progress_ = initial_progress();
+  running_.emplace(state_.running_answers, call_.content,
+                   gateway::running_answer{.by = endpoint_.process(),
+                                           .sent_at = state_.fleet_time(),
+                                           .progress = progress_});
   arm_silence_timer();
   const auto link = own_link();
   try {
@@ -125,6 +136,7 @@
     }
   }
   silence_timer_.disarm();
+  running_.reset();
   call_.exchange.reset();
   classify_end();
   release_place();
@@ -169,6 +181,11 @@
 {
   state_.endpoints.on_finished(endpoint_.work, event_count_, std::chrono::steady_clock::now());
   result_.response_started = response_started_;
+  result_.progress = progress_;
+  if (first_event_at_) {
+    result_.progress.time = std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - *first_event_at_);
+  }
   if (call_.caller_gone || caller_write_failed_) {
     result_.end = attempt_result::end_state::caller_disconnected;
     return;
@@ -414,6 +431,7 @@
     }
     out += e.bytes;
   }
+  update_progress();
   try {
     if (!call_.stream_started && !out.empty()) {
       call_.stream_started = true;
@@ -497,6 +515,24 @@
   }
 }
 
+gateway::answer_progress attempt::initial_progress() const
+{
+  if (call_.last_event_id) {
+    return {.position = to_position(*call_.last_event_id)};
+  }
+  return {.position =
+              call_.description.is_resume() ? gateway::answer_progress::unknown_position : 0};
+}
+
+void attempt::update_progress()
+{
+  progress_.position = call_.last_event_id
+                           ? to_position(*call_.last_event_id)
+                           : std::max(progress_.position, to_position(event_count_));
+  progress_.time = std::chrono::duration_cast<milliseconds>(last_received_at_ - *first_event_at_);
+  running_->set_progress(progress_);
+}
+
 void attempt::check_well_begun()
 {
   const auto now = std::chrono::steady_clock::now();
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -24,10 +24,12 @@
 #include "relay/endpoint_transport.h"
 #include "relay/fleet_state.h"
 #include "relay/origin_exchange.h"
+#include "wisteriaflow/gateway/answer_progress.h"
 #include "wisteriaflow/gateway/attempt_outcome.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/crash_suspect.h"
 #include "wisteriaflow/gateway/event_splitter.h"
+#include "wisteriaflow/gateway/running_answers.h"
 #include "wisteriaflow/gateway/version_history.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/http/server.h"
@@ -107,9 +109,10 @@
   bool closed_by_endpoint = false; // the endpoint, not this daemon, ended the exchange
   // Why it failed. Set if the exchange broke off or no connection was opened.
   failure_cause cause = failure_cause::endpoint;
-  bool response_started = false; // an event, or the head of a non-stream response, was received
-  bool well_begun = false;       // see attempt::on_well_begun
-  std::string reason;            // why it failed; empty if it did not
+  bool response_started = false;     // an event, or the head of a non-stream response, was received
+  bool well_begun = false;           // see attempt::on_well_begun
+  gateway::answer_progress progress; // of a stream, when the exchange ended
+  std::string reason;                // why it failed; empty if it did not
   std::string_view
       end_evidence; // see gateway::end_evidence; empty if a peer judged the end of the answer
   gateway::attempt_outcome outcome = gateway::attempt_outcome::no_valid_answer;
@@ -169,6 +172,9 @@
   void count_outcome(load::call_result result, mono_time now);
   void record_endpoint_failure(gateway::endpoint_failure kind, mono_time now);
   void on_response_started();
+  // Where the answer begins: at its first event, or after those that an earlier attempt brought.
+  [[nodiscard]] gateway::answer_progress initial_progress() const;
+  void update_progress();
   // Runs the callback of on_well_begun() when it is due.
   void check_well_begun();
   // Counts the prompt tokens that an attempt after the first sends again.
@@ -194,6 +200,8 @@
   admitted_call& call_;
   gateway::pooled_endpoint endpoint_;
   deadline_timer silence_timer_;
+  gateway::answer_progress progress_;
+  std::optional<gateway::running_answers::entry> running_; // while the exchange lasts
   mono_time sent_at_;
   mono_time last_received_at_;
   std::optional<mono_time> first_event_at_;
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -189,7 +189,7 @@
   call_refusal why{.status = http::status::bad_request,
                    .reason = "not run: requests like it have ended endpoints",
                    .retry_at = std::nullopt,
-                   .log_details = hold_log_fields(suspect, hold)};
+                   .log_details = hold_log_fields(suspect, hold, state_.running_answers)};
   if (is_prompt_part(suspect)) {
     why.status = http::status::service_unavailable;
     why.reason = "not run: requests with a part of its prompt have ended endpoints";
--- a/src/relay/crash_detector.cc
+++ b/src/relay/crash_detector.cc
@@ -96,6 +96,9 @@
                     {"endpoint", result.endpoint.id.value()},
                     {"incarnation", std::to_string(result.endpoint.incarnation)},
                     {"answer_begun", result.response_started ? "yes" : "no"},
+                    {"last_event", std::to_string(result.progress.position)},
+                    {"since_first_event_ms", std::to_string(result.progress.time.count())},
+                    {"running", std::to_string(state_.running_answers.find(call.content).size())},
                     {"suspect_in", std::to_string(state_.crashes.times_suspected(call.content))},
                     {"prompt_parts_suspect_in", std::move(parts)}});
   state_.signal_urgent_update(); // the next request with these suspects may reach any daemon
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -847,7 +847,7 @@
   stream_origins.forget_expired(now.mono);
   counters.set("stream_origins_known", static_cast<double>(stream_origins.size()));
   crashes.tick(clock.now(now));
-  hold_log_.log_changes(crashes.holds(), log);
+  hold_log_.log_changes(crashes.holds(), running_answers, log);
   counters.set("contents_held", static_cast<double>(hold_log_.contents()));
   counters.set("prompt_parts_held", static_cast<double>(hold_log_.prompt_parts()));
   counters.set("endpoint_crashes_known", static_cast<double>(crashes.crashes_known()));
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -37,6 +37,7 @@
 #include "wisteriaflow/gateway/retry_budget.h"
 #include "wisteriaflow/gateway/retry_policy.h"
 #include "wisteriaflow/gateway/rollout.h"
+#include "wisteriaflow/gateway/running_answers.h"
 #include "wisteriaflow/gateway/stream_origins.h"
 #include "wisteriaflow/gateway/traffic_splitter.h"
 #include "wisteriaflow/gateway/usage_counts.h"
@@ -243,6 +244,7 @@
   gateway::usage_courier courier; // brings `usage` to the leader of a large fleet
   gateway::crash_suspects crashes{{}};
   gateway::inherited_holds inherited_holds;
+  gateway::running_answers running_answers;
   gateway::stream_origins stream_origins{
       {}}; // of own streams and of those that peers replicate here
   // The versions that are known to be recorded in the store; see version_store.
