Do not hold a content that has come further at other endpoints than where some ended

What callers saw: three of twelve endpoints were lost at one moment beside a request that many callers send. From then until the first whole answer, 2.4 to 8.5 s later, the daemons ended each further request with its content with 400, which callers do not send again.

Cause: presence was taken for cause. Only ends were counted, so a content that is under way everywhere is suspect wherever endpoints end, and of a content only a whole answer counted as a sign of innocence: none exists while the first answers are still being written. The hold was also kept in the store after its content had been cleared in part, so that restarted daemons held it anew.

Ends 300 ms apart do the same, so one moment that counts thrice is not the cause.

Change: a crash says how far the furthest request with a content had come (events and time; merged over daemons, in any order). What crashes endpoints does so at the same point of each run, so a request that comes further at another process, or at a crash around that time, refutes it. Daemons ask their own calls before they refuse, after each report and each tick, and tell the others at once. While requests that ran elsewhere at the crash have not come further (plain answers, the first events), the hold is contested: 503 and a second instead of 400, and one request tests it after a start of all daemons. An object in the store goes once its content cannot be held any more.

--- a/include/wisteriaflow/gateway/answer_progress.h
+++ b/include/wisteriaflow/gateway/answer_progress.h
@@ -16,6 +16,8 @@
   std::uint32_t position = 0;        // the id of the last event, or the number of events
   std::chrono::milliseconds time{0}; // since the first event
 
+  [[nodiscard]] bool is_known() const { return position != unknown_position; }
+
   friend bool operator==(const answer_progress&, const answer_progress&) = default;
 };
 
--- a/include/wisteriaflow/gateway/crash_judgement.h
+++ b/include/wisteriaflow/gateway/crash_judgement.h
@@ -5,6 +5,9 @@
 //   - On a tie the narrower one does: a content before a part, and of two parts the later one in
 //     its prompt. Of two contents, it is the one without any answer event: a request whose answer
 //     had started mostly ran next to the one that had just started.
+//   - Requests with one content that crashes endpoints do so at the same point of their answers. A
+//     crash at which the content had clearly not come as far as at a later one, or one just before,
+//     has another cause.
 //   - Parts that are tied all the same, and parts among as many crashes that nothing explains, are
 //     told apart by further crashes. They are held anyway if that takes too many.
 //
@@ -16,7 +19,6 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
-#include <span>
 #include <vector>
 
 #include "wisteriaflow/base/time.h"
@@ -40,6 +42,9 @@
   std::vector<endpoint_process> crashed; // processes whose crash is attributed to this suspect
   wall_time first_crash_at;
   wall_time last_crash_at;
+  // Of a content: requests with it ran at other processes when these crashed. It has many callers,
+  // and what becomes of those requests tells whether it is to blame.
+  bool is_contested = false;
 
   friend bool operator==(const crash_hold&, const crash_hold&) = default;
 };
@@ -50,8 +55,10 @@
   // Number of crashed endpoint processes after which a suspect is held. With two, a retryable
   // request that twice reached the same faulty endpoint would be held along with it.
   std::size_t crashes_before_hold = 3;
-  // The same for parts of prompts of which none explains the crashes better than the others, or
-  // which explain fewer crashes than happened for unknown reasons meanwhile.
+  // A crash tells how far a content can come at those that happened later, or this long before.
+  std::chrono::milliseconds progress_window{5'000};
+  // As `crashes_before_hold`, for parts of prompts of which none explains the crashes better than
+  // the others, or which explain fewer crashes than happened for unknown reasons meanwhile.
   std::size_t max_crashes_before_hold = 5;
   // Delay before a held content is probed: longer than any caller waits, and doubled by each
   // further crash, so that a content that crashes every endpoint crashes three more in the first
@@ -68,7 +75,7 @@
 
 // What must be held. `crashes` have different processes, and suspects without those that are known
 // to be innocent.
-[[nodiscard]] crash_holds judge_crashes(std::span<const endpoint_crash> crashes,
+[[nodiscard]] crash_holds judge_crashes(std::vector<endpoint_crash> crashes,
                                         const crash_judgement_options& options);
 
 } // namespace wisteriaflow::gateway
--- a/include/wisteriaflow/gateway/crash_suspect.h
+++ b/include/wisteriaflow/gateway/crash_suspect.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <variant>
 
+#include "wisteriaflow/gateway/answer_progress.h"
 #include "wisteriaflow/gateway/call.h"
 #include "wisteriaflow/gateway/request_content.h"
 
@@ -45,6 +46,18 @@
   std::uint32_t depth = 0; // of a part: the number of parts before it in the prompt
   // Of a part: the process had answered requests with it before, so that it is not the cause.
   bool refuted = false;
+  // Of a content: how far the furthest request with it had come at the process.
+  answer_progress progress;
+  // Of a content: how far requests with it have come at processes that outlived the crash. Nothing
+  // if none is known to have run at another process when this one crashed.
+  std::optional<answer_progress> outlived_by;
+
+  // Whether it is known not to have caused the crash. A content that crashes endpoints does so at
+  // the same point of each run, so that no request gets further.
+  [[nodiscard]] bool is_refuted() const
+  {
+    return refuted || (outlived_by && is_further(*outlived_by, progress));
+  }
 
   friend bool operator==(const suspicion&, const suspicion&) = default;
 };
--- a/include/wisteriaflow/gateway/crash_suspects.h
+++ b/include/wisteriaflow/gateway/crash_suspects.h
@@ -10,6 +10,8 @@
 //
 //   - A suspect that was answered does not crash endpoints: earlier reports about it are ignored.
 //     Requests share parts, so those that are innocent are answered all the time.
+//   - A content with which a request has come further at another process than any had at the one
+//     that terminated does not crash endpoints. What runs everywhere runs wherever one terminates.
 //   - A part that the terminated process itself had answered is not suspect in its crash. While no
 //     endpoint answers, a part that most requests share is under way wherever one terminates.
 //
@@ -41,6 +43,7 @@
 #include "wisteriaflow/gateway/crash_judgement.h"
 #include "wisteriaflow/gateway/crash_suspect.h"
 #include "wisteriaflow/gateway/endpoint_process.h"
+#include "wisteriaflow/gateway/running_answers.h"
 
 namespace wisteriaflow::gateway {
 
@@ -79,6 +82,9 @@
   // Pairs of a process and a part that it answered, remembered in each of two generations, an
   // estimated 300 KB each. Parts that most requests share are remembered again and again.
   std::size_t max_answered_parts = 8'192;
+  // A request counts as one that ran when an endpoint crashed if it was sent this long before: the
+  // clocks of daemons differ.
+  std::chrono::milliseconds clock_tolerance{100};
 };
 
 // Not thread-safe.
@@ -93,6 +99,10 @@
   // suspect until now.
   bool on_answered(const crash_suspect& suspect, wall_time now);
 
+  // Lets the requests that run with held contents speak for them. Returns the contents of which
+  // they show something new, which other daemons must know.
+  std::vector<content_id> on_running(const running_answers& running, wall_time now);
+
   // Records that the process has answered a request with this part.
   void on_answered_by(const endpoint_process& process, const prompt_part_id& part);
 
@@ -119,6 +129,8 @@
 
   // Number of crashes in which this one is suspect.
   [[nodiscard]] std::size_t times_suspected(const crash_suspect& suspect) const;
+  // Whether these are as many as a hold takes.
+  [[nodiscard]] bool can_be_held(const crash_suspect& suspect) const;
 
   // Removes crashes beyond the retention time, and answers that are no longer needed.
   void tick(wall_time now);
@@ -142,6 +154,12 @@
   bool add_suspect(const endpoint_process& process, crash_entry& crash,
                    const crash_suspect& suspect, const suspicion& seen);
   void add_answer(const crash_suspect& suspect, wall_time answered_at, wall_time now);
+  // Adds what these requests, which have the content, show about a crash. Returns whether it is
+  // news.
+  bool add_running(const endpoint_process& process, crash_entry& crash, const content_id& content,
+                   const std::vector<running_answer>& answers);
+  void replace(const endpoint_process& process, crash_entry& crash, const crash_suspect& suspect,
+               const suspicion& by);
   // Whether an answer has cleared the suspect since the crash.
   [[nodiscard]] bool is_cleared(const crash_suspect& suspect, const crash_entry& crash) const;
   // Whether it is cleared, or refuted for this crash. It must be one of the crash's suspects.
--- a/include/wisteriaflow/gateway/inherited_holds.h
+++ b/include/wisteriaflow/gateway/inherited_holds.h
@@ -1,10 +1,11 @@
-// Holds on parts of prompts that a daemon knows only from the store, because every daemon that had
-// observed the crashes may have ended.
+// Holds that a daemon knows only from the store, because every daemon that had observed the crashes
+// may have ended.
 //
-// What those daemons knew to have been answered has ended with them. If the part is in most
-// requests, the hold refuses them all, and whether it is right cannot be told without a request. So
-// one request tests it at once: a guilty part crashes one more endpoint, and after that the hold is
-// no longer an inherited one; an innocent part is served again.
+// What those daemons knew to have been answered, or to be running on, has ended with them. If a
+// part is in most requests, or requests with a content ran on elsewhere when endpoints crashed, the
+// hold refuses many callers, and whether it is right cannot be told without a request. So one
+// request tests it at once: a guilty part or content crashes one more endpoint, and after that the
+// hold is no longer an inherited one; an innocent one is served again.
 //
 //   inherited_holds inherited;
 //   inherited.add(suspect, hold, now);
@@ -33,14 +34,14 @@
   // By then the daemons know each other, so that only one of them tests a hold.
   static constexpr std::chrono::milliseconds min_age{1'000};
 
-  // Adds a hold that was read from the store. Holds on contents are ignored: each refuses the
-  // requests of a single caller.
+  // Adds a hold that was read from the store. Those on contents that are not contested are ignored:
+  // each refuses the requests of a single caller.
   void add(const crash_suspect& suspect, const crash_hold& hold, mono_time now);
 
   // Counts a call with these suspects.
   void on_call(const suspicions& suspects);
 
-  // Whether the hold in force is still the inherited one, and refuses most calls.
+  // Whether the hold in force is still the inherited one, and refuses many callers.
   [[nodiscard]] bool is_doubtful(const crash_suspect& suspect, const crash_hold& hold,
                                  mono_time now) const;
 
--- a/src/gateway/crash_report_codec.cc
+++ b/src/gateway/crash_report_codec.cc
@@ -1,5 +1,6 @@
 #include "wisteriaflow/gateway/crash_report_codec.h"
 
+#include <chrono>
 #include <exception>
 #include <string>
 #include <utility>
@@ -18,6 +19,8 @@
 constexpr std::string_view contents_member = "suspects";
 constexpr std::string_view parts_member = "parts";
 constexpr std::string_view refuted_parts_member = "refuted_parts";
+constexpr std::string_view progress_member = "progress";       // of contents
+constexpr std::string_view outlived_by_member = "outlived_by"; // of contents
 constexpr std::string_view answered_contents_member = "answered";
 constexpr std::string_view answered_parts_member = "answered_parts";
 
@@ -28,11 +31,18 @@
   }
 }
 
+json::value encode(const answer_progress& progress)
+{
+  return json::array{progress.position, progress.time.count()};
+}
+
 json::value encode(const endpoint_crash& crash)
 {
   json::object contents;
   json::object parts;
   json::array refuted;
+  json::object progress;
+  json::object outlived_by;
   for (const auto& [suspect, seen] : crash.suspects) {
     if (is_prompt_part(suspect)) {
       parts[to_string(suspect)] = seen.depth;
@@ -41,6 +51,12 @@
       }
     } else {
       contents[to_string(suspect)] = seen.stage == answer_stage::started;
+      if (seen.progress != answer_progress()) {
+        progress[to_string(suspect)] = encode(seen.progress);
+      }
+      if (seen.outlived_by) {
+        outlived_by[to_string(suspect)] = encode(*seen.outlived_by);
+      }
     }
   }
   json::object out{{"endpoint", crash.process.id.value()},
@@ -51,6 +67,8 @@
   if (!refuted.empty()) {
     out[refuted_parts_member] = std::move(refuted);
   }
+  add_unless_empty(out, progress_member, std::move(progress));
+  add_unless_empty(out, outlived_by_member, std::move(outlived_by));
   return out;
 }
 
@@ -75,6 +93,12 @@
   return from_unix_ms(from.to_number<std::int64_t>());
 }
 
+answer_progress decode_progress(const json::value& from)
+{
+  const auto time = std::chrono::milliseconds(from.at(1).to_number<std::uint32_t>());
+  return {.position = from.at(0).to_number<std::uint32_t>(), .time = time};
+}
+
 endpoint_crash decode_crash(const json::value& from)
 {
   endpoint_crash out{
@@ -89,12 +113,18 @@
     out.suspects.emplace(decode_suspect(part, true),
                          suspicion{.depth = depth.to_number<std::uint32_t>()});
   }
-  // Daemons of an earlier version refute nothing.
+  // Daemons of an earlier version refute nothing, and know no progress.
   if (const auto* refuted = from.as_object().if_contains(refuted_parts_member)) {
     for (const auto& part : refuted->as_array()) {
       out.suspects.at(decode_suspect(part.as_string(), true)).refuted = true;
     }
   }
+  for (const auto& [content, progress] : optional_member(from, progress_member)) {
+    out.suspects.at(decode_suspect(content, false)).progress = decode_progress(progress);
+  }
+  for (const auto& [content, progress] : optional_member(from, outlived_by_member)) {
+    out.suspects.at(decode_suspect(content, false)).outlived_by = decode_progress(progress);
+  }
   return out;
 }
 
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -11,6 +11,11 @@
 namespace wisteriaflow::gateway {
 namespace {
 
+std::string text_of(const answer_progress& progress)
+{
+  return std::to_string(progress.position) + "/" + std::to_string(progress.time.count());
+}
+
 // Hash of one element of the state; the digest is the XOR of all of them.
 std::uint64_t hash_of(const endpoint_process& process, const crash_suspect& suspect,
                       const suspicion& seen)
@@ -19,6 +24,12 @@
   text += seen.stage == answer_stage::started ? " begun" : "";
   text += seen.depth > 0 ? " depth " + std::to_string(seen.depth) : "";
   text += seen.refuted ? " refuted" : "";
+  if (seen.progress != answer_progress()) {
+    text += " to " + text_of(seen.progress);
+  }
+  if (seen.outlived_by) {
+    text += " outlived to " + text_of(*seen.outlived_by);
+  }
   return hash64_of(text, process.incarnation);
 }
 
@@ -30,9 +41,14 @@
 // Of two requests with the same suspect, the one with less progress counts, and the longer prompt.
 suspicion merged(const suspicion& a, const suspicion& b)
 {
+  const auto& known = a.outlived_by ? a.outlived_by : b.outlived_by;
   return {.stage = std::min(a.stage, b.stage),
           .depth = std::max(a.depth, b.depth),
-          .refuted = a.refuted || b.refuted};
+          .refuted = a.refuted || b.refuted,
+          .progress = furthest_of(a.progress, b.progress),
+          .outlived_by = a.outlived_by && b.outlived_by
+                             ? std::optional(furthest_of(*a.outlived_by, *b.outlived_by))
+                             : known};
 }
 
 std::uint64_t hash_of(const endpoint_process& process, const prompt_part_id& part)
@@ -133,7 +149,8 @@
     if (result == known->second) {
       return false;
     }
-    drop_suspect(process, crash, suspect);
+    replace(process, crash, suspect, result);
+    return true;
   }
   crash.suspects.emplace(suspect, result);
   ++crash_counts_[suspect];
@@ -141,6 +158,67 @@
   return true;
 }
 
+void crash_suspects::replace(const endpoint_process& process, crash_entry& crash,
+                             const crash_suspect& suspect, const suspicion& by)
+{
+  auto& seen = crash.suspects.at(suspect);
+  digest_ ^= hash_of(process, suspect, seen) ^ hash_of(process, suspect, by);
+  seen = by;
+  changed_ = true;
+}
+
+std::vector<content_id> crash_suspects::on_running(const running_answers& running, wall_time now)
+{
+  std::vector<content_id> out;
+  for (const auto& [suspect, hold] : holds()) {
+    const auto* content = std::get_if<content_id>(&suspect);
+    if (content == nullptr) {
+      continue;
+    }
+    const auto answers = running.find(*content);
+    bool is_news = false;
+    for (auto& [process, crash] : crashes_) {
+      if (add_running(process, crash, *content, answers)) {
+        crash.gossip_until = now + options_.gossip_duration;
+        is_news = true;
+      }
+    }
+    if (is_news) {
+      out.push_back(*content);
+    }
+  }
+  return out;
+}
+
+bool crash_suspects::add_running(const endpoint_process& process, crash_entry& crash,
+                                 const content_id& content,
+                                 const std::vector<running_answer>& answers)
+{
+  const auto known = crash.suspects.find(content);
+  if (known == crash.suspects.end() || is_innocent(content, crash)) {
+    return false;
+  }
+  answer_progress furthest;
+  bool ran_elsewhere = false;
+  for (const auto& answer : answers) {
+    if (crashes_.contains(answer.by) || !answer.progress.is_known()) {
+      continue;
+    }
+    furthest = furthest_of(furthest, answer.progress);
+    ran_elsewhere = ran_elsewhere || answer.sent_at + options_.clock_tolerance <= crash.at;
+  }
+  auto seen = known->second;
+  if (is_further(furthest, seen.progress)) {
+    seen.outlived_by = furthest_of(furthest, seen.outlived_by.value_or(answer_progress()));
+  } else if (ran_elsewhere && !seen.outlived_by) {
+    seen.outlived_by = answer_progress();
+  } else {
+    return false;
+  }
+  replace(process, crash, content, seen);
+  return true;
+}
+
 void crash_suspects::add_answer(const crash_suspect& suspect, wall_time answered_at, wall_time now)
 {
   const auto known = answered_.find(suspect);
@@ -163,7 +241,7 @@
 
 bool crash_suspects::is_innocent(const crash_suspect& suspect, const crash_entry& crash) const
 {
-  return crash.suspects.at(suspect).refuted || is_cleared(suspect, crash);
+  return crash.suspects.at(suspect).is_refuted() || is_cleared(suspect, crash);
 }
 
 bool crash_suspects::was_answered_recently(const crash_suspect& suspect, wall_time now) const
@@ -340,6 +418,11 @@
   return it == holds_.end() ? std::nullopt : std::optional(it->second);
 }
 
+bool crash_suspects::can_be_held(const crash_suspect& suspect) const
+{
+  return times_suspected(suspect) >= options_.judgement.crashes_before_hold;
+}
+
 crash_holds crash_suspects::holds()
 {
   recompute_holds();
--- a/src/gateway/inherited_holds.cc
+++ b/src/gateway/inherited_holds.cc
@@ -4,7 +4,7 @@
 
 void inherited_holds::add(const crash_suspect& suspect, const crash_hold& hold, mono_time now)
 {
-  if (is_prompt_part(suspect)) {
+  if (is_prompt_part(suspect) || hold.is_contested) {
     entries_[suspect] = {.crashed = hold.crashed, .doubtful_from = now + min_age};
   }
 }
@@ -25,8 +25,10 @@
     return false;
   }
   const auto& it = found->second;
-  return it.doubtful_from <= now && it.calls >= min_calls &&
-         static_cast<double>(it.calls_with_part) >= min_share * static_cast<double>(it.calls);
+  const bool is_in_most_calls =
+      it.calls >= min_calls &&
+      static_cast<double>(it.calls_with_part) >= min_share * static_cast<double>(it.calls);
+  return it.doubtful_from <= now && (!is_prompt_part(suspect) || is_in_most_calls);
 }
 
 } // namespace wisteriaflow::gateway
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -178,7 +178,8 @@
 }
 
 // A content is refused with a status that callers do not retry: the hold outlasts the deadline of
-// its only caller. The callers of a part are many, and are told from when on it may be sent again.
+// its only caller. The callers of a part are many, and are told from when on it may be sent again;
+// so are those of a contested content, which may be cleared at any moment.
 std::optional<call_refusal> call_relay::check_hold(const admitted_call& call)
 {
   const auto found = crash_detector_.active_hold(call);
@@ -190,7 +191,11 @@
                    .reason = "not run: requests like it have ended endpoints",
                    .retry_at = std::nullopt,
                    .log_details = hold_log_fields(suspect, hold, state_.running_answers)};
-  if (is_prompt_part(suspect)) {
+  if (hold.is_contested) {
+    why.status = http::status::service_unavailable;
+    why.reason = "not run: requests like it may have ended endpoints";
+    why.retry_at = std::chrono::steady_clock::now() + min_hold_retry_delay;
+  } else if (is_prompt_part(suspect)) {
     why.status = http::status::service_unavailable;
     why.reason = "not run: requests with a part of its prompt have ended endpoints";
     why.retry_at =
--- a/src/relay/crash_detector.cc
+++ b/src/relay/crash_detector.cc
@@ -76,11 +76,14 @@
       result.response_started ? gateway::answer_stage::started : gateway::answer_stage::not_started;
   gateway::endpoint_crash crash{
       .process = result.endpoint, .at = state_.fleet_time(), .suspects = call.suspects};
-  crash.suspects.at(call.content).stage = stage;
+  auto& content = crash.suspects.at(call.content);
+  content.stage = stage;
+  content.progress = result.progress;
   if (result.well_begun) {
     std::erase_if(crash.suspects, [](const auto& it) { return is_prompt_part(it.first); });
   }
   state_.crashes.on_crash(crash);
+  state_.review_held_contents();
   state_.counters.count("calls_under_ended_endpoints", {{"service", call.service}});
   std::string parts;
   for (const auto& [suspect, seen] : crash.suspects) {
@@ -120,6 +123,10 @@
 std::optional<gateway::crash_hold> crash_detector::hold_of(const gateway::crash_suspect& suspect)
 {
   auto out = state_.crashes.hold_of(suspect);
+  if (out && !is_prompt_part(suspect)) {
+    state_.review_held_contents();
+    out = state_.crashes.hold_of(suspect);
+  }
   if (out && state_.inherited_holds.is_doubtful(suspect, *out, std::chrono::steady_clock::now())) {
     out->probe_at = std::min(out->probe_at, state_.fleet_time());
   }
--- a/src/relay/crash_store.cc
+++ b/src/relay/crash_store.cc
@@ -31,6 +31,14 @@
 constexpr milliseconds max_read_period{30'000};
 constexpr double reads_per_second = 8; // all daemons but the coordinators together
 
+bool has_contested(const gateway::crash_report& report)
+{
+  return std::any_of(report.crashes.begin(), report.crashes.end(), [](const auto& crash) {
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                       [](const auto& it) { return it.second.outlived_by.has_value(); });
+  });
+}
+
 } // namespace
 
 void crash_store::start()
@@ -65,7 +73,7 @@
 
 bool crash_store::has_pending_writes()
 {
-  return !stored_crash_counts_.empty() || !state_.crashes.holds().empty();
+  return !stored_.empty() || !state_.crashes.holds().empty();
 }
 
 asio::awaitable<bool> crash_store::read_holds()
@@ -80,9 +88,9 @@
   const bool is_first = listing.is_complete && !initial_read_done_;
   initial_read_done_ = initial_read_done_ || listing.is_complete;
   for (const auto& item : listing.items) {
-    const auto crash_count = merge(item.name, item.spec);
+    const auto hold = merge(item.name, item.spec);
     if (const auto suspect = gateway::parse_crash_suspect(item.name)) {
-      stored_crash_counts_[*suspect] = crash_count;
+      stored_[*suspect] = hold;
     }
   }
   if (is_first) {
@@ -98,16 +106,17 @@
   co_return listing.is_complete;
 }
 
-std::size_t crash_store::merge(const std::string& name, const boost::json::value& spec)
+crash_store::stored_hold crash_store::merge(const std::string& name, const boost::json::value& spec)
 {
   try {
     const auto news = gateway::decode_crash_report(spec);
     state_.crashes.merge(news, state_.fleet_time());
-    return news.crashes.size();
+    state_.review_held_contents();
+    return {.crashes = news.crashes.size(), .is_contested = has_contested(news)};
   } catch (const gateway::crash_report_error& e) {
     state_.log.write(daemon::log_level::error, "stored hold unreadable",
                      {{"held", name}, {"reason", e.what()}});
-    return 0;
+    return {};
   }
 }
 
@@ -115,45 +124,46 @@
 {
   const auto holds = state_.crashes.holds();
   for (const auto& [suspect, hold] : holds) {
-    const auto it = stored_crash_counts_.find(suspect);
-    const bool is_stored = it != stored_crash_counts_.end() && it->second >= hold.crashed.size();
-    if (!is_stored && !co_await write_hold(suspect, hold.crashed.size())) {
+    const stored_hold wanted{.crashes = hold.crashed.size(), .is_contested = hold.is_contested};
+    const auto it = stored_.find(suspect);
+    const bool is_stored = it != stored_.end() && !it->second.is_behind(wanted);
+    if (!is_stored && !co_await write_hold(suspect, wanted)) {
       co_return false;
     }
   }
   co_return true;
 }
 
-asio::awaitable<bool> crash_store::write_hold(gateway::crash_suspect suspect,
-                                              std::size_t crash_count)
+asio::awaitable<bool> crash_store::write_hold(gateway::crash_suspect suspect, stored_hold hold)
 {
   const auto name = to_string(suspect);
   bool is_news = true;
   object_write wanted{.kind = hold_kind,
                       .name = name,
                       .spec = encode_crash_report(state_.crashes.evidence_of(suspect))};
-  wanted.merge = [&, spec = wanted.spec](const adapter::stored_object& present) {
-    is_news = merge(name, present.spec) < crash_count; // else a coordinator has written it
-    return is_news ? std::optional<boost::json::value>(spec) : std::nullopt;
+  wanted.merge = [&](const adapter::stored_object& present) {
+    is_news = merge(name, present.spec).is_behind(hold); // else a coordinator has written it
+    return is_news ? std::optional(encode_crash_report(state_.crashes.evidence_of(suspect)))
+                   : std::nullopt;
   };
   if (!co_await create_or_replace(store_, state_, std::move(wanted))) {
     co_return false;
   }
-  stored_crash_counts_[suspect] = crash_count;
+  stored_[suspect] = hold;
   if (is_news) {
     state_.log.write(daemon::log_level::info, "hold stored",
-                     {{"held", name}, {"endpoints", std::to_string(crash_count)}});
+                     {{"held", name}, {"endpoints", std::to_string(hold.crashes)}});
   }
   co_return true;
 }
 
-// Removes the objects of what is no longer suspected: its crashes have expired, or an endpoint has
-// answered it.
+// Removes the objects of what cannot be held any more: its crashes have expired, an endpoint has
+// answered it, or it has come further elsewhere. A daemon that starts would hold it anew.
 asio::awaitable<bool> crash_store::remove_expired_holds()
 {
   std::vector<gateway::crash_suspect> expired;
-  for (const auto& [suspect, crash_count] : stored_crash_counts_) {
-    if (state_.crashes.times_suspected(suspect) == 0) {
+  for (const auto& [suspect, hold] : stored_) {
+    if (!state_.crashes.can_be_held(suspect)) {
       expired.push_back(suspect);
     }
   }
@@ -162,7 +172,7 @@
     if (!co_await remove_object(store_, hold_kind, std::move(name))) {
       co_return false;
     }
-    stored_crash_counts_.erase(suspect);
+    stored_.erase(suspect);
   }
   co_return true;
 }
--- a/src/relay/crash_store.h
+++ b/src/relay/crash_store.h
@@ -28,7 +28,7 @@
       : context_(context), state_(state), store_(store)
   {
     store_.add_restore_callback([this] {
-      stored_crash_counts_.clear();
+      stored_.clear();
       initial_read_done_ = false;
     });
   }
@@ -38,16 +38,27 @@
   void start();
 
  private:
+  // What an object says of a hold.
+  struct stored_hold {
+    std::size_t crashes = 0;
+    bool is_contested = false;
+
+    // Whether it lacks what `other` says.
+    [[nodiscard]] bool is_behind(const stored_hold& other) const
+    {
+      return crashes < other.crashes || (other.is_contested && !is_contested);
+    }
+  };
+
   boost::asio::awaitable<void> run();
   // Each of these returns whether all its calls to the store succeeded.
   boost::asio::awaitable<bool> read_holds();
   boost::asio::awaitable<bool> write_holds();
-  boost::asio::awaitable<bool> write_hold(gateway::crash_suspect suspect, std::size_t crash_count);
+  boost::asio::awaitable<bool> write_hold(gateway::crash_suspect suspect, stored_hold hold);
   boost::asio::awaitable<bool> remove_expired_holds();
 
-  // Merges an object into the known crashes. Returns the number of crashes in it, 0 if it is
-  // unreadable.
-  std::size_t merge(const std::string& name, const boost::json::value& spec);
+  // Merges an object into the known crashes. Returns what it says, nothing if it is unreadable.
+  stored_hold merge(const std::string& name, const boost::json::value& spec);
   [[nodiscard]] bool is_read_due(mono_time now) const;
   // Whether there may be an object to write or to remove.
   [[nodiscard]] bool has_pending_writes();
@@ -55,8 +66,7 @@
   boost::asio::io_context& context_;
   fleet_state& state_;
   store_client& store_;
-  // Number of crashes in each stored object.
-  std::map<gateway::crash_suspect, std::size_t> stored_crash_counts_;
+  std::map<gateway::crash_suspect, stored_hold> stored_; // the objects in the store
   mono_time next_read_at_;
   bool initial_read_done_ = false;
 };
--- a/src/relay/fleet_state.cc
+++ b/src/relay/fleet_state.cc
@@ -721,6 +721,19 @@
   }
   on_rollouts_read(received.rollouts_revision);
   crashes.merge(received.crashes, clock.now(now));
+  review_held_contents();
+}
+
+void fleet_state::review_held_contents()
+{
+  const auto contents = crashes.on_running(running_answers, fleet_time());
+  for (const auto& content : contents) {
+    log.write(daemon::log_level::info, "held content runs elsewhere",
+              running_log_fields(content, crashes.hold_of(content), running_answers));
+  }
+  if (!contents.empty()) {
+    signal_urgent_update();
+  }
 }
 
 std::vector<gateway::usage_delivery> fleet_state::due_usage(const clock_reading& now)
@@ -847,6 +860,7 @@
   stream_origins.forget_expired(now.mono);
   counters.set("stream_origins_known", static_cast<double>(stream_origins.size()));
   crashes.tick(clock.now(now));
+  review_held_contents();
   hold_log_.log_changes(crashes.holds(), running_answers, log);
   counters.set("contents_held", static_cast<double>(hold_log_.contents()));
   counters.set("prompt_parts_held", static_cast<double>(hold_log_.prompt_parts()));
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -83,6 +83,10 @@
   }
   void signal_urgent_update() const;
 
+  // Lets this daemon's calls speak for the contents that are held. Must be called before a call is
+  // refused for one, and for the sake of the other daemons when `crashes` has changed.
+  void review_held_contents();
+
   // Starts the drain, unless it has started before, and lets peers know at once that this daemon
   // stops.
   void begin_drain(const gateway::drain_schedule& drain);
@@ -244,7 +248,7 @@
   gateway::usage_courier courier; // brings `usage` to the leader of a large fleet
   gateway::crash_suspects crashes{{}};
   gateway::inherited_holds inherited_holds;
-  gateway::running_answers running_answers;
+  gateway::running_answers running_answers; // of this daemon's calls
   gateway::stream_origins stream_origins{
       {}}; // of own streams and of those that peers replicate here
   // The versions that are known to be recorded in the store; see version_store.
--- a/src/relay/hold_log.cc
+++ b/src/relay/hold_log.cc
@@ -48,6 +48,16 @@
   return out;
 }
 
+log_fields running_log_fields(const gateway::content_id& content,
+                              const std::optional<gateway::crash_hold>& hold,
+                              const gateway::running_answers& running)
+{
+  auto out = suspect_log_fields(content);
+  out.emplace_back("held", hold ? "yes" : "no");
+  add_running(out, running.find(content));
+  return out;
+}
+
 std::size_t hold_log::prompt_parts() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/src/relay/hold_log.h
+++ b/src/relay/hold_log.h
@@ -5,6 +5,7 @@
 #define WISTERIAFLOW_SRC_RELAY_HOLD_LOG_H_
 
 #include <cstddef>
+#include <optional>
 
 #include "relay/event_log.h"
 #include "wisteriaflow/gateway/crash_suspects.h"
@@ -22,6 +23,11 @@
                                          const gateway::crash_hold& hold,
                                          const gateway::running_answers& running);
 
+// The log fields of calls that run with a content which was held, and whether it still is.
+[[nodiscard]] log_fields running_log_fields(const gateway::content_id& content,
+                                            const std::optional<gateway::crash_hold>& hold,
+                                            const gateway::running_answers& running);
+
 // Remembers the holds that were logged. Not thread-safe.
 class hold_log {
  public:
--- a/src/relay/peer_sync.cc
+++ b/src/relay/peer_sync.cc
@@ -380,6 +380,7 @@
   request.target = [] { return std::string(crashes_target); };
   request.apply = [this](const std::string& body) {
     state_.crashes.merge(gateway::decode_crash_report(parse_json(body)), state_.fleet_time());
+    state_.review_held_contents();
     return false;
   };
   asio::co_spawn(context_, fetch(peer, std::move(request)), asio::detached);
--- a/test/gateway/crash_suspects_test.cc
+++ b/test/gateway/crash_suspects_test.cc
@@ -1,3 +1,4 @@
+#include <list>
 #include <string>
 #include <vector>
 
@@ -592,5 +593,153 @@
   EXPECT_EQ(suspects.digest(), digest);
 }
 
+// Guards against a content that many callers send and that is refused because it was under way
+// wherever endpoints ended.
+class HotContentSuspectTest : public testing::Test {
+ protected:
+  static constexpr answer_progress at_crash{.position = 20, .time = 2s};
+  static constexpr answer_progress further{.position = 25, .time = 2'500ms};
+
+  static endpoint_crash crash_at(int endpoint, const answer_progress& progress,
+                                 wall_time at = start)
+  {
+    return {.process = process(endpoint),
+            .at = at,
+            .suspects = {{crashing, {.stage = answer_stage::started, .progress = progress}}}};
+  }
+
+  static void crash_three(crash_suspects& suspects, const answer_progress& progress = at_crash)
+  {
+    for (int i = 1; i <= 3; ++i) {
+      suspects.on_crash(crash_at(i, progress));
+    }
+  }
+
+  // A request with the content that runs at an endpoint.
+  void run(int endpoint, const answer_progress& progress, wall_time sent_at = start - 3s)
+  {
+    entries_.emplace_back(
+        running_, crashing,
+        running_answer{.by = process(endpoint), .sent_at = sent_at, .progress = progress});
+  }
+
+  running_answers running_;
+  std::list<running_answers::entry> entries_;
+};
+
+TEST_F(HotContentSuspectTest, IsNotHeldIfItHasComeFurtherElsewhere)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  EXPECT_TRUE(suspects.hold_of(crashing));
+  run(9, further);
+  EXPECT_EQ(suspects.on_running(running_, start), std::vector{crashing});
+  EXPECT_FALSE(suspects.hold_of(crashing));
+  EXPECT_FALSE(suspects.can_be_held(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsHeldWhileItHasNotComeFurtherElsewhere)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  run(9, at_crash);
+  suspects.on_running(running_, start);
+  EXPECT_TRUE(suspects.hold_of(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsContestedIfItRanElsewhereAtTheCrash)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  EXPECT_FALSE(suspects.hold_of(crashing)->is_contested);
+  run(9, {});
+  EXPECT_EQ(suspects.on_running(running_, start), std::vector{crashing});
+  EXPECT_TRUE(suspects.hold_of(crashing)->is_contested);
+  EXPECT_TRUE(suspects.on_running(running_, start).empty()); // told once
+}
+
+TEST_F(HotContentSuspectTest, IsNotContestedByARepeatAfterTheCrash)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  run(9, {}, start);
+  EXPECT_TRUE(suspects.on_running(running_, start).empty());
+  EXPECT_FALSE(suspects.hold_of(crashing)->is_contested);
+}
+
+TEST_F(HotContentSuspectTest, IsNotClearedByARequestThatEndedWithItsEndpoint)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  run(2, further); // not yet known to have ended
+  EXPECT_TRUE(suspects.on_running(running_, start).empty());
+  EXPECT_TRUE(suspects.hold_of(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsJudgedByTheFurthestRequestAtTheCrashedEndpoint)
+{
+  crash_suspects one({});
+  crash_suspects other({});
+  crash_three(one);
+  run(9, further);
+  one.on_running(running_, start);
+  crash_three(other, {.position = 60, .time = 6s}); // of other callers
+  one.merge(other.all(), start);
+  EXPECT_TRUE(one.hold_of(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsClearedInAllDaemonsWhateverTheOrderOfReports)
+{
+  crash_suspects one({});
+  crash_three(one);
+  const auto early = one.all();
+  run(9, further);
+  one.on_running(running_, start);
+  const auto late = one.recent_changes(start + 1s);
+  crash_suspects other({});
+  other.merge(late, start + 1s);
+  other.merge(early, start + 1s);
+  other.merge(late, start + 1s);
+  EXPECT_FALSE(other.hold_of(crashing));
+  EXPECT_EQ(one.digest(), other.digest());
+}
+
+TEST_F(HotContentSuspectTest, IsToldAgainWhenItIsClearedLongAfterTheCrash)
+{
+  crash_suspects suspects({});
+  crash_three(suspects);
+  run(9, further);
+  suspects.on_running(running_, start + 10s);
+  EXPECT_FALSE(suspects.recent_changes(start + 12s).empty());
+}
+
+TEST_F(HotContentSuspectTest, IsNotHeldForCrashesThatItOutranAtAnother)
+{
+  crash_suspects suspects({});
+  suspects.on_crash(crash_at(1, {.position = 5, .time = 500ms}));
+  suspects.on_crash(crash_at(2, {.position = 12, .time = 1'200ms}));
+  suspects.on_crash(crash_at(3, at_crash));
+  EXPECT_FALSE(suspects.hold_of(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsHeldForCrashesAtOnePointOfItsAnswer)
+{
+  crash_suspects suspects({});
+  suspects.on_crash(crash_at(1, {.position = 20, .time = 1'900ms}));
+  suspects.on_crash(crash_at(2, {.position = 19, .time = 3'500ms})); // a slower endpoint
+  suspects.on_crash(crash_at(3, at_crash));
+  EXPECT_TRUE(suspects.hold_of(crashing));
+}
+
+TEST_F(HotContentSuspectTest, IsHeldForAFaultThatBeganLater)
+{
+  crash_suspects suspects({});
+  suspects.on_crash(crash_at(1, at_crash));
+  for (int i = 2; i <= 4; ++i) {
+    suspects.on_crash(crash_at(i, {}, start + 6s));
+  }
+  EXPECT_TRUE(suspects.hold_of(crashing));
+}
+
 } // namespace
 } // namespace wisteriaflow::gateway
--- a/test/relay/crash_store_test.cc
+++ b/test/relay/crash_store_test.cc
@@ -102,6 +102,39 @@
   wait_until([this] { return stored_crash_count() == 4; }, "the further crash is stored");
 }
 
+// Guards against daemons that start, find the hold of a content that was cleared, and refuse it.
+TEST_F(CrashStoreTest, RemovesAHoldOnceItsContentHasComeFurtherElsewhere)
+{
+  store_.start();
+  record_crashes(3);
+  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  const gateway::running_answers::entry one(
+      state_.running_answers, content,
+      {.by = {.id = endpoint_id("i-9")}, .progress = {.position = 5, .time = 1s}});
+  state_.review_held_contents();
+  wait_until([this] { return fake_.get(kind, to_string(content)).is_null(); },
+             "the hold is removed");
+  EXPECT_FALSE(is_held());
+}
+
+TEST_F(CrashStoreTest, WritesThatAHoldIsContested)
+{
+  store_.start();
+  record_crashes(3);
+  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  const gateway::running_answers::entry one(
+      state_.running_answers, content,
+      {.by = {.id = endpoint_id("i-9")}, .sent_at = state_.fleet_time() - 10s});
+  state_.review_held_contents();
+  wait_until(
+      [this] {
+        const auto spec = fake_.get(kind, to_string(content));
+        const auto news = gateway::decode_crash_report(spec);
+        return news.crashes.at(0).suspects.at(content).outlived_by.has_value();
+      },
+      "the hold is stored as contested");
+}
+
 TEST_F(CrashStoreTest, ReadsAtStartHoldsThatEarlierDaemonsWrote)
 {
   fake_.put(kind, to_string(content), spec_from_other_daemon(3));
--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -4,11 +4,14 @@
 #include <atomic>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include "fakes/free_addresses.h"
 #include "fakes/run.h"
+#include "wisteriaflow/http/errors.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -169,6 +172,30 @@
   return fakes::call(context_, client_, to, std::move(message));
 }
 
+void gateway_fixture::start_request(const running_gateway& to, http::request message)
+{
+  ++open_requests_;
+  statuses_.push_back(0);
+  auto task = [this, address = to.options.callers, number = statuses_.size() - 1,
+               message = std::move(message)]() -> boost::asio::awaitable<void> {
+    http::response answer;
+    try {
+      answer = co_await client_.call(address, message, fakes::far_deadline());
+    } catch (const http::http_error&) {
+      answer.status = 0;
+    }
+    statuses_.at(number) = answer.status;
+    --open_requests_;
+  };
+  boost::asio::co_spawn(context_, std::move(task), boost::asio::detached);
+}
+
+std::vector<int> gateway_fixture::take_statuses()
+{
+  wait_until([this] { return open_requests_ == 0; }, "every request has an answer");
+  return std::exchange(statuses_, {});
+}
+
 http::response gateway_fixture::call(const std::string& method, const std::string& path,
                                      const std::string& key)
 {
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -4,6 +4,7 @@
 #ifndef WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 #define WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -82,6 +83,11 @@
                       const std::string& key = "k1");
   // Sends a request to `to`.
   http::response send(const http::socket_address& to, http::request message);
+  // Sends a request without waiting for the answer.
+  void start_request(const running_gateway& to, http::request message);
+  // Waits for the answers to all started requests. Returns their statuses in the order in which
+  // they were started, 0 for an answer that was cut.
+  std::vector<int> take_statuses();
   // Runs the fakes until `condition` holds. Fails the test after 60 s, which only a fault can take.
   void wait_until(const std::function<bool()>& condition, const char* description);
   // Waits until the first daemon is ready.
@@ -99,6 +105,10 @@
   fake_store store_{context_};
   std::vector<std::unique_ptr<fake_endpoint>> endpoints_;
   std::vector<std::unique_ptr<running_gateway>> gateways_;
+
+ private:
+  std::vector<int> statuses_; // of started requests
+  std::size_t open_requests_ = 0;
 };
 
 } // namespace wisteriaflow::relay
--- /dev/null
+++ b/test/relay/hot_content_test.cc
@@ -0,0 +1,177 @@
+// Requests with one content that many callers send at once, while endpoints end for reasons of
+// their own.
+//
+// Guards against a fleet that takes what runs everywhere for the cause wherever something ends:
+// three of twelve endpoints were lost at one moment, each with copies of the request unanswered,
+// and until the first whole answer all its callers got 400, though nine endpoints went on with it.
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay/gateway_fixture.h"
+
+namespace wisteriaflow::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto send_interval = 60ms;
+// By then every daemon knows what its peers know of a content.
+constexpr auto propagation_time = 1s;
+
+class HotContentTest : public gateway_fixture {
+ protected:
+  // Endpoints that stream an answer for 4 s, or take as long for one that is not a stream.
+  void add_endpoints(int number, endpoint_behaviour behaviour = endpoint_behaviour::streams)
+  {
+    for (int i = 0; i < number; ++i) {
+      auto& e = add_endpoint("i-" + std::to_string(i + 1));
+      e.behaviour = behaviour;
+      e.pace = behaviour == endpoint_behaviour::streams ? 100ms : 4s;
+      e.last_event = 40;
+    }
+  }
+
+  // Sends the request to these daemons in turn, as often as `send_interval` allows in the time.
+  void send_hot(std::chrono::milliseconds time, const std::vector<std::size_t>& daemons)
+  {
+    for (auto sent = 0ms; sent < time; sent += send_interval) {
+      auto message = request_for("POST", path_);
+      message.body = "the same for all callers";
+      start_request(*gateways_.at(daemons.at(next_++ % daemons.size())), std::move(message));
+      run_for(send_interval);
+    }
+  }
+
+  void send_hot(std::chrono::milliseconds time)
+  {
+    std::vector<std::size_t> all(gateways_.size());
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      all[i] = i;
+    }
+    send_hot(time, all);
+  }
+
+  // Ends three endpoints that run the request, and sends it on between the ends.
+  void end_three_endpoints(std::chrono::milliseconds apart = 0ms)
+  {
+    int ended = 0;
+    for (const auto& e : endpoints_) {
+      if (ended < 3 && !e->received.empty()) {
+        ++ended;
+        e->close();
+        send_hot(apart);
+      }
+    }
+    ASSERT_EQ(ended, 3);
+  }
+
+  // The statuses of all requests until now, of which those on ended endpoints are cut.
+  void expect_no_final_refusal()
+  {
+    const auto statuses = take_statuses();
+    EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 400), 0);
+  }
+
+  void expect_served(const std::vector<std::size_t>& daemons)
+  {
+    constexpr std::ptrdiff_t number = 1s / send_interval;
+    send_hot(number * send_interval, daemons);
+    const auto statuses = take_statuses();
+    EXPECT_EQ(std::count(statuses.end() - number, statuses.end(), 200), number);
+  }
+
+  std::string path_ = "/stream/hot";
+  std::size_t next_ = 0;
+};
+
+class EndsApartTest : public HotContentTest, public testing::WithParamInterface<int> {};
+
+TEST_P(EndsApartTest, IsServedAfterEndpointsEndedBesideIt)
+{
+  add_endpoints(12);
+  start_fleet(3);
+  send_hot(2s);
+  end_three_endpoints(std::chrono::milliseconds(GetParam()));
+  send_hot(propagation_time);
+  expect_no_final_refusal();
+  expect_served({0, 1, 2});
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds, EndsApartTest, testing::Values(0, 60, 300),
+                         testing::PrintToStringParamName());
+
+TEST_F(HotContentTest, IsServedWhileItsAnswersAreStillGoingOn)
+{
+  add_endpoints(12);
+  start_fleet(3);
+  send_hot(2s);
+  end_three_endpoints();
+  run_for(propagation_time); // the first whole answer is a second away
+  std::vector<http::request> sent;
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    sent.push_back(request_for("POST", path_));
+    sent.back().body = "the same for all callers";
+    start_request(*gateways_[i], sent.back());
+  }
+  take_statuses();
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    const auto id = std::string(http::find_header(sent[i].fields, "Request-Id"));
+    const auto lines = gateways_[i]->lines_for_request(id);
+    EXPECT_TRUE(std::any_of(lines.begin(), lines.end(),
+                            [](const auto& line) { return line.message == "attempt answered"; }));
+  }
+}
+
+TEST_F(HotContentTest, IsServedByADaemonThatHasNoSuchCalls)
+{
+  add_endpoints(12);
+  start_fleet(3);
+  send_hot(2s, {0, 1});
+  end_three_endpoints();
+  run_for(propagation_time);
+  expect_served({2});
+}
+
+TEST_F(HotContentTest, IsNotRefusedForGoodWhenItBecameHotJustBefore)
+{
+  add_endpoints(6);
+  start_fleet(3);
+  send_hot(600ms);
+  end_three_endpoints();
+  send_hot(propagation_time);
+  expect_no_final_refusal();
+  expect_served({0, 1, 2});
+}
+
+TEST_F(HotContentTest, IsNotRefusedForGoodWhileItsPlainAnswersAreAwaited)
+{
+  path_ = "/unsafe/hot";
+  add_endpoints(12, endpoint_behaviour::answers);
+  start_fleet(3);
+  send_hot(2s);
+  end_three_endpoints();
+  send_hot(propagation_time);
+  expect_no_final_refusal();
+  expect_served({0, 1, 2});
+}
+
+TEST_F(HotContentTest, IsServedAfterAllDaemonsWereReplaced)
+{
+  add_endpoints(12);
+  start_fleet(3);
+  send_hot(2s);
+  end_three_endpoints();
+  run_for(propagation_time);
+  gateways_.clear();
+  start_fleet(3);
+  take_statuses();
+  expect_served({0, 1, 2});
+}
+
+} // namespace
+} // namespace wisteriaflow::relay
