--- a/test/relay/hot_content_test.cc
+++ b/test/relay/hot_content_test.cc
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "relay/gateway_fixture.h"
+#include "wisteriaflow/gateway/crash_report_codec.h"
+#include "wisteriaflow/gateway/request_content.h"
 
 namespace wisteriaflow::relay {
 namespace {
@@ -36,13 +38,18 @@
     }
   }
 
+  [[nodiscard]] http::request hot_request() const
+  {
+    auto message = request_for("POST", path_);
+    message.body = "the same for all callers";
+    return message;
+  }
+
   // Sends the request to these daemons in turn, as often as `send_interval` allows in the time.
   void send_hot(std::chrono::milliseconds time, const std::vector<std::size_t>& daemons)
   {
     for (auto sent = 0ms; sent < time; sent += send_interval) {
-      auto message = request_for("POST", path_);
-      message.body = "the same for all callers";
-      start_request(*gateways_.at(daemons.at(next_++ % daemons.size())), std::move(message));
+      start_request(*gateways_.at(daemons.at(next_++ % daemons.size())), hot_request());
       run_for(send_interval);
     }
   }
@@ -114,8 +121,7 @@
   run_for(propagation_time); // the first whole answer is a second away
   std::vector<http::request> sent;
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
-    sent.push_back(request_for("POST", path_));
-    sent.back().body = "the same for all callers";
+    sent.push_back(hot_request());
     start_request(*gateways_[i], sent.back());
   }
   take_statuses();
@@ -173,5 +179,25 @@
   expect_served({0, 1, 2});
 }
 
+// Guards against daemons that were all killed just after they had stored a hold: nobody is left who
+// runs the request.
+TEST_F(HotContentTest, IsTestedAtOnceIfTheStoreHasAContestedHoldOnIt)
+{
+  const auto content = gateway::content_of(workspace_id("hotel"), hot_request());
+  gateway::crash_report stored;
+  for (const auto* id : {"j-1", "j-2", "j-3"}) {
+    stored.crashes.push_back(
+        {.process = {.id = endpoint_id(id)},
+         .at = fakes::wall_now(),
+         .suspects = {{content, {.outlived_by = gateway::answer_progress()}}}});
+  }
+  store_.put("gateway-crash-holds", to_string(content), encode_crash_report(stored));
+  add_endpoints(12);
+  start_fleet(3);
+  send_hot(7s);
+  expect_no_final_refusal();
+  expect_served({0, 1, 2});
+}
+
 } // namespace
 } // namespace wisteriaflow::relay
