Let one coroutine own each reading of the stored origins

Cause: origin_store::keep_others() began its first reading by calling read_and_notify(), which joined the reading that a question for a stream had begun just before, through the member reading_. Two coroutines then read, the first to end exchanged reading_ for null, and the second called notify() through it. Its class: a member that says what is in progress, ended by whoever comes first instead of by the one who began it.

--- a/src/relay/origin_store.cc
+++ b/src/relay/origin_store.cc
@@ -155,26 +155,37 @@
 
 asio::awaitable<void> origin_store::read(mono_time deadline)
 {
-  if (!reading_ && std::chrono::steady_clock::now() >= next_read_at_) {
-    reading_ = std::make_shared<completion>();
-    asio::co_spawn(context_, read_and_notify(), asio::detached);
-  }
-  if (const auto reading = reading_) {
-    co_await reading->wait_until(context_, deadline);
+  if (reading_ || std::chrono::steady_clock::now() >= next_read_at_) {
+    const auto joined = join_reading();
+    co_await joined->done.wait_until(context_, deadline);
   }
 }
 
-asio::awaitable<bool> origin_store::read_and_notify()
+std::shared_ptr<origin_store::reading> origin_store::join_reading()
 {
   if (!reading_) {
-    reading_ = std::make_shared<completion>();
+    reading_ = std::make_shared<reading>();
+    asio::co_spawn(context_, read_into(reading_), asio::detached);
   }
+  return reading_;
+}
+
+// Only the coroutine that join_reading() starts ends the reading, whoever else waits for it.
+asio::awaitable<void> origin_store::read_into(std::shared_ptr<reading> into)
+{
   const bool is_large = state_.peers.running_count(std::chrono::steady_clock::now()) > max_readers;
   const auto period = is_large ? large_fleet_read_period : state_.call_period(reads_per_second);
   next_read_at_ = std::chrono::steady_clock::now() + std::max(period, min_read_period);
-  const bool succeeded = co_await read_all();
-  std::exchange(reading_, nullptr)->notify();
-  co_return succeeded;
+  into->succeeded = co_await read_all();
+  reading_.reset();
+  into->done.notify();
+}
+
+asio::awaitable<bool> origin_store::read_to_end()
+{
+  const auto joined = join_reading();
+  co_await joined->done.wait_until(context_, mono_time::max());
+  co_return joined->succeeded;
 }
 
 asio::awaitable<bool> origin_store::read_all()
@@ -246,7 +257,7 @@
     co_await async_sleep(start_check_period);
   }
   for (unsigned failures = 0; is_reader(std::chrono::steady_clock::now());) {
-    if (co_await read_and_notify()) {
+    if (co_await read_to_end()) {
       break;
     }
     co_await async_sleep(store_.backoff(++failures));
@@ -263,7 +274,7 @@
 // Objects of processes that have ended are removed when their streams cannot be resumed any more.
 asio::awaitable<void> origin_store::remove_abandoned()
 {
-  if (reading_ || !co_await read_and_notify()) {
+  if (reading_ || !co_await read_to_end()) {
     co_return;
   }
   const auto now = std::chrono::steady_clock::now();
--- a/src/relay/origin_store.h
+++ b/src/relay/origin_store.h
@@ -58,6 +58,12 @@
   }
 
  private:
+  // One reading of what the store holds, for all that wait for it.
+  struct reading {
+    completion done;
+    bool succeeded = false;
+  };
+
   // The object of another process.
   struct foreign_object {
     gateway::store_revision revision;
@@ -68,8 +74,11 @@
   boost::asio::awaitable<void> keep_others();
   boost::asio::awaitable<bool> write(gateway::origins_by_version origins);
   boost::asio::awaitable<bool> read_all();
-  // The same, and resumes the callers of read().
-  boost::asio::awaitable<bool> read_and_notify();
+  // The reading in progress; begins one if there is none.
+  std::shared_ptr<reading> join_reading();
+  boost::asio::awaitable<void> read_into(std::shared_ptr<reading> into);
+  // Joins a reading and waits for its end. Returns whether it succeeded.
+  boost::asio::awaitable<bool> read_to_end();
   boost::asio::awaitable<void> remove_abandoned();
   // Takes over the origins in an object. Returns how many there are.
   std::size_t merge(const adapter::stored_object& object, mono_time now);
@@ -87,8 +96,8 @@
   gateway::store_revision own_revision_;         // of the own object; 0: there may be none
   std::map<std::string, foreign_object> others_; // by name
   mono_time next_read_at_;
-  gateway::stream_origins found_{{}};   // in the objects of other processes
-  std::shared_ptr<completion> reading_; // null while nothing is being read
+  gateway::stream_origins found_{{}}; // in the objects of other processes
+  std::shared_ptr<reading> reading_;  // null while nothing is being read
 };
 
 } // namespace wisteriaflow::relay
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -120,6 +120,7 @@
 
 boost::asio::awaitable<void> fake_store::serve(fake_request received, http::response_writer& w)
 {
+  co_await async_sleep(answer_delay);
   const auto after = text_of(received.query, "watch");
   auto reply = dispatch(received);
   if (!after.empty() && reply.status == 200 && reply.body.at("events").as_array().empty()) {
--- a/test/fakes/fake_store.h
+++ b/test/fakes/fake_store.h
@@ -53,6 +53,8 @@
   // Returns the spec of an object; null without such an object.
   [[nodiscard]] boost::json::value get(const std::string& kind, const std::string& name) const;
 
+  // Time before each answer.
+  std::chrono::milliseconds answer_delay{0};
   // While true, every call is answered 503.
   bool unavailable = false;
   // While true, every write is answered 503.
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -102,6 +102,9 @@
   // Runs the context until all daemons are ready. Throws std::runtime_error if one does not become
   // ready in time.
   void await_ready();
+  // The daemons whose processes have ended by a signal that the test did not send, each with its
+  // number.
+  [[nodiscard]] std::vector<std::string> unexpected_ends();
   // Adds an endpoint, whose software has this version, and writes it to the store.
   proxied_endpoint& add_endpoint(const std::string& version = "v1");
   // Ends the endpoint, and another one with this version comes under its id.
@@ -141,6 +144,8 @@
  private:
   proxied_endpoint& add_endpoint(const std::string& id, const std::string& version);
   void run(gateway_process& d, const daemon_options& options);
+  // Remembers how the daemon's process ended if the test did not end it.
+  void record_end(const gateway_process& d);
   [[nodiscard]] static std::string default_program();
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
@@ -155,6 +160,7 @@
   std::map<std::string, std::unique_ptr<gateway_process>> daemons_;
   std::map<std::string, proxied_endpoint> endpoints_;
   std::vector<proxied_endpoint> retired_;
+  std::vector<std::string> unexpected_ends_; // of processes that have been replaced
   std::uint64_t version_ = 0;
   int last_daemon_ = 0;
   int last_endpoint_ = 0;
--- a/test/gateway_system/gateway_recovery_main.cc
+++ b/test/gateway_system/gateway_recovery_main.cc
@@ -21,6 +21,7 @@
 ABSL_FLAG(std::string, crashes, "none",
           "what ends endpoints before: none, request, part, silent, new_silent");
 ABSL_FLAG(int, kills, 1, "how often all daemons are killed");
+ABSL_FLAG(int, daemons, 6, "number of daemons");
 ABSL_FLAG(std::string, daemon, "", "the daemons' program; empty: the one of this build");
 ABSL_FLAG(std::string, logs, "", "folder for the daemons' output");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the callers and of the drawn times");
@@ -54,7 +55,8 @@
     std::cerr << "unknown value of --crashes\n";
     return EXIT_FAILURE;
   }
-  recovery_options options{.crashes = chosen->second,
+  recovery_options options{.daemons = absl::GetFlag(FLAGS_daemons),
+                           .crashes = chosen->second,
                            .kills = absl::GetFlag(FLAGS_kills),
                            .program = absl::GetFlag(FLAGS_daemon),
                            .log_folder = absl::GetFlag(FLAGS_logs),
@@ -70,7 +72,11 @@
   const auto result = run.run();
   std::cout << (result.is_ready ? "ready after " : "not ready after ") << result.ready_after.count()
             << " ms, " << result.list_calls << " list calls\n";
+  for (const auto& end : result.unexpected_ends) {
+    std::cout << "BROKEN: " << end << "\n";
+  }
   print("before", result.before);
   print("after", result.after);
-  return result.is_ready && result.after.is_mostly_answered() ? EXIT_SUCCESS : EXIT_FAILURE;
+  const bool is_sound = result.is_ready && result.after.is_mostly_answered();
+  return is_sound && result.unexpected_ends.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/test/gateway_system/gateway_restart_main.cc
+++ b/test/gateway_system/gateway_restart_main.cc
@@ -17,6 +17,7 @@
 ABSL_FLAG(int, daemons, 6, "gateway daemons");
 ABSL_FLAG(int, zones, 4, "availability zones of the daemons");
 ABSL_FLAG(int, callers, 90, "callers, each with one stream at a time");
+ABSL_FLAG(int, kills, 0, "how often daemons are killed; 0: as the case has it");
 ABSL_FLAG(std::string, daemon, "", "the daemons' program; empty: the one of this build");
 ABSL_FLAG(std::string, logs, "", "folder for the daemons' output");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the callers and of the drawn times");
@@ -36,6 +37,9 @@
   options->daemons = absl::GetFlag(FLAGS_daemons);
   options->zones = absl::GetFlag(FLAGS_zones);
   options->callers = absl::GetFlag(FLAGS_callers);
+  if (const int kills = absl::GetFlag(FLAGS_kills); kills > 0) {
+    options->kills = kills;
+  }
   options->program = absl::GetFlag(FLAGS_daemon);
   options->log_folder = absl::GetFlag(FLAGS_logs);
   options->seed = absl::GetFlag(FLAGS_seed);
--- a/test/gateway_system/recovery_run.cc
+++ b/test/gateway_system/recovery_run.cc
@@ -290,6 +290,7 @@
   while (active_ > 0) {
     run_for(poll_period);
   }
+  out.unexpected_ends = fleet_.unexpected_ends();
   return out;
 }
 
--- a/test/gateway_system/recovery_run.h
+++ b/test/gateway_system/recovery_run.h
@@ -74,7 +74,8 @@
   std::chrono::milliseconds ready_after{0};
   call_counts before; // the first crash and kill
   call_counts after;  // `settle_time` after all daemons were ready, or `recovery_time` had passed
-  std::size_t list_calls = 0; // of the start
+  std::size_t list_calls = 0;               // of the start
+  std::vector<std::string> unexpected_ends; // see gateway_fleet
 };
 
 class recovery_run {
--- a/test/gateway_system/recovery_test.cc
+++ b/test/gateway_system/recovery_test.cc
@@ -22,6 +22,7 @@
     recovery_run run(context, options);
     auto result = run.run();
     RecordProperty("ready_after_ms", static_cast<int>(result.ready_after.count()));
+    EXPECT_EQ(result.unexpected_ends, std::vector<std::string>());
     return result;
   }
 
--- a/test/gateway_system/restart_run.cc
+++ b/test/gateway_system/restart_run.cc
@@ -538,7 +538,11 @@
   const auto limit = steady_clock::now() + ready_limit;
   while (ready_.size() < fleet_.daemons().size()) {
     if (limit < steady_clock::now()) {
-      throw std::runtime_error("not every daemon becomes ready again");
+      std::string message = "not every daemon becomes ready again";
+      for (const auto& end : fleet_.unexpected_ends()) {
+        message += "; " + end;
+      }
+      throw std::runtime_error(message);
     }
     sleep_all(poll_period);
   }
@@ -551,6 +555,9 @@
   for (const auto& s : streams_) {
     judge(s);
   }
+  for (auto& end : fleet_.unexpected_ends()) {
+    result_.violations.push_back(std::move(end));
+  }
   return result_;
 }
 
--- a/test/gateway_system/soak_calls.cc
+++ b/test/gateway_system/soak_calls.cc
@@ -425,6 +425,9 @@
   check_held(crash_calls_, content_crash_limit, "a request");
   check_held(crash_part_calls_, part_crash_limit, "a part of prompts");
   check_refused();
+  for (const auto& end : fleet_.unexpected_ends()) {
+    add_violation(end);
+  }
   return result_;
 }
 
--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -78,26 +78,40 @@
 void process::signal(int number) const
 {
   if (pid_ != 0) {
+    sent_signals_.insert(number);
     ::kill(pid_, number);
   }
 }
 
 void process::kill()
 {
-  if (pid_ == 0) {
-    return;
+  signal(SIGKILL);
+  int status = 0;
+  if (pid_ != 0 && waitpid(pid_, &status, 0) == pid_) {
+    on_reaped(status);
   }
-  ::kill(pid_, SIGKILL);
-  waitpid(pid_, nullptr, 0);
+}
+
+void process::on_reaped(int status)
+{
   pid_ = 0;
+  exited_cleanly_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  if (WIFSIGNALED(status) && !sent_signals_.contains(WTERMSIG(status))) {
+    unexpected_signal_ = WTERMSIG(status);
+  }
+}
+
+std::optional<int> process::unexpected_signal()
+{
+  static_cast<void>(exited_cleanly());
+  return unexpected_signal_;
 }
 
 std::optional<bool> process::exited_cleanly()
 {
   int status = 0;
   if (pid_ != 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
-    pid_ = 0;
-    exited_cleanly_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    on_reaped(status);
   }
   return exited_cleanly_;
 }
--- a/test/system/process.h
+++ b/test/system/process.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
   // Sends SIGKILL and reaps the process.
   void kill();
 
+  // The number of the signal that has ended the process, if none of the functions above has sent
+  // it; nothing while the process runs.
+  [[nodiscard]] std::optional<int> unexpected_signal();
+
   // Waits up to half a minute for the process to exit by itself; returns whether its exit status is
   // 0.
   bool await_exit();
@@ -49,9 +54,13 @@
   [[nodiscard]] std::string output() const;
 
  private:
+  void on_reaped(int status);
+
   std::string log_;
   pid_t pid_ = 0; // 0: reaped
   std::optional<bool> exited_cleanly_;
+  mutable std::set<int> sent_signals_;
+  std::optional<int> unexpected_signal_;
 };
 
 } // namespace wisteriaflow::system_tests
