--- a/test/system/process.cc
+++ b/test/system/process.cc
@@ -95,7 +95,6 @@
 void process::on_reaped(int status)
 {
   pid_ = 0;
-  exited_cleanly_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   if (WIFSIGNALED(status) && !sent_signals_.contains(WTERMSIG(status))) {
     unexpected_signal_ = WTERMSIG(status);
   }
@@ -112,6 +111,7 @@
   int status = 0;
   if (pid_ != 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
     on_reaped(status);
+    exited_cleanly_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   }
   return exited_cleanly_;
 }
--- a/test/system/process.h
+++ b/test/system/process.h
@@ -47,7 +47,8 @@
   // 0.
   bool await_exit();
 
-  // Returns whether the process exited with status 0, without waiting; std::nullopt while it runs.
+  // Returns whether the process exited with status 0, without waiting; std::nullopt while it runs
+  // and after kill().
   [[nodiscard]] std::optional<bool> exited_cleanly();
 
   // Returns the output so far.
