A contested hold ends its second chance with the route's timeout

A content that really ends all its endpoints stayed contested for as long as it was held, and its callers were told to come back in a second, again and again. Requests that ran at the crash have ended once the route's timeout has passed since; from then on the refusal is 400, as for any other held content.

Found with it: the time of the first event is read after that of its bytes, so the progress of an answer could be negative by some milliseconds. Clamped: a negative time would have made a report unreadable had it ever been sent; it never was, as only times over 0.3 s are.

Test: AnswerThatCrashesTest asks for the 400 at its end.

--- a/src/relay/attempt.cc
+++ b/src/relay/attempt.cc
@@ -529,7 +529,9 @@
   progress_.position = call_.last_event_id
                            ? to_position(*call_.last_event_id)
                            : std::max(progress_.position, to_position(event_count_));
-  progress_.time = std::chrono::duration_cast<milliseconds>(last_received_at_ - *first_event_at_);
+  // The time of the first event is read after that of its bytes.
+  const auto since_first = std::max(mono_time::duration(0), last_received_at_ - *first_event_at_);
+  progress_.time = std::chrono::duration_cast<milliseconds>(since_first);
   running_->set_progress(progress_);
 }
 
--- a/src/relay/call_relay.cc
+++ b/src/relay/call_relay.cc
@@ -179,7 +179,8 @@
 
 // A content is refused with a status that callers do not retry: the hold outlasts the deadline of
 // its only caller. The callers of a part are many, and are told from when on it may be sent again;
-// so are those of a contested content, which may be cleared at any moment.
+// so are those of a contested content, which may be cleared as long as a request that ran when an
+// endpoint ended may still run.
 std::optional<call_refusal> call_relay::check_hold(const admitted_call& call)
 {
   const auto found = crash_detector_.active_hold(call);
@@ -191,7 +192,9 @@
                    .reason = "not run: requests like it have ended endpoints",
                    .retry_at = std::nullopt,
                    .log_details = hold_log_fields(suspect, hold, state_.running_answers)};
-  if (hold.is_contested) {
+  const bool may_be_cleared =
+      hold.is_contested && state_.fleet_time() < hold.last_crash_at + call.route->timeout;
+  if (may_be_cleared) {
     why.status = http::status::service_unavailable;
     why.reason = "not run: requests like it may have ended endpoints";
     why.retry_at = std::chrono::steady_clock::now() + min_hold_retry_delay;
--- a/test/relay/crashing_request_test.cc
+++ b/test/relay/crashing_request_test.cc
@@ -223,6 +223,8 @@
     send_both(4s + GetParam() * pace, batch, false);
     EXPECT_EQ(ended_endpoints(), before);
     take_statuses();
+    // By now no request runs that might have cleared it.
+    EXPECT_EQ(send_crash_request(*gateways_[0], "/stream/deadly"), 400);
   }
 };
 
