--- a/test/relay/hot_content_test.cc
+++ b/test/relay/hot_content_test.cc
@@ -83,7 +83,7 @@
     for (const auto& line : lines) {
       out += line.message;
       for (const auto& [name, value] : line.fields) {
-        out += " " + name + "=" + value;
+        out.append(" ").append(name).append("=").append(value);
       }
       out += "\n";
     }
