--- a/src/relay/hold_log.cc
+++ b/src/relay/hold_log.cc
@@ -9,7 +9,6 @@
 #include "wisteriaflow/base/time.h"
 
 namespace wisteriaflow::relay {
-
 namespace {
 
 void add_running(log_fields& to, const std::vector<gateway::running_answer>& running)
--- a/test/gateway/crashing_requests_replay_test.cc
+++ b/test/gateway/crashing_requests_replay_test.cc
@@ -128,10 +128,14 @@
     std::optional<wall_time> limit_at; // of the crash that reached the limit
   };
 
+  static content_id content_of(const request& r)
+  {
+    return {.hash = {.high = r.content, .low = r.content}};
+  }
+
   static suspicions suspects_of(const request& r, answer_stage stage = answer_stage::not_started)
   {
-    const content_id content{.hash = {.high = r.content, .low = r.content}};
-    auto out = gateway::suspects_of(content, r.prompt, stage);
+    auto out = gateway::suspects_of(content_of(r), r.prompt, stage);
     if (r.is_proven) {
       std::erase_if(out, [](const auto& it) { return is_prompt_part(it.first); });
     }
@@ -154,8 +158,7 @@
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
       for (const auto& r : endpoints_[i].running) {
         if (r.daemon == daemon) {
-          const content_id content{.hash = {.high = r.content, .low = r.content}};
-          entries.emplace_back(running, content,
+          entries.emplace_back(running, content_of(r),
                                running_answer{.by = process_of(i),
                                               .sent_at = r.sent_at,
                                               .progress = progress_of(r, now)});
@@ -279,7 +282,7 @@
   // One daemon probes a held content when that is due, with one request at a time.
   bool is_held(const request& r, wall_time now)
   {
-    if (daemons_[r.daemon].hold_of(content_id{.hash = {.high = r.content, .low = r.content}})) {
+    if (daemons_[r.daemon].hold_of(content_of(r))) {
       review(r.daemon, now);
     }
     const auto suspects = suspects_of(r);
@@ -384,8 +387,7 @@
       const auto stage =
           r.first_event_at <= now ? answer_stage::started : answer_stage::not_started;
       auto suspects = suspects_of(r, stage);
-      suspects.at(content_id{.hash = {.high = r.content, .low = r.content}}).progress =
-          progress_of(r, now);
+      suspects.at(content_of(r)).progress = progress_of(r, now);
       daemons_[r.daemon].on_crash({.process = process, .at = now, .suspects = std::move(suspects)});
     }
     std::set<std::uint64_t> causes;
--- a/test/gateway_system/gateway_fleet.cc
+++ b/test/gateway_system/gateway_fleet.cc
@@ -173,7 +173,7 @@
 
 void gateway_fleet::run(gateway_process& d, const daemon_options& options)
 {
-  record_end(d);
+  add_unexpected_end(d, unexpected_ends_);
   d.disturbed_until = std::chrono::steady_clock::now() + start_grace;
   const auto file = folder_ + "/" + d.id + ".ini";
   std::ofstream(file) << settings_of(d, options);
@@ -182,20 +182,20 @@
       options.log.empty() ? folder_ + "/" + d.id + ".log" : options.log);
 }
 
-void gateway_fleet::record_end(const gateway_process& d)
+void gateway_fleet::add_unexpected_end(const gateway_process& d, std::vector<std::string>& to)
 {
   if (const auto number = d.running ? d.running->unexpected_signal() : std::nullopt) {
-    unexpected_ends_.push_back(d.id + " ended by signal " + std::to_string(*number));
+    to.push_back(d.id + " ended by signal " + std::to_string(*number));
   }
 }
 
 std::vector<std::string> gateway_fleet::unexpected_ends()
 {
-  const auto replaced = unexpected_ends_;
+  auto out = unexpected_ends_;
   for (const auto& [id, d] : daemons_) {
-    record_end(*d);
+    add_unexpected_end(*d, out);
   }
-  return std::exchange(unexpected_ends_, replaced);
+  return out;
 }
 
 void gateway_fleet::restart(gateway_process& d, const daemon_options& options)
--- a/test/gateway_system/gateway_fleet.h
+++ b/test/gateway_system/gateway_fleet.h
@@ -144,8 +144,8 @@
  private:
   proxied_endpoint& add_endpoint(const std::string& id, const std::string& version);
   void run(gateway_process& d, const daemon_options& options);
-  // Remembers how the daemon's process ended if the test did not end it.
-  void record_end(const gateway_process& d);
+  // Adds how the daemon's process ended if the test did not end it.
+  static void add_unexpected_end(const gateway_process& d, std::vector<std::string>& to);
   [[nodiscard]] static std::string default_program();
   [[nodiscard]] std::string settings_of(const gateway_process& d,
                                         const daemon_options& options) const;
--- a/test/relay/crash_store_test.cc
+++ b/test/relay/crash_store_test.cc
@@ -56,6 +56,14 @@
     }
   }
 
+  // Starts the store's coroutine and waits until it has written a hold of three crashes.
+  void store_hold()
+  {
+    store_.start();
+    record_crashes(3);
+    wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  }
+
   void run_for(std::chrono::milliseconds time)
   {
     context_.restart();
@@ -80,9 +88,7 @@
 
 TEST_F(CrashStoreTest, WritesTheCrashesBehindAHold)
 {
-  store_.start();
-  record_crashes(3);
-  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  store_hold();
 }
 
 TEST_F(CrashStoreTest, WritesNothingBelowTheHoldThreshold)
@@ -95,9 +101,7 @@
 
 TEST_F(CrashStoreTest, WritesFurtherCrashes)
 {
-  store_.start();
-  record_crashes(3);
-  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  store_hold();
   record_crashes(4);
   wait_until([this] { return stored_crash_count() == 4; }, "the further crash is stored");
 }
@@ -105,9 +109,7 @@
 // Guards against daemons that start, find the hold of a content that was cleared, and refuse it.
 TEST_F(CrashStoreTest, RemovesAHoldOnceItsContentHasComeFurtherElsewhere)
 {
-  store_.start();
-  record_crashes(3);
-  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  store_hold();
   const gateway::running_answers::entry one(
       state_.running_answers, content,
       {.by = {.id = endpoint_id("i-9")}, .progress = {.position = 5, .time = 1s}});
@@ -119,9 +121,7 @@
 
 TEST_F(CrashStoreTest, WritesThatAHoldIsContested)
 {
-  store_.start();
-  record_crashes(3);
-  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  store_hold();
   const gateway::running_answers::entry one(
       state_.running_answers, content,
       {.by = {.id = endpoint_id("i-9")}, .sent_at = state_.fleet_time() - 10s});
@@ -186,9 +186,7 @@
 
 TEST_F(CrashStoreTest, RemovesAHoldOnceTheContentIsAnswered)
 {
-  store_.start();
-  record_crashes(3);
-  wait_until([this] { return stored_crash_count() == 3; }, "the hold is stored");
+  store_hold();
   state_.crashes.on_answered(content, state_.fleet_time());
   wait_until([this] { return stored_crash_count() == 0; }, "the hold is removed");
 }
--- a/test/relay/origin_store_test.cc
+++ b/test/relay/origin_store_test.cc
@@ -1,8 +1,7 @@
 // Readings of the stored origins that are begun for several reasons at once.
 
 #include <chrono>
-#include <functional>
-#include <memory>
+#include <exception>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/json/array.hpp>
