Take an answer of unknown progress in a crash report for one that may have come far

Daemons of an earlier version report that an answer had begun, and not how far it had come. Decoded, that was the progress of an answer that had not begun, so that any other request with the content, running while versions are mixed, cleared a content that does end endpoints.

The position of such an answer is now unknown, which no request is further than, and the progress of an answer that has begun is always written.

CrashCodecTest.TakesAnAnswerOfUnknownProgressForOneThatMayHaveComeFar failed before.

--- a/src/gateway/crash_report_codec.cc
+++ b/src/gateway/crash_report_codec.cc
@@ -50,8 +50,9 @@
         refuted.emplace_back(to_string(suspect));
       }
     } else {
-      contents[to_string(suspect)] = seen.stage == answer_stage::started;
-      if (seen.progress != answer_progress()) {
+      const bool has_started = seen.stage == answer_stage::started;
+      contents[to_string(suspect)] = has_started;
+      if (has_started || seen.progress != answer_progress()) {
         progress[to_string(suspect)] = encode(seen.progress);
       }
       if (seen.outlived_by) {
@@ -106,14 +107,19 @@
                   .incarnation = from.at("incarnation").to_number<std::uint64_t>()},
       .at = decode_time(from.at("at"))};
   for (const auto& [content, started] : from.at(contents_member).as_object()) {
-    const auto stage = started.as_bool() ? answer_stage::started : answer_stage::not_started;
-    out.suspects.emplace(decode_suspect(content, false), suspicion{.stage = stage});
+    suspicion seen;
+    if (started.as_bool()) {
+      seen.stage = answer_stage::started;
+      // Daemons of an earlier version don't tell how far the answer had come.
+      seen.progress.position = answer_progress::unknown_position;
+    }
+    out.suspects.emplace(decode_suspect(content, false), seen);
   }
   for (const auto& [part, depth] : optional_member(from, parts_member)) {
     out.suspects.emplace(decode_suspect(part, true),
                          suspicion{.depth = depth.to_number<std::uint32_t>()});
   }
-  // Daemons of an earlier version refute nothing, and know no progress.
+  // Daemons of an earlier version refute nothing.
   if (const auto* refuted = from.as_object().if_contains(refuted_parts_member)) {
     for (const auto& part : refuted->as_array()) {
       out.suspects.at(decode_suspect(part.as_string(), true)).refuted = true;
--- a/test/gateway/crash_report_codec_test.cc
+++ b/test/gateway/crash_report_codec_test.cc
@@ -27,6 +27,20 @@
   EXPECT_EQ(decode_crash_report(boost::json::parse(text)), report);
 }
 
+// Guards against a content that is cleared because its report, of a daemon of an earlier version,
+// does not say how far it had come.
+TEST(CrashCodecTest, TakesAnAnswerOfUnknownProgressForOneThatMayHaveComeFar)
+{
+  const auto decoded = decode_crash_report(boost::json::parse(R"({
+    "crashes": [{"endpoint": "i-1", "incarnation": 1, "at": 1796000000000,
+                 "suspects": {"00000000000000000000000000000001": true,
+                              "00000000000000000000000000000002": false}}],
+    "answered": {}})"));
+  const auto& suspects = decoded.crashes.at(0).suspects;
+  EXPECT_FALSE(suspects.at(content_id{.hash = {.low = 1}}).progress.is_known());
+  EXPECT_EQ(suspects.at(content_id{.hash = {.low = 2}}).progress, answer_progress());
+}
+
 TEST(CrashCodecTest, RejectsInvalidReports)
 {
   for (const auto* text : {"null", "[]", "{}", R"({"crashes":[],"answered":[]})",
