--- a/test/relay/crashing_request_test.cc
+++ b/test/relay/crashing_request_test.cc
@@ -177,6 +177,7 @@
 class AnswerThatCrashesTest : public CrashingRequestTest, public testing::WithParamInterface<int> {
  protected:
   static constexpr auto pace = 100ms;
+  static constexpr auto interval = 700ms;
 
   void add_streaming_endpoints(int number)
   {
@@ -190,7 +191,7 @@
     }
   }
 
-  // For the time, sends a popular sound request each 100 ms, and the crash request each 700 ms,
+  // For the time, sends a popular sound request each 100 ms, and the crash request each `interval`,
   // `batch` times at once, to the daemons in turn. Stops when three endpoints have ended if
   // `until_held`.
   void send_both(std::chrono::milliseconds time, int batch, bool until_held)
@@ -200,7 +201,7 @@
       auto popular = request_for("POST", "/stream/popular");
       popular.body = "sent by many callers";
       start_request(to, std::move(popular));
-      for (int n = 0; i % 7 == 0 && n < batch; ++n) {
+      for (int n = 0; i % (interval / 100ms) == 0 && n < batch; ++n) {
         start_request(to, crash_request("/stream/deadly"));
       }
       run_for(100ms);
@@ -238,6 +239,18 @@
   expect_held_within(30, 6);
 }
 
+TEST_P(AnswerThatCrashesTest, IsHeldAfterTwelveCallersSentItAtOnce)
+{
+  add_streaming_endpoints(24);
+  start_fleet(3);
+  send_both(interval, 12, false);
+  send_both(propagation_time + GetParam() * pace, 0, false);
+  const auto before = ended_endpoints();
+  ASSERT_GE(before, crashes_before_hold);
+  send_both(4s + GetParam() * pace, 12, false);
+  EXPECT_EQ(ended_endpoints(), before);
+}
+
 INSTANTIATE_TEST_SUITE_P(AfterEvents, AnswerThatCrashesTest, testing::Values(1, 15, 40),
                          testing::PrintToStringParamName());
 
--- a/test/relay/hot_content_test.cc
+++ b/test/relay/hot_content_test.cc
@@ -135,7 +135,7 @@
   expect_served({0, 1, 2});
 }
 
-INSTANTIATE_TEST_SUITE_P(Milliseconds, EndsApartTest, testing::Values(0, 60, 300),
+INSTANTIATE_TEST_SUITE_P(Milliseconds, EndsApartTest, testing::Values(0, 60, 300, 2'000),
                          testing::PrintToStringParamName());
 
 TEST_F(HotContentTest, IsServedWhileItsAnswersAreStillGoingOn)
