Use an own link that works when peers refuse to carry a call

What callers saw: resumed streams refused with 503 while their endpoint answered other calls of the same daemon.

After two failed connections, a call prefers peers for the next endpoints, as the daemon may be cut off. If these refused, or had refused any other call in the last 200 ms, the attempt failed as if the endpoint could not be reached, and four of those end a call.

The own link is now used if it is merely avoided, not lost, and the view of the endpoints is recent.

EndpointTransportTest.ALinkThatIsNotLostIsUsedIfPeersRefuse failed before.

--- a/src/relay/endpoint_transport.cc
+++ b/src/relay/endpoint_transport.cc
@@ -65,10 +65,15 @@
     state_.counters.count("calls_with_outdated_view");
   }
   if (is_lost || link != own_link::preferred || is_outdated) {
-    const bool is_sent = co_await exchange_through_peers(request, observer, handle, relay);
-    if (is_sent) {
+    const auto result = co_await exchange_through_peers(request, observer, handle, relay);
+    if (result.is_sent) {
       co_return;
     }
+    const bool is_link_usable = link == own_link::avoided && !is_lost && !is_outdated;
+    if (!result.refusal.empty() && !is_link_usable) {
+      throw http::connect_error(result.refusal);
+    }
+    relay.reset();
   }
   if (link == own_link::barred) {
     throw http::connect_error("no peer may send a request to " + request.endpoint.value());
@@ -88,17 +93,17 @@
   return out;
 }
 
-asio::awaitable<bool> endpoint_transport::exchange_through_peers(
+asio::awaitable<endpoint_transport::peers_result> endpoint_transport::exchange_through_peers(
     const endpoint_request& request, const http::stream_observer& observer,
     http::cancel_handle& handle, std::optional<daemon_id>& relay)
 {
-  std::string refusal;
+  peers_result out;
   auto senders = senders_to(request.endpoint, std::chrono::steady_clock::now());
   for (unsigned tried = 0; tried < max_peers_tried; ++tried) {
     auto choice = relays_.choose(senders, std::chrono::steady_clock::now());
     if (const auto* none = std::get_if<gateway::no_relay_peer>(&choice)) {
-      if (*none == gateway::no_relay_peer::none && refusal.empty()) {
-        co_return false;
+      if (*none == gateway::no_relay_peer::no_room && out.refusal.empty()) {
+        out.refusal = "no peer has room for a call";
       }
       break;
     }
@@ -107,12 +112,13 @@
     std::erase_if(senders, [&peer](const auto& other) { return other.id == peer.id; });
     try {
       co_await exchange_through(std::move(peer), request, observer, handle);
-      co_return true;
+      out.is_sent = true;
+      break;
     } catch (const relay_refused_error& e) {
-      refusal = e.what();
+      out.refusal = e.what();
     }
   }
-  throw http::connect_error(refusal.empty() ? "no peer has room for a call" : refusal);
+  co_return out;
 }
 
 asio::awaitable<void> endpoint_transport::exchange_directly(endpoint_request request,
--- a/src/relay/endpoint_transport.h
+++ b/src/relay/endpoint_transport.h
@@ -8,6 +8,7 @@
 #define WISTERIAFLOW_SRC_RELAY_ENDPOINT_TRANSPORT_H_
 
 #include <optional>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -69,14 +70,20 @@
     std::optional<relay_result> result;
   };
 
+  // Whether a peer carried a call.
+  struct peers_result {
+    bool is_sent = false;
+    std::string refusal; // why none did; empty if there was none to try
+  };
+
   // The live daemons that may send requests to the endpoint.
   [[nodiscard]] std::vector<gateway::daemon_contact> senders_to(const endpoint_id& id,
                                                                 mono_time now) const;
-  // Returns false if there is no peer to try. Throws connect_error if all that were tried refused.
-  boost::asio::awaitable<bool> exchange_through_peers(const endpoint_request& request,
-                                                      const http::stream_observer& observer,
-                                                      http::cancel_handle& handle,
-                                                      std::optional<daemon_id>& relay);
+  // Throws what the exchange with the peer that carried the call throws.
+  boost::asio::awaitable<peers_result> exchange_through_peers(const endpoint_request& request,
+                                                              const http::stream_observer& observer,
+                                                              http::cancel_handle& handle,
+                                                              std::optional<daemon_id>& relay);
   boost::asio::awaitable<void> exchange_through(gateway::daemon_contact peer,
                                                 endpoint_request request,
                                                 http::stream_observer observer,
--- a/test/relay/endpoint_transport_test.cc
+++ b/test/relay/endpoint_transport_test.cc
@@ -27,26 +27,28 @@
   }
 
   // Sends a request to the endpoint, whose link is lost. Throws what the exchange throws.
-  void exchange()
+  void exchange() { exchange(id_, {.port = 1}, endpoint_transport::own_link::preferred); }
+
+  // Sends a request to the endpoint, which has this address.
+  void exchange(const endpoint_id& id, const http::socket_address& address,
+                endpoint_transport::own_link link)
   {
-    auto task = [this]() -> boost::asio::awaitable<void> {
+    auto task = [&]() -> boost::asio::awaitable<void> {
       endpoint_request request{
-          .endpoint = id_, .request_id = "r1", .deadline = fakes::far_deadline()};
+          .endpoint = id, .request_id = "r1", .deadline = fakes::far_deadline()};
       http::stream_observer observer{.on_head = [](const http::response&) {},
                                      .is_expected = [](const http::response&) { return true; }};
       observer.on_bytes_async = [](std::string_view) -> boost::asio::awaitable<void> { co_return; };
       http::cancel_handle handle;
-      std::optional<daemon_id> relay;
-      const http::socket_address address{.port = 1};
-      co_await transport_.exchange(std::move(request), address,
-                                   endpoint_transport::own_link::preferred, std::move(observer),
-                                   handle, relay);
+      co_await transport_.exchange(std::move(request), address, link, std::move(observer), handle,
+                                   relay_);
     };
     fakes::run(context_, task());
   }
 
   const endpoint_id id_{"i-1"};
   boost::asio::io_context context_;
+  std::optional<daemon_id> relay_;
   http::response answer_;
   http::server peer_{
       context_,
@@ -79,6 +81,26 @@
   EXPECT_THROW(exchange(), http::connect_error);
 }
 
+// Guards against calls that fail because peers refuse them, although this daemon's own link works:
+// a resumed stream was given up beside calls that the same endpoint answered.
+TEST_F(EndpointTransportTest, ALinkThatIsNotLostIsUsedIfPeersRefuse)
+{
+  const http::server endpoint(
+      context_, {}, [](http::request, http::response_writer& w) -> boost::asio::awaitable<void> {
+        http::response out{.status = 200};
+        co_await w.send(std::move(out));
+      });
+  answer_ = with_relay_result({.status = 502}, relay_result::refused);
+  for (int i = 0; i < 2; ++i) { // after a refusal, the peer counts as full for a while
+    EXPECT_NO_THROW(
+        exchange(endpoint_id("i-2"), endpoint.address(), endpoint_transport::own_link::avoided));
+    EXPECT_EQ(relay_, std::nullopt);
+  }
+  EXPECT_THROW(
+      exchange(endpoint_id("i-2"), endpoint.address(), endpoint_transport::own_link::barred),
+      http::connect_error);
+}
+
 TEST_F(EndpointTransportTest, AnEndpointThatThePeerCannotReachEitherIsUnreachable)
 {
   answer_ = with_relay_result({.status = 502}, relay_result::unreachable);
