Look at the holds in place when running requests speak for them; two comments

Cause: on_running() copied the map of all holds, with each report of a peer and each tick, to read it. The example in running_answers.h had been wrapped into nonsense by the formatter, and the comment of merged() said that less progress counts, where the furthest does.

Change: the loop reads holds_ after recompute_holds(); what it changes only marks holds_ as outdated. No behaviour, bound or test is changed.

--- a/include/wisteriaflow/gateway/running_answers.h
+++ b/include/wisteriaflow/gateway/running_answers.h
@@ -3,8 +3,8 @@
 //
 //   running_answers running;
 //   running_answers::entry one(running, content, {.by = process, .sent_at = now});
-//   one.set_progress({.position = 3, .time = elapsed}); // the request runs until `one` is
-//   destroyed for (const auto& it : running.find(content)) { ... }
+//   one.set_progress({.position = 3, .time = elapsed});
+//   for (const auto& it : running.find(content)) { ... } // without it once `one` is destroyed
 
 #ifndef WISTERIAFLOW_GATEWAY_RUNNING_ANSWERS_H_
 #define WISTERIAFLOW_GATEWAY_RUNNING_ANSWERS_H_
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -38,7 +38,8 @@
   return hash64_of(to_string(suspect), static_cast<std::uint64_t>(to_unix_ms(answered_at)));
 }
 
-// Of two requests with the same suspect, the one with less progress counts, and the longer prompt.
+// Of two requests with the same suspect, the earlier stage, the furthest progress and the longer
+// prompt count.
 suspicion merged(const suspicion& a, const suspicion& b)
 {
   const auto& known = a.outlived_by ? a.outlived_by : b.outlived_by;
@@ -170,7 +171,8 @@
 std::vector<content_id> crash_suspects::on_running(const running_answers& running, wall_time now)
 {
   std::vector<content_id> out;
-  for (const auto& [suspect, hold] : holds()) {
+  recompute_holds();
+  for (const auto& [suspect, hold] : holds_) {
     const auto* content = std::get_if<content_id>(&suspect);
     if (content == nullptr) {
       continue;
