Print the daemons' logs when a test of the relay fails

The fixture now prints the newest lines of each daemon, with the time since the test began, if the test has failed.

--- a/test/relay/gateway_fixture.cc
+++ b/test/relay/gateway_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iostream>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,7 +43,23 @@
 void running_gateway::record_line(daemon::log_line line)
 {
   const std::lock_guard lock(mutex_);
-  lines_.push_back(std::move(line));
+  lines_.push_back({.at = std::chrono::steady_clock::now(), .line = std::move(line)});
+}
+
+void running_gateway::print_lines(std::ostream& out, mono_time origin) const
+{
+  constexpr std::size_t max_lines = 200;
+  const std::lock_guard lock(mutex_);
+  const auto first = lines_.size() - std::min(lines_.size(), max_lines);
+  for (auto i = first; i < lines_.size(); ++i) {
+    const auto& [at, line] = lines_[i];
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(at - origin);
+    out << options.id.value() << " " << time.count() << " " << line.message;
+    for (const auto& [name, value] : line.fields) {
+      out << " " << name << "=" << value;
+    }
+    out << "\n";
+  }
 }
 
 std::vector<daemon::log_line>
@@ -51,7 +68,7 @@
   const std::pair<std::string, std::string> field("request", request_id);
   const std::lock_guard lock(mutex_);
   std::vector<daemon::log_line> out;
-  for (const auto& line : lines_) {
+  for (const auto& [at, line] : lines_) {
     if (std::find(line.fields.begin(), line.fields.end(), field) != line.fields.end()) {
       out.push_back(line);
     }
@@ -63,7 +80,7 @@
 {
   const std::lock_guard lock(mutex_);
   std::vector<daemon::log_line> out;
-  for (const auto& line : lines_) {
+  for (const auto& [at, line] : lines_) {
     if (line.message == message) {
       out.push_back(line);
     }
@@ -82,6 +99,16 @@
   write_configuration(1);
 }
 
+void gateway_fixture::TearDown()
+{
+  if (!HasFailure()) {
+    return;
+  }
+  for (const auto& g : gateways_) {
+    g->print_lines(std::cout, started_at_);
+  }
+}
+
 running_gateway& gateway_fixture::start_gateway(fake_store& store)
 {
   const auto number = static_cast<unsigned>(gateways_.size());
--- a/test/relay/gateway_fixture.h
+++ b/test/relay/gateway_fixture.h
@@ -4,8 +4,10 @@
 #ifndef WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 #define WISTERIAFLOW_TEST_RELAY_GATEWAY_FIXTURE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
+#include <iosfwd>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -18,6 +20,7 @@
 
 #include "fakes/fake_endpoint.h"
 #include "fakes/fake_store.h"
+#include "wisteriaflow/base/time.h"
 #include "wisteriaflow/http/client.h"
 #include "wisteriaflow/relay/gateway_daemon.h"
 
@@ -39,14 +42,21 @@
   std::vector<daemon::log_line> lines_with_message(const std::string& message) const;
   // Those that name the request.
   std::vector<daemon::log_line> lines_for_request(const std::string& request_id) const;
+  // Prints the newest log lines, oldest first, each with the time since `origin` in milliseconds.
+  void print_lines(std::ostream& out, mono_time origin) const;
 
   settings options;
 
  private:
+  struct recorded_line {
+    mono_time at;
+    daemon::log_line line;
+  };
+
   void record_line(daemon::log_line line);
 
   mutable std::mutex mutex_;
-  std::vector<daemon::log_line> lines_;
+  std::vector<recorded_line> lines_;
 
  public:
   gateway_daemon daemon; // after `lines_`: it logs as soon as it is constructed
@@ -62,6 +72,9 @@
 
   gateway_fixture();
 
+  // Prints the daemons' logs if the test has failed.
+  void TearDown() override;
+
   // Starts a daemon that uses `store`. Its seeds are the daemons that were started before.
   running_gateway& start_gateway(fake_store& store);
   // Changes the settings of the daemons that are started from now on.
@@ -107,6 +120,7 @@
   std::vector<std::unique_ptr<running_gateway>> gateways_;
 
  private:
+  const mono_time started_at_ = std::chrono::steady_clock::now();
   std::vector<int> statuses_; // of started requests
   std::size_t open_requests_ = 0;
 };
