Fake endpoints listen on hosts that other programs do not use

Cause, in the test: it closes proxies on 127.0.0.1 and expects connections to them to be refused. Tests run side by side, and the kernel gives the port of a closed listener to the next program that asks for one on that host. The daemon's probe then finds a listener at the endpoint's address, and rightly ends its cut-off.

The same class: fake endpoints of the relay and soak tests, which also end by closing their listener. All now listen on a loopback host of their own process. No check is changed. The comment on free_addresses() named another host than the one where outgoing connections have their ports.

--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fakes/fake_server.h"
+#include "fakes/free_addresses.h"
 
 namespace wisteriaflow::fakes {
 
@@ -40,7 +41,9 @@
 class fake_endpoint final : public fake_server {
  public:
   fake_endpoint(boost::asio::io_context& context, std::string id)
-      : fake_server(context, 0), id_(std::move(id))
+      : fake_server(context,
+                    http::socket_address{.host = process_loopback_host(endpoint_host_number)}),
+        id_(std::move(id))
   {
   }
 
--- a/test/fakes/fake_server.cc
+++ b/test/fakes/fake_server.cc
@@ -56,8 +56,8 @@
   return {.status = status, .body = {{"reason", reason}}};
 }
 
-fake_server::fake_server(asio::io_context& context, std::uint16_t port)
-    : context_(context), server_(context, {.address = {.port = port}, .body_limit = body_limit},
+fake_server::fake_server(asio::io_context& context, http::socket_address listen)
+    : context_(context), server_(context, {.address = std::move(listen), .body_limit = body_limit},
                                  [this](http::request received, http::response_writer& w) {
                                    return serve_catching_errors(std::move(received), w);
                                  })
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -65,8 +65,14 @@
   virtual void close();
 
  protected:
-  // Listens on `port`; 0 lets the kernel choose one.
-  fake_server(boost::asio::io_context& context, std::uint16_t port);
+  // Listens on `listen`; port 0 lets the kernel choose one. The kernel gives a port that close()
+  // frees to other programs, so a fake whose address must refuse connections from then on needs a
+  // host of its own process, see free_addresses.h.
+  fake_server(boost::asio::io_context& context, http::socket_address listen);
+  fake_server(boost::asio::io_context& context, std::uint16_t port)
+      : fake_server(context, http::socket_address{.port = port})
+  {
+  }
 
   // Answers one request. A JSON error or std::invalid_argument that it throws is answered with 400.
   virtual boost::asio::awaitable<void> serve(fake_request received, http::response_writer& w) = 0;
--- a/test/fakes/free_addresses.h
+++ b/test/fakes/free_addresses.h
@@ -16,10 +16,14 @@
 // process id and N from `number`.
 [[nodiscard]] std::string process_loopback_host(unsigned number);
 
+// The number of the host that all fake endpoints of this process listen on. Other programs never
+// get the port of one that has closed.
+inline constexpr unsigned endpoint_host_number = 250;
+
 // Returns `count` addresses at `host` with ports that the kernel chose; they are free again on
-// return. Use a `host` with one server only, see process_loopback_host(): the kernel gives an
-// outgoing connection a local port on the host that it connects to, so on a host that servers
-// share about one in a thousand ports was taken before the server bound it.
+// return. Use a `host` with one server only, see process_loopback_host(): on 127.0.0.1, where
+// outgoing connections have their local ports, and on a host that servers share, about one in a
+// thousand ports was taken before the server bound it.
 [[nodiscard]] std::vector<http::socket_address> free_addresses(const std::string& host,
                                                                std::size_t count);
 
--- a/test/fakes/unframed_endpoint.cc
+++ b/test/fakes/unframed_endpoint.cc
@@ -11,20 +11,26 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "fakes/free_addresses.h"
+
 namespace wisteriaflow::fakes {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
 unframed_endpoint::unframed_endpoint(asio::io_context& context, std::string id)
-    : id_(std::move(id)), acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    : id_(std::move(id)),
+      acceptor_(
+          context,
+          tcp::endpoint(asio::ip::make_address(process_loopback_host(endpoint_host_number)), 0))
 {
   asio::co_spawn(context, accept_connections(), asio::detached);
 }
 
 http::socket_address unframed_endpoint::address() const
 {
-  return {.port = acceptor_.local_endpoint().port()};
+  const auto own = acceptor_.local_endpoint();
+  return {.host = own.address().to_string(), .port = own.port()};
 }
 
 asio::awaitable<void> unframed_endpoint::accept_connections()
--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -18,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "fakes/fake_server.h"
+#include "fakes/free_addresses.h"
 #include "fakes/limited_room.h"
 #include "wisteriaflow/base/time.h"
 
@@ -87,7 +88,9 @@
  public:
   counting_endpoint(boost::asio::io_context& context, std::string id, std::string version,
                     std::uint64_t seed)
-      : fake_server(context, 0), id_(std::move(id)), version_(std::move(version)), random_(seed)
+      : fake_server(context, http::socket_address{.host = fakes::process_loopback_host(
+                                                      fakes::endpoint_host_number)}),
+        id_(std::move(id)), version_(std::move(version)), random_(seed)
   {
   }
 
--- a/test/relay/partitioned_daemon_test.cc
+++ b/test/relay/partitioned_daemon_test.cc
@@ -17,6 +17,7 @@
 #include <gtest/gtest.h>
 
 #include "fakes/fault_proxy.h"
+#include "fakes/free_addresses.h"
 #include "relay/gateway_fixture.h"
 #include "relay/relay_messages.h"
 #include "wisteriaflow/http/errors.h"
@@ -40,7 +41,7 @@
     for (int i = 1; i <= endpoints; ++i) {
       auto& e = add_endpoint("i-" + std::to_string(i));
       auto& link = links_[e.id()];
-      link = std::make_unique<fault_proxy>(context_, "127.0.0.1", e.address());
+      link = std::make_unique<fault_proxy>(context_, links_host_, e.address());
       own_view_.endpoint_addresses[e.id()] = link->address();
     }
     start_gateway(own_view_);
@@ -168,6 +169,8 @@
     return std::stod(page.substr(at + line.size()));
   }
 
+  // Not shared with other programs, which might listen on the port of a closed link.
+  const std::string links_host_ = fakes::process_loopback_host(251);
   fake_store own_view_{context_, store_};
   std::map<std::string, std::unique_ptr<fault_proxy>> links_;
   std::vector<int> statuses_;
