--- a/test/fakes/fake_endpoint.h
+++ b/test/fakes/fake_endpoint.h
@@ -41,9 +41,7 @@
 class fake_endpoint final : public fake_server {
  public:
   fake_endpoint(boost::asio::io_context& context, std::string id)
-      : fake_server(context,
-                    http::socket_address{.host = process_loopback_host(endpoint_host_number)}),
-        id_(std::move(id))
+      : fake_server(context, {.host = endpoint_host()}), id_(std::move(id))
   {
   }
 
--- a/test/fakes/free_addresses.cc
+++ b/test/fakes/free_addresses.cc
@@ -16,6 +16,12 @@
          std::to_string(1 + number % 254);
 }
 
+std::string endpoint_host()
+{
+  constexpr unsigned number = 250; // servers of a process are counted from 0
+  return process_loopback_host(number);
+}
+
 std::vector<http::socket_address> free_addresses(const std::string& host, std::size_t count)
 {
   boost::asio::io_context context;
--- a/test/fakes/free_addresses.h
+++ b/test/fakes/free_addresses.h
@@ -16,9 +16,9 @@
 // process id and N from `number`.
 [[nodiscard]] std::string process_loopback_host(unsigned number);
 
-// The number of the host that all fake endpoints of this process listen on. Other programs never
-// get the port of one that has closed.
-inline constexpr unsigned endpoint_host_number = 250;
+// The loopback address that all fake endpoints of this process listen on. Other programs never get
+// the port of one that has closed.
+[[nodiscard]] std::string endpoint_host();
 
 // Returns `count` addresses at `host` with ports that the kernel chose; they are free again on
 // return. Use a `host` with one server only, see process_loopback_host(): on 127.0.0.1, where
--- a/test/fakes/unframed_endpoint.cc
+++ b/test/fakes/unframed_endpoint.cc
@@ -20,9 +20,7 @@
 
 unframed_endpoint::unframed_endpoint(asio::io_context& context, std::string id)
     : id_(std::move(id)),
-      acceptor_(
-          context,
-          tcp::endpoint(asio::ip::make_address(process_loopback_host(endpoint_host_number)), 0))
+      acceptor_(context, tcp::endpoint(asio::ip::make_address(endpoint_host()), 0))
 {
   asio::co_spawn(context, accept_connections(), asio::detached);
 }
--- a/test/gateway_system/counting_endpoint.h
+++ b/test/gateway_system/counting_endpoint.h
@@ -88,9 +88,8 @@
  public:
   counting_endpoint(boost::asio::io_context& context, std::string id, std::string version,
                     std::uint64_t seed)
-      : fake_server(context, http::socket_address{.host = fakes::process_loopback_host(
-                                                      fakes::endpoint_host_number)}),
-        id_(std::move(id)), version_(std::move(version)), random_(seed)
+      : fake_server(context, {.host = fakes::endpoint_host()}), id_(std::move(id)),
+        version_(std::move(version)), random_(seed)
   {
   }
 
